Bursts pace themselves and loads take turns; versions' deadlines count from each naming; a stream that times out is cut

The catalog keeps the namings; entries insist on the newest that is due. TimedOut says that a part was passed on; the answer is aborted. Cause 3 (late requests during bursts): chunks filled the hosts' links, which the engines' streams share, and the origin's 8 fetchers sent twice what the others did. Cause 4: engines of a service loaded at the same moment. Turns now take the whole time in which the old version may be used.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/step"
@@ -16,6 +17,10 @@
 	outageAfter = 1500 * time.Millisecond
 )
 
+// VersionMargin is how long before a new version must be in use entries insist on it: a request begins with its first token, which
+// comes within a second of its send at the usual load.
+const VersionMargin = 1300 * time.Millisecond
+
 // Upstream is one registered upstream of a service.
 type Upstream struct {
 	// ID names one life of the upstream; a restart has another.
@@ -47,7 +52,10 @@
 	// Manifest is nil until one was read.
 	Manifest  *Manifest
 	Upstreams map[string]*Upstream
-	Versions  map[string]Naming
+	// Versions are the versions in force, by model.
+	Versions map[string]Naming
+	// history are the namings of each model, the oldest first.
+	history map[string][]Naming
 
 	// byAddress holds the id of the upstream that registered last at an address.
 	byAddress        map[string]string
@@ -148,7 +156,7 @@
 // NewState returns a state that knows nothing.
 func NewState() *State {
 	return &State{
-		Upstreams: map[string]*Upstream{}, Versions: map[string]Naming{}, listed: map[Topic]bool{},
+		Upstreams: map[string]*Upstream{}, Versions: map[string]Naming{}, history: map[string][]Naming{}, listed: map[Topic]bool{},
 		byAddress: map[string]string{}, removed: map[string]int64{}, lapsing: map[string]time.Time{},
 	}
 }
@@ -276,20 +284,54 @@
 }
 
 func (s *State) versionNamed(now time.Time, ev VersionNamed) []step.Effect {
+	named := Naming{Model: ev.Model, Version: ev.Version, Revision: ev.Revision, Since: now.Add(-ev.Age)}
+	s.remember(named)
 	known, ok := s.Versions[ev.Model]
-	since := now.Add(-ev.Age)
 	if ok && ev.Version < known.Version {
 		return nil
 	}
 	if ok && ev.Version == known.Version {
-		if since.Before(known.Since) {
-			known.Since = since
+		if named.Since.Before(known.Since) {
+			known.Since = named.Since
 			s.Versions[ev.Model] = known
 		}
 		return nil
 	}
-	s.Versions[ev.Model] = Naming{Model: ev.Model, Version: ev.Version, Revision: ev.Revision, Since: since}
-	return []step.Effect{Change{What: "version", Name: ev.Model, Value: "in force", Revision: ev.Revision}}
+	s.Versions[ev.Model] = named
+	return []step.Effect{Change{What: "version", Name: ev.Model, Value: strconv.FormatInt(ev.Version, 10), Revision: ev.Revision}}
+}
+
+// maxHistory bounds the namings of a model that are remembered; only those of the last seconds matter.
+const maxHistory = 16
+
+// remember keeps a naming beside the earlier ones, with the earliest time at which it was known.
+func (s *State) remember(n Naming) {
+	list := s.history[n.Model]
+	for i := range list {
+		if list[i].Version == n.Version {
+			if n.Since.Before(list[i].Since) {
+				list[i].Since = n.Since
+			}
+			return
+		}
+	}
+	list = append(list, n)
+	s.history[n.Model] = list[max(0, len(list)-maxHistory):]
+}
+
+// Namings returns the remembered namings of a model.
+func (s *State) Namings(model string) []Naming { return s.history[model] }
+
+// RequiredVersion is the version on which requests for a model must begin at a moment, when each version must be in use within
+// a time after its naming: the newest that was named so long ago. 0 stands for any version.
+func (s *State) RequiredVersion(model string, now time.Time, within time.Duration) int64 {
+	required := int64(0)
+	for _, n := range s.history[model] {
+		if now.Sub(n.Since) >= within {
+			required = max(required, n.Version)
+		}
+	}
+	return required
 }
 
 // At returns the upstream that registered last at an address, or nil.
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -78,7 +78,11 @@
 }
 
 // TimedOut says that a request's time is over.
-type TimedOut struct{ ID uint64 }
+type TimedOut struct {
+	ID uint64
+	// Partial is set when a part of an answer was passed on.
+	Partial bool
+}
 
 // CallerGone says that the caller closed its connection.
 type CallerGone struct{ ID uint64 }
@@ -231,7 +235,7 @@
 	case SendEnded:
 		return s.sendEnded(in, ev)
 	case TimedOut:
-		return s.timedOut(in, ev.ID)
+		return s.timedOut(in, ev)
 	case CallerGone:
 		return s.callerGone(in, ev.ID)
 	case LoadTold:
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -19,9 +19,6 @@
 	failuresToAvoid = 3
 	// plainFactor is how many requests for each slot an entry gives a plain upstream, which queues a few more.
 	plainFactor = 2
-	// versionMargin is how long before the time allowed for a new version runs out entries insist on it, so that a request
-	// that waits in an engine's queue still begins in time.
-	versionMargin = 2 * time.Second
 	// unheardSharers is how many entries an entry assumes to give an engine as much work as itself, that has no word on
 	// the engine's load: about two entries stand in a data centre.
 	unheardSharers = 2
@@ -206,11 +203,10 @@
 
 // requiredVersion is the version that a request for a model must begin on from now on; 0 for any.
 func (s *State) requiredVersion(now time.Time, model string) int64 {
-	named, known := s.Catalog.Versions[model]
-	if !known || s.Self.VersionTime <= 0 || now.Sub(named.Since) < s.Self.VersionTime-versionMargin {
+	if s.Self.VersionTime <= 0 {
 		return 0
 	}
-	return named.Version
+	return s.Catalog.RequiredVersion(model, now, s.Self.VersionTime-catalog.VersionMargin)
 }
 
 // census says in words why no upstream was found.
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -213,11 +213,12 @@
 	return o == NotSent || s.budget(r.service).allows(in.Now, s.Self.Retries, s.entries)
 }
 
-func (s *State) timedOut(in step.Input, id uint64) []step.Effect {
-	r := s.requests[id]
+func (s *State) timedOut(in step.Input, ev TimedOut) []step.Effect {
+	r := s.requests[ev.ID]
 	if r == nil {
 		return nil
 	}
+	r.partial = r.partial || ev.Partial
 	if r.at != "" {
 		r.runs++ // It was with an upstream, which may have run it.
 	}
--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -13,9 +13,8 @@
 )
 
 const (
-	// loadTime is kept for the engine to finish what runs and to load, before requests must begin on the new version: the longest
-	// answers take two to three seconds.
-	loadTime = 4 * time.Second
+	// resolveTimeout is how long the question what a version consists of may be unanswered.
+	resolveTimeout = 4 * time.Second
 	// resolveRetry is the wait before a manifest that could not be had is asked for again.
 	resolveRetry = 250 * time.Millisecond
 	// prepareRetry is the wait after pieces could not be laid out.
@@ -31,18 +30,31 @@
 	engineSilent = 1500 * time.Millisecond
 )
 
-// Phase is where a model stands on this host.
+// Phase is where a version stands on this host.
 type Phase string
 
-// The phases, in order.
+// The phases of a version.
 const (
+	// Resolving: it is being found out what the version consists of.
 	Resolving Phase = "resolving"
-	Fetching  Phase = "fetching"
-	Waiting   Phase = "waiting for its turn"
+	// Fetching: its chunks are on their way.
+	Fetching Phase = "fetching"
+	// Whole: every chunk is on this host.
+	Whole Phase = "whole"
+)
+
+// The phases of an engine, for a model.
+const (
+	// Idle: the engine is left alone.
+	Idle Phase = "idle"
+	// Waiting: the engine is to load, and waits for its turn.
+	Waiting Phase = "waiting for its turn"
+	// Preparing: the pieces are being laid out and read back.
 	Preparing Phase = "preparing"
-	Ordering  Phase = "ordering"
-	Loading   Phase = "loading"
-	Serving   Phase = "serving"
+	// Ordering: an order is with the engine.
+	Ordering Phase = "ordering"
+	// Loading: the engine finishes what runs and loads.
+	Loading Phase = "loading"
 )
 
 // Named says that a version of a model is to be on the engine.
@@ -176,19 +188,28 @@
 // Effect marks the type as an effect.
 func (Moved) Effect() {}
 
+// version is one version of a model on its way to the engine.
+type version struct {
+	number int64
+	// since is when it was named, as far as known.
+	since  time.Time
+	digest string
+	phase  Phase
+	// next is when a manifest that could not be had is asked for again.
+	next time.Time
+}
+
 // model is what is known of one model.
 type model struct {
-	name    string
-	version int64
-	since   time.Time
-	digest  string
+	name string
+	// versions are those that the engine may still need, the oldest first. The last one is wanted from other hosts; earlier ones are
+	// kept only when they are whole already.
+	versions []*version
+	// phase is where the engine stands, and loading the version that it is about.
 	phase   Phase
+	loading int64
 	// next is when the phase may go on.
 	next time.Time
-	// checked is when the pieces were read back.
-	checked time.Time
-	// ordered is the engine's sequence at the last order.
-	ordered int64
 }
 
 // State is what an agent knows of its engine and of the versions that it should hold.
@@ -228,12 +249,12 @@
 // Occupied counts the requests at the engine.
 func (s *State) Occupied() int { return s.engine.Occupied }
 
-// Since tells since when a version of a model is known to be in force.
-func (s *State) Since(name string) (version int64, since time.Time) {
+// Newest returns the newest version of a model that was named; 0 for none.
+func (s *State) Newest(name string) int64 {
 	if m := s.models[name]; m != nil {
-		return m.version, m.since
+		return m.newest().number
 	}
-	return 0, time.Time{}
+	return 0
 }
 
 // Models returns the names of the models, sorted.
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -3,49 +3,79 @@
 import (
 	"time"
 
+	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
-// named takes in a version. One that a newer has overtaken is skipped.
+// named takes in a version. An older one that is not whole yet is given up for it.
 func (s *State) named(in step.Input, ev Named) []step.Effect {
 	since := in.Now.Add(-ev.Age)
 	m := s.models[ev.Model]
 	if m == nil {
-		m = &model{name: ev.Model}
+		m = &model{name: ev.Model, phase: Idle}
 		s.models[ev.Model] = m
 	}
-	if ev.Version < m.version {
+	if v := m.version(ev.Version); v != nil {
+		if since.Before(v.since) {
+			v.since = since
+		}
 		return nil
 	}
-	if ev.Version == m.version {
-		if since.Before(m.since) {
-			m.since = since
-		}
+	if len(m.versions) > 0 && ev.Version < m.newest().number {
 		return nil
 	}
-	m.version, m.since, m.digest = ev.Version, since, ""
-	return append([]step.Effect{Resolve{Model: m.name, Version: m.version}}, m.move(Resolving, in.Now, orderSilent, "named")...)
+	v := &version{number: ev.Version, since: since, phase: Resolving, next: in.Now.Add(resolveTimeout)}
+	m.versions = append(m.whole(), v)
+	if held := s.engine.Loaded[m.name]; m.phase == Waiting && m.best() != nil {
+		m.next = in.Now.Add(s.turn(in.Now, m, held))
+	}
+	return []step.Effect{Resolve{Model: m.name, Version: v.number}, m.moved(v.number, Resolving, "named")}
 }
 
-func (s *State) current(name string, version int64) *model {
-	m := s.models[name]
-	if m == nil || m.version != version {
-		return nil
+func (m *model) newest() *version { return m.versions[len(m.versions)-1] }
+
+func (m *model) version(number int64) *version {
+	for _, v := range m.versions {
+		if v.number == number {
+			return v
+		}
+	}
+	return nil
+}
+
+// whole returns the versions that are here whole.
+func (m *model) whole() []*version {
+	var list []*version
+	for _, v := range m.versions {
+		if v.phase == Whole {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
+// forget drops versions that the engine has passed.
+func (m *model) forget(held int64) {
+	for len(m.versions) > 1 && m.versions[0].number < held {
+		m.versions = m.versions[1:]
 	}
-	return m
 }
 
 func (s *State) resolved(in step.Input, ev Resolved) []step.Effect {
-	m := s.current(ev.Model, ev.Version)
-	if m == nil || m.phase != Resolving {
+	m := s.models[ev.Model]
+	if m == nil {
+		return nil
+	}
+	v := m.version(ev.Version)
+	if v == nil || v.phase != Resolving {
 		return nil
 	}
 	if ev.Digest == "" {
-		m.next = in.Now.Add(resolveRetry)
+		v.next = in.Now.Add(resolveRetry)
 		return nil
 	}
-	m.digest = ev.Digest
-	return append([]step.Effect{Fetch{Model: m.name, Version: m.version, Digest: m.digest}}, m.move(Fetching, in.Now, 0, "resolved")...)
+	v.digest, v.phase = ev.Digest, Fetching
+	return []step.Effect{Fetch{Model: m.name, Version: v.number, Digest: v.digest}, m.moved(v.number, Fetching, "resolved")}
 }
 
 // engineFailed forgets what an engine held that has not answered for long: it may come back empty.
@@ -55,102 +85,163 @@
 	}
 }
 
+// about returns the model that an engine's phase is about, if it still is about this version.
+func (s *State) about(name string, number int64, p Phase) *model {
+	m := s.models[name]
+	if m == nil || m.phase != p || m.loading != number {
+		return nil
+	}
+	return m
+}
+
 func (s *State) prepared(in step.Input, ev Prepared) []step.Effect {
-	m := s.current(ev.Model, ev.Version)
-	if m == nil || m.phase != Preparing {
+	m := s.about(ev.Model, ev.Version, Preparing)
+	if m == nil {
 		return nil
 	}
 	if !ev.OK {
-		return m.move(Waiting, in.Now, prepareRetry, "pieces could not be laid out")
+		return m.move(Waiting, in.Now.Add(prepareRetry), "pieces could not be laid out")
 	}
-	m.checked = ev.Checked
-	m.ordered = s.engine.Sequence
-	order := Order{Model: m.name, Version: m.version, Sequence: m.ordered, Checked: m.checked, MaxAge: maxCheckAge}
-	return append(m.move(Ordering, in.Now, orderSilent, "pieces read back"), order)
+	order := Order{Model: m.name, Version: ev.Version, Sequence: s.engine.Sequence, Checked: ev.Checked, MaxAge: maxCheckAge}
+	return append(m.move(Ordering, in.Now.Add(orderSilent), "pieces read back"), order)
 }
 
 func (s *State) orderEnded(in step.Input, ev OrderEnded) []step.Effect {
-	m := s.current(ev.Model, ev.Version)
-	if m == nil || m.phase != Ordering {
+	m := s.about(ev.Model, ev.Version, Ordering)
+	if m == nil {
 		return nil
 	}
+	why := "order accepted"
 	if !ev.Accepted {
 		// It may have been accepted all the same: the next reading tells.
-		return m.move(Loading, in.Now, orderRetry, "order not confirmed")
+		why = "order not confirmed"
 	}
-	return m.move(Loading, in.Now, orderRetry, "order accepted")
+	return m.move(Loading, in.Now.Add(orderRetry), why)
 }
 
 // advance moves each model on as far as the engine's state and the time allow.
 func (s *State) advance(in step.Input) []step.Effect {
 	var effects []step.Effect
 	for _, name := range s.Models() {
-		effects = append(effects, s.advanceModel(in, s.models[name])...)
+		m := s.models[name]
+		effects = append(effects, s.advanceVersions(in, m)...)
+		effects = append(effects, s.advanceEngine(in, m)...)
 	}
 	return effects
 }
 
-func (s *State) advanceModel(in step.Input, m *model) []step.Effect {
-	if m.phase != Serving && m.phase != Resolving && s.engine.Loaded[m.name] == m.version && !s.engine.Busy && s.complete[m.digest] {
-		return m.move(Serving, in.Now, 0, "the engine holds it")
+func (s *State) advanceVersions(in step.Input, m *model) []step.Effect {
+	var effects []step.Effect
+	for _, v := range m.versions {
+		switch {
+		case v.phase == Resolving && !in.Now.Before(v.next):
+			v.next = in.Now.Add(resolveTimeout)
+			effects = append(effects, Resolve{Model: m.name, Version: v.number})
+		case v.phase == Fetching && s.complete[v.digest]:
+			v.phase = Whole
+			if m.phase == Waiting {
+				m.next = in.Now.Add(s.turn(in.Now, m, s.engine.Loaded[m.name]))
+			}
+			effects = append(effects, m.moved(v.number, Whole, "every chunk is here"))
+		}
 	}
+	m.forget(s.engine.Loaded[m.name])
+	return effects
+}
+
+func (s *State) advanceEngine(in step.Input, m *model) []step.Effect {
+	answers := !s.readAt.IsZero() && in.Now.Sub(s.readAt) < engineSilent
+	held := s.engine.Loaded[m.name]
 	due := !in.Now.Before(m.next)
 	switch m.phase {
-	case Resolving:
-		if due {
-			m.next = in.Now.Add(orderSilent)
-			return []step.Effect{Resolve{Model: m.name, Version: m.version}}
-		}
-	case Fetching:
-		if s.complete[m.digest] {
-			return m.move(Waiting, in.Now, s.turn(in.Now, m), "every chunk is here")
+	case Idle:
+		if v := m.best(); v != nil && answers && v.number != held {
+			m.loading = v.number
+			return m.move(Waiting, in.Now.Add(s.turn(in.Now, m, held)), "the engine holds another version")
 		}
 	case Waiting:
-		return s.prepareWhenDue(in, m)
+		return s.leaveWaiting(in, m, answers, held, due)
 	case Ordering:
 		if due {
-			return m.move(Loading, in.Now, orderRetry, "order unanswered")
+			return m.move(Loading, in.Now.Add(orderRetry), "order unanswered")
 		}
 	case Loading:
-		if due && !s.engine.Busy && in.Now.Sub(s.readAt) < engineSilent {
-			return m.move(Waiting, in.Now, 0, "the engine holds another version")
-		}
-	case Serving:
-		if s.engine.Loaded[m.name] != m.version && in.Now.Sub(s.readAt) < engineSilent {
-			return m.move(Waiting, in.Now, 0, "the engine lost it")
+		if answers && !s.engine.Busy && (due || held == m.loading) {
+			return m.move(Idle, in.Now, "the engine is done")
 		}
 	}
 	return nil
 }
 
-// prepareWhenDue goes on when it is the engine's turn.
-func (s *State) prepareWhenDue(in step.Input, m *model) []step.Effect {
-	down := s.readAt.IsZero() || in.Now.Sub(s.readAt) > engineSilent
-	if down || s.engine.Busy || in.Now.Before(m.next) {
+// best is the newest version that is here whole; nil for none.
+func (m *model) best() *version {
+	list := m.whole()
+	if len(list) == 0 {
 		return nil
 	}
-	prepare := Prepare{Model: m.name, Version: m.version, Digest: m.digest}
-	return append(m.move(Preparing, in.Now, 0, "its turn"), prepare)
+	return list[len(list)-1]
 }
 
-// turn is how long this engine waits before it loads, so that the engines of a service do not all stop taking requests at
-// once: the time that is left until the new version must be in use, shared out by rank.
-func (s *State) turn(now time.Time, m *model) time.Duration {
-	held := s.engine.Loaded[m.name]
-	window := s.VersionTime - loadTime - now.Sub(m.since)
-	if held == 0 || held == m.version || window <= 0 || len(s.peers) < 2 {
-		return 0
+// leaveWaiting goes on when it is the engine's turn, with the newest version that is here by then.
+func (s *State) leaveWaiting(in step.Input, m *model, answers bool, held int64, due bool) []step.Effect {
+	v := m.best()
+	if v == nil || answers && v.number == held {
+		return m.move(Idle, in.Now, "nothing to load")
+	}
+	if !answers || s.engine.Busy || !due {
+		return nil
 	}
-	position := step.Position(m.name, s.Self, s.peers)
-	if position < 0 {
+	m.loading = v.number
+	return append(m.move(Preparing, in.Now, "its turn"), Prepare{Model: m.name, Version: v.number, Digest: v.digest})
+}
+
+// overtakenWait is how long an engine that leaves out a version waits for the next one beyond the time at which it gets no
+// requests any more.
+const overtakenWait = time.Second
+
+// turn is how long this engine waits before it loads a version, so that the engines of a service do not all stop taking
+// requests at once: the time in which requests may still be sent to the version that it holds, shared out by rank. The
+// order is turned round from one version to the next.
+//
+// When a still newer version has been named, only half of the engines load this one. The others serve as long as their version
+// may be used and go over to the newer one at once: each load costs an engine the time in which what runs comes to its end.
+func (s *State) turn(now time.Time, m *model, held int64) time.Duration {
+	best := m.best()
+	until := s.usableUntil(m, held)
+	window := until.Sub(now)
+	position, n := step.Position(m.name, s.Self, s.peers), len(s.peers)
+	if held == 0 || window <= 0 || n < 2 || position < 0 {
 		return 0
 	}
-	return window * time.Duration(position) / time.Duration(len(s.peers))
+	if best.number%2 == 1 {
+		position = n - 1 - position
+	}
+	if best != m.newest() {
+		n = (n + 1) / 2
+	}
+	if position >= n {
+		return window + overtakenWait
+	}
+	return window * time.Duration(position) / time.Duration(n)
 }
 
-// move puts a model into a phase that goes on after wait at the earliest.
-func (m *model) move(p Phase, now time.Time, wait time.Duration, why string) []step.Effect {
+// usableUntil is until when entries send requests to an engine that holds a version: until the first newer one must be in use.
+func (s *State) usableUntil(m *model, held int64) time.Time {
+	for _, v := range m.versions {
+		if v.number > held {
+			return v.since.Add(s.VersionTime - catalog.VersionMargin)
+		}
+	}
+	return time.Time{}
+}
+
+// move puts the engine into a phase that goes on at next at the earliest.
+func (m *model) move(p Phase, next time.Time, why string) []step.Effect {
 	m.phase = p
-	m.next = now.Add(wait)
-	return []step.Effect{Moved{Model: m.name, Version: m.version, Phase: p, Why: why}}
+	m.next = next
+	return []step.Effect{m.moved(m.loading, p, why)}
+}
+
+func (m *model) moved(number int64, p Phase, why string) Moved {
+	return Moved{Model: m.name, Version: number, Phase: p, Why: why}
 }
--- a/internal/core/weights/pick.go
+++ b/internal/core/weights/pick.go
@@ -12,7 +12,7 @@
 const (
 	maxChunks = manifest.MaxChunks
 	// maxAtPeers bounds the fetches from peers at once, those that wait for an upload slot included.
-	maxAtPeers = 4
+	maxAtPeers = 6
 	// maxCrossing is how many more a delegate may have under way.
 	maxCrossing = 2
 	// maxPerPeer bounds the fetches from one peer at once.
--- a/internal/core/weights/tier.go
+++ b/internal/core/weights/tier.go
@@ -34,8 +34,8 @@
 	toldRanks = 2
 	// slotRanks is how many hosts may draw for an origin slot, one after the other.
 	slotRanks = 4
-	minSlots  = 4
-	maxSlots  = 16
+	// maxSlots bounds the hosts that draw from the origin at once; it also bounds the origin's connections.
+	maxSlots = 32
 )
 
 // rank is this host's position in a chunk's rendezvous order over its place and over its region.
@@ -95,21 +95,20 @@
 	watchers []int
 }
 
-// slotCount gives the number of origin slots. Each origin fetcher passes a chunk on to every place and region at
-// once, so that their number grows with that of the places.
+// slotCount gives the number of origin slots. An origin fetcher is the first holder of what it draws, and sends it to more
+// hosts than any other; with as many fetchers as there may be, all links send about as much. With 20 hosts of 7.6 Mbit/s and
+// an origin of 9.9 the busiest link sent 94 of 64 chunks' copies with 8 slots and 80 with 20, and the burst took 3.3 s
+// in place of 3.8 s.
 func (b *Burst) slotCount() int {
-	places := map[string]bool{b.self.Place: true}
 	hosts := 1
 	for _, p := range b.peers {
 		if p.listed {
-			places[p.Place] = true
 			hosts++
 		}
 	}
-	return min(max(2*(len(places)+1), minSlots), maxSlots, hosts)
+	return min(maxSlots, hosts)
 }
 
-// assignSlots gives each slot to the first hosts in its rendezvous order. No host is the first of two slots.
 func (b *Burst) assignSlots() []slot {
 	slots := make([]slot, b.slotCount())
 	taken := map[int]bool{}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -83,7 +83,7 @@
 		return true
 	}
 	x.ctx = context.WithoutCancel(x.r.Context())
-	x.gateway.step(forward.TimedOut{ID: x.id})
+	x.gateway.step(forward.TimedOut{ID: x.id, Partial: x.begun})
 	return false
 }
 
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -88,7 +88,7 @@
 	a.fetcher = &transfer.Fetcher{
 		Memory: transfer.NewMemory(host.Memory / chunkMemoryShare), Sources: []transfer.Source{a.origin},
 		Pool: control.NewPool(self, "", dialer.DialContext), Client: client, Self: self,
-		Up: transfer.NewLink(0), Down: transfer.NewLink(0), Steps: a, Log: log,
+		Up: transfer.NewLink(host.Link * 8 / 10), Down: transfer.NewLink(host.Link * 8 / 10), Steps: a, Log: log,
 	}
 	return a
 }
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -93,7 +93,7 @@
 		return
 	}
 	for _, model := range terms.Models {
-		if version, _ := a.install.Since(model); version > 0 {
+		if a.install.Newest(model) > 0 {
 			continue
 		}
 		a.reduce(install.Named{Model: model, Version: a.newestHeld(model)})
--- a/internal/transfer/link.go
+++ b/internal/transfer/link.go
@@ -8,7 +8,7 @@
 )
 
 // pieceSize is how many bytes pass the pacing at a time.
-const pieceSize = 32 << 10
+const pieceSize = 8 << 10
 
 // Link paces one direction of a host's link.
 type Link struct {
