--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -72,6 +72,9 @@
 	Digest  string
 }
 
+// Refuted says that the origin now tells something else of what a digest stands for, so that one of the two was spoilt.
+type Refuted struct{ Digest string }
+
 // Complete says that every chunk of a digest is on this host.
 type Complete struct{ Digest string }
 
@@ -116,6 +119,9 @@
 // Event marks the type as an event.
 func (Resolved) Event() {}
 
+// Event marks the type as an event.
+func (Refuted) Event() {}
+
 // Event marks the type as an event.
 func (Complete) Event() {}
 
@@ -275,6 +281,8 @@
 		effects = s.named(in, ev)
 	case Resolved:
 		effects = s.resolved(in, ev)
+	case Refuted:
+		effects = s.refuted(in, ev)
 	case Complete:
 		s.complete[ev.Digest] = true
 	case EngineRead:
--- a/internal/core/install/install_test.go
+++ b/internal/core/install/install_test.go
@@ -143,6 +143,16 @@
 	require.Equal(t, []step.Effect{install.Resolve{Model: "m", Version: 1}}, r.pass(500*time.Millisecond))
 }
 
+func TestAVersionWhoseManifestWasSpoiltIsFoundOutAnew(t *testing.T) {
+	r := newRig()
+	r.read()
+	r.step(install.Named{Model: "m", Version: 1})
+	r.step(install.Resolved{Model: "m", Version: 1, Digest: "wrong"})
+	require.Equal(t, []step.Effect{install.Resolve{Model: "m", Version: 1}}, orders(r.step(install.Refuted{Digest: "wrong"})))
+	effects := orders(r.step(install.Resolved{Model: "m", Version: 1, Digest: "right"}))
+	require.Equal(t, []step.Effect{install.Fetch{Model: "m", Version: 1, Digest: "right"}}, effects)
+}
+
 // TestAnOvertakenVersionIsGivenUp names two versions in quick succession: the first is not whole yet and is left out.
 func TestAnOvertakenVersionIsGivenUp(t *testing.T) {
 	r := newRig()
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -78,6 +78,21 @@
 	return []step.Effect{Fetch{Model: m.name, Version: v.number, Digest: v.digest}, m.moved(v.number, Fetching, "resolved")}
 }
 
+// refuted asks anew what a version consists of that is still being fetched. One that is here whole has proved itself.
+func (s *State) refuted(in step.Input, ev Refuted) []step.Effect {
+	var effects []step.Effect
+	for _, name := range s.Models() {
+		m := s.models[name]
+		for _, v := range m.versions {
+			if v.phase == Fetching && v.digest == ev.Digest {
+				v.phase, v.next = Resolving, in.Now.Add(resolveTimeout)
+				effects = append(effects, Resolve{Model: m.name, Version: v.number}, m.moved(v.number, Resolving, "the origin says something else now"))
+			}
+		}
+	}
+	return effects
+}
+
 // engineFailed forgets what an engine held that has not answered for long: it may come back empty.
 func (s *State) engineFailed(now time.Time) {
 	if now.Sub(s.readAt) > engineSilent {
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,314 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/gateway"
+	"samphireweir.example/samphireweir/internal/hostconfig"
+	"samphireweir.example/samphireweir/internal/telemetry"
+	"samphireweir.example/samphireweir/platform/standin"
+)
+
+// patience bounds what a test waits for; it is far above what is needed, since machines can be busy.
+const patience = 30 * time.Second
+
+// entry is a running entry with a client of its callers.
+type entry struct {
+	t     *testing.T
+	fleet *standin.Fleet
+	host  hostconfig.Host
+	stop  func()
+	next  atomic.Int64
+}
+
+func start(t *testing.T, fleet *standin.Fleet) *entry {
+	t.Helper()
+	return startHost(t, fleet, fleet.Host(standin.NextIP(), false))
+}
+
+func startHost(t *testing.T, fleet *standin.Fleet, host hostconfig.Host) *entry {
+	t.Helper()
+	g := gateway.New(host, zerolog.Nop(), telemetry.NewMetrics())
+	e := &entry{t: t, fleet: fleet, host: host, stop: fleet.Run(g.Run)}
+	require.Eventually(t, func() bool { return e.ready() == http.StatusOK }, patience, 10*time.Millisecond)
+	return e
+}
+
+// ready asks as the balancer does; 0 stands for no answer.
+func (e *entry) ready() int {
+	resp, err := http.Get("http://" + e.host.Readiness + "/v1/readyz")
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	// err is set when the answer is not whole.
+	err error
+}
+
+// call sends a request; change may set further headers.
+func (e *entry) call(ctx context.Context, method, path string, change func(http.Header)) reply {
+	id := fmt.Sprintf("%s-%d", e.t.Name(), e.next.Add(1))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.host.Callers+path, strings.NewReader("body of "+id))
+	require.NoError(e.t, err)
+	req.Host = "a.example"
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Authorization", "Bearer key-1")
+	req.Header.Set("Deadline-Ms", "4000")
+	if strings.HasPrefix(path, "/stream/") {
+		req.Header.Set("Model", "m")
+	}
+	if change != nil {
+		change(req.Header)
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return reply{id: id, err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return reply{id: id, status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+func (e *entry) post(path string) reply {
+	return e.call(context.Background(), http.MethodPost, path, nil)
+}
+
+// whole is a stream of n events.
+func whole(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func TestAnAnswerIsPassedOnWithWhatTheUpstreamMustKnow(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	desk := fleet.AddService("i-desk")
+	e := start(t, fleet)
+	r := e.call(context.Background(), http.MethodPost, "/once/a%2Fb?x=1", func(h http.Header) {
+		h.Set("Tenant", "somebody else")
+		h.Set("Custom", "kept")
+	})
+	require.NoError(t, r.err)
+	require.Equal(t, http.StatusOK, r.status)
+	require.Equal(t, "answer to "+r.id+" by i-desk", r.body)
+	require.Equal(t, "seal-of-i-desk", r.header.Get("Server-Seal"))
+	seen := desk.Last()
+	require.Equal(t, "karrakin", seen.Get("Tenant"))
+	require.Equal(t, "i-desk", seen.Get("Expect-Instance"))
+	require.Equal(t, "kept", seen.Get("Custom"))
+	require.Empty(t, seen.Get("Authorization"))
+	require.NotEmpty(t, seen.Get("Deadline-Ms"))
+	require.NotEqual(t, "4000", seen.Get("Deadline-Ms"), "the route allows less than the caller")
+}
+
+func TestOwnRefusals(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	e := start(t, fleet)
+	r := e.call(context.Background(), http.MethodPost, "/once/1", func(h http.Header) { h.Set("Authorization", "Bearer revoked") })
+	require.Equal(t, http.StatusUnauthorized, r.status)
+	require.Contains(t, r.body, "1011")
+	require.Equal(t, http.StatusNotFound, e.post("/nowhere/").status)
+	r = e.post("/once/1")
+	require.Equal(t, http.StatusServiceUnavailable, r.status)
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+	require.Contains(t, r.body, `"ran":"not run"`)
+	require.Empty(t, r.header.Get("Server-Seal"))
+}
+
+func TestFaultsOfUpstreams(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name, path string
+		faults     []standin.Fault
+		status     int
+		// runs is how often the request runs in all.
+		runs int
+	}{
+		{"a call that runs once survives a refusal", "/once/1", []standin.Fault{standin.Decline}, 200, 1},
+		{"and another upstream at the address", "/once/1", []standin.Fault{standin.Misdirect}, 200, 1},
+		{"its lost answer is not hidden by a second run", "/once/1", []standin.Fault{standin.Lose}, 502, 1},
+		{"nor one to another request", "/once/1", []standin.Fault{standin.Foreign}, 502, 1},
+		{"nor one that is cut", "/once/1", []standin.Fault{standin.Short}, 502, 1},
+		{"nor one without the upstream's mark", "/once/1", []standin.Fault{standin.Unmarked}, 502, 1},
+		{"its failure is passed on", "/once/1", []standin.Fault{standin.Fail}, 500, 1},
+		{"a call that may run again is sent again after a loss", "/again/1", []standin.Fault{standin.Lose}, 200, 2},
+		{"after a failure", "/again/1", []standin.Fault{standin.Fail}, 200, 2},
+		{"after silence", "/again/1", []standin.Fault{standin.Hang}, 200, 2},
+		{"after an answer to another request", "/again/1", []standin.Fault{standin.Foreign}, 200, 2},
+		{"after one that is cut", "/again/1", []standin.Fault{standin.Short}, 200, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			fleet := standin.NewFleet(t)
+			first, second := fleet.AddService("i-1"), fleet.AddService("i-2")
+			e := start(t, fleet)
+			fleet.Faults.Next(c.faults...)
+			r := e.post(c.path)
+			require.NoError(t, r.err)
+			require.Equal(t, c.status, r.status, r.body)
+			require.Equal(t, c.runs, first.Runs(r.id)+second.Runs(r.id))
+		})
+	}
+}
+
+func TestABrokenStreamGoesOnAtAnotherEngine(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	fleet.AddEngine("i-1", standin.NextIP(), 1)
+	fleet.AddEngine("i-2", standin.NextIP(), 1)
+	e := start(t, fleet)
+	fleet.Faults.Next(standin.BreakEvent)
+	r := e.post("/stream/1")
+	require.NoError(t, r.err)
+	require.Equal(t, whole(6), r.body, "each event once, in order, and none of the broken one")
+	fleet.Faults.Next(standin.BreakEvent, standin.BreakEvent)
+	r = e.post("/stream/2")
+	require.Error(t, r.err, "a route with two upstreams allows no third: the answer is cut and does not look whole")
+}
+
+func TestAStreamGoesOnWhereItsCallerWas(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	fleet.AddEngine("i-1", standin.NextIP(), 1)
+	e := start(t, fleet)
+	r := e.call(context.Background(), http.MethodPost, "/stream/1", func(h http.Header) { h.Set("Last-Event-Id", "4") })
+	require.NoError(t, r.err)
+	require.Equal(t, strings.TrimPrefix(whole(6), whole(4)), r.body)
+}
+
+func TestWorkEndsWhenItsCallerLeaves(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	engine := fleet.AddEngine("i-1", standin.NextIP(), 1)
+	engine.Events, engine.Pace = 100000, 10*time.Millisecond
+	e := start(t, fleet)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan reply, 1)
+	go func() { ended <- e.call(ctx, http.MethodPost, "/stream/1", nil) }()
+	require.Eventually(t, func() bool { return engine.Last() != nil }, patience, 5*time.Millisecond)
+	cancel()
+	<-ended
+	require.Eventually(t, func() bool { return engine.Cancelled() == 1 }, patience, 5*time.Millisecond)
+}
+
+func TestAStreamWhoseTimeEndsIsCutAndNotEnded(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	engine := fleet.AddEngine("i-1", standin.NextIP(), 1)
+	engine.Events, engine.Pace = 100000, 10*time.Millisecond
+	e := start(t, fleet)
+	r := e.call(context.Background(), http.MethodPost, "/stream/1", func(h http.Header) { h.Set("Deadline-Ms", "300") })
+	require.Error(t, r.err, "the connection is cut, so that the answer does not look whole")
+	require.NotContains(t, r.body, `"code"`)
+}
+
+func TestADueVersionIsNotServedByAnOldEngine(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	fleet.AddEngine("i-1", standin.NextIP(), 1)
+	e := start(t, fleet)
+	require.Equal(t, http.StatusOK, e.post("/stream/1").status)
+	fleet.Name(2)
+	require.Eventually(t, func() bool { return e.post("/stream/1").status == http.StatusServiceUnavailable }, patience, 100*time.Millisecond)
+}
+
+// TestChangesComeInForceWhateverTheWatchDoes changes the manifest while watches are cut, silent or without history, and after the
+// store was away.
+func TestChangesComeInForceWhateverTheWatchDoes(t *testing.T) {
+	t.Parallel()
+	for name, trouble := range map[string]func(s *standin.Store) (after func()){
+		"calm":    func(*standin.Store) func() { return func() {} },
+		"compact": func(s *standin.Store) func() { return s.Compact },
+		"silent": func(s *standin.Store) func() {
+			s.SetSilent(true)
+			return func() { s.SetSilent(false) }
+		},
+		"down": func(s *standin.Store) func() {
+			s.SetDown(true)
+			return func() { s.SetDown(false) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fleet := standin.NewFleet(t)
+			desk := fleet.AddService("i-desk")
+			e := start(t, fleet)
+			require.Equal(t, http.StatusOK, e.post("/again/1").status)
+			after := trouble(fleet.Store)
+			fleet.Routes = fleet.Routes[:1]
+			fleet.Configure()
+			fleet.AddService("i-new")
+			fleet.Store.Delete("servers", "i-desk")
+			after()
+			require.Eventually(t, func() bool { return e.post("/again/1").status == http.StatusNotFound }, patience, 20*time.Millisecond)
+			require.Eventually(t, func() bool {
+				r := e.post("/once/1")
+				return r.status == http.StatusOK && desk.Runs(r.id) == 0
+			}, patience, 20*time.Millisecond)
+		})
+	}
+}
+
+func TestAGracefulShutdownCutsNothing(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	engine := fleet.AddEngine("i-1", standin.NextIP(), 1)
+	engine.Events, engine.Pace = 50, 20*time.Millisecond
+	host := fleet.Host(standin.NextIP(), false)
+	host.Grace = patience
+	e := startHost(t, fleet, host)
+	ended := make(chan reply, 1)
+	go func() { ended <- e.post("/stream/1") }()
+	require.Eventually(t, func() bool { return engine.Last() != nil }, patience, 5*time.Millisecond)
+	stopped := make(chan struct{})
+	go func() {
+		e.stop()
+		close(stopped)
+	}()
+	require.Eventually(t, func() bool { return e.ready() == http.StatusServiceUnavailable }, patience, 5*time.Millisecond)
+	late := e.post("/stream/2")
+	require.NoError(t, late.err, "requests are taken until the balancer has heard")
+	require.True(t, late.header.Get("Connection") == "close" || late.status == http.StatusOK)
+	r := <-ended
+	require.NoError(t, r.err)
+	require.Equal(t, whole(50), r.body)
+	<-stopped
+}
+
+func TestAProcessThatKnowsNothingIsNotReady(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	fleet.Store.SetDown(true)
+	host := fleet.Host(standin.NextIP(), false)
+	g := gateway.New(host, zerolog.Nop(), telemetry.NewMetrics())
+	e := &entry{t: t, fleet: fleet, host: host, stop: fleet.Run(g.Run)}
+	require.Eventually(t, func() bool { return e.ready() == http.StatusServiceUnavailable }, patience, 10*time.Millisecond)
+	r := e.post("/once/1")
+	require.Equal(t, http.StatusServiceUnavailable, r.status)
+	fleet.Store.SetDown(false)
+	require.Eventually(t, func() bool { return e.ready() == http.StatusOK }, patience, 10*time.Millisecond)
+}
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"samphireweir.example/samphireweir/internal/control"
@@ -121,6 +122,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.reduce(ev)
+	if failed, ok := ev.(weights.ChunkFailed); ok && failed.Reason == weights.Changed {
+		a.reduce(install.Refuted{Digest: failed.Digest})
+	}
 }
 
 func (a *Agent) reduce(ev step.Event) {
@@ -233,7 +237,9 @@
 	if err != nil {
 		return err
 	}
-	go a.servePeers(listener)
+	peers := a.peerServer()
+	defer func() { _ = peers.Close() }()
+	go a.servePeers(peers, listener)
 	go socket.Run(a.heard, a.badDatagram)
 	go a.readEngine(ctx)
 	go a.tick(ctx)
@@ -244,14 +250,18 @@
 	return nil
 }
 
-func (a *Agent) servePeers(l net.Listener) {
+// peerServer answers the agents of other hosts.
+func (a *Agent) peerServer() *http.Server {
 	mux := http.NewServeMux()
 	handlers := control.Handlers{}
 	a.fetcher.Routes(mux, handlers)
 	mux.Handle(control.Path, control.NewServer(handlers))
 	mux.HandleFunc("GET "+versionsPath+"{model}/{version}", a.serveVersion)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headTime}
-	if err := server.Serve(l); err != nil {
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headTime}
+}
+
+func (a *Agent) servePeers(server *http.Server, l net.Listener) {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		logevent.Warn(a.log, logevent.ServerError).Err(err).Msg("peers' server ended")
 	}
 }
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -43,7 +43,7 @@
 	Changed func(objects []platform.Object)
 	// Heard is called with each answer of the store, Failed with each call that failed.
 	Heard, Failed func()
-	Log   zerolog.Logger
+	Log           zerolog.Logger
 
 	lost bool
 }
