After a loss of all weights few hosts ask the origin; the others ask one another in a tree

Hosts now form a tree in the version's rendezvous order, three ask the origin at first and three more at each further try; connections to the origin are one a host and closed when idle.

--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -144,6 +144,8 @@
 type Resolve struct {
 	Model   string
 	Version int64
+	// Try counts the tries before this one. The more there were, the more hosts ask the origin themselves.
+	Try int
 }
 
 // Fetch has the shell bring the chunks of a digest to this host; those of other versions of the model are not wanted any more.
@@ -201,8 +203,9 @@
 	since  time.Time
 	digest string
 	phase  Phase
-	// next is when a manifest that could not be had is asked for again.
-	next time.Time
+	// next is when a manifest that could not be had is asked for again, and tries how often it was.
+	next  time.Time
+	tries int
 }
 
 // model is what is known of one model.
--- a/internal/core/install/install_test.go
+++ b/internal/core/install/install_test.go
@@ -140,7 +140,7 @@
 	r.read()
 	r.step(install.Named{Model: "m", Version: 1})
 	r.step(install.Resolved{Model: "m", Version: 1})
-	require.Equal(t, []step.Effect{install.Resolve{Model: "m", Version: 1}}, r.pass(500*time.Millisecond))
+	require.Equal(t, []step.Effect{install.Resolve{Model: "m", Version: 1, Try: 1}}, r.pass(500*time.Millisecond))
 }
 
 func TestAVersionWhoseManifestWasSpoiltIsFoundOutAnew(t *testing.T) {
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -151,7 +151,8 @@
 		switch {
 		case v.phase == Resolving && !in.Now.Before(v.next):
 			v.next = in.Now.Add(resolveTimeout)
-			effects = append(effects, Resolve{Model: m.name, Version: v.number})
+			v.tries++
+			effects = append(effects, Resolve{Model: m.name, Version: v.number, Try: v.tries})
 		case v.phase == Fetching && s.complete[v.digest]:
 			v.phase = Whole
 			if m.phase == Waiting {
--- a/internal/core/weights/tier.go
+++ b/internal/core/weights/tier.go
@@ -34,8 +34,8 @@
 	toldRanks = 2
 	// slotRanks is how many hosts may draw for an origin slot, one after the other.
 	slotRanks = 4
-	// maxSlots bounds the hosts that draw from the origin at once; it also bounds the origin's connections.
-	maxSlots = 32
+	// maxSlots bounds the hosts that draw from the origin at once, and with them the connections that it must take.
+	maxSlots = 24
 )
 
 // rank is this host's position in a chunk's rendezvous order over its place and over its region.
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -40,6 +40,8 @@
 	versionPoll  = 2 * time.Second
 	upstreamPoll = 4 * time.Second
 	configPoll   = 10 * time.Second
+	// originIdle is how long a connection to the origin is kept between two calls.
+	originIdle = 300 * time.Millisecond
 	// dialTimeout bounds the making of a connection.
 	dialTimeout = 700 * time.Millisecond
 	// chunkMemoryShare is the part of the process's memory that chunks may take.
@@ -85,7 +87,7 @@
 		wants:   map[string]install.Fetch{},
 		reports: newReports(),
 	}
-	a.origin = platform.NewOrigin(client, a.originPlace)
+	a.origin = platform.NewOrigin(newOriginClient(dialer), a.originPlace)
 	a.fetcher = &transfer.Fetcher{
 		Memory: transfer.NewMemory(host.Memory / chunkMemoryShare), Sources: []transfer.Source{a.origin},
 		Pool: control.NewPool(self, "", dialer.DialContext), Client: client, Self: self,
@@ -94,6 +96,14 @@
 	return a
 }
 
+// newOriginClient returns a client for the origin, which takes a bounded number of connections from all hosts together: one for each
+// host, and only as long as it is in use.
+func newOriginClient(dialer *net.Dialer) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxConnsPerHost: 1, IdleConnTimeout: originIdle,
+	}}
+}
+
 // transferRate is the part of the link that transfers may use, in bytes a second; the rest is for the engine's live requests. With
 // 8 tenths a burst takes no longer than with the whole link, whose queues hold up the next chunks too.
 func transferRate(host hostconfig.Host) int64 { return host.Link * 8 / 10 }
--- a/internal/hostagent/work.go
+++ b/internal/hostagent/work.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,9 +22,11 @@
 const (
 	// versionsPath begins the path at which peers tell what a version consists of.
 	versionsPath = "/versions/"
-	// askedPeers is how many peers are asked what a version consists of before the origin is; each asks the one before it in
-	// the version's rendezvous order, so that few hosts reach the origin.
-	askedPeers = 2
+	// fanOut is how many hosts ask the same one what a version consists of: the hosts form a tree in the version's rendezvous order.
+	fanOut = 8
+	// originAskers is how many hosts of that order ask the origin at the first try, and how many more at each further one. The
+	// origin takes some tens of connections, and with all hosts empty nobody else knows.
+	originAskers = 3
 	// peerTimeout bounds such a question, and originTimeout one to the origin.
 	peerTimeout   = 500 * time.Millisecond
 	originTimeout = 2 * time.Second
@@ -37,7 +40,7 @@
 
 // resolve finds out what a version consists of, and takes over what of it lies at the engine already.
 func (a *Agent) resolve(e install.Resolve) {
-	raw, err := a.versionManifest(e.Model, e.Version)
+	raw, err := a.versionManifest(e)
 	var m *manifest.Manifest
 	if err == nil {
 		m, err = manifest.Parse(raw)
@@ -56,33 +59,43 @@
 	a.Step(install.Resolved{Model: e.Model, Version: e.Version, Digest: digest})
 }
 
-// versionManifest asks the peers that come before this host in the version's order, then the origin.
-func (a *Agent) versionManifest(model string, version int64) ([]byte, error) {
-	for _, peer := range a.before(model, version) {
-		raw, err := a.askPeer(peer, model, version)
+// errNotMyTurn says that no peer asked knows a version, and that others ask the origin.
+var errNotMyTurn = errors.New("the peers asked do not know the version yet")
+
+// versionManifest asks peers, and the origin when it is this host's turn.
+func (a *Agent) versionManifest(e install.Resolve) ([]byte, error) {
+	position, peers := a.place(e.Model, e.Version)
+	for _, peer := range peers {
+		raw, err := a.askPeer(peer, e.Model, e.Version)
 		if err == nil {
 			return raw, nil
 		}
-		logevent.Info(a.log, logevent.PeerFailed).Str("peer", peer).Err(err).Msg("peer failed")
+		logevent.Debug(a.log, logevent.PeerFailed).Str("peer", peer).Err(err).Msg("peer failed")
+	}
+	if position >= originAskers*(e.Try+1) {
+		return nil, errNotMyTurn
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
 	defer cancel()
-	return a.origin.Manifest(ctx, ref(model, version))
+	return a.origin.Manifest(ctx, ref(e.Model, e.Version))
 }
 
-// before returns the first peers in a version's rendezvous order, up to this host.
-func (a *Agent) before(model string, version int64) []string {
+// place returns this host's position in a version's rendezvous order, and the hosts that it asks: the one above it in the tree, and
+// the first.
+func (a *Agent) place(model string, version int64) (position int, ask []string) {
 	a.mu.Lock()
 	ranked := step.Rank(model+"/"+strconv.FormatInt(version, 10), a.peerAddresses())
 	a.mu.Unlock()
-	var list []string
-	for _, p := range ranked {
-		if p == a.self || len(list) == askedPeers {
-			break
-		}
-		list = append(list, p)
+	position = slices.Index(ranked, a.self)
+	if position <= 0 {
+		return position, nil
+	}
+	parent := (position - 1) / fanOut
+	ask = []string{ranked[parent]}
+	if parent > 0 {
+		ask = append(ask, ranked[0])
 	}
-	return list
+	return position, ask
 }
 
 func (a *Agent) askPeer(peer, model string, version int64) ([]byte, error) {
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -100,6 +100,9 @@
 	{RequestEnded, "request ended", "A request ended with an upstream's answer, or because its caller left."},
 }
 
+// Debug starts a debug line for event id.
+func Debug(l zerolog.Logger, id ID) *zerolog.Event { return l.Debug().Int("event", int(id)) }
+
 // Info starts an info line for event id.
 func Info(l zerolog.Logger, id ID) *zerolog.Event { return l.Info().Int("event", int(id)) }
 
