--- a/internal/storewatch/beliefs.go
+++ b/internal/storewatch/beliefs.go
@@ -22,13 +22,14 @@
 
 // Follower returns a follower of a kind that feeds these beliefs.
 func (b Beliefs) Follower(store Store, kind string) *Follower {
-	f := &Follower{Store: store, Kind: kind, Log: b.Log, Heard: func() { b.Step(catalog.StoreHeard{}) }, Failed: func() { b.Step(catalog.StoreFailed{}) }}
+	f := &Follower{Store: store, Kind: kind, Wait: shortWait, Log: b.Log, Heard: func() { b.Step(catalog.StoreHeard{}) }, Failed: func() { b.Step(catalog.StoreFailed{}) }}
 	switch kind {
 	case platform.ConfigKind:
 		f.Listed, f.Changed = func(_ int64, o []platform.Object) { b.manifests(o) }, b.manifests
 	case platform.ServerKind:
 		f.Listed, f.Changed = b.upstreamsListed, b.upstreamsChanged
 	case platform.VersionKind:
+		f.Wait = longWait
 		f.Listed, f.Changed = b.versionsListed, b.versions
 	}
 	return f
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -16,10 +16,15 @@
 )
 
 const (
-	// waitTime is how long one call waits for a change. Together with slack it stays under the two seconds within which a
-	// change must be in force, plus the time in which a silent connection excuses a host.
-	waitTime = 2 * time.Second
-	// slack is how much longer than waitTime a call may take before its connection counts as silent.
+	// shortWait is how long one call waits for a change of what must be in force within two seconds. With slack it stays under the
+	// three seconds after which a connection that went silent is no excuse any more.
+	shortWait = 2 * time.Second
+	// longWait is the same for versions, which have eight seconds and come from other processes too.
+	longWait = 5 * time.Second
+	// gatherTime is the least time between two calls, in which changes gather: each call is paid for, and many upstreams join or
+	// leave at about the same time. It is a quarter of the time in which a leaving upstream must get no more work.
+	gatherTime = 500 * time.Millisecond
+	// slack is how much longer than its wait a call may take before its connection counts as silent.
 	slack = 600 * time.Millisecond
 	// listTimeout bounds a list.
 	listTimeout = 1500 * time.Millisecond
@@ -41,6 +46,8 @@
 	// Listed takes all objects as of a revision, Changed what changed since.
 	Listed  func(revision int64, objects []platform.Object)
 	Changed func(objects []platform.Object)
+	// Wait is how long one call waits for a change.
+	Wait time.Duration
 	// Heard is called with each answer of the store, Failed with each call that failed.
 	Heard, Failed func()
 	Log           zerolog.Logger
@@ -53,10 +60,12 @@
 	retry := firstRetry
 	revision := int64(0)
 	for ctx.Err() == nil {
+		began := time.Now()
 		next, err := f.read(ctx, revision)
 		if err == nil {
 			f.answered()
 			revision, retry = next, firstRetry
+			sleep(ctx, gatherTime-time.Since(began))
 			continue
 		}
 		if ctx.Err() != nil {
@@ -115,9 +124,9 @@
 		f.Listed(at, objects)
 		return at, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, waitTime+slack)
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+slack)
 	defer cancel()
-	objects, at, err := f.Store.Watch(ctx, f.Kind, revision, waitTime)
+	objects, at, err := f.Store.Watch(ctx, f.Kind, revision, f.Wait)
 	if err != nil {
 		return 0, err
 	}
@@ -144,6 +153,9 @@
 }
 
 func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
