--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -215,6 +215,9 @@
 // requests any more.
 const overtakenWait = time.Second
 
+// usualLoad is about how long an engine takes to finish what runs and to load.
+const usualLoad = 2 * time.Second
+
 // turn is how long this engine waits before it loads a version, so that the engines of a service do not all stop taking
 // requests at once: the time in which requests may still be sent to the version that it holds, shared out by rank. The
 // order is turned round from one version to the next.
@@ -234,9 +237,11 @@
 	}
 	if best != m.newest() {
 		n = (n + 1) / 2
-	}
-	if position >= n {
-		return window + overtakenWait
+		if position >= n {
+			return window + overtakenWait
+		}
+		// These must be back when the others stop.
+		window = max(0, window-usualLoad)
 	}
 	return window * time.Duration(position) / time.Duration(n)
 }
