Engines are asked for the version that they hold, not for the one that is due

Cause: after the time of version 2, entries asked engines with version 3 for version 2; engines compare for equality and turned 262 sends away within four seconds, each of which also had the engine avoided and the budget of repeats drawn. The test failed before.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -196,6 +196,8 @@
 	queuedBy time.Time
 	// at is the upstream that works on it; empty while none does.
 	at string
+	// version is the version that the present send insists on; 0 for none.
+	version int64
 	// sends counts all sends, runs those that may have run.
 	sends int
 	runs  int
--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -300,6 +300,21 @@
 	require.Equal(t, int64(2), only[forward.Send](t, r.arrive(3, reports)).Version)
 }
 
+// TestANewerVersionThanTheDueOneIsNamedAsItIs has an engine hold a newer version than the one that is due: engines compare for
+// equality, and asking it for the due version had it turn away every request.
+func TestANewerVersionThanTheDueOneIsNamedAsItIs(t *testing.T) {
+	r := newRig()
+	r.add("m1", "model", "perth-a", 6)
+	r.believe(catalog.VersionNamed{Model: "m", Version: 2, Revision: 50})
+	r.now = 4 * time.Second
+	r.believe(catalog.VersionNamed{Model: "m", Version: 3, Revision: 51})
+	r.now = 7 * time.Second
+	r.step(forward.LoadTold{Address: "m1", Versions: map[string]int64{"m": 3}})
+	require.Equal(t, int64(3), only[forward.Send](t, r.arrive(1, reports)).Version)
+	r.step(forward.SendEnded{ID: 1, Outcome: forward.Misdirected})
+	only[forward.Send](t, r.arrive(2, reports))
+}
+
 // TestRepeatsStayWithinTheFleetsBudget breaks every send of many requests.
 func TestRepeatsStayWithinTheFleetsBudget(t *testing.T) {
 	r := newRig()
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -125,8 +125,12 @@
 	s.load(u.ID).inFlight++
 	e := Send{
 		ID: r.id, Number: r.sends, Upstream: u, Priority: r.route.Priority, By: r.by, Resume: r.partial,
-		Version: s.requiredVersion(in.Now, r.model),
 	}
+	if s.requiredVersion(in.Now, r.model) > 0 {
+		// An engine compares for equality; one that holds a newer version than required is as good.
+		e.Version = s.heldVersion(in.Now, u, s.load(u.ID), r.model)
+	}
+	r.version = e.Version
 	if r.account != nil {
 		e.Account = r.account.Name
 		if r.account.Priority != nil {
@@ -167,7 +171,9 @@
 	}
 	l := s.load(r.at)
 	l.inFlight--
-	l.note(in.Now, o)
+	if o != Misdirected || r.version == 0 {
+		l.note(in.Now, o) // Otherwise the engine is well, and only its version is another than was thought.
+	}
 	r.at = ""
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -32,8 +32,9 @@
 	// ctx ends when the caller leaves or the request's time is over.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// begun is set once the head of an answer was passed on.
-	begun bool
+	// begun is set once the head of an answer was passed on, at beganAt.
+	begun   bool
+	beganAt time.Time
 	// lastEvent is the id of the last event that was passed on.
 	lastEvent string
 	// failure is the upstream's own failure, kept in case it is to be passed on.
@@ -149,7 +150,7 @@
 	if x.begun {
 		return
 	}
-	x.begun = true
+	x.begun, x.beganAt = true, time.Now()
 	out := x.w.Header()
 	for name, values := range header {
 		out[name] = values
@@ -166,11 +167,19 @@
 
 func (x *exchange) ended(how string) {
 	logevent.Info(x.gateway.log, logevent.RequestEnded).Str("request", x.call.ID).Str("route", x.routeName()).Str("outcome", how).
-		Dur("took_ms", time.Since(x.arrived)).Msg("request ended")
+		Dur("first_ms", x.firstAfter()).Dur("took_ms", time.Since(x.arrived)).Msg("request ended")
 	x.count(how)
 	x.gateway.metrics.Total.Observe(time.Since(x.arrived), x.routeName(), "")
 }
 
+// firstAfter is how long the caller waited for the first byte of an upstream's answer; 0 when none came.
+func (x *exchange) firstAfter() time.Duration {
+	if !x.begun {
+		return 0
+	}
+	return x.beganAt.Sub(x.arrived)
+}
+
 func (x *exchange) count(outcome string) {
 	if len(outcome) > len("failed by the upstream") {
 		outcome = "aborted"
