--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -267,6 +267,22 @@
 	}(), "a full engine takes nothing")
 }
 
+// TestAnEngineWhoseAgentWentQuietIsTheLastResort has one of two agents say nothing more, as on a host that froze.
+func TestAnEngineWhoseAgentWentQuietIsTheLastResort(t *testing.T) {
+	r := newRig()
+	r.add("m1", "model", "perth-a", 1)
+	r.add("m2", "model", "bunbury-a", 1)
+	told := func(address string) {
+		r.step(forward.LoadTold{Address: address, Versions: map[string]int64{"m": 1}})
+	}
+	told("m1")
+	told("m2")
+	r.now = 1300 * time.Millisecond
+	told("m2")
+	require.Equal(t, "m2", only[forward.Send](t, r.arrive(1, reports)).Upstream.ID)
+	require.Equal(t, "m1", only[forward.Send](t, r.arrive(2, reports)).Upstream.ID)
+}
+
 func TestWhatWaitsIsSentOnceThereIsRoomOrRefused(t *testing.T) {
 	r := newRig()
 	r.add("m1", "model", "perth-a", 2)
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -12,6 +12,9 @@
 const (
 	// toldFor is how long an agent's word on its engine counts; agents speak at least once a second.
 	toldFor = 2500 * time.Millisecond
+	// quietAfter is how long after its agent's last word an engine is used only when no other has room: the host may be frozen or
+	// cut off. It is a little more than the longest time between two words of an agent that is well.
+	quietAfter = 1200 * time.Millisecond
 	// avoidFirst and avoidMost bound how long an upstream gets no work after failures in a row; it doubles.
 	avoidFirst = 300 * time.Millisecond
 	avoidMost  = 4 * time.Second
@@ -119,6 +122,8 @@
 // candidate is an upstream that could take a request.
 type candidate struct {
 	upstream *catalog.Upstream
+	// quiet is set when the engine's agent has said nothing for a while.
+	quiet bool
 	// distance is 0 in this data centre, 1 in this region, 2 elsewhere.
 	distance int
 	occupied int
@@ -128,6 +133,9 @@
 }
 
 func (c candidate) before(o candidate) bool {
+	if c.quiet != o.quiet {
+		return o.quiet
+	}
 	if c.distance != o.distance {
 		return c.distance < o.distance
 	}
@@ -141,6 +149,8 @@
 func (s *State) candidate(in step.Input, u *catalog.Upstream, r *request) candidate {
 	c := candidate{upstream: u, distance: s.distance(u), tie: step.Score(u.ID, "") ^ in.Rand}
 	c.occupied, c.limit = s.occupied(in.Now, u, r), s.limit(u, r)
+	told := s.load(u.ID).toldAt
+	c.quiet = !told.IsZero() && in.Now.Sub(told) > quietAfter
 	return c
 }
 
--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -26,8 +26,8 @@
 	// maxCheckAge is how old the oldest reading of a piece may be when the engine is ordered to load. Stored pieces can go bad;
 	// an engine that loads one soon after its check is within what the platform tolerates.
 	maxCheckAge = 2 * time.Second
-	// engineSilent is how long an engine may not answer before it counts as down.
-	engineSilent = 1500 * time.Millisecond
+	// engineSilent is how long an engine may not answer before it counts as down: some readings, which are made each 100 ms.
+	engineSilent = 800 * time.Millisecond
 )
 
 // Phase is where a version stands on this host.
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -34,7 +34,7 @@
 	// readInterval is how often the engine's state is read; the call is free on its own host.
 	readInterval = 100 * time.Millisecond
 	// readTimeout bounds such a call.
-	readTimeout = 700 * time.Millisecond
+	readTimeout = 400 * time.Millisecond
 	// versionPoll, upstreamPoll and configPoll are the times between two stale lists. Versions come by the entries first;
 	// new hosts introduce themselves to the others.
 	versionPoll  = 2 * time.Second
