--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -148,8 +148,11 @@
 	Try int
 }
 
-// Fetch has the shell bring the chunks of a digest to this host; those of other versions of the model are not wanted any more.
-type Fetch struct {
+// Fetch says that the versions whose chunks are wanted on this host have changed; see State.Wanted.
+type Fetch struct{}
+
+// Want is a version whose chunks are to be on this host.
+type Want struct {
 	Model   string
 	Version int64
 	Digest  string
@@ -211,8 +214,7 @@
 // model is what is known of one model.
 type model struct {
 	name string
-	// versions are those that the engine may still need, the oldest first. The last one is wanted from other hosts; earlier ones are
-	// kept only when they are whole already.
+	// versions are those that the engine may still need, the oldest first; see keep.
 	versions []*version
 	// phase is where the engine stands, and loading the version that it is about.
 	phase   Phase
@@ -258,6 +260,20 @@
 // Occupied counts the requests at the engine.
 func (s *State) Occupied() int { return s.engine.Occupied }
 
+// Wanted returns the versions whose chunks are to be on this host, those that are here whole included: other hosts may still need
+// them.
+func (s *State) Wanted() []Want {
+	var wants []Want
+	for _, name := range s.Models() {
+		for _, v := range s.models[name].versions {
+			if v.digest != "" {
+				wants = append(wants, Want{Model: name, Version: v.number, Digest: v.digest})
+			}
+		}
+	}
+	return wants
+}
+
 // Newest returns the newest version of a model that was named; 0 for none.
 func (s *State) Newest(name string) int64 {
 	if m := s.models[name]; m != nil {
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -7,7 +7,7 @@
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
-// named takes in a version. An older one that is not whole yet is given up for it.
+// named takes in a version.
 func (s *State) named(in step.Input, ev Named) []step.Effect {
 	since := in.Now.Add(-ev.Age)
 	m := s.models[ev.Model]
@@ -25,11 +25,26 @@
 		return nil
 	}
 	v := &version{number: ev.Version, since: since, phase: Resolving, next: in.Now.Add(resolveTimeout)}
-	m.versions = append(m.whole(), v)
+	m.versions = append(m.keep(since), v)
 	if held := s.engine.Loaded[m.name]; m.phase == Waiting && m.best() != nil {
 		m.next = in.Now.Add(s.turn(in.Now, m, held))
 	}
-	return []step.Effect{Resolve{Model: m.name, Version: v.number}, m.moved(v.number, Resolving, "named")}
+	return []step.Effect{Resolve{Model: m.name, Version: v.number}, Fetch{}, m.moved(v.number, Resolving, "named")}
+}
+
+// keep returns the versions that are still worth having when a newer one is named: those that are here whole, and the oldest that is
+// on its way, if the newer one leaves it enough time. Two versions on their way share the links, so that the newer one comes later.
+func (m *model) keep(newer time.Time) []*version {
+	var list []*version
+	onItsWay := false
+	for _, v := range m.versions {
+		worth := v.phase == Fetching && !onItsWay && newer.Sub(v.since) >= leastUse
+		if v.phase == Whole || worth {
+			list = append(list, v)
+			onItsWay = onItsWay || worth
+		}
+	}
+	return list
 }
 
 func (m *model) newest() *version { return m.versions[len(m.versions)-1] }
@@ -54,11 +69,13 @@
 	return list
 }
 
-// forget drops versions that the engine has passed.
-func (m *model) forget(held int64) {
-	for len(m.versions) > 1 && m.versions[0].number < held {
+// forget drops versions that the engine has passed or will pass, and reports whether there were any.
+func (m *model) forget(held int64) bool {
+	before := len(m.versions)
+	for len(m.versions) > 1 && (m.versions[0].number < held || m.newest().phase == Whole && m.versions[0].number != m.loading) {
 		m.versions = m.versions[1:]
 	}
+	return len(m.versions) < before
 }
 
 func (s *State) resolved(in step.Input, ev Resolved) []step.Effect {
@@ -75,7 +92,7 @@
 		return nil
 	}
 	v.digest, v.phase = ev.Digest, Fetching
-	return []step.Effect{Fetch{Model: m.name, Version: v.number, Digest: v.digest}, m.moved(v.number, Fetching, "resolved")}
+	return []step.Effect{Fetch{}, m.moved(v.number, Fetching, "resolved")}
 }
 
 // refuted asks anew what a version consists of that is still being fetched. One that is here whole has proved itself.
@@ -161,7 +178,9 @@
 			effects = append(effects, m.moved(v.number, Whole, "every chunk is here"))
 		}
 	}
-	m.forget(s.engine.Loaded[m.name])
+	if m.forget(s.engine.Loaded[m.name]) {
+		effects = append(effects, Fetch{})
+	}
 	return effects
 }
 
@@ -204,7 +223,7 @@
 	if v == nil || answers && v.number == held {
 		return m.move(Idle, in.Now, "nothing to load")
 	}
-	if !answers || s.engine.Busy || !due {
+	if !answers || s.engine.Busy || !due || s.notWorthIt(in.Now, m, v, held) {
 		return nil
 	}
 	m.loading = v.number
@@ -215,6 +234,28 @@
 // requests any more.
 const overtakenWait = time.Second
 
+// leastUse is how long a version must be of use for its load to be worth it: an engine takes no requests for about usualLoad. With
+// versions named 2 s apart, loading the first cost more than it brought; 4 s apart it brought a tenth of the day's worth.
+const leastUse = 2500 * time.Millisecond
+
+// notWorthIt tells whether a version would be loaded only to be out of use soon, since a newer one is due by then. The engine rather
+// waits for that one.
+func (s *State) notWorthIt(now time.Time, m *model, v *version, held int64) bool {
+	until := s.usableUntil(m, v.number)
+	if until.IsZero() || !now.Before(until.Add(loadAnyway)) {
+		return false
+	}
+	from := now.Add(usualLoad)
+	if other := s.usableUntil(m, held); other.After(from) {
+		from = other
+	}
+	return until.Sub(from) < leastUse
+}
+
+// loadAnyway is how long after the time of a newer version an older one is loaded after all: when the newer one does not come, as
+// long as the origin is away, an engine should not stay empty, for the time when the newer version is withdrawn or comes in part.
+const loadAnyway = 10 * time.Second
+
 // usualLoad is about how long an engine takes to finish what runs and to load.
 const usualLoad = 2 * time.Second
 
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -67,9 +67,6 @@
 	catalog *catalog.State
 	weights *weights.State
 	install *install.State
-	// wants are the versions that this host brings to its engine, by model.
-	wants map[string]install.Fetch
-
 	reports reports
 }
 
@@ -84,7 +81,6 @@
 		catalog: catalog.NewState(),
 		weights: weights.NewState(weights.Peer{Address: self, Place: host.DataCentre, Region: host.Region}),
 		install: install.NewState(self, host.VersionTime),
-		wants:   map[string]install.Fetch{},
 		reports: newReports(),
 	}
 	a.origin = platform.NewOrigin(newOriginClient(dialer), a.originPlace)
@@ -162,7 +158,6 @@
 	case install.Resolve:
 		go a.resolve(e)
 	case install.Fetch:
-		a.wants[e.Model] = e
 		a.setWants(in)
 	case install.Prepare:
 		go a.prepare(e)
@@ -194,13 +189,10 @@
 // setWants tells the weights reducer which versions this host wants, and who else does.
 func (a *Agent) setWants(in step.Input) {
 	var wants []weights.Want
-	for _, model := range a.install.Models() {
-		f, known := a.wants[model]
-		if !known {
-			continue
-		}
+	peers := a.peers()
+	for _, w := range a.install.Wanted() {
 		wants = append(wants, weights.Want{
-			Ref: ref(f.Model, f.Version), Digest: f.Digest, Policy: setting.TimeFirst, Peers: a.peers(),
+			Ref: ref(w.Model, w.Version), Digest: w.Digest, Policy: setting.TimeFirst, Peers: peers,
 		})
 	}
 	for _, e := range a.weights.SetWants(in, wants) {
--- a/internal/hostagent/work.go
+++ b/internal/hostagent/work.go
@@ -121,11 +121,13 @@
 // serveVersion tells a peer what a version consists of.
 func (a *Agent) serveVersion(w http.ResponseWriter, r *http.Request) {
 	a.mu.Lock()
-	f, known := a.wants[r.PathValue("model")]
+	wanted := a.install.Wanted()
 	a.mu.Unlock()
 	var raw []byte
-	if known && strconv.FormatInt(f.Version, 10) == r.PathValue("version") {
-		raw, _ = a.fetcher.Memory.Manifest(f.Digest)
+	for _, v := range wanted {
+		if v.Model == r.PathValue("model") && strconv.FormatInt(v.Version, 10) == r.PathValue("version") {
+			raw, _ = a.fetcher.Memory.Manifest(v.Digest)
+		}
 	}
 	if raw == nil {
 		w.WriteHeader(http.StatusNotFound)
