--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,13 +20,11 @@
 // patience bounds what a test waits for; it is far above what is needed, since machines can be busy.
 const patience = 30 * time.Second
 
-// entry is a running entry with a client of its callers.
+// entry is a running entry with its callers.
 type entry struct {
-	t     *testing.T
-	fleet *standin.Fleet
-	host  hostconfig.Host
-	stop  func()
-	next  atomic.Int64
+	standin.Caller
+	host hostconfig.Host
+	stop func()
 }
 
 func start(t *testing.T, fleet *standin.Fleet) *entry {
@@ -39,7 +35,7 @@
 func startHost(t *testing.T, fleet *standin.Fleet, host hostconfig.Host) *entry {
 	t.Helper()
 	g := gateway.New(host, zerolog.Nop(), telemetry.NewMetrics())
-	e := &entry{t: t, fleet: fleet, host: host, stop: fleet.Run(g.Run)}
+	e := &entry{Caller: standin.Caller{Address: host.Callers, Name: t.Name()}, host: host, stop: fleet.Run(g.Run)}
 	require.Eventually(t, func() bool { return e.ready() == http.StatusOK }, patience, 10*time.Millisecond)
 	return e
 }
@@ -54,45 +50,6 @@
 	return resp.StatusCode
 }
 
-// reply is an answer as a caller sees it.
-type reply struct {
-	id     string
-	status int
-	header http.Header
-	body   string
-	// err is set when the answer is not whole.
-	err error
-}
-
-// call sends a request; change may set further headers.
-func (e *entry) call(ctx context.Context, method, path string, change func(http.Header)) reply {
-	id := fmt.Sprintf("%s-%d", e.t.Name(), e.next.Add(1))
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+e.host.Callers+path, strings.NewReader("body of "+id))
-	require.NoError(e.t, err)
-	req.Host = "a.example"
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Authorization", "Bearer key-1")
-	req.Header.Set("Deadline-Ms", "4000")
-	if strings.HasPrefix(path, "/stream/") {
-		req.Header.Set("Model", "m")
-	}
-	if change != nil {
-		change(req.Header)
-	}
-	transport := &http.Transport{DisableKeepAlives: true}
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
-		return reply{id: id, err: err}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return reply{id: id, status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
-}
-
-func (e *entry) post(path string) reply {
-	return e.call(context.Background(), http.MethodPost, path, nil)
-}
-
 // whole is a stream of n events.
 func whole(n int) string {
 	var b strings.Builder
@@ -107,36 +64,35 @@
 	fleet := standin.NewFleet(t)
 	desk := fleet.AddService("i-desk")
 	e := start(t, fleet)
-	r := e.call(context.Background(), http.MethodPost, "/once/a%2Fb?x=1", func(h http.Header) {
-		h.Set("Tenant", "somebody else")
-		h.Set("Custom", "kept")
+	r := e.Do(context.Background(), standin.Request{
+		Path: "/once/a%2Fb?x=1", Account: "somebody else", Header: http.Header{"Custom": {"kept"}},
 	})
-	require.NoError(t, r.err)
-	require.Equal(t, http.StatusOK, r.status)
-	require.Equal(t, "answer to "+r.id+" by i-desk", r.body)
-	require.Equal(t, "seal-of-i-desk", r.header.Get("Server-Seal"))
+	require.NoError(t, r.Err)
+	require.Equal(t, http.StatusOK, r.Status)
+	require.Equal(t, "answer to "+r.ID+" by i-desk", r.Body)
+	require.Equal(t, "seal-of-i-desk", r.Seal)
 	seen := desk.Last()
-	require.Equal(t, "karrakin", seen.Get("Tenant"))
-	require.Equal(t, "i-desk", seen.Get("Expect-Instance"))
-	require.Equal(t, "kept", seen.Get("Custom"))
-	require.Empty(t, seen.Get("Authorization"))
-	require.NotEmpty(t, seen.Get("Deadline-Ms"))
-	require.NotEqual(t, "4000", seen.Get("Deadline-Ms"), "the route allows less than the caller")
+	require.Equal(t, "karrakin", seen.Account)
+	require.Equal(t, "i-desk", seen.Instance)
+	require.Equal(t, "kept", seen.Header.Get("Custom"))
+	require.Empty(t, seen.Key)
+	require.Positive(t, seen.Deadline)
+	require.LessOrEqual(t, seen.Deadline, 2000, "the route allows less than the caller")
 }
 
 func TestOwnRefusals(t *testing.T) {
 	t.Parallel()
 	fleet := standin.NewFleet(t)
 	e := start(t, fleet)
-	r := e.call(context.Background(), http.MethodPost, "/once/1", func(h http.Header) { h.Set("Authorization", "Bearer revoked") })
-	require.Equal(t, http.StatusUnauthorized, r.status)
-	require.Contains(t, r.body, "1011")
-	require.Equal(t, http.StatusNotFound, e.post("/nowhere/").status)
-	r = e.post("/once/1")
-	require.Equal(t, http.StatusServiceUnavailable, r.status)
-	require.NotEmpty(t, r.header.Get("Retry-After"))
-	require.Contains(t, r.body, `"ran":"not run"`)
-	require.Empty(t, r.header.Get("Server-Seal"))
+	r := e.Do(context.Background(), standin.Request{Path: "/once/1", Key: "revoked"})
+	require.Equal(t, http.StatusUnauthorized, r.Status)
+	require.Contains(t, r.Body, "1011")
+	require.Equal(t, http.StatusNotFound, e.Post("/nowhere/").Status)
+	r = e.Post("/once/1")
+	require.Equal(t, http.StatusServiceUnavailable, r.Status)
+	require.NotEmpty(t, r.Header.Get("Retry-After"))
+	require.Contains(t, r.Body, `"ran":"not run"`)
+	require.Empty(t, r.Seal)
 }
 
 func TestFaultsOfUpstreams(t *testing.T) {
@@ -167,10 +123,10 @@
 			first, second := fleet.AddService("i-1"), fleet.AddService("i-2")
 			e := start(t, fleet)
 			fleet.Faults.Next(c.faults...)
-			r := e.post(c.path)
-			require.NoError(t, r.err)
-			require.Equal(t, c.status, r.status, r.body)
-			require.Equal(t, c.runs, first.Runs(r.id)+second.Runs(r.id))
+			r := e.Post(c.path)
+			require.NoError(t, r.Err)
+			require.Equal(t, c.status, r.Status, r.Body)
+			require.Equal(t, c.runs, first.Runs(r.ID)+second.Runs(r.ID))
 		})
 	}
 }
@@ -182,12 +138,12 @@
 	fleet.AddEngine("i-2", standin.NextIP(), 1)
 	e := start(t, fleet)
 	fleet.Faults.Next(standin.BreakEvent)
-	r := e.post("/stream/1")
-	require.NoError(t, r.err)
-	require.Equal(t, whole(6), r.body, "each event once, in order, and none of the broken one")
+	r := e.Post("/stream/1")
+	require.NoError(t, r.Err)
+	require.Equal(t, whole(6), r.Body, "each event once, in order, and none of the broken one")
 	fleet.Faults.Next(standin.BreakEvent, standin.BreakEvent)
-	r = e.post("/stream/2")
-	require.Error(t, r.err, "a route with two upstreams allows no third: the answer is cut and does not look whole")
+	r = e.Post("/stream/2")
+	require.Error(t, r.Err, "a route with two upstreams allows no third: the answer is cut and does not look whole")
 }
 
 func TestAStreamGoesOnWhereItsCallerWas(t *testing.T) {
@@ -195,9 +151,9 @@
 	fleet := standin.NewFleet(t)
 	fleet.AddEngine("i-1", standin.NextIP(), 1)
 	e := start(t, fleet)
-	r := e.call(context.Background(), http.MethodPost, "/stream/1", func(h http.Header) { h.Set("Last-Event-Id", "4") })
-	require.NoError(t, r.err)
-	require.Equal(t, strings.TrimPrefix(whole(6), whole(4)), r.body)
+	r := e.Do(context.Background(), standin.Request{Path: "/stream/1", LastEvent: 4})
+	require.NoError(t, r.Err)
+	require.Equal(t, strings.TrimPrefix(whole(6), whole(4)), r.Body)
 }
 
 func TestWorkEndsWhenItsCallerLeaves(t *testing.T) {
@@ -207,8 +163,8 @@
 	engine.Events, engine.Pace = 100000, 10*time.Millisecond
 	e := start(t, fleet)
 	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan reply, 1)
-	go func() { ended <- e.call(ctx, http.MethodPost, "/stream/1", nil) }()
+	ended := make(chan standin.Reply, 1)
+	go func() { ended <- e.Do(ctx, standin.Request{Path: "/stream/1"}) }()
 	require.Eventually(t, func() bool { return engine.Last() != nil }, patience, 5*time.Millisecond)
 	cancel()
 	<-ended
@@ -221,9 +177,9 @@
 	engine := fleet.AddEngine("i-1", standin.NextIP(), 1)
 	engine.Events, engine.Pace = 100000, 10*time.Millisecond
 	e := start(t, fleet)
-	r := e.call(context.Background(), http.MethodPost, "/stream/1", func(h http.Header) { h.Set("Deadline-Ms", "300") })
-	require.Error(t, r.err, "the connection is cut, so that the answer does not look whole")
-	require.NotContains(t, r.body, `"code"`)
+	r := e.Do(context.Background(), standin.Request{Path: "/stream/1", DeadlineMS: 300})
+	require.Error(t, r.Err, "the connection is cut, so that the answer does not look whole")
+	require.NotContains(t, r.Body, `"code"`)
 }
 
 func TestADueVersionIsNotServedByAnOldEngine(t *testing.T) {
@@ -231,9 +187,9 @@
 	fleet := standin.NewFleet(t)
 	fleet.AddEngine("i-1", standin.NextIP(), 1)
 	e := start(t, fleet)
-	require.Equal(t, http.StatusOK, e.post("/stream/1").status)
+	require.Equal(t, http.StatusOK, e.Post("/stream/1").Status)
 	fleet.Name(2)
-	require.Eventually(t, func() bool { return e.post("/stream/1").status == http.StatusServiceUnavailable }, patience, 100*time.Millisecond)
+	require.Eventually(t, func() bool { return e.Post("/stream/1").Status == http.StatusServiceUnavailable }, patience, 100*time.Millisecond)
 }
 
 // TestChangesComeInForceWhateverTheWatchDoes changes the manifest while watches are cut, silent or without history, and after the
@@ -257,17 +213,17 @@
 			fleet := standin.NewFleet(t)
 			desk := fleet.AddService("i-desk")
 			e := start(t, fleet)
-			require.Equal(t, http.StatusOK, e.post("/again/1").status)
+			require.Equal(t, http.StatusOK, e.Post("/again/1").Status)
 			after := trouble(fleet.Store)
 			fleet.Routes = fleet.Routes[:1]
 			fleet.Configure()
 			fleet.AddService("i-new")
 			fleet.Store.Delete("servers", "i-desk")
 			after()
-			require.Eventually(t, func() bool { return e.post("/again/1").status == http.StatusNotFound }, patience, 20*time.Millisecond)
+			require.Eventually(t, func() bool { return e.Post("/again/1").Status == http.StatusNotFound }, patience, 20*time.Millisecond)
 			require.Eventually(t, func() bool {
-				r := e.post("/once/1")
-				return r.status == http.StatusOK && desk.Runs(r.id) == 0
+				r := e.Post("/once/1")
+				return r.Status == http.StatusOK && desk.Runs(r.ID) == 0
 			}, patience, 20*time.Millisecond)
 		})
 	}
@@ -281,8 +237,8 @@
 	host := fleet.Host(standin.NextIP(), false)
 	host.Grace = patience
 	e := startHost(t, fleet, host)
-	ended := make(chan reply, 1)
-	go func() { ended <- e.post("/stream/1") }()
+	ended := make(chan standin.Reply, 1)
+	go func() { ended <- e.Post("/stream/1") }()
 	require.Eventually(t, func() bool { return engine.Last() != nil }, patience, 5*time.Millisecond)
 	stopped := make(chan struct{})
 	go func() {
@@ -290,12 +246,12 @@
 		close(stopped)
 	}()
 	require.Eventually(t, func() bool { return e.ready() == http.StatusServiceUnavailable }, patience, 5*time.Millisecond)
-	late := e.post("/stream/2")
-	require.NoError(t, late.err, "requests are taken until the balancer has heard")
-	require.True(t, late.header.Get("Connection") == "close" || late.status == http.StatusOK)
+	late := e.Post("/stream/2")
+	require.NoError(t, late.Err, "requests are taken until the balancer has heard")
+	require.True(t, late.Header.Get("Connection") == "close" || late.Status == http.StatusOK)
 	r := <-ended
-	require.NoError(t, r.err)
-	require.Equal(t, whole(50), r.body)
+	require.NoError(t, r.Err)
+	require.Equal(t, whole(50), r.Body)
 	<-stopped
 }
 
@@ -305,10 +261,10 @@
 	fleet.Store.SetDown(true)
 	host := fleet.Host(standin.NextIP(), false)
 	g := gateway.New(host, zerolog.Nop(), telemetry.NewMetrics())
-	e := &entry{t: t, fleet: fleet, host: host, stop: fleet.Run(g.Run)}
+	e := &entry{Caller: standin.Caller{Address: host.Callers, Name: t.Name()}, host: host, stop: fleet.Run(g.Run)}
 	require.Eventually(t, func() bool { return e.ready() == http.StatusServiceUnavailable }, patience, 10*time.Millisecond)
-	r := e.post("/once/1")
-	require.Equal(t, http.StatusServiceUnavailable, r.status)
+	r := e.Post("/once/1")
+	require.Equal(t, http.StatusServiceUnavailable, r.Status)
 	fleet.Store.SetDown(false)
 	require.Eventually(t, func() bool { return e.ready() == http.StatusOK }, patience, 10*time.Millisecond)
 }
