--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -43,6 +43,7 @@
 	Stopping          Code = 2007
 	NotReady          Code = 2008
 	NoSuchRoute       Code = 2009
+	HeldBack          Code = 2010
 	ClaimUnavailable  Code = 3001
 	AlreadyRun        Code = 3002
 	OutcomeUnknown    Code = 3003
@@ -112,6 +113,7 @@
 	{Stopping, "stopping", http.StatusServiceUnavailable, "This process is shutting down; send the request again, it will reach another."},
 	{NotReady, "not ready", http.StatusServiceUnavailable, "This process has not read the settings yet."},
 	{NoSuchRoute, "no such route", http.StatusNotFound, "No route of the manifest in force has this host and path."},
+	{HeldBack, "held back", http.StatusServiceUnavailable, "Upstreams went down under this request; it is not sent to more of them until Retry-After has passed."},
 	{ClaimUnavailable, "claim unavailable", http.StatusServiceUnavailable, "The platform can't record that this request runs at most once, so it was not run; come back after Retry-After."},
 	{AlreadyRun, "already run", http.StatusConflict, "The request of this idempotency key was run, and its answer is not kept; it is not run again."},
 	{OutcomeUnknown, "outcome unknown", http.StatusConflict, "This idempotency key was claimed before and how it ended is not known; it is not run again."},
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -65,6 +65,8 @@
 	Budget time.Duration
 	// Size is the length of the body in bytes.
 	Size int64
+	// Fingerprint names what is asked and by whom, whatever the request's id.
+	Fingerprint uint64
 }
 
 // SendEnded says how a send ended.
@@ -186,14 +188,16 @@
 
 // request is one caller's request in flight.
 type request struct {
-	id       uint64
-	route    *catalog.Route
-	service  string
-	model    string
-	account  *catalog.Account
-	by       time.Time
-	arrived  time.Time
-	queuedBy time.Time
+	id      uint64
+	route   *catalog.Route
+	service string
+	model   string
+	// fingerprint names what is asked; see quarantine.
+	fingerprint uint64
+	account     *catalog.Account
+	by          time.Time
+	arrived     time.Time
+	queuedBy    time.Time
 	// at is the upstream that works on it; empty while none does.
 	at string
 	// version is the version that the present send insists on; 0 for none.
@@ -211,9 +215,10 @@
 	Self    Self
 	Catalog *catalog.State
 
-	requests map[uint64]*request
-	loads    map[string]*load
-	budgets  map[string]*budget
+	requests   map[uint64]*request
+	loads      map[string]*load
+	budgets    map[string]*budget
+	quarantine quarantine
 	// waiting are the requests that wait for room, by service, the oldest first.
 	waiting map[string][]uint64
 	// entries is how many entries share the budgets of repeats, as the agents count them.
@@ -225,7 +230,7 @@
 func NewState(self Self, c *catalog.State) *State {
 	return &State{
 		Self: self, Catalog: c, requests: map[uint64]*request{}, loads: map[string]*load{},
-		budgets: map[string]*budget{}, waiting: map[string][]uint64{},
+		budgets: map[string]*budget{}, quarantine: quarantine{}, waiting: map[string][]uint64{},
 	}
 }
 
@@ -242,10 +247,13 @@
 		return s.callerGone(in, ev.ID)
 	case LoadTold:
 		return s.loadTold(in, ev)
+	case Quarantined:
+		s.quarantine.told(in.Now, ev.Fingerprint)
 	case StopAsked:
 		s.stopping = true
 	case step.Tick:
 		s.forget(in.Now)
+		s.quarantine.forget(in.Now)
 		return s.serveWaiting(in)
 	}
 	return nil
--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -372,6 +372,71 @@
 	only[forward.Send](t, r.arrive(3, bookings))
 }
 
+// TestARequestThatBringsUpstreamsDownIsRefusedEverywhere has each upstream go down under a request that comes again and again, under
+// new ids and at another entry.
+func TestARequestThatBringsUpstreamsDownIsRefusedEverywhere(t *testing.T) {
+	r, other := newRig(), newRig()
+	for _, rig := range []*rig{r, other} {
+		for i := range 6 {
+			rig.add(fmt.Sprintf("m%d", i), "model", "perth-a", 6)
+		}
+	}
+	ask := func(rig *rig, id, fingerprint uint64) []step.Effect {
+		return rig.step(forward.Arrived{ID: id, Host: "h", Path: reports, Key: "key-1", Model: "m", Fingerprint: fingerprint})
+	}
+	var suspected []step.Effect
+	for id := uint64(1); len(suspected) == 0; id++ {
+		require.LessOrEqual(t, id, uint64(2))
+		at := only[forward.Send](t, ask(r, id, 7)).Upstream.ID
+		for range 2 {
+			effects := r.step(forward.SendEnded{ID: id, Outcome: forward.Broken})
+			r.step(forward.LoadTold{Address: at, Versions: map[string]int64{"m": 1}})
+			suspected = append(suspected, r.step(forward.LoadTold{Address: at})...)
+			if len(effects) > 0 {
+				if again, ok := effects[0].(forward.Send); ok {
+					at = again.Upstream.ID
+				}
+			}
+		}
+	}
+	require.Equal(t, uint64(7), only[forward.Suspected](t, suspected).Fingerprint)
+	refuse := only[forward.Refuse](t, ask(r, 8, 7))
+	require.Equal(t, code.HeldBack, refuse.Code)
+	require.Equal(t, code.NotRun, refuse.Ran)
+	only[forward.Send](t, ask(r, 9, 8))
+	other.step(forward.Quarantined{Fingerprint: 7})
+	only[forward.Refuse](t, ask(other, 1, 7))
+	r.now = time.Minute
+	only[forward.Send](t, ask(r, 10, 7))
+}
+
+// TestLostAnswersMakeNoSuspect breaks many sends of a request at upstreams that are well, as when answers get lost.
+func TestLostAnswersMakeNoSuspect(t *testing.T) {
+	r := newRig()
+	for i := range 6 {
+		r.add(fmt.Sprintf("m%d", i), "model", "perth-a", 6)
+	}
+	for id := uint64(1); id < 6; id++ {
+		only[forward.Send](t, r.step(forward.Arrived{ID: id, Host: "h", Path: reports, Key: "key-1", Model: "m", Fingerprint: 7}))
+		r.step(forward.SendEnded{ID: id, Outcome: forward.Broken})
+		r.step(forward.SendEnded{ID: id, Outcome: forward.Broken})
+		r.now += time.Second
+	}
+}
+
+func TestARequestThatIsAnsweredIsNotSuspected(t *testing.T) {
+	r := newRig()
+	for i := range 4 {
+		r.add(fmt.Sprintf("m%d", i), "model", "perth-a", 6)
+	}
+	for id := uint64(1); id < 10; id++ {
+		only[forward.Send](t, r.step(forward.Arrived{ID: id, Host: "h", Path: reports, Key: "key-1", Model: "m", Fingerprint: 7}))
+		only[forward.Send](t, r.step(forward.SendEnded{ID: id, Outcome: forward.Broken}))
+		require.Empty(t, r.step(forward.SendEnded{ID: id, Outcome: forward.Answered}))
+		r.now += time.Second
+	}
+}
+
 func TestACallerThatLeavesFreesItsPlace(t *testing.T) {
 	r := newRig()
 	r.add("m1", "model", "perth-a", 2)
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -38,6 +38,8 @@
 	failures int
 	avoid    time.Time
 	avoidFor time.Duration
+	// broken are the requests that broke there in the last moments, the oldest first.
+	broken []broken
 }
 
 // found tells how the search for an upstream ended.
@@ -85,9 +87,13 @@
 		return nil
 	}
 	l := s.load(u.ID)
+	var effects []step.Effect
+	if empties(l.told, ev) {
+		effects = s.wentDown(in.Now, u.ID)
+	}
 	l.told, l.toldAt = ev, in.Now
 	l.others = max(0, ev.Occupied-l.inFlight)
-	return s.serveQueue(in, u.Service)
+	return append(effects, s.serveQueue(in, u.Service)...)
 }
 
 // forget drops what is known of upstreams that are gone.
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -49,8 +49,11 @@
 	if m.MaxBody > 0 && ev.Size > m.MaxBody {
 		return refuse(ev.ID, code.BodyTooLarge, fmt.Sprintf("%d bytes, at most %d", ev.Size, m.MaxBody), 0)
 	}
+	if s.quarantine.holds(in.Now, ev.Fingerprint) {
+		return refuse(ev.ID, code.HeldBack, "upstreams went down under this request of late", quarantineFor)
+	}
 	r := &request{
-		id: ev.ID, route: route, service: route.Pick(in.Rand), model: ev.Model, account: account,
+		id: ev.ID, fingerprint: ev.Fingerprint, route: route, service: route.Pick(in.Rand), model: ev.Model, account: account,
 		arrived: in.Now, by: in.Now.Add(timeFor(route, ev.Budget)), tried: map[string]bool{},
 	}
 	s.requests[r.id] = r
@@ -155,12 +158,13 @@
 	if r == nil {
 		return nil
 	}
+	effects := s.learn(in, r, r.at, ev)
 	s.release(in, r, ev.Outcome)
 	r.partial = r.partial || ev.Partial
 	if ev.Outcome.ran() {
 		r.runs++
 	}
-	effects := s.next(in, r, ev)
+	effects = append(effects, s.next(in, r, ev)...)
 	return append(effects, s.serveQueue(in, r.service)...)
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/logevent"
@@ -60,7 +62,7 @@
 	defer func() { x.cancel() }()
 	x.gateway.step(forward.Arrived{
 		ID: x.id, Host: x.r.Host, Path: x.r.URL.EscapedPath(), Key: x.call.Key, Model: x.call.Model,
-		Budget: x.call.Budget, Size: int64(len(x.body)),
+		Budget: x.call.Budget, Size: int64(len(x.body)), Fingerprint: fingerprint(x.r, x.call.Key, x.body),
 	})
 	for {
 		select {
@@ -76,6 +78,17 @@
 	}
 }
 
+// fingerprint names what is asked and by whom.
+func fingerprint(r *http.Request, key string, body []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range [][]byte{[]byte(r.Method), []byte(r.Host), []byte(r.URL.RequestURI()), []byte(key), body} {
+		_, _ = d.Write(part) // A hash takes every byte.
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
 // over tells the reducer that the caller left or that the time is over, once. It reports whether nobody waits any more.
 func (x *exchange) over() bool {
 	if x.r.Context().Err() != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,8 @@
 	catalog   *catalog.State
 	forward   *forward.State
 	exchanges map[uint64]*exchange
+	// suspects are told to the agents, and by them to the other entries.
+	suspects loadreport.Suspects
 
 	nextID   atomic.Uint64
 	ready    atomic.Bool
@@ -109,6 +111,10 @@
 	case catalog.Change:
 		logevent.Info(g.log, logevent.BeliefChanged).Str("what", e.What).Str("of", e.Name).Str("value", e.Value).
 			Int64("revision", e.Revision).Msg("belief changed")
+	case forward.Suspected:
+		logevent.Warn(g.log, logevent.RequestSuspect).Uint64("fingerprint", e.Fingerprint).Msg("request suspect")
+		g.suspects.Add(time.Now(), e.Fingerprint)
+		go g.greetAll()
 	case forward.Admitted:
 		g.hand(e.ID, e)
 	case forward.Send:
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -41,7 +41,7 @@
 func (g *Gateway) greeting(now time.Time) ([]netip.AddrPort, loadreport.Message) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var m loadreport.Message
+	m := loadreport.Message{Suspects: g.suspects.Recent(now)}
 	for _, v := range g.catalog.Versions {
 		m.Named = append(m.Named, loadreport.Naming{
 			Model: v.Model, Version: v.Version, Revision: v.Revision, AgeMS: now.Sub(v.Since).Milliseconds(),
@@ -75,6 +75,9 @@
 			Model: n.Model, Version: n.Version, Revision: n.Revision, Age: time.Duration(n.AgeMS) * time.Millisecond,
 		})
 	}
+	for _, fingerprint := range m.Suspects {
+		g.step(forward.Quarantined{Fingerprint: fingerprint})
+	}
 	if m.Load != nil {
 		g.step(forward.LoadTold{
 			Address: m.Load.Address, Occupied: m.Load.Occupied, Closing: m.Load.Closing,
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -28,12 +28,16 @@
 	greeted time.Time
 	told    time.Time
 	last    loadreport.Load
+	// suspects is how many suspects it was last told.
+	suspects int
 }
 
 // reports are the entries that listen.
 type reports struct {
 	mu        sync.Mutex
 	listeners map[netip.AddrPort]*listener
+	// suspects came with greetings and go on to all listeners.
+	suspects loadreport.Suspects
 }
 
 func newReports() reports { return reports{listeners: map[netip.AddrPort]*listener{}} }
@@ -45,6 +49,9 @@
 	}
 	a.reports.mu.Lock()
 	defer a.reports.mu.Unlock()
+	for _, fingerprint := range m.Suspects {
+		a.reports.suspects.Add(time.Now(), fingerprint)
+	}
 	l := a.reports.listeners[from]
 	if l == nil {
 		l = &listener{}
@@ -123,20 +130,21 @@
 		}
 	}
 	load.Entries = len(a.reports.listeners)
+	suspects := a.reports.suspects.Recent(now)
 	for address, l := range a.reports.listeners {
-		if !a.due(now, address, l, load) {
+		if !a.due(now, address, l, load, len(suspects)) {
 			continue
 		}
-		l.told, l.last = now, load
-		if err := a.socket.Send(address, loadreport.Message{Load: &load, Named: named}); err != nil {
+		l.told, l.last, l.suspects = now, load, len(suspects)
+		if err := a.socket.Send(address, loadreport.Message{Load: &load, Named: named, Suspects: suspects}); err != nil {
 			logevent.Info(a.log, logevent.PeerFailed).Str("peer", address.String()).Err(err).Msg("peer failed")
 		}
 	}
 }
 
-func (a *Agent) due(now time.Time, to netip.AddrPort, l *listener, load loadreport.Load) bool {
+func (a *Agent) due(now time.Time, to netip.AddrPort, l *listener, load loadreport.Load, suspects int) bool {
 	since := now.Sub(l.told)
-	if since >= calmInterval || load.Closing != l.last.Closing {
+	if since >= calmInterval || load.Closing != l.last.Closing || suspects > l.suspects {
 		return true
 	}
 	if load.Occupied == l.last.Occupied {
