Two of the nearest engines at random, and of these the one with less to do, prompts that are being read included

Cause: all entries saw the same engine as the least loaded, 0.1 to 0.4 s late, and sent to it together, so that prompts were read one after the other: a tenth of the answers came late at two thirds of the load.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -65,10 +65,15 @@
 	Budget time.Duration
 	// Size is the length of the body in bytes.
 	Size int64
+	// Prompt is the length of the prompt in tokens; 0 when it is not known.
+	Prompt int
 	// Fingerprint names what is asked and by whom, whatever the request's id.
 	Fingerprint uint64
 }
 
+// Began says that the first event of an answer came: the prompt has been read.
+type Began struct{ ID uint64 }
+
 // SendEnded says how a send ended.
 type SendEnded struct {
 	ID      uint64
@@ -109,6 +114,9 @@
 // Event marks the type as an event.
 func (Arrived) Event() {}
 
+// Event marks the type as an event.
+func (Began) Event() {}
+
 // Event marks the type as an event.
 func (SendEnded) Event() {}
 
@@ -200,6 +208,9 @@
 	queuedBy    time.Time
 	// at is the upstream that works on it; empty while none does.
 	at string
+	// prompt is the length of the prompt in tokens, and reading is set while the upstream has not answered yet.
+	prompt  int
+	reading bool
 	// version is the version that the present send insists on; 0 for none.
 	version int64
 	// sends counts all sends, runs those that may have run.
@@ -239,6 +250,8 @@
 	switch ev := in.Event.(type) {
 	case Arrived:
 		return s.arrived(in, ev)
+	case Began:
+		s.began(ev.ID)
 	case SendEnded:
 		return s.sendEnded(in, ev)
 	case TimedOut:
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -22,6 +22,10 @@
 	failuresToAvoid = 3
 	// plainFactor is how many requests for each slot an entry gives a plain upstream, which queues a few more.
 	plainFactor = 2
+	// choices is how many of the nearest upstreams are looked at for a request.
+	choices = 2
+	// promptWeight is how many tokens of prompts that are being read cost as much as an engine that is full.
+	promptWeight = 4000.0
 	// unheardSharers is how many entries an entry assumes to give an engine as much work as itself, that has no word on
 	// the engine's load: about two entries stand in a data centre.
 	unheardSharers = 2
@@ -29,8 +33,9 @@
 
 // load is what an entry knows of an upstream's load and health.
 type load struct {
-	// inFlight are this entry's own requests there.
+	// inFlight are this entry's own requests there, and reading the tokens of their prompts that were not answered yet.
 	inFlight int
+	reading  int
 	told     LoadTold
 	toldAt   time.Time
 	// others are the requests of other entries, as of toldAt.
@@ -105,10 +110,11 @@
 	}
 }
 
-// pick chooses the least occupied upstream with room that is nearest to this entry.
+// pick chooses an upstream with room: of the nearest ones some at random, and of these the one that will answer soonest. The
+// entries see the same loads a little late; if each took the least loaded of all, they would take the same one.
 func (s *State) pick(in step.Input, r *request) (*catalog.Upstream, found) {
 	result := none
-	best := candidate{}
+	var nearest []candidate
 	for _, u := range s.Catalog.Upstreams {
 		if !s.usable(in.Now, r, u) {
 			continue
@@ -118,11 +124,26 @@
 			result = max(result, full)
 			continue
 		}
-		if result != room || c.before(best) {
-			best, result = c, room
+		if len(nearest) > 0 && nearest[0].nearer(c) {
+			continue
+		}
+		if len(nearest) > 0 && c.nearer(nearest[0]) {
+			nearest = nearest[:0]
+		}
+		nearest = append(nearest, c)
+		result = room
+	}
+	if result != room {
+		return nil, result
+	}
+	sort.Slice(nearest, func(i, j int) bool { return nearest[i].tie < nearest[j].tie })
+	best := nearest[0]
+	for _, c := range nearest[1:min(choices, len(nearest))] {
+		if c.cost < best.cost {
+			best = c
 		}
 	}
-	return best.upstream, result
+	return best.upstream, room
 }
 
 // candidate is an upstream that could take a request.
@@ -134,32 +155,36 @@
 	distance int
 	occupied int
 	limit    int
-	// tie orders upstreams that are alike, in another way for each request.
+	// cost grows with the time to the first event.
+	cost float64
+	// tie orders upstreams in another way for each request.
 	tie uint64
 }
 
-func (c candidate) before(o candidate) bool {
+// nearer tells whether c is to be used before o whatever their loads.
+func (c candidate) nearer(o candidate) bool {
 	if c.quiet != o.quiet {
 		return o.quiet
 	}
-	if c.distance != o.distance {
-		return c.distance < o.distance
-	}
-	a, b := c.occupied*o.limit, o.occupied*c.limit
-	if a != b {
-		return a < b
-	}
-	return c.tie < o.tie
+	return c.distance < o.distance
 }
 
 func (s *State) candidate(in step.Input, u *catalog.Upstream, r *request) candidate {
-	c := candidate{upstream: u, distance: s.distance(u), tie: step.Score(u.ID, "") ^ in.Rand}
+	c := candidate{upstream: u, distance: s.distance(u), tie: mix(step.Score(u.ID, "") ^ in.Rand)}
 	c.occupied, c.limit = s.occupied(in.Now, u, r), s.limit(u, r)
+	c.cost = float64(c.occupied)/float64(c.limit) + float64(s.load(u.ID).reading)/promptWeight
 	told := s.load(u.ID).toldAt
 	c.quiet = !told.IsZero() && in.Now.Sub(told) > quietAfter
 	return c
 }
 
+// mix spreads the bits of z, so that numbers that differ in few bits are in no order.
+func mix(z uint64) uint64 {
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
 func (s *State) distance(u *catalog.Upstream) int {
 	switch {
 	case u.DataCentre == s.Self.DataCentre:
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -53,7 +53,7 @@
 		return refuse(ev.ID, code.HeldBack, "upstreams went down under this request of late", quarantineFor)
 	}
 	r := &request{
-		id: ev.ID, fingerprint: ev.Fingerprint, route: route, service: route.Pick(in.Rand), model: ev.Model, account: account,
+		id: ev.ID, fingerprint: ev.Fingerprint, prompt: ev.Prompt, route: route, service: route.Pick(in.Rand), model: ev.Model, account: account,
 		arrived: in.Now, by: in.Now.Add(timeFor(route, ev.Budget)), tried: map[string]bool{},
 	}
 	s.requests[r.id] = r
@@ -126,6 +126,8 @@
 	r.at = u.ID
 	r.tried[u.ID] = true
 	s.load(u.ID).inFlight++
+	s.load(u.ID).reading += r.prompt
+	r.reading = true
 	e := Send{
 		ID: r.id, Number: r.sends, Upstream: u, Priority: r.route.Priority, By: r.by, Resume: r.partial,
 	}
@@ -168,11 +170,20 @@
 	return append(effects, s.serveQueue(in, r.service)...)
 }
 
+// began notes that the prompt of a request has been read.
+func (s *State) began(id uint64) {
+	if r := s.requests[id]; r != nil && r.reading {
+		r.reading = false
+		s.load(r.at).reading -= r.prompt
+	}
+}
+
 // release takes a request off its upstream.
 func (s *State) release(in step.Input, r *request, o Outcome) {
 	if r.at == "" {
 		return
 	}
+	s.began(r.id)
 	l := s.load(r.at)
 	l.inFlight--
 	if o != Misdirected || r.version == 0 {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -61,7 +61,7 @@
 func (x *exchange) run() {
 	defer func() { x.cancel() }()
 	x.gateway.step(forward.Arrived{
-		ID: x.id, Host: x.r.Host, Path: x.r.URL.EscapedPath(), Key: x.call.Key, Model: x.call.Model,
+		ID: x.id, Host: x.r.Host, Path: x.r.URL.EscapedPath(), Key: x.call.Key, Model: x.call.Model, Prompt: x.call.Prompt,
 		Budget: x.call.Budget, Size: int64(len(x.body)), Fingerprint: fingerprint(x.r, x.call.Key, x.body),
 	})
 	for {
@@ -164,6 +164,7 @@
 		return
 	}
 	x.begun, x.beganAt = true, time.Now()
+	x.gateway.step(forward.Began{ID: x.id})
 	out := x.w.Header()
 	for name, values := range header {
 		out[name] = values
