--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -25,7 +25,7 @@
 	// choices is how many of the nearest upstreams are looked at for a request.
 	choices = 2
 	// promptWeight is how many tokens of prompts that are being read cost as much as an engine that is full.
-	promptWeight = 4000.0
+	promptWeight = 3000.0
 	// unheardSharers is how many entries an entry assumes to give an engine as much work as itself, that has no word on
 	// the engine's load: about two entries stand in a data centre.
 	unheardSharers = 2
