--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -22,9 +22,11 @@
 	failuresToAvoid = 3
 	// plainFactor is how many requests for each slot an entry gives a plain upstream, which queues a few more.
 	plainFactor = 2
-	// choices is how many of the nearest upstreams are looked at for a request.
+	// choices is how many of the nearest upstreams are looked at for a request. With all of them 11 of 100 answers came late at two
+	// thirds of the load of 76 engines, with two 2 of 1,000.
 	choices = 2
-	// promptWeight is how many tokens of prompts that are being read cost as much as an engine that is full.
+	// promptWeight is how many tokens of prompts that are being read cost as much as an engine that is full. An engine reads 20 of
+	// them in a millisecond, so that they hold up a first event by a third of the usual objective.
 	promptWeight = 3000.0
 	// unheardSharers is how many entries an entry assumes to give an engine as much work as itself, that has no word on
 	// the engine's load: about two entries stand in a data centre.
