--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -40,6 +40,10 @@
 	versionPoll  = 2 * time.Second
 	upstreamPoll = 4 * time.Second
 	configPoll   = 10 * time.Second
+	// unknownPoll is the time between two lists as long as nothing is known.
+	unknownPoll = 500 * time.Millisecond
+	// usualUpstreams is how many upstreams the intervals are meant for; with more they grow in proportion.
+	usualUpstreams = 100
 	// originIdle is how long a connection to the origin is kept between two calls.
 	originIdle = 300 * time.Millisecond
 	// dialTimeout bounds the making of a connection.
@@ -291,13 +295,17 @@
 	for kind, interval := range map[string]time.Duration{
 		platform.ConfigKind: configPoll, platform.ServerKind: upstreamPoll, platform.VersionKind: versionPoll,
 	} {
-		go beliefs.Follower(a.store, kind).Poll(ctx, interval, a.knowsOutside)
+		go beliefs.Follower(a.store, kind).Poll(ctx, func() time.Duration { return a.pollInterval(interval) })
 	}
 }
 
-// knowsOutside tells whether the manifest and the upstreams are known.
-func (a *Agent) knowsOutside() bool {
+// pollInterval is the time to the next list: short until the manifest and the upstreams are known, and longer the more upstreams there
+// are, so that the store sends no more to a large fleet than to a small one.
+func (a *Agent) pollInterval(interval time.Duration) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.catalog.Manifest != nil && len(a.catalog.Upstreams) > 0
+	if a.catalog.Manifest == nil || len(a.catalog.Upstreams) == 0 {
+		return unknownPoll
+	}
+	return interval * time.Duration(1+len(a.catalog.Upstreams)/usualUpstreams)
 }
--- /dev/null
+++ b/internal/loadreport/loadreport_test.go
@@ -0,0 +1,50 @@
+package loadreport_test
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/loadreport"
+)
+
+func TestMessagesArriveAndOthersAreReported(t *testing.T) {
+	probe, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	defer func() { _ = probe.Close() }()
+	port := func() int {
+		free, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		require.NoError(t, err)
+		defer func() { _ = free.Close() }()
+		return free.LocalAddr().(*net.UDPAddr).Port
+	}()
+	s, err := loadreport.Listen("127.0.0.1", port)
+	require.NoError(t, err)
+	got, bad := make(chan loadreport.Message, 1), make(chan error, 1)
+	go s.Run(func(_ netip.AddrPort, m loadreport.Message) { got <- m }, func(err error) { bad <- err })
+	defer s.Close()
+	to := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
+	sent := loadreport.Message{Load: &loadreport.Load{Address: "10.0.0.1:80", Occupied: 3}, Suspects: []uint64{7}}
+	require.NoError(t, s.Send(to, sent))
+	require.Equal(t, sent, <-got)
+	_, err = probe.WriteToUDPAddrPort([]byte("{"), to)
+	require.NoError(t, err)
+	require.Error(t, <-bad)
+}
+
+func TestSuspectsArePassedOnForAWhile(t *testing.T) {
+	var s loadreport.Suspects
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	s.Add(now, 7)
+	require.Equal(t, []uint64{7}, s.Recent(now.Add(4*time.Second)))
+	require.Empty(t, s.Recent(now.Add(6*time.Second)))
+	s.Add(now.Add(7*time.Second), 7)
+	require.Empty(t, s.Recent(now.Add(7*time.Second)), "what came back from others does not go round for ever")
+	for i := range uint64(100) {
+		s.Add(now, i)
+	}
+	require.LessOrEqual(t, len(s.Recent(now)), 32)
+}
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -1,6 +1,6 @@
 // Package storewatch follows a kind of object in the platform's store: it lists the kind, then waits for changes, and
-// lists again when the store has dropped its history. Each wait is short and has a timeout of its own, because an
-// open connection can go silent for good.
+// lists again when the store has dropped its history. Each wait is short, because an open connection can go silent for
+// good; the client gives up on one that does.
 package storewatch
 
 import (
@@ -16,7 +16,7 @@
 )
 
 const (
-	// shortWait is how long one call waits for a change of what must be in force within two seconds. With slack it stays under the
+	// shortWait is how long one call waits for a change of what must be in force within two seconds. With the client's slack it stays under the
 	// three seconds after which a connection that went silent is no excuse any more.
 	shortWait = 2 * time.Second
 	// longWait is the same for versions, which have eight seconds and come from other processes too.
@@ -24,10 +24,6 @@
 	// gatherTime is the least time between two calls, in which changes gather: each call is paid for, and many upstreams join or
 	// leave at about the same time. It is a quarter of the time in which a leaving upstream must get no more work.
 	gatherTime = 500 * time.Millisecond
-	// slack is how much longer than its wait a call may take before its connection counts as silent.
-	slack = 600 * time.Millisecond
-	// listTimeout bounds a list.
-	listTimeout = 1500 * time.Millisecond
 	// firstRetry and lastRetry bound the wait after a failed call; it doubles with each.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond
@@ -82,25 +78,21 @@
 	}
 }
 
-// Poll lists the kind every interval until ctx ends. Its lists may be seconds old, and cost a tenth of a watch; it is for
-// those to whom the news comes by another way first. As long as known says that nothing is known yet, it lists sooner.
-func (f *Follower) Poll(ctx context.Context, interval time.Duration, known func() bool) {
+// Poll lists the kind again and again until ctx ends, after the time that interval tells each time. Its lists may be seconds old, and
+// cost a tenth of a watch; it is for those to whom the news comes by another way first.
+func (f *Follower) Poll(ctx context.Context, interval func() time.Duration) {
 	for ctx.Err() == nil {
-		wait := interval
-		if !known() {
-			wait = lastRetry
-		}
-		if err := f.poll(ctx); err != nil && ctx.Err() == nil {
+		wait := lastRetry
+		if err := f.poll(ctx); err == nil {
+			wait = interval()
+		} else if ctx.Err() == nil {
 			f.failed(err)
-			wait = lastRetry
 		}
 		sleep(ctx, wait/2+rand.N(wait))
 	}
 }
 
 func (f *Follower) poll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
 	objects, at, err := f.Store.List(ctx, f.Kind, true)
 	if err != nil {
 		return err
@@ -114,8 +106,6 @@
 // read makes one call and returns the revision to go on from.
 func (f *Follower) read(ctx context.Context, revision int64) (int64, error) {
 	if revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
 		objects, at, err := f.Store.List(ctx, f.Kind, false)
 		if err != nil {
 			return 0, err
@@ -124,8 +114,6 @@
 		f.Listed(at, objects)
 		return at, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+slack)
-	defer cancel()
 	objects, at, err := f.Store.Watch(ctx, f.Kind, revision, f.Wait)
 	if err != nil {
 		return 0, err
