--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -93,7 +93,7 @@
 func (x *exchange) over() bool {
 	if x.r.Context().Err() != nil {
 		x.gateway.step(forward.CallerGone{ID: x.id})
-		x.ended("caller gone")
+		x.ended("caller gone", "")
 		return true
 	}
 	x.ctx = context.WithoutCancel(x.r.Context())
@@ -114,10 +114,10 @@
 		return true
 	case forward.Deliver:
 		x.deliver(x.failure)
-		x.ended("failed by the upstream")
+		x.ended("failed by the upstream", "")
 		return true
 	case forward.Abort:
-		x.ended("aborted: " + e.Why)
+		x.ended("aborted", e.Why)
 		panic(http.ErrAbortHandler) // Cuts the connection, so that the answer can't be taken for whole.
 	}
 	return false
@@ -179,9 +179,10 @@
 	x.gateway.metrics.FirstByte.Observe(time.Since(x.arrived), x.routeName(), "")
 }
 
-func (x *exchange) ended(how string) {
+// ended logs and counts the end of a request; why may be empty.
+func (x *exchange) ended(how, why string) {
 	logevent.Info(x.gateway.log, logevent.RequestEnded).Str("request", x.call.ID).Str("route", x.routeName()).Str("outcome", how).
-		Dur("first_ms", x.firstAfter()).Dur("took_ms", time.Since(x.arrived)).Msg("request ended")
+		Str("why", why).Dur("first_ms", x.firstAfter()).Dur("took_ms", time.Since(x.arrived)).Msg("request ended")
 	x.count(how)
 	x.gateway.metrics.Total.Observe(time.Since(x.arrived), x.routeName(), "")
 }
@@ -195,9 +196,6 @@
 }
 
 func (x *exchange) count(outcome string) {
-	if len(outcome) > len("failed by the upstream") {
-		outcome = "aborted"
-	}
 	x.gateway.metrics.Requests.Add(1, x.routeName(), "", outcome)
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -35,6 +35,9 @@
 
 // send makes one send and tells the reducer how it ended. It reports whether the request ended with it.
 func (x *exchange) send(e forward.Send) bool {
+	if !time.Now().Before(e.By) {
+		return false // The decision is older than the request's time: run tells the reducer that this is over.
+	}
 	logevent.Info(x.gateway.log, logevent.RequestSent).Str("request", x.call.ID).Str("route", x.routeName()).Str("upstream", e.Upstream.ID).
 		Int64("entry_revision", e.Upstream.Revision).Int("sends", e.Number).Bool("resume", e.Resume).
 		Int64("version", e.Version).Dur("waited_ms", time.Since(x.arrived)).Msg("request sent")
@@ -54,7 +57,7 @@
 	}
 	x.tell(outcome, retryAfter)
 	if outcome == forward.Answered {
-		x.ended("answered")
+		x.ended("answered", "")
 		return true
 	}
 	return false
--- a/internal/proof/proof.go
+++ b/internal/proof/proof.go
@@ -15,6 +15,7 @@
 	Orders   Concern = "orders and rollouts"
 	Settings Concern = "settings and membership"
 	Shell    Concern = "processes and messages"
+	Platform Concern = "the users' platform"
 )
 
 // Cell is one fault at one step.
@@ -36,7 +37,7 @@
 // Matrix returns every cell, in the order of the concerns.
 func Matrix() []Cell {
 	var cells []Cell
-	for _, part := range [][]Cell{requestCells, claimCells, routingCells, weightCells, orderCells, settingCells, shellCells} {
+	for _, part := range [][]Cell{requestCells, claimCells, routingCells, weightCells, orderCells, settingCells, shellCells, platformCells} {
 		cells = append(cells, part...)
 	}
 	return cells
