--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -147,8 +147,8 @@
 
 // Change tells the shell what a process believes from now on, for its log.
 type Change struct {
-	// What is the thing that changed: manifest, upstream or version.
-	What string
+	// Topic is what the belief is about.
+	Topic Topic
 	// Name is the upstream's id or the model.
 	Name string
 	// Value says how it is now.
@@ -214,7 +214,7 @@
 	}
 	s.manifestRevision = ev.Revision
 	s.Manifest = ev.Manifest
-	return []step.Effect{Change{What: "manifest", Value: "in force", Revision: ev.Revision}}
+	return []step.Effect{Change{Topic: ManifestTopic, Value: "in force", Revision: ev.Revision}}
 }
 
 func (s *State) upstreamsListed(now time.Time, ev UpstreamsListed) []step.Effect {
@@ -257,7 +257,7 @@
 	if u.Draining {
 		value = "draining"
 	}
-	return []step.Effect{Change{What: "upstream", Name: u.ID, Value: value, Revision: u.Revision}}
+	return []step.Effect{Change{Topic: UpstreamTopic, Name: u.ID, Value: value, Revision: u.Revision}}
 }
 
 func (s *State) upstreamRemoved(now time.Time, ev UpstreamRemoved) []step.Effect {
@@ -281,7 +281,7 @@
 	delete(s.Upstreams, id)
 	delete(s.lapsing, id)
 	s.removed[id] = revision
-	return []step.Effect{Change{What: "upstream", Name: id, Value: "gone", Revision: revision}}
+	return []step.Effect{Change{Topic: UpstreamTopic, Name: id, Value: "gone", Revision: revision}}
 }
 
 func (s *State) expire(now time.Time) []step.Effect {
@@ -309,7 +309,7 @@
 		return nil
 	}
 	s.Versions[ev.Model] = named
-	return []step.Effect{Change{What: "version", Name: ev.Model, Value: strconv.FormatInt(ev.Version, 10), Revision: ev.Revision}}
+	return []step.Effect{Change{Topic: VersionTopic, Name: ev.Model, Value: strconv.FormatInt(ev.Version, 10), Revision: ev.Revision}}
 }
 
 // maxHistory bounds the namings of a model that are remembered; only those of the last seconds matter.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,7 +109,7 @@
 func (g *Gateway) carry(e step.Effect) {
 	switch e := e.(type) {
 	case catalog.Change:
-		logevent.Info(g.log, logevent.BeliefChanged).Str("what", e.What).Str("of", e.Name).Str("value", e.Value).
+		logevent.Info(g.log, logevent.BeliefChanged).Str("what", string(e.Topic)).Str("of", e.Name).Str("value", e.Value).
 			Int64("revision", e.Revision).Msg("belief changed")
 	case forward.Suspected:
 		logevent.Warn(g.log, logevent.RequestSuspect).Uint64("fingerprint", e.Fingerprint).Msg("request suspect")
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -41,7 +41,7 @@
 func (g *Gateway) greeting(now time.Time) ([]netip.AddrPort, loadreport.Message) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m := loadreport.Message{Suspects: g.suspects.Recent(now)}
+	m := loadreport.Message{DataCentre: g.host.DataCentre, Suspects: g.suspects.Recent(now)}
 	for _, v := range g.catalog.Versions {
 		m.Named = append(m.Named, loadreport.Naming{
 			Model: v.Model, Version: v.Version, Revision: v.Revision, AgeMS: now.Sub(v.Since).Milliseconds(),
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -177,14 +177,14 @@
 
 // changed logs a change of belief and tells the other reducers what follows from it.
 func (a *Agent) changed(c catalog.Change) {
-	if c.What == "upstream" {
+	if c.Topic == catalog.UpstreamTopic {
 		a.reduce(install.PeersChanged{Peers: a.peerAddresses()})
 		a.setWants(step.Input{Now: time.Now(), Rand: rand.Uint64()})
 		return
 	}
-	logevent.Info(a.log, logevent.BeliefChanged).Str("what", c.What).Str("of", c.Name).Str("value", c.Value).
+	logevent.Info(a.log, logevent.BeliefChanged).Str("what", string(c.Topic)).Str("of", c.Name).Str("value", c.Value).
 		Int64("revision", c.Revision).Msg("belief changed")
-	if c.What == "version" {
+	if c.Topic == catalog.VersionTopic {
 		v := a.catalog.Versions[c.Name]
 		a.reduce(install.Named{Model: v.Model, Version: v.Version, Age: time.Since(v.Since)})
 	}
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -25,6 +25,8 @@
 
 // listener is an entry that hears of this engine's load.
 type listener struct {
+	// near is set for an entry in this data centre.
+	near    bool
 	greeted time.Time
 	told    time.Time
 	last    loadreport.Load
@@ -57,7 +59,7 @@
 		l = &listener{}
 		a.reports.listeners[from] = l
 	}
-	l.greeted = time.Now()
+	l.greeted, l.near = time.Now(), m.DataCentre == a.host.DataCentre
 }
 
 func (a *Agent) badDatagram(err error) {
@@ -132,7 +134,7 @@
 	load.Entries = len(a.reports.listeners)
 	suspects := a.reports.suspects.Recent(now)
 	for address, l := range a.reports.listeners {
-		if !a.due(now, address, l, load, len(suspects)) {
+		if !l.due(now, load, len(suspects)) {
 			continue
 		}
 		l.told, l.last, l.suspects = now, load, len(suspects)
@@ -142,7 +144,8 @@
 	}
 }
 
-func (a *Agent) due(now time.Time, to netip.AddrPort, l *listener, load loadreport.Load, suspects int) bool {
+// due tells whether an entry is to hear of the load now.
+func (l *listener) due(now time.Time, load loadreport.Load, suspects int) bool {
 	since := now.Sub(l.told)
 	if since >= calmInterval || load.Closing != l.last.Closing || suspects > l.suspects {
 		return true
@@ -150,21 +153,10 @@
 	if load.Occupied == l.last.Occupied {
 		return false
 	}
-	interval := farInterval
-	if sameNetwork(a.host.IP, to) {
-		interval = nearInterval
+	if l.near {
+		return since >= nearInterval
 	}
-	return since >= interval
-}
-
-// sameNetwork tells whether an entry is in this host's network of 256 addresses, as those of a data centre are.
-func sameNetwork(ip string, to netip.AddrPort) bool {
-	own, err := netip.ParseAddr(ip)
-	if err != nil {
-		return false
-	}
-	prefix, err := own.Prefix(24)
-	return err == nil && prefix.Contains(to.Addr())
+	return since >= farInterval
 }
 
 func (a *Agent) loadNow(now time.Time) (loadreport.Load, []loadreport.Naming) {
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -38,8 +38,10 @@
 
 // Message is one datagram. Load is set by agents only.
 type Message struct {
-	Load  *Load    `json:"l,omitempty"`
-	Named []Naming `json:"w,omitempty"`
+	// DataCentre is the sender's, in an entry's greeting.
+	DataCentre string   `json:"d,omitempty"`
+	Load       *Load    `json:"l,omitempty"`
+	Named      []Naming `json:"w,omitempty"`
 	// Suspects are the fingerprints of requests that broke upstreams of late.
 	Suspects []uint64 `json:"s,omitempty"`
 }
