--- a/cmd/proofs/main.go
+++ b/cmd/proofs/main.go
@@ -1,7 +1,9 @@
-// Command proofs reads the output of `go test -json ./...` and prints docs/PROOFS.md.
+// Command proofs reads the output of `go test -json ./...` and prints docs/PROOFS.md, or with -platform
+// docs/PROOFS-PLATFORM.md, the part on the users' platform.
 package main
 
 import (
+	"flag"
 	"fmt"
 	"os"
 
@@ -9,10 +11,16 @@
 )
 
 func main() {
+	platform := flag.Bool("platform", false, "print the part on the users' platform")
+	flag.Parse()
+	cells := proof.Product()
+	if *platform {
+		cells = proof.OnPlatform()
+	}
 	run, err := proof.ReadResults(os.Stdin)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	fmt.Print(proof.Page(proof.Matrix(), run))
+	fmt.Print(proof.Page(cells, run))
 }
--- a/internal/proof/proof.go
+++ b/internal/proof/proof.go
@@ -35,10 +35,16 @@
 }
 
 // Matrix returns every cell, in the order of the concerns.
-func Matrix() []Cell {
+func Matrix() []Cell { return append(Product(), OnPlatform()...) }
+
+// Product returns the cells of the product's own path.
+func Product() []Cell {
 	var cells []Cell
-	for _, part := range [][]Cell{requestCells, claimCells, routingCells, weightCells, orderCells, settingCells, shellCells, platformCells} {
+	for _, part := range [][]Cell{requestCells, claimCells, routingCells, weightCells, orderCells, settingCells, shellCells} {
 		cells = append(cells, part...)
 	}
 	return cells
 }
+
+// OnPlatform returns the cells of the users' platform.
+func OnPlatform() []Cell { return platformCells }
