--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -57,6 +57,9 @@
 measured at 1,500 nodes. All measurements were taken on one machine of 12 cores on which other work ran at the same
 time, most of them in a single run: each file's section says so. Times are no better than that.
 
+The figures are of the product's own path. Those of the users' platform at 30, 100 and 300 hosts, and what does not
+stay flat there, stand in [the design note on it](design/11-users-platform.md#at-size).
+
 `)
 }
 
