In a large data centre one entry reads the store for the others

Each process listed 3,002 upstreams (about 1 MB) and each manifest for itself over links between regions of 21 Mbit/s.

Change: in a data centre of 8 entries or more the first in rendezvous order reads the store, the others read from it with its revisions, agents from any near entry (core/source decides, storefeed carries). Entries find one another by the seeds of the settings and by agents' reports; below 8 entries nothing changes. Beside it: the tick loop and the line on bad datagrams stand once; LastPort, which nobody used, is gone.

--- /dev/null
+++ b/internal/core/source/source.go
@@ -0,0 +1,152 @@
+// Package source is the reducer that decides from where a process reads what the platform's store holds: from the store
+// itself, or from an entry of its data centre that does. In a large data centre one entry reads the store and the
+// others read from it, since the same bytes would otherwise cross the link between regions once for each process. It is
+// pure: see package step.
+//
+// A process that reads from an entry is never worse off for long: an entry that does not answer in time, or has not heard
+// from the store itself, is avoided, and the store is read instead.
+package source
+
+import (
+	"time"
+
+	"samphireweir.example/samphireweir/internal/core/step"
+)
+
+const (
+	// LeastEntries is how many entries a data centre must have for one of them to read for the others. The reader asks the store
+	// four times as often as it would for itself alone, so that fewer would save calls nowhere and bytes hardly.
+	LeastEntries = 8
+	// Candidates is how many entries of a data centre are told to those who ask: the reader, and two to take its place.
+	Candidates = 3
+	// toldFor is how long an entry counts after somebody told of it; the rarest word comes each three seconds.
+	toldFor = 7 * time.Second
+	// avoidFor is how long an entry that failed as a source is avoided.
+	avoidFor = 2 * time.Second
+)
+
+// Told says which entries a data centre has, as another process counts them.
+type Told struct {
+	// Entries are addresses of entries, those that come first in the data centre's order; Count is how many it has.
+	Entries []string
+	Count   int
+}
+
+// Failed says that an entry did not answer as a source, or had no news of the store itself.
+type Failed struct{ Address string }
+
+// Event marks the type as an event.
+func (Told) Event() {}
+
+// Event marks the type as an event.
+func (Failed) Event() {}
+
+// Changed tells the shell to read from another source from now on.
+type Changed struct {
+	// Address is the entry to read from; empty for the store.
+	Address string
+	// Entries is how many entries the data centre has, as far as this process knows.
+	Entries int
+}
+
+// Effect marks the type as an effect.
+func (Changed) Effect() {}
+
+// State is what a process knows of the entries of its data centre.
+type State struct {
+	self       string
+	dataCentre string
+	// spread is set for agents, which spread over the entries; entries all read from the first.
+	spread  bool
+	told    map[string]time.Time
+	failed  map[string]time.Time
+	count   int
+	countAt time.Time
+	address string
+}
+
+// NewState returns the state of the process at address self. Agents spread over the entries that they know.
+func NewState(self, dataCentre string, spread bool) *State {
+	return &State{self: self, dataCentre: dataCentre, spread: spread, told: map[string]time.Time{}, failed: map[string]time.Time{}}
+}
+
+// Address is the entry to read from; empty for the store.
+func (s *State) Address() string { return s.address }
+
+// Reduce handles one input.
+func (s *State) Reduce(in step.Input) []step.Effect {
+	switch ev := in.Event.(type) {
+	case Told:
+		s.hear(in.Now, ev)
+	case Failed:
+		s.failed[ev.Address] = in.Now
+	case step.Tick:
+		s.forget(in.Now)
+	default:
+		return nil
+	}
+	address := s.choose(in.Now)
+	if address == s.address {
+		return nil
+	}
+	s.address = address
+	return []step.Effect{Changed{Address: address, Entries: s.count}}
+}
+
+func (s *State) hear(now time.Time, ev Told) {
+	for _, e := range ev.Entries {
+		s.told[e] = now
+	}
+	// Who counts has not met all entries for a while after its start: the highest count of the last seconds is nearest.
+	if ev.Count >= s.count || now.Sub(s.countAt) > toldFor {
+		s.count, s.countAt = ev.Count, now
+	}
+}
+
+func (s *State) forget(now time.Time) {
+	for e, at := range s.told {
+		if now.Sub(at) > toldFor {
+			delete(s.told, e)
+		}
+	}
+	for e, at := range s.failed {
+		if now.Sub(at) > avoidFor {
+			delete(s.failed, e)
+		}
+	}
+	if now.Sub(s.countAt) > toldFor {
+		s.count = 0
+	}
+}
+
+func (s *State) choose(now time.Time) string {
+	if s.count < LeastEntries {
+		return ""
+	}
+	entries := make([]string, 0, len(s.told))
+	for e := range s.told {
+		entries = append(entries, e)
+	}
+	for _, e := range step.Rank(s.order(), entries) {
+		if e == s.self {
+			return "" // Those before it failed: it reads for those after it.
+		}
+		if at, failed := s.failed[e]; !failed || now.Sub(at) > avoidFor {
+			return e
+		}
+	}
+	return ""
+}
+
+func (s *State) order() string {
+	if s.spread {
+		return s.self
+	}
+	return s.dataCentre
+}
+
+// First returns the entries that a data centre's processes are told of, of all its entries.
+func First(dataCentre string, entries []string) []string {
+	ranked := step.Rank(dataCentre, entries)
+	return ranked[:min(Candidates, len(ranked))]
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -13,7 +13,9 @@
 func (g *Gateway) follow(ctx context.Context) {
 	beliefs := storewatch.Beliefs{Step: g.believe, Log: g.log}
 	for _, kind := range []string{platform.ConfigKind, platform.ServerKind, platform.VersionKind} {
-		go beliefs.Follower(g.store, kind).Run(ctx)
+		f := beliefs.Follower(g.store, kind)
+		f.Shared = g.store.Shared
+		go f.Run(ctx)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,18 +7,22 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"samphireweir.example/samphireweir/internal/control"
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/logevent"
+	"samphireweir.example/samphireweir/internal/periodic"
+	"samphireweir.example/samphireweir/internal/storefeed"
 	"samphireweir.example/samphireweir/internal/telemetry"
 	"samphireweir.example/samphireweir/platform"
 )
@@ -36,12 +40,16 @@
 
 // Gateway is one entry.
 type Gateway struct {
-	host      hostconfig.Host
-	log       zerolog.Logger
-	metrics   *telemetry.Metrics
-	upstreams *http.Transport
-	store     *platform.Store
-	socket    *loadreport.Socket
+	host       hostconfig.Host
+	log        zerolog.Logger
+	metrics    *telemetry.Metrics
+	upstreams  *http.Transport
+	neighbours *storefeed.Neighbours
+	// cache is what was read of the store, for the processes that read through this one; store reads it.
+	cache  *storefeed.Cache
+	store  *storefeed.Reader
+	self   string
+	socket *loadreport.Socket
 
 	mu        sync.Mutex
 	catalog   *catalog.State
@@ -58,16 +66,19 @@
 
 // New returns an entry of a host. Its metrics are written to m.
 func New(host hostconfig.Host, log zerolog.Logger, m *telemetry.Metrics) *Gateway {
-	c := catalog.NewState()
+	c, self := catalog.NewState(), net.JoinHostPort(host.IP, strconv.Itoa(host.PeerPort))
+	neighbours, cache := storefeed.NewNeighbours(host, self, false, log), storefeed.NewCache()
+	transport := newStoreTransport()
 	return &Gateway{
-		host: host, log: log, metrics: m, catalog: c,
+		host: host, self: self, log: log, metrics: m, catalog: c, neighbours: neighbours, cache: cache,
 		forward: forward.NewState(forward.Self{
 			DataCentre: host.DataCentre, Region: host.Region, Regions: host.Regions,
 			Retries: host.Retries, VersionTime: host.VersionTime,
 		}, c),
 		exchanges: map[uint64]*exchange{},
 		upstreams: newUpstreamTransport(),
-		store:     platform.NewStore(host.Store, &http.Client{Transport: newStoreTransport()}),
+		store: neighbours.Reader(
+			platform.NewStore(host.Store, &http.Client{Transport: transport}), control.NewPool(self, "", transport.DialContext), cache),
 	}
 }
 
@@ -164,12 +175,20 @@
 	if err != nil {
 		return err
 	}
+	peers, err := net.Listen("tcp", g.self)
+	if err != nil {
+		return err
+	}
+	peerServer := g.peerServer()
+	defer func() { _ = peerServer.Close() }()
+	go g.servePeers(peerServer, peers)
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g.follow(work)
-	go socket.Run(g.heard, g.badDatagram)
+	go socket.Run(g.heard, g.log)
 	go g.greet(work)
-	go g.tick(work)
+	go g.neighbours.GreetSeeds(work, socket, g.ready.Load)
+	go periodic.Run(work, tickInterval, g.tick)
 	go g.serveReadiness(readiness)
 	server := g.callersServer()
 	go g.serveCallers(server, listener)
@@ -179,15 +198,7 @@
 	return nil
 }
 
-func (g *Gateway) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			g.step(step.Tick{})
-		}
-	}
+func (g *Gateway) tick() {
+	g.step(step.Tick{})
+	g.neighbours.Tick()
 }
--- /dev/null
+++ b/internal/gateway/neighbours_test.go
@@ -0,0 +1,82 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/core/source"
+	"samphireweir.example/samphireweir/internal/gateway"
+	"samphireweir.example/samphireweir/internal/telemetry"
+	"samphireweir.example/samphireweir/platform/standin"
+)
+
+// lines gathers the log of an entry.
+type lines struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write takes a line.
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.buf.Write(p)
+}
+
+func (l *lines) has(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.buf.String(), text)
+}
+
+// TestInALargeDataCentreOneEntryReadsForTheOthers starts as many entries as make a data centre large. All but one read from the same
+// entry; a new manifest is in force at each; and it is so again when the one that reads has stopped.
+func TestInALargeDataCentreOneEntryReadsForTheOthers(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	fleet.AddService("i-desk")
+	ips := make([]string, source.LeastEntries)
+	addresses := make([]string, source.LeastEntries)
+	for i := range ips {
+		ips[i] = standin.NextIP()
+		addresses[i] = net.JoinHostPort(ips[i], strconv.Itoa(standin.PeerPort))
+	}
+	entries := map[string]*entry{}
+	logs := map[string]*lines{}
+	for i, ip := range ips {
+		host := fleet.Host(ip, false)
+		host.Seeds = addresses[:1]
+		log := &lines{}
+		g := gateway.New(host, zerolog.New(log), telemetry.NewMetrics())
+		logs[addresses[i]] = log
+		entries[addresses[i]] = &entry{Caller: standin.Caller{Address: host.Callers, Name: ip}, host: host, stop: fleet.Run(g.Run)}
+	}
+	first := source.First("perth-a", addresses)[0]
+	for address, log := range logs {
+		if address != first {
+			require.Eventually(t, func() bool { return log.has(`"what":"source","value":"` + first + `"`) }, patience, 10*time.Millisecond)
+		}
+	}
+	requireInForce := func(prefix string) {
+		fleet.AddRoute(prefix)
+		for _, e := range entries {
+			require.Eventually(t, func() bool {
+				return e.Do(context.Background(), standin.Request{Path: prefix}).Status == http.StatusOK
+			}, patience, 20*time.Millisecond)
+		}
+	}
+	requireInForce("/added/")
+	entries[first].stop()
+	delete(entries, first)
+	requireInForce("/added-later/")
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
+	"samphireweir.example/samphireweir/internal/control"
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/logevent"
+	"samphireweir.example/samphireweir/internal/periodic"
 )
 
 // greetInterval is how often an entry greets the agents, which forget an entry that is silent for some of these.
@@ -16,16 +21,8 @@
 
 // greet asks the agents beside the engines for their load, again and again.
 func (g *Gateway) greet(ctx context.Context) {
-	ticker := time.NewTicker(greetInterval)
-	defer ticker.Stop()
-	for {
-		g.greetAll()
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	g.greetAll()
+	periodic.Run(ctx, greetInterval, g.greetAll)
 }
 
 // greetAll greets each agent once and tells it the versions in force.
@@ -69,7 +66,9 @@
 }
 
 // heard takes what an agent says.
-func (g *Gateway) heard(_ netip.AddrPort, m loadreport.Message) {
+func (g *Gateway) heard(from netip.AddrPort, m loadreport.Message) {
+	g.neighbours.Heard(from, m)
+	g.neighbours.Answer(g.socket, from, m)
 	for _, n := range m.Named {
 		g.step(catalog.VersionNamed{
 			Model: n.Model, Version: n.Version, Revision: n.Revision, Age: time.Duration(n.AgeMS) * time.Millisecond,
@@ -86,6 +85,15 @@
 	}
 }
 
-func (g *Gateway) badDatagram(err error) {
-	logevent.Warn(g.log, logevent.BadEntry).Err(err).Msg("bad datagram")
+// peerServer answers the processes that read the store through this one.
+func (g *Gateway) peerServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(control.Path, control.NewServer(g.cache.Handlers()))
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headTime}
+}
+
+func (g *Gateway) servePeers(server *http.Server, l net.Listener) {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		logevent.Warn(g.log, logevent.ServerError).Err(err).Msg("peers' server ended")
+	}
 }
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -23,7 +23,9 @@
 	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/logevent"
+	"samphireweir.example/samphireweir/internal/periodic"
 	"samphireweir.example/samphireweir/internal/setting"
+	"samphireweir.example/samphireweir/internal/storefeed"
 	"samphireweir.example/samphireweir/internal/storewatch"
 	"samphireweir.example/samphireweir/internal/telemetry"
 	"samphireweir.example/samphireweir/internal/transfer"
@@ -60,12 +62,14 @@
 	self    string
 	log     zerolog.Logger
 	metrics *telemetry.Metrics
-	store   *platform.Store
-	engine  *platform.Engine
-	origin  *platform.Origin
-	client  *http.Client
-	fetcher *transfer.Fetcher
-	socket  *loadreport.Socket
+	// neighbours are the entries through which the store is read in a large data centre.
+	neighbours *storefeed.Neighbours
+	store      *storefeed.Reader
+	engine     *platform.Engine
+	origin     *platform.Origin
+	client     *http.Client
+	fetcher    *transfer.Fetcher
+	socket     *loadreport.Socket
 
 	mu      sync.Mutex
 	catalog *catalog.State
@@ -79,9 +83,10 @@
 	self := net.JoinHostPort(host.IP, strconv.Itoa(host.PeerPort))
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 5 * time.Second}}
+	neighbours, pool := storefeed.NewNeighbours(host, self, true, log), control.NewPool(self, "", dialer.DialContext)
 	a := &Agent{
 		host: host, self: self, log: log, metrics: m, client: client,
-		store: platform.NewStore(host.Store, client), engine: platform.NewEngine(host.Engine, client),
+		neighbours: neighbours, store: neighbours.Reader(platform.NewStore(host.Store, client), pool, nil), engine: platform.NewEngine(host.Engine, client),
 		catalog: catalog.NewState(),
 		weights: weights.NewState(weights.Peer{Address: self, Place: host.DataCentre, Region: host.Region}),
 		install: install.NewState(self, host.VersionTime),
@@ -90,7 +95,7 @@
 	a.origin = platform.NewOrigin(newOriginClient(dialer), a.originPlace)
 	a.fetcher = &transfer.Fetcher{
 		Memory: transfer.NewMemory(host.Memory / chunkMemoryShare), Sources: []transfer.Source{a.origin},
-		Pool: control.NewPool(self, "", dialer.DialContext), Client: client, Self: self,
+		Pool: pool, Client: client, Self: self,
 		Up: transfer.NewLink(transferRate(host)), Down: transfer.NewLink(transferRate(host)), Steps: a, Log: log,
 	}
 	return a
@@ -250,9 +255,10 @@
 	peers := a.peerServer()
 	defer func() { _ = peers.Close() }()
 	go a.servePeers(peers, listener)
-	go socket.Run(a.heard, a.badDatagram)
-	go a.readEngine(ctx)
-	go a.tick(ctx)
+	go socket.Run(a.heard, a.log)
+	go a.neighbours.GreetSeeds(ctx, socket, a.knows)
+	go periodic.Run(ctx, readInterval, func() { a.readEngine(ctx) })
+	go periodic.Run(ctx, step.TickInterval, a.tick)
 	a.follow(ctx)
 	logevent.Info(a.log, logevent.Listening).Str("peers", a.self).Str("engine", a.host.Engine).Msg("listening")
 	<-ctx.Done()
@@ -276,17 +282,9 @@
 	}
 }
 
-func (a *Agent) tick(ctx context.Context) {
-	ticker := time.NewTicker(step.TickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			a.Step(step.Tick{})
-		}
-	}
+func (a *Agent) tick() {
+	a.Step(step.Tick{})
+	a.neighbours.Tick()
 }
 
 // follow reads the manifest, the upstreams and the versions from the store.
@@ -295,17 +293,29 @@
 	for kind, interval := range map[string]time.Duration{
 		platform.ConfigKind: configPoll, platform.ServerKind: upstreamPoll, platform.VersionKind: versionPoll,
 	} {
-		go beliefs.Follower(a.store, kind).Poll(ctx, func() time.Duration { return a.pollInterval(interval) })
+		f := beliefs.Follower(a.store, kind)
+		f.Shared = a.store.Shared
+		go f.Poll(ctx, func() time.Duration { return a.pollInterval(interval) })
 	}
 }
 
 // pollInterval is the time to the next list: short until the manifest and the upstreams are known, and longer the more upstreams there
 // are, so that the store sends no more to a large fleet than to a small one.
 func (a *Agent) pollInterval(interval time.Duration) time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.catalog.Manifest == nil || len(a.catalog.Upstreams) == 0 {
+	if !a.knows() {
 		return unknownPoll
 	}
+	if a.store.Shared() {
+		return interval
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	return interval * time.Duration(1+len(a.catalog.Upstreams)/usualUpstreams)
 }
+
+// knows tells whether this agent knows enough to work.
+func (a *Agent) knows() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.catalog.Manifest != nil && len(a.catalog.Upstreams) > 0
+}
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -25,6 +25,7 @@
 
 // listener is an entry that hears of this engine's load.
 type listener struct {
+	dataCentre string
 	// near is set for an entry in this data centre.
 	near    bool
 	greeted time.Time
@@ -46,6 +47,10 @@
 
 // heard takes an entry's greeting and what it knows of the versions in force.
 func (a *Agent) heard(from netip.AddrPort, m loadreport.Message) {
+	a.neighbours.Heard(from, m)
+	if m.DataCentre == "" {
+		return // It is a seed's answer.
+	}
 	for _, n := range m.Named {
 		a.Step(catalog.VersionNamed{Model: n.Model, Version: n.Version, Revision: n.Revision, Age: time.Duration(n.AgeMS) * time.Millisecond})
 	}
@@ -59,26 +64,13 @@
 		l = &listener{}
 		a.reports.listeners[from] = l
 	}
-	l.greeted, l.near = time.Now(), m.DataCentre == a.host.DataCentre
-}
-
-func (a *Agent) badDatagram(err error) {
-	logevent.Warn(a.log, logevent.BadEntry).Err(err).Msg("bad datagram")
+	l.greeted, l.dataCentre, l.near = time.Now(), m.DataCentre, m.DataCentre == a.host.DataCentre
 }
 
-// readEngine reads the engine's state again and again and tells the entries of it.
+// readEngine reads the engine's state and tells the entries of it.
 func (a *Agent) readEngine(ctx context.Context) {
-	ticker := time.NewTicker(readInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		a.readOnce(ctx)
-		a.report()
-	}
+	a.readOnce(ctx)
+	a.report()
 }
 
 func (a *Agent) readOnce(ctx context.Context) {
@@ -138,7 +130,9 @@
 			continue
 		}
 		l.told, l.last, l.suspects = now, load, len(suspects)
-		if err := a.socket.Send(address, loadreport.Message{Load: &load, Named: named, Suspects: suspects}); err != nil {
+		m := loadreport.Message{Load: &load, Named: named, Suspects: suspects}
+		a.neighbours.Tell(l.dataCentre, &m)
+		if err := a.socket.Send(address, m); err != nil {
 			logevent.Info(a.log, logevent.PeerFailed).Str("peer", address.String()).Err(err).Msg("peer failed")
 		}
 	}
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -11,9 +11,10 @@
 	Region     string
 	// Regions maps each data centre to its region.
 	Regions map[string]string
-	// PeerPort is where the system's processes reach one another; LastPort ends the range of ports that they may use.
+	// PeerPort is where the system's processes reach one another.
 	PeerPort int
-	LastPort int
+	// Seeds are addresses, with that port, of a few hosts that an entry may run on; they may be stale.
+	Seeds []string
 	// Callers is where callers connect and Readiness where the balancer asks; empty on hosts that take no callers.
 	Callers   string
 	Readiness string
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"samphireweir.example/samphireweir/internal/logevent"
 )
 
 // maxDatagram bounds a datagram in bytes; what is sent stays far below.
@@ -38,8 +41,12 @@
 
 // Message is one datagram. Load is set by agents only.
 type Message struct {
-	// DataCentre is the sender's, in an entry's greeting.
-	DataCentre string   `json:"d,omitempty"`
+	// DataCentre is the sender's, in a greeting, and Agent is set when an agent greets.
+	DataCentre string `json:"d,omitempty"`
+	Agent      bool   `json:"g,omitempty"`
+	// Entries are the first entries of the receiver's data centre, and EntryCount is how many it has; see package source.
+	Entries    []string `json:"e,omitempty"`
+	EntryCount int      `json:"k,omitempty"`
 	Load       *Load    `json:"l,omitempty"`
 	Named      []Naming `json:"w,omitempty"`
 	// Suspects are the fingerprints of requests that broke upstreams of late.
@@ -105,8 +112,9 @@
 	return errors.Wrapf(err, "send a datagram to %s", to)
 }
 
-// Run hands on each message that can be read until the socket is closed. Others are counted by bad.
-func (s *Socket) Run(handle func(from netip.AddrPort, m Message), bad func(error)) {
+// Run hands on each message that can be read until the socket is closed. Others are logged.
+func (s *Socket) Run(handle func(from netip.AddrPort, m Message), log zerolog.Logger) {
+	bad := func(err error) { logevent.Warn(log, logevent.BadEntry).Err(err).Msg("bad datagram") }
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
--- a/internal/loadreport/loadreport_test.go
+++ b/internal/loadreport/loadreport_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"samphireweir.example/samphireweir/internal/loadreport"
@@ -23,8 +24,8 @@
 	}()
 	s, err := loadreport.Listen("127.0.0.1", port)
 	require.NoError(t, err)
-	got, bad := make(chan loadreport.Message, 1), make(chan error, 1)
-	go s.Run(func(_ netip.AddrPort, m loadreport.Message) { got <- m }, func(err error) { bad <- err })
+	got, bad := make(chan loadreport.Message, 1), make(lines, 1)
+	go s.Run(func(_ netip.AddrPort, m loadreport.Message) { got <- m }, zerolog.New(bad))
 	defer s.Close()
 	to := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
 	sent := loadreport.Message{Load: &loadreport.Load{Address: "10.0.0.1:80", Occupied: 3}, Suspects: []uint64{7}}
@@ -32,7 +33,16 @@
 	require.Equal(t, sent, <-got)
 	_, err = probe.WriteToUDPAddrPort([]byte("{"), to)
 	require.NoError(t, err)
-	require.Error(t, <-bad)
+	require.Contains(t, <-bad, `"error":"datagram from `+probe.LocalAddr().String())
+}
+
+// lines hands on log lines.
+type lines chan string
+
+// Write hands on a line.
+func (l lines) Write(p []byte) (int, error) {
+	l <- string(p)
+	return len(p), nil
 }
 
 func TestSuspectsArePassedOnForAWhile(t *testing.T) {
--- /dev/null
+++ b/internal/periodic/periodic.go
@@ -0,0 +1,21 @@
+// Package periodic runs a function again and again.
+package periodic
+
+import (
+	"context"
+	"time"
+)
+
+// Run calls f after each interval until ctx ends. A call that takes longer than the interval delays the next.
+func Run(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f()
+		}
+	}
+}
--- /dev/null
+++ b/internal/storefeed/neighbours.go
@@ -0,0 +1,173 @@
+package storefeed
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphireweir.example/samphireweir/internal/control"
+	"samphireweir.example/samphireweir/internal/core/source"
+	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/hostconfig"
+	"samphireweir.example/samphireweir/internal/loadreport"
+	"samphireweir.example/samphireweir/internal/logevent"
+)
+
+const (
+	// seedFirst is the time between two greetings of the seeds while this process knows too little to work. All hosts may start within
+	// a few tenths of a second of each other.
+	seedFirst = 100 * time.Millisecond
+	// seedInterval is the same later on, so that the seeds know the entries that run.
+	seedInterval = 3 * time.Second
+	// tellingFor is how long what a data centre's processes are told is used again.
+	tellingFor = 500 * time.Millisecond
+)
+
+// Neighbours is what a process knows of the entries of its data centre, and where it reads the store from. It is safe for
+// concurrent use.
+type Neighbours struct {
+	self       string
+	dataCentre string
+	agent      bool
+	seeds      []netip.AddrPort
+	log        zerolog.Logger
+	choice     Choice
+
+	mu    sync.Mutex
+	roll  loadreport.Roll
+	state *source.State
+	// told is what was last told to a data centre's processes; it is used again for a while, since agents report often.
+	told map[string]telling
+}
+
+// telling is what a data centre's processes are told of its entries.
+type telling struct {
+	at    time.Time
+	first []string
+	count int
+}
+
+// NewNeighbours returns the neighbours of the process at address self; agent is set for an agent.
+func NewNeighbours(host hostconfig.Host, self string, agent bool, log zerolog.Logger) *Neighbours {
+	n := &Neighbours{
+		self: self, dataCentre: host.DataCentre, agent: agent, log: log, state: source.NewState(self, host.DataCentre, agent),
+		told: map[string]telling{},
+	}
+	for _, s := range host.Seeds {
+		if a, err := netip.ParseAddrPort(s); err == nil && s != self {
+			n.seeds = append(n.seeds, a)
+		}
+	}
+	return n
+}
+
+// Reader returns a reader of a store that reads through neighbours where they are many. cache is nil for a process that nobody reads from.
+func (n *Neighbours) Reader(direct Store, pool *control.Pool, cache *Cache) *Reader {
+	return &Reader{Direct: direct, Pool: pool, Cache: cache, Choice: &n.choice, Failed: n.failed}
+}
+
+func (n *Neighbours) failed(address string, err error) {
+	logevent.Info(n.log, logevent.PeerFailed).Str("peer", address).Err(err).Msg("peer failed")
+	n.step(source.Failed{Address: address})
+}
+
+// Heard takes a datagram: the greeting of an entry, or word of the entries of this data centre.
+func (n *Neighbours) Heard(from netip.AddrPort, m loadreport.Message) {
+	if m.EntryCount > 0 {
+		n.step(source.Told{Entries: m.Entries, Count: m.EntryCount})
+	}
+	if m.DataCentre == "" || m.Agent {
+		return
+	}
+	now := time.Now()
+	n.mu.Lock()
+	n.roll.Note(now, from, m.DataCentre)
+	entries := n.entries(now, n.dataCentre)
+	n.mu.Unlock()
+	if m.DataCentre == n.dataCentre {
+		n.step(source.Told{Entries: entries, Count: len(entries)})
+	}
+}
+
+// entries are the entries of a data centre, this process included. It is called with the lock held.
+func (n *Neighbours) entries(now time.Time, dataCentre string) []string {
+	list := n.roll.Entries(now, dataCentre)
+	if !n.agent && dataCentre == n.dataCentre {
+		list = append(list, n.self)
+	}
+	return list
+}
+
+// Tell puts into a message what its receiver must know of the entries of its data centre. Where each process reads the store for
+// itself there is nothing to know.
+func (n *Neighbours) Tell(dataCentre string, m *loadreport.Message) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	t, known := n.told[dataCentre]
+	if !known || now.Sub(t.at) > tellingFor {
+		entries := n.entries(now, dataCentre)
+		t = telling{at: now, first: source.First(dataCentre, entries), count: len(entries)}
+		n.told[dataCentre] = t
+	}
+	if t.count >= source.LeastEntries {
+		m.Entries, m.EntryCount = t.first, t.count
+	}
+}
+
+// Answer answers the greeting of a process that takes this one for a seed.
+func (n *Neighbours) Answer(socket *loadreport.Socket, from netip.AddrPort, m loadreport.Message) {
+	if m.DataCentre == "" {
+		return
+	}
+	var answer loadreport.Message
+	n.Tell(m.DataCentre, &answer)
+	if answer.EntryCount > 0 {
+		n.send(socket, from, answer)
+	}
+}
+
+// GreetSeeds greets the seeds until ctx ends: often while this process is not ready, now and then later. An agent that is ready has no
+// need of them, since entries greet it.
+func (n *Neighbours) GreetSeeds(ctx context.Context, socket *loadreport.Socket, ready func() bool) {
+	m := loadreport.Message{DataCentre: n.dataCentre, Agent: n.agent}
+	for ctx.Err() == nil {
+		for _, seed := range n.seeds {
+			n.send(socket, seed, m)
+		}
+		interval := seedFirst
+		if ready() {
+			interval = seedInterval
+		}
+		if ready() && n.agent {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(interval):
+		}
+	}
+}
+
+func (n *Neighbours) send(socket *loadreport.Socket, to netip.AddrPort, m loadreport.Message) {
+	if err := socket.Send(to, m); err != nil {
+		logevent.Info(n.log, logevent.PeerFailed).Str("peer", to.String()).Err(err).Msg("peer failed")
+	}
+}
+
+// Tick forgets what was told long ago.
+func (n *Neighbours) Tick() { n.step(step.Tick{}) }
+
+func (n *Neighbours) step(ev step.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, e := range n.state.Reduce(step.Input{Now: time.Now(), Event: ev}) {
+		if c, changed := e.(source.Changed); changed {
+			logevent.Info(n.log, logevent.BeliefChanged).Str("what", "source").Str("value", c.Address).Int("entries", c.Entries).Msg("belief changed")
+			n.choice.Set(c.Address)
+		}
+	}
+}
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -24,6 +24,8 @@
 	// gatherTime is the least time between two calls, in which changes gather: each call is paid for, and many upstreams join or
 	// leave at about the same time. It is a quarter of the time in which a leaving upstream must get no more work.
 	gatherTime = 500 * time.Millisecond
+	// sharedGatherTime is the same for calls of another process, which has gathered already.
+	sharedGatherTime = 50 * time.Millisecond
 	// firstRetry and lastRetry bound the wait after a failed call; it doubles with each.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond
@@ -44,11 +46,15 @@
 	Changed func(objects []platform.Object)
 	// Wait is how long one call waits for a change.
 	Wait time.Duration
+	// Shared tells whether the store is read through another process, whose calls cost nothing; nil stands for no.
+	Shared func() bool
 	// Heard is called with each answer of the store, Failed with each call that failed.
 	Heard, Failed func()
 	Log           zerolog.Logger
 
 	lost bool
+	// polled is the revision of the last list that was polled.
+	polled int64
 }
 
 // Run follows the kind until ctx ends.
@@ -61,7 +67,7 @@
 		if err == nil {
 			f.answered()
 			revision, retry = next, firstRetry
-			sleep(ctx, gatherTime-time.Since(began))
+			sleep(ctx, f.gather()-time.Since(began))
 			continue
 		}
 		if ctx.Err() != nil {
@@ -92,7 +98,21 @@
 	}
 }
 
+// poll reads what is new. A stale list is the cheapest question to the store, and changes the shortest answer of another process.
 func (f *Follower) poll(ctx context.Context) error {
+	if f.polled > 0 && f.shared() {
+		objects, at, err := f.Store.Watch(ctx, f.Kind, f.polled, 0)
+		if err == nil {
+			f.answered()
+			f.Heard()
+			f.Changed(objects)
+			f.polled = at
+			return nil
+		}
+		if !errors.Is(err, platform.ErrHistoryGone) {
+			return err
+		}
+	}
 	objects, at, err := f.Store.List(ctx, f.Kind, true)
 	if err != nil {
 		return err
@@ -100,9 +120,20 @@
 	f.answered()
 	f.Heard()
 	f.Listed(at, objects)
+	f.polled = at
 	return nil
 }
 
+func (f *Follower) shared() bool { return f.Shared != nil && f.Shared() }
+
+// gather is the least time between two calls.
+func (f *Follower) gather() time.Duration {
+	if f.shared() {
+		return sharedGatherTime
+	}
+	return gatherTime
+}
+
 // read makes one call and returns the revision to go on from.
 func (f *Follower) read(ctx context.Context, revision int64) (int64, error) {
 	if revision == 0 {
