samphireweir explain: the story of a request or of a belief from the logs of several processes

The line on dropped lines now names its process and has a number (1007), so that a story can say where lines are missing.

--- a/internal/boundedlog/boundedlog.go
+++ b/internal/boundedlog/boundedlog.go
@@ -4,12 +4,13 @@
 
 import (
 	"bytes"
-	"fmt"
 	"io"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"samphireweir.example/samphireweir/internal/logevent"
 )
 
 const (
@@ -26,6 +27,8 @@
 // Writer gathers lines and writes them in the background. It is a zerolog.LevelWriter.
 type Writer struct {
 	out io.Writer
+	// role and name are the process's, for the line on dropped lines.
+	role, name string
 
 	mu      sync.Mutex
 	pending bytes.Buffer
@@ -35,8 +38,8 @@
 	dropped   int64
 }
 
-// New returns a writer to out. Run must be started for lines to come out.
-func New(out io.Writer) *Writer { return &Writer{out: out} }
+// New returns a writer to out for the process of a role on a host. Run must be started for lines to come out.
+func New(out io.Writer, role, name string) *Writer { return &Writer{out: out, role: role, name: name} }
 
 // Write takes a routine line.
 func (w *Writer) Write(line []byte) (int, error) { return w.WriteLevel(zerolog.InfoLevel, line) }
@@ -73,16 +76,25 @@
 	}
 }
 
+// confession is the line on lines that were dropped.
+func (w *Writer) confession(dropped int64) []byte {
+	var line bytes.Buffer
+	log := zerolog.New(&line).With().Timestamp().Str("process", w.role).Str("name", w.name).Logger()
+	logevent.Warn(log, logevent.LinesDropped).Int64("dropped", dropped).Msg("log lines dropped")
+	return line.Bytes()
+}
+
 func (w *Writer) flush() {
 	w.mu.Lock()
 	lines := bytes.Clone(w.pending.Bytes())
 	w.pending.Reset()
 	w.routine, w.important = 0, 0
-	if w.dropped > 0 {
-		lines = fmt.Appendf(lines, `{"level":"warn","message":"log lines dropped","dropped":%d}`+"\n", w.dropped)
-		w.dropped = 0
-	}
+	dropped := w.dropped
+	w.dropped = 0
 	w.mu.Unlock()
+	if dropped > 0 {
+		lines = append(lines, w.confession(dropped)...)
+	}
 	if len(lines) > 0 {
 		_, _ = w.out.Write(lines) // A log that can't be written has nowhere to be reported.
 	}
--- a/internal/boundedlog/boundedlog_test.go
+++ b/internal/boundedlog/boundedlog_test.go
@@ -30,7 +30,7 @@
 // TestAStoppedReaderCostsLinesAndNoTime writes far more than is kept while nobody reads. Each call returns; what did not fit is counted.
 func TestAStoppedReaderCostsLinesAndNoTime(t *testing.T) {
 	out := &stopped{release: make(chan struct{})}
-	w := boundedlog.New(out)
+	w := boundedlog.New(out, "entry", "host-1")
 	stop, done := make(chan struct{}), make(chan struct{})
 	go func() {
 		w.Run(stop)
@@ -53,7 +53,7 @@
 // TestWarningsHaveRoomOfTheirOwn writes more routine lines than an interval takes, and warnings after them.
 func TestWarningsHaveRoomOfTheirOwn(t *testing.T) {
 	var out bytes.Buffer
-	w := boundedlog.New(&out)
+	w := boundedlog.New(&out, "entry", "host-1")
 	log := zerolog.New(w)
 	for range 1000 {
 		log.Info().Msg("routine")
@@ -68,7 +68,7 @@
 
 // BenchmarkLine measures what a line costs its writer.
 func BenchmarkLine(b *testing.B) {
-	w := boundedlog.New(&bytes.Buffer{})
+	w := boundedlog.New(&bytes.Buffer{}, "entry", "host-1")
 	log := zerolog.New(w)
 	for b.Loop() {
 		log.Info().Int("event", 4007).Str("request", "9c41d07be2a35f68").Str("upstream", "i-7f3a91c2").Int("sends", 1).Msg("request sent")
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -35,7 +35,7 @@
 		{"Run a process of the system", []subcommands.Command{&entryCommand{}, &agentCommand{}}},
 		{"Run a process of the system on the users' platform", []subcommands.Command{&platformEntryCommand{}, &platformAgentCommand{}}},
 		{"Look things up", []subcommands.Command{
-			&codesCommand{}, &eventsCommand{}, &metricsCommand{}, &flagsCommand{}, &versionCommand{},
+			&explainCommand{}, &codesCommand{}, &eventsCommand{}, &metricsCommand{}, &flagsCommand{}, &versionCommand{},
 		}},
 	}
 }
--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -80,7 +80,7 @@
 	if host.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(host.Memory) * memoryShare))
 	}
-	lines := boundedlog.New(os.Stdout)
+	lines := boundedlog.New(os.Stdout, role, host.Name)
 	stop, done := make(chan struct{}), make(chan struct{})
 	go func() {
 		lines.Run(stop)
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -16,6 +16,7 @@
 	Stopped             ID = 1004
 	PanicContained      ID = 1005
 	ServerError         ID = 1006
+	LinesDropped        ID = 1007
 	SettingInForce      ID = 2001
 	PlatformLost        ID = 2002
 	PlatformBack        ID = 2003
@@ -67,6 +68,7 @@
 	{Stopped, "stopped", "The process ended; the field open counts requests that were cut."},
 	{PanicContained, "panic contained", "A fault of the program, contained in one request or message; the field stack says where. Report it."},
 	{ServerError, "server error", "The HTTP library's word on a connection: a malformed head, a failed handshake."},
+	{LinesDropped, "log lines dropped", "The process wrote more lines than it may, or nobody read them; the field dropped counts those left out."},
 	{SettingInForce, "setting in force", "A new revision of a setting is in force in this process."},
 	{PlatformLost, "platform lost", "The object API does not answer; the settings in force stay."},
 	{PlatformBack, "platform back", "The object API answers again."},
