An entry greets a bounded part of the agents

Change: an entry greets 64 agents of its data centre and 32 of others, an own choice by rendezvous order; engines whose agents it does not greet are used when the others are full; and it reckons the number of entries, by which the budget of repeats is shared, from the part that greets one agent. Fleets with fewer agents are greeted as before.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -18,6 +18,8 @@
 
 // Self is what an entry knows of itself.
 type Self struct {
+	// Name is the host's, by which its choices differ from other entries'.
+	Name       string
 	DataCentre string
 	Region     string
 	// Regions maps data centres to regions.
@@ -104,8 +106,9 @@
 	Closing bool
 	// Versions are the versions that it holds whole, by model.
 	Versions map[string]int64
-	// Entries is how many entries listen to this agent.
+	// Entries is how many entries listen to this agent, and Near how many of them are in its data centre.
 	Entries int
+	Near    int
 }
 
 // StopAsked says that a graceful shutdown began.
@@ -232,6 +235,10 @@
 	quarantine quarantine
 	// waiting are the requests that wait for room, by service, the oldest first.
 	waiting map[string][]uint64
+	// greeted are the engines whose agents are greeted; nil before the first greeting.
+	greeted map[string]bool
+	// nearShare and farShare are which part of the agents of this data centre and of others is greeted.
+	nearShare, farShare float64
 	// entries is how many entries share the budgets of repeats, as the agents count them.
 	entries  int
 	stopping bool
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -87,7 +87,7 @@
 
 func (s *State) loadTold(in step.Input, ev LoadTold) []step.Effect {
 	if ev.Entries > 0 {
-		s.entries = ev.Entries
+		s.entries = s.countEntries(ev)
 	}
 	u := s.Catalog.At(ev.Address)
 	if u == nil {
@@ -151,7 +151,7 @@
 // candidate is an upstream that could take a request.
 type candidate struct {
 	upstream *catalog.Upstream
-	// quiet is set when the engine's agent has said nothing for a while.
+	// quiet is set when the engine's agent has said nothing for a while, or is not asked to.
 	quiet bool
 	// distance is 0 in this data centre, 1 in this region, 2 elsewhere.
 	distance int
@@ -176,10 +176,15 @@
 	c.occupied, c.limit = s.occupied(in.Now, u, r), s.limit(u, r)
 	c.cost = float64(c.occupied)/float64(c.limit) + float64(s.load(u.ID).reading)/promptWeight
 	told := s.load(u.ID).toldAt
-	c.quiet = !told.IsZero() && in.Now.Sub(told) > quietAfter
+	c.quiet = !told.IsZero() && in.Now.Sub(told) > quietAfter || s.stranger(u)
 	return c
 }
 
+// stranger tells whether nobody tells this entry of an engine's load, because it greets too many others.
+func (s *State) stranger(u *catalog.Upstream) bool {
+	return s.greeted != nil && !s.greeted[u.ID] && s.load(u.ID).toldAt.IsZero() && s.isEngine(u)
+}
+
 // mix spreads the bits of z, so that numbers that differ in few bits are in no order.
 func mix(z uint64) uint64 {
 	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,7 @@
 	return &Gateway{
 		host: host, self: self, log: log, metrics: m, catalog: c, neighbours: neighbours, cache: cache,
 		forward: forward.NewState(forward.Self{
-			DataCentre: host.DataCentre, Region: host.Region, Regions: host.Regions,
+			Name: host.Name, DataCentre: host.DataCentre, Region: host.Region, Regions: host.Regions,
 			Retries: host.Retries, VersionTime: host.VersionTime,
 		}, c),
 		exchanges: map[uint64]*exchange{},
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -25,7 +25,7 @@
 	periodic.Run(ctx, greetInterval, g.greetAll)
 }
 
-// greetAll greets each agent once and tells it the versions in force.
+// greetAll greets the agents that the reducer chose once and tells it the versions in force.
 func (g *Gateway) greetAll() {
 	agents, message := g.greeting(time.Now())
 	for _, a := range agents {
@@ -45,10 +45,7 @@
 		})
 	}
 	var agents []netip.AddrPort
-	for _, u := range g.catalog.Upstreams {
-		if !g.isEngine(u) {
-			continue
-		}
+	for _, u := range g.forward.Greet() {
 		if a, err := netip.ParseAddrPort(u.Address); err == nil {
 			agents = append(agents, netip.AddrPortFrom(a.Addr(), uint16(g.host.PeerPort)))
 		}
@@ -56,15 +53,6 @@
 	return agents, m
 }
 
-// isEngine tells whether an upstream is a model engine, beside which an agent runs.
-func (g *Gateway) isEngine(u *catalog.Upstream) bool {
-	if g.catalog.Manifest == nil {
-		return false
-	}
-	s := g.catalog.Manifest.Services[u.Service]
-	return s != nil && s.Engine != nil
-}
-
 // heard takes what an agent says.
 func (g *Gateway) heard(from netip.AddrPort, m loadreport.Message) {
 	g.neighbours.Heard(from, m)
@@ -80,7 +68,7 @@
 	if m.Load != nil {
 		g.step(forward.LoadTold{
 			Address: m.Load.Address, Occupied: m.Load.Occupied, Closing: m.Load.Closing,
-			Versions: m.Load.Versions, Entries: m.Load.Entries,
+			Versions: m.Load.Versions, Entries: m.Load.Entries, Near: m.Load.Near,
 		})
 	}
 }
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -124,6 +124,11 @@
 		}
 	}
 	load.Entries = len(a.reports.listeners)
+	for _, l := range a.reports.listeners {
+		if l.near {
+			load.Near++
+		}
+	}
 	suspects := a.reports.suspects.Recent(now)
 	for address, l := range a.reports.listeners {
 		if !l.due(now, load, len(suspects)) {
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -35,8 +35,9 @@
 	Occupied int              `json:"o"`
 	Closing  bool             `json:"c,omitempty"`
 	Versions map[string]int64 `json:"v"`
-	// Entries counts the entries that greeted the agent of late.
+	// Entries counts the entries that greeted the agent of late, and Near those of them in its data centre.
 	Entries int `json:"n"`
+	Near    int `json:"i"`
 }
 
 // Message is one datagram. Load is set by agents only.
