An origin that restarts is asked again within a second of its return

Change: the wait stays at a second for the first twelve failures, and grows to 5 s as before after them.

--- a/internal/core/weights/burst_test.go
+++ b/internal/core/weights/burst_test.go
@@ -116,6 +116,25 @@
 	require.Less(t, asked, 60*testHosts/2, "less than one call in two seconds a host")
 }
 
+// TestOriginThatWasAwayForSecondsIsUsedSoonAfter lets an origin restart for some seconds in a burst, at different moments: it is asked
+// again within about a second of its return.
+func TestOriginThatWasAwayForSecondsIsUsedSoonAfter(t *testing.T) {
+	for _, away := range []time.Duration{3 * time.Second, 4500 * time.Millisecond, 6 * time.Second, 7500 * time.Millisecond} {
+		f := newFleet(1, testHosts, setting.TimeFirst)
+		back := f.now.Add(away)
+		var first time.Time
+		f.originFault = func(c int) (bool, weights.Reason, time.Duration) {
+			if c >= 0 && f.now.After(back) && first.IsZero() {
+				first = f.now
+			}
+			return c >= 0 && f.now.Before(back), weights.Broken, 0
+		}
+		f.want(newVersion("v1", testChunks, 0))
+		require.True(t, f.run(testLimit, f.done), "%s", f.describe())
+		require.Less(t, first.Sub(back), 1200*time.Millisecond, "away for %v", away)
+	}
+}
+
 // TestSilentNeighbourIsGreetedAgain says hello to a neighbour that did not answer, since it may have restarted.
 func TestSilentNeighbourIsGreetedAgain(t *testing.T) {
 	v := newVersion("v1", 4, 0)
--- a/internal/core/weights/draw.go
+++ b/internal/core/weights/draw.go
@@ -15,8 +15,12 @@
 	// swarmDraws and directDraws are the same for the baselines.
 	swarmDraws  = 2
 	directDraws = 4
-	// originRetry and originRetryMax bound the wait after a failure at the origin; it doubles with each.
-	originRetry    = 200 * time.Millisecond
+	// originRetry is the wait after a first failure at the origin; it doubles with each up to originRetrySoon. An origin that is away is
+	// mostly one that restarts, and until it is back a whole fleet may wait for a version that must be in use.
+	originRetry     = 200 * time.Millisecond
+	originRetrySoon = time.Second
+	// soonFailures is after how many failures the wait grows further, up to originRetryMax: the origin is away for longer then.
+	soonFailures   = 12
 	originRetryMax = 5 * time.Second
 	// manyFailures in a row are told to operators.
 	manyFailures = 3
@@ -209,5 +213,8 @@
 }
 
 func backoff(failures int) time.Duration {
-	return min(originRetry<<min(failures-1, 8), originRetryMax)
+	if failures <= soonFailures {
+		return min(originRetry<<min(failures-1, 8), originRetrySoon)
+	}
+	return min(originRetrySoon<<min(failures-soonFailures, 8), originRetryMax)
 }
