--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"strconv"
@@ -34,6 +35,8 @@
 	secondsVariable = "SOAK_SECONDS"
 	// ciSeconds is how long the short run lasts.
 	ciSeconds = 6
+	// callerPatience is how long a caller waits, a little longer than it says to the entry: its connection may have gone silent.
+	callerPatience = 5 * time.Second
 	// patience bounds the return to service after the last fault.
 	patience = 60 * time.Second
 )
@@ -98,6 +101,10 @@
 	hosts     []hostconfig.Host
 	upstreams []*standin.Upstream
 	version   int64
+	// proxies stand before the store, one for each process, before each upstream, and before each entry.
+	proxies []*proxy
+	// fronts are the addresses at which callers reach the entries.
+	fronts []string
 
 	mu sync.Mutex
 	// once are the ids of requests that may run once, refused those that were said not to have run.
@@ -108,15 +115,20 @@
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{t: t, random: rand.New(rand.NewPCG(seed, seed)), fleet: standin.NewFleet(t), version: 1}
 	dir := t.TempDir()
+	s.fleet.Through = s.through
 	s.fleet.Name(1)
 	for i := range 2 {
 		s.upstreams = append(s.upstreams, s.fleet.AddService(fmt.Sprintf("i-desk-%d", i)))
 		ip := standin.NextIP()
 		s.upstreams = append(s.upstreams, s.fleet.AddEngine(fmt.Sprintf("i-engine-%d", i), ip, 0))
-		s.agents = append(s.agents, &process{t: t, role: "platform-agent", settings: s.fleet.SettingsFile(dir, s.fleet.Host(ip, true))})
-		host := s.fleet.Host(standin.NextIP(), false)
-		s.hosts = append(s.hosts, host)
-		s.entries = append(s.entries, &process{t: t, role: "platform-entry", settings: s.fleet.SettingsFile(dir, host)})
+		agent := s.fleet.Host(ip, true)
+		agent.Engine, agent.Store = s.last().address(), s.through(agent.Store)
+		s.agents = append(s.agents, &process{t: t, role: "platform-agent", settings: s.fleet.SettingsFile(dir, agent)})
+		entry := s.fleet.Host(standin.NextIP(), false)
+		entry.Store = s.through(entry.Store)
+		s.fronts = append(s.fronts, s.through(entry.Callers))
+		s.hosts = append(s.hosts, entry)
+		s.entries = append(s.entries, &process{t: t, role: "platform-entry", settings: s.fleet.SettingsFile(dir, entry)})
 	}
 	for _, p := range append(s.agents, s.entries...) {
 		p.start()
@@ -125,9 +137,21 @@
 	return s
 }
 
+// through starts a proxy before an address, on the same host, and returns the proxy's address.
+func (s *soak) through(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	require.NoError(s.t, err)
+	s.proxies = append(s.proxies, newProxy(s.t, net.JoinHostPort(host, "0"), address))
+	return s.last().address()
+}
+
+func (s *soak) last() *proxy { return s.proxies[len(s.proxies)-1] }
+
 // call sends one request and checks what can be told at once.
 func (s *soak) call(c *standin.Caller, path string) standin.Reply {
-	r := c.Post(path)
+	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+	defer cancel()
+	r := c.Do(ctx, standin.Request{Path: path})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if path == "/once/1" {
@@ -165,9 +189,9 @@
 var paths = []string{"/once/1", "/again/1", "/stream/1"}
 
 func (s *soak) callers(stop <-chan struct{}, done *sync.WaitGroup) {
-	for i, host := range s.hosts {
+	for i, front := range s.fronts {
 		for k, path := range paths {
-			c := &standin.Caller{Address: host.Callers, Name: fmt.Sprintf("%s-%d-%d", s.t.Name(), i, k)}
+			c := &standin.Caller{Address: front, Name: fmt.Sprintf("%s-%d-%d", s.t.Name(), i, k)}
 			done.Add(1)
 			go func() {
 				defer done.Done()
@@ -188,7 +212,7 @@
 
 // strike injects one fault and waits a little.
 func (s *soak) strike() {
-	switch s.random.IntN(11) {
+	switch s.random.IntN(16) {
 	case 0:
 		pick(s, s.entries).end(syscall.SIGKILL)
 	case 1:
@@ -217,6 +241,8 @@
 	case 9:
 		s.fleet.Configure()
 		pick(s, s.entries).signal(syscall.SIGHUP)
+	case 10, 11, 12, 13, 14:
+		s.harm(pick(s, s.proxies))
 	default:
 		faults := []standin.Fault{
 			standin.Decline, standin.Misdirect, standin.Fail, standin.Lose, standin.Foreign, standin.BreakEvent, standin.Hang,
