--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -72,7 +72,7 @@
 	closeLog func()
 }
 
-func (c *platformConfig) start(role string) (*platformProcess, error) {
+func (c *platformConfig) start(role string, reload <-chan os.Signal) (*platformProcess, error) {
 	host, err := platform.ReadSettings(c.boot)
 	if err != nil {
 		return nil, err
@@ -102,7 +102,7 @@
 	if c.metricsPort > 0 {
 		go p.serveMetrics(net.JoinHostPort(host.IP, strconv.Itoa(c.metricsPort)))
 	}
-	go p.watchSettings(c.boot)
+	go p.watchSettings(c.boot, reload)
 	return p, nil
 }
 
@@ -175,10 +175,11 @@
 
 // run runs a role until it ends or is told to stop.
 func (c *platformConfig) run(ctx context.Context, fs *flag.FlagSet, role string, work func(context.Context, *platformProcess) error) subcommands.ExitStatus {
+	reload := reloads() // First of all: a signal that nobody asked for ends a process.
 	if err := load(fs, c); err != nil {
 		return fail(os.Stderr, err)
 	}
-	p, err := c.start(role)
+	p, err := c.start(role, reload)
 	if err != nil {
 		return fail(os.Stderr, err)
 	}
