--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -40,12 +40,14 @@
 	// metricsPort is where metrics are served on the host's address; 0 for nowhere.
 	metricsPort int
 	logLevel    string
+	trace       telemetry.TraceConfig
 }
 
 func (c *platformConfig) flags(fs *flag.FlagSet) {
 	fs.StringVar(&c.boot, "boot", "", "path of the platform's settings file")
 	fs.IntVar(&c.metricsPort, "metrics-port", 0, "port of the metrics on the host's address; 0 for none")
 	fs.StringVar(&c.logLevel, "log-level", "info", "least level of log lines: debug, info, warn or error")
+	c.trace.Flags(fs)
 	config.Describe(fs)
 }
 
@@ -60,7 +62,7 @@
 	if _, err := zerolog.ParseLevel(c.logLevel); err != nil {
 		return code.Errorf(code.BadProcess, "-log-level", "%q, want debug, info, warn or error", c.logLevel)
 	}
-	return nil
+	return c.trace.Check()
 }
 
 // platformProcess is what the roles on the platform have in common.
@@ -68,6 +70,8 @@
 	host    hostconfig.Host
 	log     zerolog.Logger
 	metrics *telemetry.Metrics
+	// traces is nil when tracing is off.
+	traces *telemetry.Traces
 	// closeLog writes the last lines.
 	closeLog func()
 }
@@ -90,9 +94,14 @@
 	if err != nil {
 		return nil, err
 	}
+	traces, err := telemetry.NewTraces(c.trace, role, host.Name, os.Stdout)
+	if err != nil {
+		return nil, err
+	}
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	p := &platformProcess{
-		host: host, metrics: telemetry.NewMetrics(),
+		traces: traces,
+		host:   host, metrics: telemetry.NewMetrics(),
 		log: zerolog.New(lines).Level(level).With().Timestamp().Str("process", role).Str("name", host.Name).Logger(),
 		closeLog: func() {
 			close(stop)
@@ -141,7 +150,7 @@
 // Execute runs the process until it is told to stop.
 func (c *platformEntryCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	return c.config.run(ctx, fs, "entry", func(ctx context.Context, p *platformProcess) error {
-		return gateway.New(p.host, p.log, p.metrics).Run(ctx)
+		return gateway.New(p.host, p.log, p.metrics, p.traces).Run(ctx)
 	})
 }
 
@@ -169,7 +178,7 @@
 // Execute runs the process until it is told to stop.
 func (c *platformAgentCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	return c.config.run(ctx, fs, "agent", func(ctx context.Context, p *platformProcess) error {
-		return hostagent.New(p.host, p.log, p.metrics).Run(ctx)
+		return hostagent.New(p.host, p.log, p.metrics, p.traces).Run(ctx)
 	})
 }
 
@@ -184,6 +193,7 @@
 		return fail(os.Stderr, err)
 	}
 	defer p.closeLog()
+	defer p.traces.Close(context.WithoutCancel(ctx))
 	ctx, stop := untilSignal(ctx)
 	defer stop()
 	if err := work(ctx, p); err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,10 +40,12 @@
 
 // Gateway is one entry.
 type Gateway struct {
-	host       hostconfig.Host
-	log        zerolog.Logger
-	metrics    *telemetry.Metrics
-	upstreams  *http.Transport
+	host    hostconfig.Host
+	log     zerolog.Logger
+	metrics *telemetry.Metrics
+	// upstreams sends requests to upstreams; traces is nil when tracing is off.
+	upstreams  http.RoundTripper
+	traces     *telemetry.Traces
 	neighbours *storefeed.Neighbours
 	// cache is what was read of the store, for the processes that read through this one; store reads it.
 	cache  *storefeed.Cache
@@ -64,11 +66,13 @@
 	open     atomic.Int64
 }
 
-// New returns an entry of a host. Its metrics are written to m.
-func New(host hostconfig.Host, log zerolog.Logger, m *telemetry.Metrics) *Gateway {
+// New returns an entry of a host. Its metrics are written to m; traces is nil when tracing is off.
+func New(host hostconfig.Host, log zerolog.Logger, m *telemetry.Metrics, traces *telemetry.Traces) *Gateway {
 	c, self := catalog.NewState(), net.JoinHostPort(host.IP, strconv.Itoa(host.PeerPort))
 	neighbours, cache := storefeed.NewNeighbours(host, self, false, log), storefeed.NewCache()
 	transport := newStoreTransport()
+	upstreams := &http.Client{Transport: newUpstreamTransport()}
+	traces.Client(upstreams, telemetry.NameSend)
 	return &Gateway{
 		host: host, self: self, log: log, metrics: m, catalog: c, neighbours: neighbours, cache: cache,
 		forward: forward.NewState(forward.Self{
@@ -76,7 +80,7 @@
 			Retries: host.Retries, VersionTime: host.VersionTime,
 		}, c),
 		exchanges: map[uint64]*exchange{},
-		upstreams: newUpstreamTransport(),
+		upstreams: upstreams.Transport, traces: traces,
 		store: neighbours.Reader(
 			platform.NewStore(host.Store, &http.Client{Transport: transport}), control.NewPool(self, "", transport.DialContext), cache),
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,9 @@
 // patience bounds what a test waits for; it is far above what is needed, since machines can be busy.
 const patience = 30 * time.Second
 
+// pollInterval is how often a test looks.
+const pollInterval = 10 * time.Millisecond
+
 // entry is a running entry with its callers.
 type entry struct {
 	standin.Caller
@@ -34,7 +37,7 @@
 
 func startHost(t *testing.T, fleet *standin.Fleet, host hostconfig.Host) *entry {
 	t.Helper()
-	g := gateway.New(host, zerolog.Nop(), telemetry.NewMetrics())
+	g := gateway.New(host, zerolog.Nop(), telemetry.NewMetrics(), nil)
 	e := &entry{Caller: standin.Caller{Address: host.Callers, Name: t.Name()}, host: host, stop: fleet.Run(g.Run)}
 	require.Eventually(t, func() bool { return e.ready() == http.StatusOK }, patience, 10*time.Millisecond)
 	return e
@@ -260,7 +263,7 @@
 	fleet := standin.NewFleet(t)
 	fleet.Store.SetDown(true)
 	host := fleet.Host(standin.NextIP(), false)
-	g := gateway.New(host, zerolog.Nop(), telemetry.NewMetrics())
+	g := gateway.New(host, zerolog.Nop(), telemetry.NewMetrics(), nil)
 	e := &entry{Caller: standin.Caller{Address: host.Callers, Name: t.Name()}, host: host, stop: fleet.Run(g.Run)}
 	require.Eventually(t, func() bool { return e.ready() == http.StatusServiceUnavailable }, patience, 10*time.Millisecond)
 	r := e.Post("/once/1")
--- a/internal/gateway/neighbours_test.go
+++ b/internal/gateway/neighbours_test.go
@@ -57,7 +57,7 @@
 		host := fleet.Host(ip, false)
 		host.Seeds = addresses[:1]
 		log := &lines{}
-		g := gateway.New(host, zerolog.New(log), telemetry.NewMetrics())
+		g := gateway.New(host, zerolog.New(log), telemetry.NewMetrics(), nil)
 		logs[addresses[i]] = log
 		entries[addresses[i]] = &entry{Caller: standin.Caller{Address: host.Callers, Name: ip}, host: host, stop: fleet.Run(g.Run)}
 	}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -32,7 +32,7 @@
 
 func (g *Gateway) callersServer() *http.Server {
 	return &http.Server{
-		Handler: http.HandlerFunc(g.serve), ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
+		Handler: g.traces.EntryServer(http.HandlerFunc(g.serve)), ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
 		ErrorLog: stdlog.New(io.Discard, "", 0), // Connections that callers break are no news.
 	}
 }
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -78,11 +78,14 @@
 	reports reports
 }
 
-// New returns the agent of a host.
-func New(host hostconfig.Host, log zerolog.Logger, m *telemetry.Metrics) *Agent {
+// New returns the agent of a host. Its metrics are written to m; traces is nil when tracing is off.
+func New(host hostconfig.Host, log zerolog.Logger, m *telemetry.Metrics, traces *telemetry.Traces) *Agent {
 	self := net.JoinHostPort(host.IP, strconv.Itoa(host.PeerPort))
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
 	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 5 * time.Second}}
+	traces.Client(client, telemetry.NamePeerCall)
+	origin := newOriginClient(dialer)
+	traces.Client(origin, telemetry.NameOriginCall)
 	neighbours, pool := storefeed.NewNeighbours(host, self, true, log), control.NewPool(self, "", dialer.DialContext)
 	a := &Agent{
 		host: host, self: self, log: log, metrics: m, client: client,
@@ -92,7 +95,7 @@
 		install: install.NewState(self, host.VersionTime),
 		reports: newReports(),
 	}
-	a.origin = platform.NewOrigin(newOriginClient(dialer), a.originPlace)
+	a.origin = platform.NewOrigin(origin, a.originPlace)
 	a.fetcher = &transfer.Fetcher{
 		Memory: transfer.NewMemory(host.Memory / chunkMemoryShare), Sources: []transfer.Source{a.origin},
 		Pool: pool, Client: client, Self: self,
--- a/internal/hostagent/hostagent_test.go
+++ b/internal/hostagent/hostagent_test.go
@@ -21,7 +21,7 @@
 	for i := range n {
 		ip := standin.NextIP()
 		engines = append(engines, fleet.AddEngine(string(rune('a'+i)), ip, version))
-		agent := hostagent.New(fleet.Host(ip, true), zerolog.Nop(), telemetry.NewMetrics())
+		agent := hostagent.New(fleet.Host(ip, true), zerolog.Nop(), telemetry.NewMetrics(), nil)
 		stops = append(stops, fleet.Run(agent.Run))
 	}
 	return engines, stops
@@ -101,7 +101,7 @@
 	ip := standin.NextIP()
 	engine := fleet.AddEngine("a", ip, 0)
 	run := func() (stop func()) {
-		return fleet.Run(hostagent.New(fleet.Host(ip, true), zerolog.Nop(), telemetry.NewMetrics()).Run)
+		return fleet.Run(hostagent.New(fleet.Host(ip, true), zerolog.Nop(), telemetry.NewMetrics(), nil).Run)
 	}
 	stop := run()
 	requireLoaded(t, []*standin.Upstream{engine}, 1)
--- a/internal/telemetry/traces.go
+++ b/internal/telemetry/traces.go
@@ -279,6 +279,12 @@
 	return ""
 }
 
+// NameSend names each send of a caller's request straight to an upstream.
+func NameSend(*http.Request) string { return spanEntryAttempt }
+
+// NameOriginCall names each call of the origin of weights.
+func NameOriginCall(*http.Request) string { return spanChunkFetch }
+
 // NameUpstreamCall names calls to upstreams: callers' requests and orders.
 func NameUpstreamCall(r *http.Request) string {
 	switch {
