--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -82,8 +82,6 @@
 	Outcome Outcome
 	// Partial is set when a part of the answer was passed on.
 	Partial bool
-	// RetryAfter is when the upstream asked to come back.
-	RetryAfter time.Duration
 }
 
 // TimedOut says that a request's time is over.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -207,6 +207,6 @@
 }
 
 // tell reports the end of a send to the reducer.
-func (x *exchange) tell(outcome forward.Outcome, retryAfter time.Duration) {
-	x.gateway.step(forward.SendEnded{ID: x.id, Outcome: outcome, Partial: x.begun, RetryAfter: retryAfter})
+func (x *exchange) tell(outcome forward.Outcome) {
+	x.gateway.step(forward.SendEnded{ID: x.id, Outcome: outcome, Partial: x.begun})
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	a := &attempt{x: x, send: e, cancel: cancel}
 	defer cancel(nil)
-	outcome, retryAfter, err := a.make(ctx)
+	outcome, err := a.make(ctx)
 	if outcome != forward.Answered && x.ctx.Err() != nil {
 		// The caller left, or the time is over: run tells the reducer which.
 		return false
@@ -55,7 +55,7 @@
 			Str("outcome", string(outcome)).Str("last_event", x.lastEvent).Err(err).Msg("attempt failed")
 		x.gateway.metrics.AttemptsFailed.Add(1, string(outcome))
 	}
-	x.tell(outcome, retryAfter)
+	x.tell(outcome)
 	if outcome == forward.Answered {
 		x.ended("answered", "")
 		return true
@@ -63,17 +63,17 @@
 	return false
 }
 
-func (a *attempt) make(ctx context.Context) (forward.Outcome, time.Duration, error) {
+func (a *attempt) make(ctx context.Context) (forward.Outcome, error) {
 	a.startPatience()
 	defer a.stopPatience()
 	ctx = platform.Connected(ctx, func() { a.connected.Store(true) })
 	req, err := platform.NewUpstreamRequest(ctx, a.x.r, a.x.body, a.send, a.x.lastEvent)
 	if err != nil {
-		return forward.NotSent, 0, err
+		return forward.NotSent, err
 	}
 	resp, err := a.x.gateway.upstreams.RoundTrip(req)
 	if err != nil {
-		return a.failed(ctx, err), 0, err
+		return a.failed(ctx, err), err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	reading := platform.ReadHead(resp, a.x.call.ID)
@@ -81,16 +81,16 @@
 	case reading.Outcome == forward.ServerFailed:
 		return a.keepFailure(ctx, resp, reading)
 	case reading.Outcome != forward.Answered:
-		return reading.Outcome, reading.RetryAfter, errors.New(reading.Problem)
+		return reading.Outcome, errors.New(reading.Problem)
 	case a.isStream(resp):
 		err = a.copyEvents(resp, reading.Header)
 	default:
 		err = a.copyWhole(resp, reading.Header)
 	}
 	if err != nil {
-		return a.failed(ctx, err), 0, err
+		return a.failed(ctx, err), err
 	}
-	return forward.Answered, 0, nil
+	return forward.Answered, nil
 }
 
 // failed tells what is known of a send that ended with an error.
@@ -129,13 +129,13 @@
 }
 
 // keepFailure reads the upstream's own failure whole, so that it can be passed on if no other upstream is asked.
-func (a *attempt) keepFailure(ctx context.Context, resp *http.Response, reading platform.Reading) (forward.Outcome, time.Duration, error) {
+func (a *attempt) keepFailure(ctx context.Context, resp *http.Response, reading platform.Reading) (forward.Outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWhole))
 	if err != nil {
-		return a.failed(ctx, err), 0, errors.Wrap(err, "read the upstream's failure")
+		return a.failed(ctx, err), errors.Wrap(err, "read the upstream's failure")
 	}
 	a.x.failure = &answer{status: resp.StatusCode, header: reading.Header, body: body}
-	return forward.ServerFailed, 0, errors.New(reading.Problem)
+	return forward.ServerFailed, errors.New(reading.Problem)
 }
 
 // copyWhole reads an answer whole before any of it is passed on, so that one that breaks can still be replaced.
