--- a/internal/hostagent/hostagent_test.go
+++ b/internal/hostagent/hostagent_test.go
@@ -47,6 +47,18 @@
 	require.LessOrEqual(t, fleet.Origin.Sent(), 3*fleet.Origin.Pieces, "four hosts that draw for themselves would take four copies")
 }
 
+// TestAHostAsksTheOriginOneThingAtATime has a host draw all pieces from an origin that is slow: the origin takes a bounded number of
+// connections from all hosts together.
+func TestAHostAsksTheOriginOneThingAtATime(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	fleet.Origin.AnswerTime = 30 * time.Millisecond
+	fleet.Name(1)
+	engines, _ := start(t, fleet, 1, 0)
+	requireLoaded(t, engines, 1)
+	require.Equal(t, 1, fleet.Origin.MostAtOnce())
+}
+
 func TestANewVersionReachesEachEngine(t *testing.T) {
 	t.Parallel()
 	fleet := standin.NewFleet(t)
