Who waits for a reader hears at once that it has lost the store

Cause: found in writing the bounds down: a question that began just before the reader counted as behind (1.3 s without the store) still waited its half second, so that another entry asked the store 1.8 s after the loss, of 2 s. The test failed first.

Change: a question is answered when the reader becomes behind.

--- a/internal/storefeed/cache.go
+++ b/internal/storefeed/cache.go
@@ -155,20 +155,23 @@
 	return time.Since(c.asked) < servingFor
 }
 
-// wait answers as soon as there is news, or after the wait that was asked for.
+// wait answers as soon as there is news or this process is behind, or after the wait that was asked for.
 func (c *Cache) wait(ctx context.Context, q Question) Answer {
-	timer := time.NewTimer(min(time.Duration(q.WaitMS)*time.Millisecond, maxWait))
-	defer timer.Stop()
+	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(q.WaitMS)*time.Millisecond, maxWait))
+	defer cancel()
 	for {
 		a, changed := c.answer(q.Kind, q.Since)
 		// A first list is worth waiting for: this process is about to have it. Who has one is better off with the store.
 		if a.State == Told || a.State == Gone || a.State == Behind && q.Since > 0 {
 			return a
 		}
+		fresh := maxAge - time.Duration(a.AgeMS)*time.Millisecond
+		if a.State == Behind {
+			fresh = maxWait // It can only become better.
+		}
 		select {
 		case <-changed:
-		case <-timer.C:
-			return a
+		case <-time.After(fresh + time.Millisecond):
 		case <-ctx.Done():
 			return a
 		}
--- a/internal/storefeed/cache_test.go
+++ b/internal/storefeed/cache_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -174,6 +175,21 @@
 	require.Equal(t, Behind, a.State, "the process that this one read from had not heard of late")
 }
 
+// TestAQuestionIsAnsweredAsSoonAsTheProcessIsBehind has a process lose the store shortly after it was asked, with a wait that is longer
+// than the time after which it counts as behind.
+func TestAQuestionIsAnsweredAsSoonAsTheProcessIsBehind(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCache()
+		c.listed(kind, []platform.Object{{Name: "a", Revision: 3}}, 5, 0)
+		began := time.Now()
+		time.Sleep(maxAge - 100*time.Millisecond)
+		a := c.wait(t.Context(), Question{Kind: kind, Since: 5, WaitMS: sharedWait.Milliseconds()})
+		require.Equal(t, Behind, a.State)
+		require.Less(t, time.Since(began), maxAge+10*time.Millisecond)
+	})
+}
+
 func TestWhoAsksFromBeforeAForgottenRemovalListsAgain(t *testing.T) {
 	t.Parallel()
 	c := NewCache()
