--- /dev/null
+++ b/internal/story/fuzz_test.go
@@ -0,0 +1,36 @@
+package story_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/story"
+)
+
+// FuzzRead reads anything as a log: each line is read or counted, and whatever was read can be explained and printed.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(line(28, "entry", "edge-1", sent) + line(29, "entry", "edge-1", broken) + line(30, "entry", "edge-1", refused)))
+	f.Add([]byte("12.5 edge-1 {\"event\":4008,\"request\":\"abc\"}\n{\"event\":\"x\"}\n{\"time\":7}\n{\n\n"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		l, err := story.Read(bytes.NewReader(raw))
+		if err != nil {
+			return // A line of over a megabyte.
+		}
+		filled := 0
+		for _, text := range bytes.Split(raw, []byte("\n")) {
+			if len(bytes.TrimSpace(text)) > 0 {
+				filled++
+			}
+		}
+		require.Equal(t, filled, len(l.Lines)+l.Bad)
+		var out bytes.Buffer
+		for _, id := range l.Failures() {
+			v, ok := l.Explain(id)
+			require.True(t, ok)
+			require.NoError(t, v.Print(&out))
+		}
+		require.NoError(t, l.Belief("manifest", "").Print(&out))
+	})
+}
