--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -96,10 +96,21 @@
 	case run.Join:
 		a.join(w, r, env, d.ID)
 	case run.Refuse:
-		a.writeFail(w, env, &failure{code: d.Code, ran: d.Ran})
+		// An entry may ask before it has heard of a crash: the refusal tells it, so that it does not ask the next agent.
+		a.writeFail(w, env, &failure{code: d.Code, ran: d.Ran, mark: a.mark(env.Fingerprint)})
 	}
 }
 
+// mark returns what is held of a fingerprint; nil when it is no suspect.
+func (a *Agent) mark(fingerprint string) (held *record.Record) {
+	a.Loop.View(func(s *core.State) {
+		if mark, ok := s.Mark(fingerprint); ok {
+			held = &mark
+		}
+	})
+	return held
+}
+
 // awaitDecision asks the core, with beats while a suspect waits to run alone. It returns nil when the entry has
 // gone meanwhile; the try is fenced then.
 func (a *Agent) awaitDecision(w http.ResponseWriter, r *http.Request, env frame.Envelope) step.Effect {
@@ -242,13 +253,8 @@
 	a.Loop.Step(run.Crashed{ID: x.start.ID})
 	a.doubt(x.start)
 	var listeners []string
-	a.Loop.View(func(s *core.State) {
-		if mark, ok := s.Mark(x.env.Fingerprint); ok {
-			f.mark = &mark
-			listeners = s.MarkListeners()
-		}
-	})
-	if f.mark != nil {
+	a.Loop.View(func(s *core.State) { listeners = s.MarkListeners() })
+	if f.mark = a.mark(x.env.Fingerprint); f.mark != nil {
 		// The caller may go to another entry as soon as it hears of the failure: the entries hear of it first.
 		ctx, cancel := context.WithTimeout(context.Background(), a.config.MarkTimeout)
 		defer cancel()
--- a/internal/entry/crash_test.go
+++ b/internal/entry/crash_test.go
@@ -12,6 +12,7 @@
 
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core"
+	"samphireweir.example/samphireweir/internal/core/record"
 	"samphireweir.example/samphireweir/internal/core/suspect"
 )
 
@@ -139,3 +140,33 @@
 		})
 	}
 }
+
+// convicted returns the mark of a request that is known to bring upstreams down.
+func convicted(t *testing.T, fingerprint string) record.Record {
+	t.Helper()
+	marks := suspect.NewState()
+	first, ok := marks.Crashed(time.Now(), fingerprint, false)
+	require.True(t, ok)
+	marks.Changed([]record.Record{first})
+	mark, ok := marks.Crashed(time.Now(), fingerprint, true)
+	require.True(t, ok)
+	return mark
+}
+
+// TestAnAgentsRefusalTellsTheEntryOfTheMark has the agents know that a request brings upstreams down, and asks an entry that has not
+// heard of it: the first refusal tells it, so that no further agent is asked.
+func TestAnAgentsRefusalTellsTheEntryOfTheMark(t *testing.T) {
+	t.Parallel()
+	r := newPoisonedRig(t, 1, 6)
+	q := generate(poison, 10, true)
+	mark := convicted(t, r.fingerprintOf(q))
+	for _, a := range r.agents {
+		a.Loop.Step(record.Received{Records: []record.Record{mark}})
+	}
+	o := r.ask(context.Background(), 0, q)
+	assert.True(t, o.refusedAs(code.Quarantined, code.NotRun), "%v", o)
+	assert.Empty(t, r.crashedEngines())
+	sends := r.entries[0].Telemetry.Metrics.Attempts
+	assert.EqualValues(t, 1, sends.Value("karrakin", q.service, "first"))
+	assert.Zero(t, sends.Value("karrakin", q.service, "retry"))
+}
