Soak: callers that come straight to an entry wait without a limit again

Cause: with the proxy all callers had got a time limit of 5 s, so that an entry that never answers no longer stopped the soak.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -15,6 +15,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,7 +41,7 @@
 	logsVariable = "SOAK_LOGS"
 	// ciSeconds is how long the short run lasts.
 	ciSeconds = 6
-	// callerPatience is how long a caller waits, a little longer than it says to the entry: its connection may have gone silent.
+	// callerPatience is how long a caller behind a proxy waits, a little longer than it says to the entry: its connection may have gone silent.
 	callerPatience = 5 * time.Second
 	// patience bounds the return to service after the last fault.
 	patience = 60 * time.Second
@@ -198,7 +199,10 @@
 
 // call sends one request and checks what can be told at once.
 func (s *soak) call(c *standin.Caller, path string) standin.Reply {
-	ctx, cancel := context.WithTimeout(context.Background(), callerPatience)
+	ctx, cancel := context.WithCancel(context.Background())
+	if slices.Contains(s.fronts, c.Address) {
+		ctx, cancel = context.WithTimeout(ctx, callerPatience)
+	}
 	defer cancel()
 	r := c.Do(ctx, standin.Request{Path: path})
 	s.mu.Lock()
@@ -238,9 +242,14 @@
 var paths = []string{"/once/1", "/again/1", "/stream/1"}
 
 func (s *soak) callers(stop <-chan struct{}, done *sync.WaitGroup) {
-	for i, front := range s.fronts {
+	// Those who come straight to an entry wait without a limit: an entry that never answers stops the soak.
+	addresses := slices.Clone(s.fronts)
+	for _, host := range s.hosts {
+		addresses = append(addresses, host.Callers)
+	}
+	for i, address := range addresses {
 		for k, path := range paths {
-			c := &standin.Caller{Address: front, Name: fmt.Sprintf("%s-%d-%d", s.t.Name(), i, k)}
+			c := &standin.Caller{Address: address, Name: fmt.Sprintf("%s-%d-%d", s.t.Name(), i, k)}
 			done.Add(1)
 			go func() {
 				defer done.Done()
