Places go to those who can still be in time: newest first, those who came back last

Cause: over capacity every place that went to a caller that had been refused a second before could only give a late answer, while requests that could be in time were refused. Callers that come back have a shorter limit left: the entry learns the longest limit of each route and client account and takes who has 950 ms less for one that was refused before; the word when to come back is 0.95 to 1.85 s (was 0.45 to 1.35), so that this can be told. Of those in time the newest goes first, since the oldest is the likeliest to be late.

Tests fail without the order.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -207,6 +207,8 @@
 	by          time.Time
 	arrived     time.Time
 	queuedBy    time.Time
+	// back is set when its caller was refused before, as far as can be told, so that its answer can only be late.
+	back bool
 	// at is the upstream that works on it; empty while none does.
 	at string
 	// prompt is the length of the prompt in tokens, and reading is set while the upstream has not answered yet.
@@ -230,6 +232,7 @@
 	requests   map[uint64]*request
 	loads      map[string]*load
 	budgets    map[string]*budget
+	limits     limits
 	quarantine quarantine
 	// waiting are the requests that wait for room, by service, the oldest first.
 	waiting map[string][]uint64
@@ -246,7 +249,7 @@
 func NewState(self Self, c *catalog.State) *State {
 	return &State{
 		Self: self, Catalog: c, requests: map[uint64]*request{}, loads: map[string]*load{},
-		budgets: map[string]*budget{}, quarantine: quarantine{}, waiting: map[string][]uint64{},
+		budgets: map[string]*budget{}, limits: limits{}, quarantine: quarantine{}, waiting: map[string][]uint64{},
 	}
 }
 
@@ -271,6 +274,7 @@
 		s.stopping = true
 	case step.Tick:
 		s.forget(in.Now)
+		s.limits.forget(in.Now)
 		s.quarantine.forget(in.Now)
 		return s.serveWaiting(in)
 	}
--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -40,7 +40,7 @@
 		{Name: "reports", Host: "h", Prefix: reports, Kind: catalog.Streaming, Resumable: true, MaxUpstreams: 2, Shares: share("model"), Timeout: 6 * time.Second, Objective: 500 * time.Millisecond},
 		{Name: "notes", Host: "h", Prefix: notes, Kind: catalog.Streaming, MaxUpstreams: 2, Shares: share("model"), Timeout: 6 * time.Second, Objective: 500 * time.Millisecond},
 	}
-	accounts := map[string]*catalog.Account{"key-1": {Name: "karrakin"}}
+	accounts := map[string]*catalog.Account{"key-1": {Name: "karrakin"}, "key-2": {Name: "harrowgate"}}
 	m := catalog.NewManifest(1, routes, accounts)
 	m.HasAccounts = true
 	c := catalog.NewState()
--- /dev/null
+++ b/internal/core/forward/queue_test.go
@@ -0,0 +1,93 @@
+package forward_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/core/forward"
+	"samphireweir.example/samphireweir/internal/core/step"
+)
+
+// ask has a caller send a request to the model that leaves it a time.
+func (r *rig) ask(id uint64, left time.Duration) []step.Effect {
+	return r.step(forward.Arrived{ID: id, Host: "h", Path: reports + "x", Key: "key-1", Model: "m", Budget: left})
+}
+
+// full returns an entry whose only engine works on one request, 1, and can work on no other.
+func full(t *testing.T) *rig {
+	r := newRig()
+	r.add("m1", "model", "perth-a", 1)
+	r.step(forward.LoadTold{Address: "m1", Versions: map[string]int64{"m": 1}})
+	only[forward.Send](t, r.ask(1, 6*time.Second))
+	return r
+}
+
+// served ends a request and returns the one that got its place.
+func (r *rig) served(t *testing.T, ended uint64) uint64 {
+	return only[forward.Send](t, r.step(forward.SendEnded{ID: ended, Outcome: forward.Answered})).ID
+}
+
+// TestWhoCameBackWaitsBehindWhoCanStillBeInTime is the load over capacity with returners: a caller that was refused a second ago
+// competes with one that asks for the first time.
+func TestWhoCameBackWaitsBehindWhoCanStillBeInTime(t *testing.T) {
+	r := full(t)
+	only[forward.Admitted](t, r.ask(2, 4500*time.Millisecond))
+	r.now += 20 * time.Millisecond
+	only[forward.Admitted](t, r.ask(3, 4400*time.Millisecond))
+	r.now += 20 * time.Millisecond
+	only[forward.Admitted](t, r.ask(4, 5400*time.Millisecond))
+	require.Equal(t, uint64(4), r.served(t, 1))
+	require.Equal(t, uint64(2), r.served(t, 4), "of those that came back the oldest goes first")
+	require.Equal(t, uint64(3), r.served(t, 2))
+}
+
+// TestOfThoseInTimeTheNewestIsServedFirst is the steady load over capacity: the one that has waited longest is the likeliest to be late.
+func TestOfThoseInTimeTheNewestIsServedFirst(t *testing.T) {
+	r := full(t)
+	for id := uint64(2); id <= 4; id++ {
+		r.now += 20 * time.Millisecond
+		only[forward.Admitted](t, r.ask(id, 6*time.Second))
+	}
+	require.Equal(t, uint64(4), r.served(t, 1))
+	require.Equal(t, uint64(3), r.served(t, 4))
+	require.Equal(t, uint64(2), r.served(t, 3))
+}
+
+// TestAnAccountsOwnLimitsTellWhoCameBack has a caller whose account always gives less time than others do: it was not refused.
+func TestAnAccountsOwnLimitsTellWhoCameBack(t *testing.T) {
+	r := full(t)
+	hurried := func(id uint64) {
+		only[forward.Admitted](t, r.step(forward.Arrived{
+			ID: id, Host: "h", Path: reports + "x", Key: "key-2", Model: "m", Budget: 2 * time.Second,
+		}))
+	}
+	only[forward.Admitted](t, r.ask(2, 4*time.Second))
+	hurried(3)
+	require.Equal(t, uint64(3), r.served(t, 1))
+	require.Equal(t, uint64(2), r.served(t, 3))
+}
+
+// TestLimitsAreForgotten has callers of an account give less time from some day on.
+func TestLimitsAreForgotten(t *testing.T) {
+	r := full(t)
+	r.now += time.Minute
+	r.step(step.Tick{})
+	only[forward.Admitted](t, r.ask(2, 4*time.Second))
+	r.now += 20 * time.Millisecond
+	only[forward.Admitted](t, r.ask(3, 3900*time.Millisecond))
+	require.Equal(t, uint64(3), r.served(t, 1), "both are new, and the newest goes first")
+}
+
+// TestARefusedCallerIsToldToStayAwayLongEnoughToBeKnownAgain checks the two bounds that the order rests on.
+func TestARefusedCallerIsToldToStayAwayLongEnoughToBeKnownAgain(t *testing.T) {
+	r := full(t)
+	for id := uint64(2); id < 100; id++ {
+		only[forward.Admitted](t, r.ask(id, 6*time.Second))
+		r.now += time.Second
+		refuse := only[forward.Refuse](t, r.step(step.Tick{}))
+		require.GreaterOrEqual(t, refuse.RetryAfter, 950*time.Millisecond)
+		require.Less(t, refuse.RetryAfter, 2*time.Second)
+	}
+}
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -14,11 +14,11 @@
 	defaultTimeout = 30 * time.Second
 	// maxSends bounds the sends of one request, those included that upstreams declined.
 	maxSends = 4
-	// waitShare is the part of the latency objective that a request waits for room at most. What is served after it still
-	// meets the objective with a usual time to the first event of half of it.
-	waitShare = 5
-	// comeBack is the mean wait that a refused caller is asked for: about two answers' time of an engine.
-	comeBack = 900 * time.Millisecond
+	// leastAway and spreadAway say how long a refused caller is asked to stay away, from leastAway to as much more as spreadAway: one to
+	// two answers' time of a loaded engine. Callers wait a third of what is left to them at most, which is two seconds for the
+	// users' streams.
+	leastAway  = 950 * time.Millisecond
+	spreadAway = 900 * time.Millisecond
 	// firstEventPatience bounds the wait for the first event of a stream that may be sent again. It is three to four times the
 	// objective of the users' streams, and within the two seconds that their callers wait.
 	firstEventPatience = 1500 * time.Millisecond
@@ -56,6 +56,7 @@
 		id: ev.ID, fingerprint: ev.Fingerprint, prompt: ev.Prompt, route: route, service: route.Pick(in.Rand), model: ev.Model, account: account,
 		arrived: in.Now, by: in.Now.Add(timeFor(route, ev.Budget)), tried: map[string]bool{},
 	}
+	r.back = s.limits.cameBack(in.Now, r, ev.Budget)
 	s.requests[r.id] = r
 	s.budget(r.service).request(in.Now)
 	effects := []step.Effect{Admitted{ID: r.id, Route: route, By: r.by}}
@@ -86,41 +87,6 @@
 	return s.giveUp(in, r, code.NoUpstream, fmt.Sprintf("no upstream of %s can take it: %s", r.service, s.census(in.Now, r)))
 }
 
-func (s *State) wait(in step.Input, r *request) []step.Effect {
-	if r.queuedBy.IsZero() {
-		r.queuedBy = in.Now.Add(r.route.Objective / waitShare)
-	}
-	if !in.Now.Before(r.queuedBy) {
-		return s.giveUp(in, r, code.Overloaded, fmt.Sprintf("every upstream of %s is full: %s", r.service, s.census(in.Now, r)))
-	}
-	s.waiting[r.service] = append(s.waiting[r.service], r.id)
-	return nil
-}
-
-// serveWaiting sends what waits as far as there is room, and refuses what has waited long enough.
-func (s *State) serveWaiting(in step.Input) []step.Effect {
-	var effects []step.Effect
-	for _, service := range sortedKeys(s.waiting) {
-		effects = append(effects, s.serveQueue(in, service)...)
-	}
-	return effects
-}
-
-func (s *State) serveQueue(in step.Input, service string) []step.Effect {
-	ids := s.waiting[service]
-	if len(ids) == 0 {
-		return nil
-	}
-	delete(s.waiting, service)
-	var effects []step.Effect
-	for _, id := range ids {
-		if r := s.requests[id]; r != nil {
-			effects = append(effects, s.place(in, r)...)
-		}
-	}
-	return effects
-}
-
 func (s *State) send(in step.Input, r *request, u *catalog.Upstream) []step.Effect {
 	r.sends++
 	r.at = u.ID
@@ -268,7 +234,7 @@
 
 // retryAfter spreads the callers' return, so that they don't come back together.
 func (s *State) retryAfter(in step.Input) time.Duration {
-	return comeBack/2 + time.Duration(in.Rand%uint64(comeBack))
+	return leastAway + time.Duration(in.Rand%uint64(spreadAway))
 }
 
 func (s *State) callerGone(in step.Input, id uint64) []step.Effect {
