Upstreams that start again under their id; entries of other writers

Upstreams were known by id alone, so that failures, loads and versions of an earlier life counted for the next, and a request that brought one engine down three times counted once.

Change: an upstream's life is its id and the start that it tells; loads, failures and suspicions go by it; late entries and reports of an earlier life change nothing; the agent forgets an order that was being prepared.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -23,8 +24,10 @@
 
 // Upstream is one registered upstream of a service.
 type Upstream struct {
-	// ID names one life of the upstream; a restart has another.
-	ID         string
+	// ID names the upstream. One that starts again may have the id that it had: see Life.
+	ID string
+	// Born is when it started, in milliseconds since 1970 by its own clock; 0 when it does not say.
+	Born       int64
 	Service    string
 	Address    string
 	DataCentre string
@@ -38,6 +41,15 @@
 	Revision int64
 }
 
+// Life names one run of an upstream, from its start to its end: what was learnt of one says nothing of the next.
+type Life struct {
+	ID   string
+	Born int64
+}
+
+// Life returns the run that the entry is of.
+func (u *Upstream) Life() Life { return Life{ID: u.ID, Born: u.Born} }
+
 // Naming is a version of weights that the operator put in force.
 type Naming struct {
 	Model    string
@@ -57,8 +69,8 @@
 	// history are the namings of each model, the oldest first.
 	history map[string][]Naming
 
-	// byAddress holds the id of the upstream that registered last at an address.
-	byAddress        map[string]string
+	// byAddress holds the ids of the upstreams that registered at an address: more than one when an entry is left over or false.
+	byAddress        map[string][]string
 	manifestRevision int64
 	listRevision     int64
 	listed           map[Topic]bool
@@ -103,6 +115,12 @@
 	Revision int64
 }
 
+// UpstreamUnreadable says that an entry was written that names no upstream that could be used.
+type UpstreamUnreadable struct {
+	ID       string
+	Revision int64
+}
+
 // VersionNamed says that a version of weights is in force, as the store has it.
 type VersionNamed struct {
 	Model    string
@@ -133,6 +151,9 @@
 // Event marks the type as an event.
 func (UpstreamRemoved) Event() {}
 
+// Event marks the type as an event.
+func (UpstreamUnreadable) Event() {}
+
 // Event marks the type as an event.
 func (VersionNamed) Event() {}
 
@@ -164,7 +185,7 @@
 func NewState() *State {
 	return &State{
 		Upstreams: map[string]*Upstream{}, Versions: map[string]Naming{}, history: map[string][]Naming{}, listed: map[Topic]bool{},
-		byAddress: map[string]string{}, removed: map[string]int64{}, lapsing: map[string]time.Time{},
+		byAddress: map[string][]string{}, removed: map[string]int64{}, lapsing: map[string]time.Time{},
 	}
 }
 
@@ -193,6 +214,8 @@
 		return s.upstreamChanged(ev.Upstream)
 	case UpstreamRemoved:
 		return s.upstreamRemoved(in.Now, ev)
+	case UpstreamUnreadable:
+		return s.upstreamUnreadable(ev)
 	case VersionNamed:
 		return s.versionNamed(in.Now, ev)
 	case step.Tick:
@@ -244,13 +267,17 @@
 	if old != nil && u.Revision < old.Revision {
 		return nil
 	}
+	if old != nil && u.Born == 0 && old.Born > 0 {
+		// It says less than the upstream says of itself, so that somebody else wrote it.
+		return s.upstreamUnreadable(UpstreamUnreadable{ID: u.ID, Revision: u.Revision})
+	}
+	if old != nil && u.Born < old.Born {
+		return nil // An entry of an earlier life may be written late.
+	}
 	delete(s.lapsing, u.ID)
 	delete(s.removed, u.ID)
-	s.Upstreams[u.ID] = u
-	if last := s.At(u.Address); last == nil || last.Revision <= u.Revision {
-		s.byAddress[u.Address] = u.ID
-	}
-	if old != nil && old.Draining == u.Draining {
+	s.put(old, u)
+	if old != nil && old.Draining == u.Draining && old.Born == u.Born {
 		return nil
 	}
 	value := "ready"
@@ -260,6 +287,46 @@
 	return []step.Effect{Change{Topic: UpstreamTopic, Name: u.ID, Value: value, Revision: u.Revision}}
 }
 
+// put takes the entry of an upstream in place of an older one, if there is one.
+func (s *State) put(old, u *Upstream) {
+	if old != nil {
+		s.unlink(old)
+	}
+	s.Upstreams[u.ID] = u
+	s.byAddress[u.Address] = append(s.byAddress[u.Address], u.ID)
+}
+
+// unlink takes an upstream off its address.
+func (s *State) unlink(u *Upstream) {
+	rest := slices.DeleteFunc(s.byAddress[u.Address], func(id string) bool { return id == u.ID })
+	if len(rest) == 0 {
+		delete(s.byAddress, u.Address)
+		return
+	}
+	s.byAddress[u.Address] = rest
+}
+
+// upstreamUnreadable drops an upstream at once, also when missing entries are waited for: its entry is there and names none.
+func (s *State) upstreamUnreadable(ev UpstreamUnreadable) []step.Effect {
+	u := s.Upstreams[ev.ID]
+	if u == nil || ev.Revision < u.Revision {
+		return nil
+	}
+	return s.drop(ev.ID, ev.Revision)
+}
+
+// Reborn notes that an upstream has started again under its id, as the agent beside it tells before the store does. A new life holds no
+// weights.
+func (s *State) Reborn(id string, born int64) {
+	u := s.Upstreams[id]
+	if u == nil || born <= u.Born {
+		return
+	}
+	next := *u
+	next.Born, next.Versions = born, map[string]int64{}
+	s.Upstreams[id] = &next
+}
+
 func (s *State) upstreamRemoved(now time.Time, ev UpstreamRemoved) []step.Effect {
 	u := s.Upstreams[ev.ID]
 	if u == nil || ev.Revision < u.Revision {
@@ -275,8 +342,8 @@
 }
 
 func (s *State) drop(id string, revision int64) []step.Effect {
-	if u := s.Upstreams[id]; u != nil && s.byAddress[u.Address] == id {
-		delete(s.byAddress, u.Address)
+	if u := s.Upstreams[id]; u != nil {
+		s.unlink(u)
 	}
 	delete(s.Upstreams, id)
 	delete(s.lapsing, id)
@@ -345,8 +412,20 @@
 	return required
 }
 
-// At returns the upstream that registered last at an address, or nil.
-func (s *State) At(address string) *Upstream { return s.Upstreams[s.byAddress[address]] }
+// At returns the upstream at an address that started at born, or the one that registered last there; nil for none.
+func (s *State) At(address string, born int64) *Upstream {
+	var last *Upstream
+	for _, id := range s.byAddress[address] {
+		u := s.Upstreams[id]
+		if born > 0 && u.Born == born {
+			return u
+		}
+		if last == nil || u.Revision > last.Revision {
+			last = u
+		}
+	}
+	return last
+}
 
 // Origin returns the address of the origin of weights, empty when the manifest names none.
 func (s *State) Origin() string {
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -120,9 +120,9 @@
 	s.Reduce(at(0, catalog.UpstreamChanged{Upstream: upstream("old", 4)}))
 	s.Reduce(at(0, catalog.UpstreamChanged{Upstream: upstream("new", 6)}))
 	s.Reduce(at(0, catalog.UpstreamRemoved{ID: "old", Revision: 8}))
-	require.Equal(t, "new", s.At("10.0.0.1:80").ID)
+	require.Equal(t, "new", s.At("10.0.0.1:80", 0).ID)
 	s.Reduce(at(0, catalog.UpstreamRemoved{ID: "new", Revision: 9}))
-	require.Nil(t, s.At("10.0.0.1:80"))
+	require.Nil(t, s.At("10.0.0.1:80", 0))
 }
 
 func TestRoutesByHostAndLongestPrefix(t *testing.T) {
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -98,6 +98,8 @@
 type LoadTold struct {
 	// Address is the engine's.
 	Address string
+	// Born is when the engine started; see catalog.Upstream.
+	Born int64
 	// Occupied counts the requests that it works on or has queued.
 	Occupied int
 	// Closing is set while the engine is about to load weights, or loads them.
@@ -209,8 +211,8 @@
 	queuedBy    time.Time
 	// back is set when its caller was refused before, as far as can be told, so that its answer can only be late.
 	back bool
-	// at is the upstream that works on it; empty while none does.
-	at string
+	// at is the upstream that works on it; zero while none does.
+	at catalog.Life
 	// prompt is the length of the prompt in tokens, and reading is set while the upstream has not answered yet.
 	prompt  int
 	reading bool
@@ -221,7 +223,7 @@
 	runs  int
 	// partial is set once a part of an answer was passed on.
 	partial bool
-	tried   map[string]bool
+	tried   map[catalog.Life]bool
 }
 
 // State is what an entry knows of its requests and of the upstreams' load.
@@ -230,7 +232,7 @@
 	Catalog *catalog.State
 
 	requests   map[uint64]*request
-	loads      map[string]*load
+	loads      map[catalog.Life]*load
 	budgets    map[string]*budget
 	limits     limits
 	quarantine quarantine
@@ -248,7 +250,7 @@
 // NewState returns a state without requests.
 func NewState(self Self, c *catalog.State) *State {
 	return &State{
-		Self: self, Catalog: c, requests: map[uint64]*request{}, loads: map[string]*load{},
+		Self: self, Catalog: c, requests: map[uint64]*request{}, loads: map[catalog.Life]*load{},
 		budgets: map[string]*budget{}, limits: limits{}, quarantine: quarantine{}, waiting: map[string][]uint64{},
 	}
 }
--- /dev/null
+++ b/internal/core/forward/lives_test.go
@@ -0,0 +1,73 @@
+package forward_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/core/catalog"
+	"samphireweir.example/samphireweir/internal/core/forward"
+)
+
+// lives registers an engine again and again under one id.
+func (r *rig) lives(id string, born int64) {
+	r.next++
+	r.believe(catalog.UpstreamChanged{Upstream: &catalog.Upstream{
+		ID: id, Born: born, Service: "model", Address: id, DataCentre: "perth-a", Slots: 4, Revision: int64(r.next), Versions: map[string]int64{"m": 1},
+	}})
+}
+
+// TestARequestThatBringsOneEngineDownAgainAndAgainIsHeldBack has the only engine crash under a request and start again under its id.
+func TestARequestThatBringsOneEngineDownAgainAndAgainIsHeldBack(t *testing.T) {
+	r := newRig()
+	ask := func(id uint64) forward.Arrived {
+		return forward.Arrived{ID: id, Host: "h", Path: reports, Key: "key-1", Model: "m", Fingerprint: 7}
+	}
+	for life := int64(1); life <= 3; life++ {
+		r.lives("m1", life)
+		r.step(forward.LoadTold{Address: "m1", Born: life, Versions: map[string]int64{"m": 1}})
+		only[forward.Send](t, r.step(ask(uint64(life))))
+		r.step(forward.SendEnded{ID: uint64(life), Outcome: forward.Broken})
+		suspected := r.step(forward.LoadTold{Address: "m1", Born: life + 1})
+		require.Len(t, suspected, map[bool]int{true: 1}[life == 3], "life %d", life)
+	}
+	r.lives("m1", 4)
+	only[forward.Refuse](t, r.step(ask(9)))
+}
+
+// TestANewLifeStartsWithoutThePastOfTheOneBefore has an engine fail until it is avoided, and start again.
+func TestANewLifeStartsWithoutThePastOfTheOneBefore(t *testing.T) {
+	r := newRig()
+	r.lives("m1", 100)
+	only[forward.Send](t, r.arrive(1, reports))
+	r.step(forward.SendEnded{ID: 1, Outcome: forward.NotSent})
+	only[forward.Refuse](t, r.arrive(2, reports))
+	r.lives("m1", 200)
+	only[forward.Send](t, r.arrive(3, reports))
+}
+
+// TestALateWordOnAnEarlierLifeChangesNothing has a datagram of before the engine's start come late, and a request that broke in the earlier
+// life be sent to the new one.
+func TestALateWordOnAnEarlierLifeChangesNothing(t *testing.T) {
+	r := newRig()
+	r.lives("m1", 100)
+	only[forward.Send](t, r.arrive(1, reports))
+	r.lives("m1", 200)
+	r.step(forward.LoadTold{Address: "m1", Born: 200, Versions: map[string]int64{"m": 1}})
+	r.step(forward.LoadTold{Address: "m1", Born: 100, Closing: true, Occupied: 4})
+	again := only[forward.Send](t, r.step(forward.SendEnded{ID: 1, Outcome: forward.Broken}))
+	require.Equal(t, int64(200), again.Upstream.Born)
+}
+
+// TestAnEntryThatClaimsManyPlacesGetsNoMoreThanTheServiceHas has another writer claim a thousand places for an engine of two.
+func TestAnEntryThatClaimsManyPlacesGetsNoMoreThanTheServiceHas(t *testing.T) {
+	r := newRig()
+	r.state.Catalog.Manifest.Services["model"] = &catalog.Service{Name: "model", Engine: &catalog.Engine{Slots: 2}}
+	r.add("m1", "model", "perth-a", 1000)
+	r.step(forward.LoadTold{Address: "m1", Versions: map[string]int64{"m": 1}})
+	only[forward.Send](t, r.arrive(1, reports))
+	r.now += 10 * time.Millisecond
+	only[forward.Send](t, r.arrive(2, reports))
+	require.Empty(t, sends(r.arrive(3, reports)))
+}
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -66,11 +66,11 @@
 	room
 )
 
-func (s *State) load(id string) *load {
-	l := s.loads[id]
+func (s *State) load(life catalog.Life) *load {
+	l := s.loads[life]
 	if l == nil {
 		l = &load{}
-		s.loads[id] = l
+		s.loads[life] = l
 	}
 	return l
 }
@@ -97,14 +97,19 @@
 	if ev.Entries > 0 {
 		s.entries = s.countEntries(ev)
 	}
-	u := s.Catalog.At(ev.Address)
-	if u == nil {
-		return nil
+	u := s.Catalog.At(ev.Address, ev.Born)
+	if u == nil || ev.Born > 0 && ev.Born < u.Born {
+		return nil // It is the word on an earlier life.
 	}
-	l := s.load(u.ID)
 	var effects []step.Effect
+	if ev.Born > u.Born && u.Born > 0 {
+		effects = s.wentDown(in.Now, u.Life())
+		s.Catalog.Reborn(u.ID, ev.Born)
+		u = s.Catalog.Upstreams[u.ID]
+	}
+	l := s.load(u.Life())
 	if empties(l.told, ev) {
-		effects = s.wentDown(in.Now, u.ID)
+		effects = append(effects, s.wentDown(in.Now, u.Life())...)
 	}
 	l.told, l.toldAt = ev, in.Now
 	l.others = max(0, ev.Occupied-l.inFlight)
@@ -113,9 +118,10 @@
 
 // forget drops what is known of upstreams that are gone.
 func (s *State) forget(now time.Time) {
-	for id, l := range s.loads {
-		if s.Catalog.Upstreams[id] == nil && l.inFlight == 0 && now.Sub(l.toldAt) > toldFor {
-			delete(s.loads, id)
+	for life, l := range s.loads {
+		u := s.Catalog.Upstreams[life.ID]
+		if (u == nil || u.Born != life.Born) && l.inFlight == 0 && now.Sub(l.toldAt) > toldFor {
+			delete(s.loads, life)
 		}
 	}
 }
@@ -182,15 +188,15 @@
 func (s *State) candidate(in step.Input, u *catalog.Upstream, r *request) candidate {
 	c := candidate{upstream: u, distance: s.distance(u), tie: mix(step.Score(u.ID, "") ^ in.Rand)}
 	c.occupied, c.limit = s.occupied(in.Now, u, r), s.limit(u, r)
-	c.cost = float64(c.occupied)/float64(c.limit) + float64(s.load(u.ID).reading)/s.readBound(u)
-	told := s.load(u.ID).toldAt
+	c.cost = float64(c.occupied)/float64(c.limit) + float64(s.load(u.Life()).reading)/s.readBound(u)
+	told := s.load(u.Life()).toldAt
 	c.quiet = !told.IsZero() && in.Now.Sub(told) > quietAfter || s.stranger(u)
 	return c
 }
 
 // stranger tells whether nobody tells this entry of an engine's load, because it greets too many others.
 func (s *State) stranger(u *catalog.Upstream) bool {
-	return s.greeted != nil && !s.greeted[u.ID] && s.load(u.ID).toldAt.IsZero() && s.isEngine(u)
+	return s.greeted != nil && !s.greeted[u.ID] && s.load(u.Life()).toldAt.IsZero() && s.isEngine(u)
 }
 
 // mix spreads the bits of z, so that numbers that differ in few bits are in no order.
@@ -212,7 +218,7 @@
 
 // occupied is how many requests an upstream has, as far as this entry knows.
 func (s *State) occupied(now time.Time, u *catalog.Upstream, r *request) int {
-	l := s.load(u.ID)
+	l := s.load(u.Life())
 	if r.model == "" {
 		return l.inFlight
 	}
@@ -225,7 +231,7 @@
 // crowded tells whether an engine has as many prompts to read as this entry gives it at once. A request that was sent before does
 // not wait for that.
 func (s *State) crowded(u *catalog.Upstream, r *request) bool {
-	reading := s.load(u.ID).reading
+	reading := s.load(u.Life()).reading
 	return r.sends == 0 && reading > 0 && float64(reading+r.prompt) > s.readBound(u)
 }
 
@@ -241,6 +247,9 @@
 // limit is how many requests an upstream may have.
 func (s *State) limit(u *catalog.Upstream, r *request) int {
 	slots := max(1, u.Slots)
+	if e := s.engine(u); e != nil && e.Slots > 0 {
+		slots = min(slots, e.Slots) // An entry may come from another writer.
+	}
 	if r.model == "" {
 		return slots * plainFactor
 	}
@@ -251,10 +260,10 @@
 }
 
 func (s *State) usable(now time.Time, r *request, u *catalog.Upstream) bool {
-	if u.Service != r.service || u.Draining || r.tried[u.ID] {
+	if u.Service != r.service || u.Draining || r.tried[u.Life()] {
 		return false
 	}
-	l := s.load(u.ID)
+	l := s.load(u.Life())
 	if now.Before(l.avoid) {
 		return false
 	}
@@ -292,7 +301,7 @@
 			continue
 		}
 		registered++
-		l := s.load(u.ID)
+		l := s.load(u.Life())
 		switch {
 		case u.Draining:
 			draining++
--- a/internal/core/forward/quarantine.go
+++ b/internal/core/forward/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
@@ -34,9 +35,9 @@
 // Effect marks the type as an effect.
 func (Suspected) Effect() {}
 
-// breaks are the upstreams that went down under a request.
+// breaks are the upstreams that went down under a request. One that started again and went down once more counts twice.
 type breaks struct {
-	upstreams map[string]bool
+	upstreams map[catalog.Life]bool
 	last      time.Time
 	// until ends the quarantine; zero while there is none.
 	until time.Time
@@ -53,13 +54,13 @@
 
 // broke notes that an upstream went down under a request, before any of an answer came. It reports whether the request is suspected now
 // and was not before.
-func (q quarantine) broke(now time.Time, fingerprint uint64, upstream string) bool {
+func (q quarantine) broke(now time.Time, fingerprint uint64, upstream catalog.Life) bool {
 	b := q[fingerprint]
 	if b == nil {
 		if len(q) >= maxBreaks {
 			return false
 		}
-		b = &breaks{upstreams: map[string]bool{}}
+		b = &breaks{upstreams: map[catalog.Life]bool{}}
 		q[fingerprint] = b
 	}
 	b.last = now
@@ -76,7 +77,7 @@
 	if q.holds(now, fingerprint) {
 		return
 	}
-	q[fingerprint] = &breaks{upstreams: map[string]bool{}, last: now, until: now.Add(quarantineFor)}
+	q[fingerprint] = &breaks{upstreams: map[catalog.Life]bool{}, last: now, until: now.Add(quarantineFor)}
 }
 
 // answered clears a request that was answered.
@@ -98,7 +99,7 @@
 }
 
 // learn notes what the end of a send says of its request and of its upstream.
-func (s *State) learn(in step.Input, r *request, upstream string, ev SendEnded) []step.Effect {
+func (s *State) learn(in step.Input, r *request, upstream catalog.Life, ev SendEnded) []step.Effect {
 	switch {
 	case ev.Outcome == Answered || ev.Partial:
 		s.quarantine.answered(r.fingerprint)
@@ -120,7 +121,7 @@
 }
 
 // wentDown counts an upstream that is found to be down against the requests that broke there just before.
-func (s *State) wentDown(now time.Time, upstream string) []step.Effect {
+func (s *State) wentDown(now time.Time, upstream catalog.Life) []step.Effect {
 	l := s.load(upstream)
 	var effects []step.Effect
 	for _, b := range recent(l.broken, now) {
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -54,7 +54,7 @@
 	}
 	r := &request{
 		id: ev.ID, fingerprint: ev.Fingerprint, prompt: ev.Prompt, route: route, service: route.Pick(in.Rand), model: ev.Model, account: account,
-		arrived: in.Now, by: in.Now.Add(timeFor(route, ev.Budget)), tried: map[string]bool{},
+		arrived: in.Now, by: in.Now.Add(timeFor(route, ev.Budget)), tried: map[catalog.Life]bool{},
 	}
 	r.back = s.limits.cameBack(in.Now, r, ev.Budget)
 	s.requests[r.id] = r
@@ -89,17 +89,17 @@
 
 func (s *State) send(in step.Input, r *request, u *catalog.Upstream) []step.Effect {
 	r.sends++
-	r.at = u.ID
-	r.tried[u.ID] = true
-	s.load(u.ID).inFlight++
-	s.load(u.ID).reading += r.prompt
+	r.at = u.Life()
+	r.tried[r.at] = true
+	s.load(r.at).inFlight++
+	s.load(r.at).reading += r.prompt
 	r.reading = true
 	e := Send{
 		ID: r.id, Number: r.sends, Upstream: u, Priority: r.route.Priority, By: r.by, Resume: r.partial,
 	}
 	if s.requiredVersion(in.Now, r.model) > 0 {
 		// An engine compares for equality; one that holds a newer version than required is as good.
-		e.Version = s.heldVersion(in.Now, u, s.load(u.ID), r.model)
+		e.Version = s.heldVersion(in.Now, u, s.load(u.Life()), r.model)
 	}
 	r.version = e.Version
 	if r.account != nil {
@@ -146,7 +146,7 @@
 
 // release takes a request off its upstream.
 func (s *State) release(in step.Input, r *request, o Outcome) {
-	if r.at == "" {
+	if r.at == (catalog.Life{}) {
 		return
 	}
 	s.began(r.id)
@@ -155,7 +155,7 @@
 	if o != Misdirected || r.version == 0 {
 		l.note(in.Now, o) // Otherwise the engine is well, and only its version is another than was thought.
 	}
-	r.at = ""
+	r.at = catalog.Life{}
 }
 
 func (s *State) next(in step.Input, r *request, ev SendEnded) []step.Effect {
@@ -206,7 +206,7 @@
 		return nil
 	}
 	r.partial = r.partial || ev.Partial
-	if r.at != "" {
+	if r.at != (catalog.Life{}) {
 		r.runs++ // It was with an upstream, which may have run it.
 	}
 	s.release(in, r, Answered)
--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -80,6 +80,8 @@
 
 // EngineRead is a reading of the engine.
 type EngineRead struct {
+	// Born is when the engine started, in milliseconds since 1970; 0 when it does not say.
+	Born int64
 	// Loaded are the versions that it holds whole, by model.
 	Loaded map[string]int64
 	// Busy is set while an order is in progress.
@@ -235,6 +237,8 @@
 	engine EngineRead
 	// readAt is when the engine last answered.
 	readAt time.Time
+	// bornAt is the latest start of the engine that is known; see EngineRead.
+	bornAt int64
 	// complete are the digests whose chunks are all here.
 	complete map[string]bool
 }
@@ -257,6 +261,9 @@
 	return s.engine.Busy
 }
 
+// Born is when the engine started, as of its last reading.
+func (s *State) Born() int64 { return s.engine.Born }
+
 // Occupied counts the requests at the engine.
 func (s *State) Occupied() int { return s.engine.Occupied }
 
@@ -305,7 +312,7 @@
 	case Complete:
 		s.complete[ev.Digest] = true
 	case EngineRead:
-		s.engine, s.readAt = ev, in.Now
+		effects = s.engineRead(in, ev)
 	case EngineFailed:
 		s.engineFailed(in.Now)
 	case Prepared:
--- a/internal/core/install/install_test.go
+++ b/internal/core/install/install_test.go
@@ -321,3 +321,18 @@
 		}
 	})
 }
+
+// TestAnEngineThatStartsAgainUnderItsIDIsOrderedAnew has an engine crash while its pieces are laid out, and be back before a reading missed
+// it. Its count of orders starts anew, and the order that was being prepared is not given to it.
+func TestAnEngineThatStartsAgainUnderItsIDIsOrderedAnew(t *testing.T) {
+	r := newRig()
+	r.engine = install.EngineRead{Born: 100, Loaded: map[string]int64{}, Sequence: 7}
+	r.read()
+	r.bring(1, "d1")
+	r.pass(200 * time.Millisecond)
+	r.engine = install.EngineRead{Born: 200, Loaded: map[string]int64{}}
+	require.Equal(t, []step.Effect{install.Prepare{Model: "m", Version: 1, Digest: "d1"}}, r.pass(300*time.Millisecond))
+	effects := orders(r.step(install.Prepared{Model: "m", Version: 1, OK: true, Checked: begin.Add(r.now)}))
+	require.Len(t, effects, 1)
+	require.Zero(t, effects[0].(install.Order).Sequence)
+}
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -110,6 +110,23 @@
 	return effects
 }
 
+// engineRead takes a reading. An engine that has started again under its id holds nothing, and nothing that was begun with its earlier
+// life goes on.
+func (s *State) engineRead(in step.Input, ev EngineRead) []step.Effect {
+	again := s.bornAt > 0 && ev.Born > s.bornAt
+	s.engine, s.readAt, s.bornAt = ev, in.Now, max(s.bornAt, ev.Born)
+	if !again {
+		return nil
+	}
+	var effects []step.Effect
+	for _, name := range s.Models() {
+		if m := s.models[name]; m.phase != Idle {
+			effects = append(effects, m.move(Idle, in.Now, "the engine started again")...)
+		}
+	}
+	return effects
+}
+
 // engineFailed forgets what an engine held that has not answered for long: it may come back empty.
 func (s *State) engineFailed(now time.Time) {
 	if now.Sub(s.readAt) > engineSilent {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -67,7 +67,7 @@
 	}
 	if m.Load != nil {
 		g.step(forward.LoadTold{
-			Address: m.Load.Address, Occupied: m.Load.Occupied, Closing: m.Load.Closing,
+			Address: m.Load.Address, Born: m.Load.Born, Occupied: m.Load.Occupied, Closing: m.Load.Closing,
 			Versions: m.Load.Versions, Entries: m.Load.Entries, Near: m.Load.Near,
 		})
 	}
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -146,7 +146,7 @@
 // due tells whether an entry is to hear of the load now.
 func (l *listener) due(now time.Time, load loadreport.Load, suspects int) bool {
 	since := now.Sub(l.told)
-	if since >= calmInterval || load.Closing != l.last.Closing || suspects > l.suspects {
+	if since >= calmInterval || load.Born != l.last.Born || load.Closing != l.last.Closing || suspects > l.suspects {
 		return true
 	}
 	if load.Occupied == l.last.Occupied {
@@ -162,7 +162,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	load := loadreport.Load{
-		Address: a.host.Engine, Occupied: a.install.Occupied(), Closing: a.install.Closing(), Versions: a.install.Loaded(),
+		Address: a.host.Engine, Born: a.install.Born(), Occupied: a.install.Occupied(), Closing: a.install.Closing(), Versions: a.install.Loaded(),
 	}
 	var named []loadreport.Naming
 	for _, v := range a.catalog.Versions {
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -31,7 +31,9 @@
 // Load is what an agent says of its engine.
 type Load struct {
 	// Address is the engine's, where callers' requests go.
-	Address  string           `json:"e"`
+	Address string `json:"e"`
+	// Born is when the engine started, in milliseconds since 1970; 0 when it does not say.
+	Born     int64            `json:"b,omitempty"`
 	Occupied int              `json:"o"`
 	Closing  bool             `json:"c,omitempty"`
 	Versions map[string]int64 `json:"v"`
--- a/internal/storewatch/beliefs.go
+++ b/internal/storewatch/beliefs.go
@@ -18,10 +18,14 @@
 	// Step takes the events.
 	Step func(step.Event)
 	Log  zerolog.Logger
+
+	// told are the revisions at which an object was last said to be unreadable, by its name: lists bring it again and again.
+	told map[string]int64
 }
 
 // Follower returns a follower of a kind that feeds these beliefs.
 func (b Beliefs) Follower(store Store, kind string) *Follower {
+	b.told = map[string]int64{}
 	f := &Follower{Store: store, Kind: kind, Wait: shortWait, Log: b.Log, Heard: func() { b.Step(catalog.StoreHeard{}) }, Failed: func() { b.Step(catalog.StoreFailed{}) }}
 	switch kind {
 	case platform.ConfigKind:
@@ -51,15 +55,20 @@
 
 func (b Beliefs) upstreamsListed(revision int64, objects []platform.Object) {
 	var list []*catalog.Upstream
+	var unreadable []platform.Object
 	for _, o := range objects {
 		u, err := platform.DecodeUpstream(o)
 		if err != nil {
 			b.bad(o, err)
+			unreadable = append(unreadable, o)
 			continue
 		}
 		list = append(list, u)
 	}
 	b.Step(catalog.UpstreamsListed{Revision: revision, Upstreams: list})
+	for _, o := range unreadable {
+		b.Step(catalog.UpstreamUnreadable{ID: o.Name, Revision: o.Revision})
+	}
 	b.Step(catalog.TopicListed{Topic: catalog.UpstreamTopic})
 }
 
@@ -72,6 +81,7 @@
 		u, err := platform.DecodeUpstream(o)
 		if err != nil {
 			b.bad(o, err)
+			b.Step(catalog.UpstreamUnreadable{ID: o.Name, Revision: o.Revision})
 			continue
 		}
 		b.Step(catalog.UpstreamChanged{Upstream: u})
@@ -97,6 +107,17 @@
 	}
 }
 
+// maxTold bounds the unreadable objects that are remembered.
+const maxTold = 1000
+
+// bad logs an object that can't be read, once for each time that it was written.
 func (b Beliefs) bad(o platform.Object, err error) {
+	if revision, known := b.told[o.Name]; known && revision == o.Revision {
+		return
+	}
+	if len(b.told) >= maxTold {
+		clear(b.told)
+	}
+	b.told[o.Name] = o.Revision
 	logevent.Warn(b.Log, logevent.BadEntry).Str("entry", o.Name).Int64("revision", o.Revision).Err(err).Msg("bad entry")
 }
