explain -losses counts what was not answered in time by reason; a choice among equals goes by lot again

Logs name what decided: came_back and limit_ms of a refusal, came_back of a send, objective_ms of an end.

The lot decides, as it did; a test plays the same events 20 times.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -22,6 +22,7 @@
 	belief  string
 	sample  int
 	seed    uint64
+	losses  bool
 }
 
 // Name returns the command's name.
@@ -38,9 +39,10 @@
   explain -belief manifest FILE...
   explain -belief upstreams/i-7f3a91c2 FILE...
   explain -sample 20 -seed 1 FILE...
+  explain -losses FILE...
   Reads log files, or standard input when none is named. -request prints the lines of one request, what its entry learned in the ten
   seconds before its end, and what is missing. -belief prints how a manifest, an upstream or a version went through the processes. -sample
-  draws failed and refused requests and prints a line on each. Lines that can't be read are counted.
+  draws failed and refused requests and prints a line on each. -losses counts the requests that were not answered in time, by reason. Lines that can't be read are counted.
 `
 }
 
@@ -50,19 +52,20 @@
 	fs.StringVar(&c.belief, "belief", "", "manifest, upstreams, versions or source, with /NAME for one upstream or model")
 	fs.IntVar(&c.sample, "sample", 0, "how many failed requests to draw")
 	fs.Uint64Var(&c.seed, "seed", 1, "seed of the draw; the same logs give the same requests")
+	fs.BoolVar(&c.losses, "losses", false, "count the requests that were not answered in time, by reason")
 	describeFlags(fs)
 }
 
 // Check refuses flags that don't say what to explain.
 func (c *explainCommand) Check() error {
 	asked := 0
-	for _, set := range []bool{c.request != "", c.belief != "", c.sample != 0} {
+	for _, set := range []bool{c.request != "", c.belief != "", c.sample != 0, c.losses} {
 		if set {
 			asked++
 		}
 	}
 	if asked != 1 || c.sample < 0 {
-		return code.Errorf(code.BadProcess, "-request, -belief, -sample", "want one of them, and a positive number for the last")
+		return code.Errorf(code.BadProcess, "-request, -belief, -sample, -losses", "want one of them, and a positive number for -sample")
 	}
 	return nil
 }
@@ -112,6 +115,8 @@
 			return errors.Errorf("no line names request %s: it came to no entry of these logs, or its lines were dropped", c.request)
 		}
 		return v.Print(w)
+	case c.losses:
+		return log.Losses().Print(w)
 	case c.belief != "":
 		topic, of, _ := strings.Cut(c.belief, "/")
 		return log.Belief(topic, of).Print(w)
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -160,6 +160,8 @@
 	GapPatience time.Duration
 	// Resume is set when the answer goes on that another upstream began.
 	Resume bool
+	// CameBack is set when the caller was refused before, as far as can be told.
+	CameBack bool
 }
 
 // Refuse ends a request without an upstream's answer.
@@ -171,6 +173,8 @@
 	Why string
 	// RetryAfter is when to come back; 0 for no such word.
 	RetryAfter time.Duration
+	// CameBack is set when the caller was refused before, as far as can be told.
+	CameBack bool
 }
 
 // Deliver has the shell pass on the failure that an upstream answered with.
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -129,7 +129,8 @@
 	}
 	best := h.drawn[0]
 	for _, c := range h.drawn[1:h.n] {
-		if c.cost(now, r) < best.cost(now, r) {
+		cost, least := c.cost(now, r), best.cost(now, r)
+		if cost < least || cost == least && c.tie < best.tie {
 			best = c
 		}
 	}
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -99,7 +99,7 @@
 	s.load(r.at).reading += r.prompt
 	r.reading = true
 	e := Send{
-		ID: r.id, Number: r.sends, Upstream: u, Priority: r.route.Priority, By: r.by, Resume: r.partial,
+		ID: r.id, Number: r.sends, Upstream: u, Priority: r.route.Priority, By: r.by, Resume: r.partial, CameBack: r.back,
 	}
 	if s.requiredVersion(in.Now, r.model) > 0 {
 		// An engine compares for equality; one that holds a newer version than required is as good.
@@ -230,12 +230,12 @@
 		if c != code.DeadlinePassed {
 			c = code.RetriesExhausted
 		}
-		return []step.Effect{Refuse{ID: r.id, Code: c, Ran: code.Unknown, Why: why}}
+		return []step.Effect{Refuse{ID: r.id, Code: c, Ran: code.Unknown, Why: why, CameBack: r.back}}
 	}
 	if c != code.NoUpstream {
 		c = code.Overloaded
 	}
-	return refuse(r.id, c, why, s.retryAfter(in))
+	return []step.Effect{Refuse{ID: r.id, Code: c, Ran: code.NotRun, Why: why, RetryAfter: s.retryAfter(in), CameBack: r.back}}
 }
 
 // retryAfter spreads the callers' return, so that they don't come back together.
--- a/internal/core/forward/share_test.go
+++ b/internal/core/forward/share_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -95,3 +96,22 @@
 	}
 	require.True(t, r.state.Catalog.Upstreams[last.ID] != nil)
 }
+
+// TestAChoiceDependsOnItsInputsOnly gives many entries the same events: what one decides must not hang on the order in which it looks.
+func TestAChoiceDependsOnItsInputsOnly(t *testing.T) {
+	var first []string
+	for try := range 20 {
+		r := newRig()
+		for i := range 12 {
+			r.add(fmt.Sprintf("m%d", i), "model", "perth-a", 4)
+		}
+		var chosen []string
+		for id := uint64(1); id <= 12; id++ {
+			chosen = append(chosen, only[forward.Send](t, r.arrive(id, reports)).Upstream.ID)
+		}
+		if try == 0 {
+			first = chosen
+		}
+		require.Equal(t, first, chosen)
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -145,7 +145,7 @@
 	x.w.WriteHeader(entry.Status)
 	_, _ = x.w.Write(body) // A caller that left is noticed by its connection.
 	logevent.Warn(x.gateway.log, logevent.RequestRefused).Str("request", x.call.ID).Int("code", int(e.Code)).Str("ran", string(e.Ran)).
-		Str("why", e.Why).Dur("retry_after_ms", e.RetryAfter).Dur("held_ms", time.Since(x.arrived)).Msg("request refused")
+		Str("why", e.Why).Bool("came_back", e.CameBack).Dur("limit_ms", x.call.Budget).Dur("retry_after_ms", e.RetryAfter).Dur("held_ms", time.Since(x.arrived)).Msg("request refused")
 	x.count(strconv.Itoa(int(e.Code)))
 	x.gateway.metrics.Refusals.Add(1, strconv.Itoa(int(e.Code)), string(e.Ran))
 }
@@ -182,11 +182,19 @@
 // ended logs and counts the end of a request; why may be empty.
 func (x *exchange) ended(how, why string) {
 	logevent.Info(x.gateway.log, logevent.RequestEnded).Str("request", x.call.ID).Str("route", x.routeName()).Str("outcome", how).
-		Str("why", why).Dur("first_ms", x.firstAfter()).Dur("took_ms", time.Since(x.arrived)).Msg("request ended")
+		Str("why", why).Dur("objective_ms", x.objective()).Dur("first_ms", x.firstAfter()).Dur("took_ms", time.Since(x.arrived)).Msg("request ended")
 	x.count(how)
 	x.gateway.metrics.Total.Observe(time.Since(x.arrived), x.routeName(), "")
 }
 
+// objective is the latency objective of the request's route; 0 when none was found.
+func (x *exchange) objective() time.Duration {
+	if x.terms.Route == nil {
+		return 0
+	}
+	return x.terms.Route.Objective
+}
+
 // firstAfter is how long the caller waited for the first byte of an upstream's answer; 0 when none came.
 func (x *exchange) firstAfter() time.Duration {
 	if !x.begun {
--- a/internal/story/read.go
+++ b/internal/story/read.go
@@ -44,6 +44,12 @@
 	Ran      string `json:"ran"`
 	Why      string `json:"why"`
 	Error    string `json:"error"`
+	// CameBack is set when the caller was refused before.
+	CameBack bool `json:"came_back"`
+	// ObjectiveMS, FirstMS and WaitedMS are a request's latency objective, the time to its first byte and its wait for room.
+	ObjectiveMS float64 `json:"objective_ms"`
+	FirstMS     float64 `json:"first_ms"`
+	WaitedMS    float64 `json:"waited_ms"`
 	// Kind is a kind of object in the store.
 	Kind string `json:"kind"`
 	// Raw is the line as it was written.
