--- a/internal/core/forward/reading_test.go
+++ b/internal/core/forward/reading_test.go
@@ -83,3 +83,20 @@
 		require.Equal(t, c.sent, len(sends(r.prompt(1, 100))) == 1, "%+v", c)
 	}
 }
+
+// TestEntriesShareWhatAnEngineReads is the moment at which an engine takes work again before several entries, in each of which some wait.
+func TestEntriesShareWhatAnEngineReads(t *testing.T) {
+	for _, c := range []struct {
+		dataCentre string
+		near, sent int
+	}{{"perth-a", 1, 5}, {"perth-a", 2, 2}, {"perth-a", 5, 1}, {"bunbury-a", 1, 1}} {
+		r := newRig()
+		r.add("m1", "model", c.dataCentre, 100)
+		r.step(forward.LoadTold{Address: "m1", Versions: map[string]int64{"m": 1}, Entries: 6, Near: c.near})
+		sent := 0
+		for id := uint64(1); id <= 10; id++ {
+			sent += len(sends(r.prompt(id, 500)))
+		}
+		require.Equal(t, c.sent, sent, "%+v", c)
+	}
+}
--- a/internal/core/forward/room.go
+++ b/internal/core/forward/room.go
@@ -5,7 +5,7 @@
 const (
 	// plainFactor is how many requests for each slot an entry gives a plain upstream, which queues a few more.
 	plainFactor = 2
-	// readAhead is how much reading of prompts an entry gives an engine at once. An engine reads prompts one after the other, so that
+	// readAhead is how much reading of prompts entries give an engine at once. An engine reads prompts one after the other, so that
 	// whoever comes behind this waits about as long on top of the usual time to the first event, a third of the users' objectives.
 	// Without the bound 62.5 of 100 requests were answered in time at one and a half times the engines' capacity, with it 68.0 (means of
 	// six days); 60 ms did as well there.
@@ -44,12 +44,19 @@
 	return r.sends == 0 && reading > 0 && float64(reading+r.prompt) > t.readBound()
 }
 
-// readBound is how many tokens of prompts an entry has an engine read at once.
+// readBound is how many tokens of prompts an entry has an engine read at once: its part of what entries give it together. The more entries
+// there are, the more engines each has to choose from, so that prompts spread and none waits. With 14 entries, each of which gave the
+// whole, 76.6 of 100 requests of a day of power loss and versions were answered in time, with it 78.3 (one run each).
 func (t *target) readBound() float64 {
+	rate := usualReadRate
 	if t.engine != nil && t.engine.ReadRate > 0 {
-		return t.engine.ReadRate * readAhead.Seconds()
+		rate = t.engine.ReadRate
 	}
-	return usualReadRate * readAhead.Seconds()
+	readers := t.load.told.Near
+	if t.distance > 0 {
+		readers = t.load.told.Entries
+	}
+	return rate * readAhead.Seconds() / float64(max(1, readers))
 }
 
 // limit is how many requests the upstream may have.
