Sight: on which version a request began, how long it waited at its engine, and which began too late

Change: the head of an engine's answer is read for its version (platform), the reducer compares it with the versions' times when the first event comes and reports what began too late (4009, samphireweir_begun_late_total); 4008 has the version; the wait at upstreams is a histogram at entries too. Nothing that is decided changes.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -417,6 +417,17 @@
 	return required
 }
 
+// Successor is the naming that ends the time of a version: of those of newer versions, the one that was known first. ok is false when
+// no newer version was named.
+func (s *State) Successor(model string, version int64) (first Naming, ok bool) {
+	for _, n := range s.history[model] {
+		if n.Version > version && (!ok || n.Since.Before(first.Since)) {
+			first, ok = n, true
+		}
+	}
+	return first, ok
+}
+
 // At returns the upstream at an address that started at born, or the one that registered last there; nil for none.
 func (s *State) At(address string, born int64) *Upstream {
 	var last *Upstream
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -74,7 +74,11 @@
 }
 
 // Began says that the first event of an answer came: the prompt has been read.
-type Began struct{ ID uint64 }
+type Began struct {
+	ID uint64
+	// Version is the version of the weights on which the upstream began; 0 when it does not say.
+	Version int64
+}
 
 // SendEnded says how a send ended.
 type SendEnded struct {
@@ -217,6 +221,8 @@
 	back bool
 	// at is the upstream that works on it; zero while none does.
 	at catalog.Life
+	// sentAt is when it was sent there.
+	sentAt time.Time
 	// prompt is the length of the prompt in tokens, and reading is set while the upstream has not answered yet.
 	prompt  int
 	reading bool
@@ -271,7 +277,7 @@
 	case Arrived:
 		return s.arrived(in, ev)
 	case Began:
-		s.began(ev.ID)
+		return s.hasBegun(in, ev)
 	case SendEnded:
 		return s.sendEnded(in, ev)
 	case TimedOut:
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -159,14 +159,6 @@
 	return z ^ (z >> 31)
 }
 
-// requiredVersion is the version that a request for a model must begin on from now on; 0 for any.
-func (s *State) requiredVersion(now time.Time, model string) int64 {
-	if s.Self.VersionTime <= 0 {
-		return 0
-	}
-	return s.Catalog.RequiredVersion(model, now, s.Self.VersionTime-catalog.VersionMargin)
-}
-
 // census says in words why no upstream was found.
 func (s *State) census(now time.Time, r *request) string {
 	var registered, draining, avoided, loading, empty, fullOnes int
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -92,7 +92,7 @@
 
 func (s *State) send(in step.Input, r *request, u *catalog.Upstream) []step.Effect {
 	r.sends++
-	r.at = u.Life()
+	r.at, r.sentAt = u.Life(), in.Now
 	r.tried[r.at] = true
 	s.load(r.at).inFlight++
 	s.load(r.at).allowance--
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -37,6 +37,8 @@
 	// begun is set once the head of an answer was passed on, at beganAt.
 	begun   bool
 	beganAt time.Time
+	// version is the version of the weights on which the last send began; 0 when it did not begin or its upstream does not say.
+	version int64
 	// lastEvent is the id of the last event that was passed on.
 	lastEvent string
 	// failure is the upstream's own failure, kept in case it is to be passed on.
@@ -164,7 +166,6 @@
 		return
 	}
 	x.begun, x.beganAt = true, time.Now()
-	x.gateway.step(forward.Began{ID: x.id})
 	out := x.w.Header()
 	for name, values := range header {
 		out[name] = values
@@ -182,7 +183,7 @@
 // ended logs and counts the end of a request; why may be empty.
 func (x *exchange) ended(how, why string) {
 	logevent.Info(x.gateway.log, logevent.RequestEnded).Str("request", x.call.ID).Str("route", x.routeName()).Str("outcome", how).
-		Str("why", why).Dur("objective_ms", x.objective()).Dur("first_ms", x.firstAfter()).Dur("took_ms", time.Since(x.arrived)).Msg("request ended")
+		Str("why", why).Dur("objective_ms", x.objective()).Dur("first_ms", x.firstAfter()).Int64("version", x.version).Dur("took_ms", time.Since(x.arrived)).Msg("request ended")
 	x.count(how)
 	x.gateway.metrics.Total.Observe(time.Since(x.arrived), x.routeName(), "")
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,6 +130,8 @@
 		logevent.Warn(g.log, logevent.RequestSuspect).Uint64("fingerprint", e.Fingerprint).Msg("request suspect")
 		g.suspects.Add(time.Now(), e.Fingerprint)
 		go g.greetAll()
+	case forward.BegunLate:
+		g.begunLate(e)
 	case forward.Admitted:
 		g.hand(e.ID, e)
 	case forward.Send:
@@ -143,6 +145,14 @@
 	}
 }
 
+func (g *Gateway) begunLate(e forward.BegunLate) {
+	g.metrics.BegunLate.Add(1)
+	if x := g.exchanges[e.ID]; x != nil {
+		logevent.Warn(g.log, logevent.BegunLate).Str("request", x.call.ID).Str("upstream", e.Upstream).Int64("version", e.Version).
+			Int64("successor", e.Successor).Int64("insisted", e.Insisted).Dur("late_ms", e.Late).Dur("waited_ms", e.Waited).Msg("begun late")
+	}
+}
+
 func (g *Gateway) hand(id uint64, e step.Effect) {
 	if x := g.exchanges[id]; x != nil {
 		x.effects <- e
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -31,6 +31,10 @@
 	connected atomic.Bool
 	cancel    context.CancelCauseFunc
 	patience  *time.Timer
+	// made is when it was made, and version the one on which the upstream says it began; see begin.
+	made    time.Time
+	version int64
+	begun   bool
 }
 
 // send makes one send and tells the reducer how it ended. It reports whether the request ended with it.
@@ -43,7 +47,7 @@
 		Int64("version", e.Version).Bool("came_back", e.CameBack).Dur("waited_ms", time.Since(x.arrived)).Msg("request sent")
 	x.gateway.metrics.Attempts.Add(1, x.routeName(), "", strconv.Itoa(e.Number))
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	a := &attempt{x: x, send: e, cancel: cancel}
+	a := &attempt{x: x, send: e, cancel: cancel, made: time.Now()}
 	defer cancel(nil)
 	outcome, err := a.make(ctx)
 	if outcome != forward.Answered && x.ctx.Err() != nil {
@@ -77,6 +81,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	reading := platform.ReadHead(resp, a.x.call.ID)
+	a.version = reading.Version
 	switch {
 	case reading.Outcome == forward.ServerFailed:
 		return a.keepFailure(ctx, resp, reading)
@@ -104,6 +109,17 @@
 	return forward.Broken
 }
 
+// begin notes, once, that the upstream began: a request begins with the first event of its answer, not with the head.
+func (a *attempt) begin() {
+	if a.begun {
+		return
+	}
+	a.begun = true
+	a.x.version = a.version
+	a.x.gateway.metrics.UpstreamFirstByte.Observe(time.Since(a.made), a.x.routeName(), "", "")
+	a.x.gateway.step(forward.Began{ID: a.x.id, Version: a.version})
+}
+
 func (a *attempt) startPatience() {
 	if a.send.Patience > 0 {
 		a.patience = time.AfterFunc(a.send.Patience, func() { a.cancel(errSilent) })
@@ -145,6 +161,7 @@
 		return errors.Wrap(err, "read the upstream's answer")
 	}
 	a.stopPatience()
+	a.begin()
 	if a.x.r.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
@@ -166,6 +183,7 @@
 			return errors.Wrap(err, "read the stream")
 		}
 		a.progress()
+		a.begin()
 		if err := a.x.follows(e); err != nil {
 			return err
 		}
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -48,6 +48,7 @@
 	RequestSuspect      ID = 4006
 	RequestSent         ID = 4007
 	RequestEnded        ID = 4008
+	BegunLate           ID = 4009
 )
 
 // Entry describes an event for the catalogue.
@@ -100,6 +101,7 @@
 	{RequestSuspect, "request suspect", "A request was in flight when an upstream died and is now a suspect."},
 	{RequestSent, "request sent", "A request was sent to an upstream; sends counts the sends, and resume says that an answer goes on."},
 	{RequestEnded, "request ended", "A request ended with an upstream's answer, or because its caller left."},
+	{BegunLate, "begun late", "An upstream began a request on a version of weights whose time was over: late_ms says by how much, waited_ms how long it had been there."},
 }
 
 // Debug starts a debug line for event id.
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -44,7 +44,9 @@
 	upstreamCallsDefinition = Definition{"samphireweir_upstream_calls_total", CounterKind, []string{"team", "service", "upstream", "cause"},
 		"Calls of this agent to its upstreams: the answer's class of status, or error when none came."}
 	upstreamFirstByteDefinition = Definition{"samphireweir_upstream_first_byte_seconds", HistogramKind, []string{"team", "service", "upstream"},
-		"Time from a call of this agent to the head of the upstream's answer."}
+		"Time from a call to an upstream to the beginning of its answer, at the process that calls it: the first event of a stream."}
+	begunLateDefinition = Definition{"samphireweir_begun_late_total", CounterKind, nil,
+		"Requests that an upstream began on a version of weights whose time was over."}
 	runsRefusedDefinition = Definition{"samphireweir_runs_refused_total", CounterKind, []string{"cause"},
 		"Runs that this agent refused to start, by the result code of the cause."}
 	recordsDefinition = Definition{"samphireweir_records_total", CounterKind, []string{"way"},
@@ -77,7 +79,7 @@
 // Catalogue lists every metric in the order of the page.
 var Catalogue = []Definition{
 	requestsDefinition, refusalsDefinition, inFlightDefinition, firstByteDefinition, totalDefinition,
-	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, runsRefusedDefinition,
+	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, begunLateDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, settingsDefinition,
 	panicsDefinition, goroutinesDefinition, memoryDefinition,
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -17,7 +17,7 @@
 	Attempts, AttemptsFailed                  Counter
 	UpstreamCalls                             Counter
 	UpstreamFirstByte                         Histogram
-	RunsRefused                               Counter
+	BegunLate, RunsRefused                    Counter
 	Records, RecordBytes                      Counter
 	ControlCalls, ControlBytes, PlatformCalls Counter
 	Chunks, ChunkBytes, ChunksRefused         Counter
@@ -38,6 +38,7 @@
 	m.AttemptsFailed = m.counter(attemptsFailedDefinition)
 	m.UpstreamCalls = m.counter(upstreamCallsDefinition)
 	m.UpstreamFirstByte = m.histogram(upstreamFirstByteDefinition)
+	m.BegunLate = m.counter(begunLateDefinition)
 	m.RunsRefused = m.counter(runsRefusedDefinition)
 	m.Records = m.counter(recordsDefinition)
 	m.RecordBytes = m.counter(recordBytesDefinition)
