--- /dev/null
+++ b/internal/gateway/begin_test.go
@@ -0,0 +1,70 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/platform/standin"
+)
+
+// TestNoRequestBeginsOnAVersionWhoseTimeIsOver tells an incident.
+//
+// Seen: two streams began on version 1 of the weights 134 and 173 ms after the time was over in which they might, counted from the
+// confirmation of version 2.
+//
+// How: the origin of the weights was away, so that every engine held version 1 to the end of its time, and all were full. Both requests
+// had been sent a moment before entries begin to insist on version 2, and then waited 1.45 and 1.61 s in their engines' queues. One
+// was at its second engine, where no bound on the wait for a first event applies.
+//
+// Cause: an entry compared versions when it sent a request. The engine begins it with the first event of the answer, and nothing
+// bounded the time between the two: it was taken to be under 1.3 s.
+//
+// Proof: both had reached their engines within 9.0 s of the naming, before entries insist, and none that was sent later began too late:
+// the entries had heard of the version in time and kept to it. Here an engine holds a request in its queue until the time is over.
+func TestNoRequestBeginsOnAVersionWhoseTimeIsOver(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		// path is the route's: a stream that may be sent again, or one that runs once.
+		path string
+		// faults come before the engine that holds the request.
+		faults []standin.Fault
+		status int
+	}{
+		"a stream that runs once":                 {"/single/1", nil, http.StatusBadGateway},
+		"a stream that is sent for the last time": {"/stream/1", []standin.Fault{standin.Lose}, http.StatusBadGateway},
+		"a stream that may be sent once more":     {"/stream/1", nil, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fleet := standin.NewFleet(t)
+			fleet.AddStream("/single/", false)
+			if len(c.faults) > 0 {
+				fleet.AddEngine("i-0", standin.NextIP(), 1)
+			}
+			old := fleet.AddEngine("i-1", standin.NextIP(), 1)
+			host := fleet.Host(standin.NextIP(), false)
+			host.VersionTime = 2 * time.Second
+			e := startHost(t, fleet, host)
+			fleet.Faults.Next(c.faults...)
+			release := old.Hold()
+			ended := make(chan standin.Reply, 1)
+			go func() { ended <- e.Post(c.path) }()
+			require.Eventually(t, func() bool { return old.Queued() == 1 }, patience, pollInterval)
+			next := fleet.AddEngine("i-2", standin.NextIP(), 2)
+			fleet.Name(2)
+			time.Sleep(host.VersionTime)
+			release()
+			r := <-ended
+			require.Zero(t, old.Runs(r.ID), "it began on version 1 after the time of version 1")
+			require.Equal(t, c.status, r.Status, r.Body)
+			if c.status == http.StatusOK {
+				require.Equal(t, 1, next.Runs(r.ID), "the engine with version 2 answers")
+				return
+			}
+			require.Contains(t, r.Body, `"ran":"unknown"`, "it was with an engine")
+		})
+	}
+}
