A version's time outlasts the processes that knew it

The store has the newest version only and does not say since when; only the newest was passed on; an agent's turns did not hear when it proved to be older, and forgot the namings that were overtaken. Change: entries and agents tell all namings of which one may still be required. What is found in the first list after a start counts as due Settle (contactMs) after it until somebody tells, is told as assumed, and gives way to a known age. A naming that is new or of another age reaches the turns (NamingChanged), which remember all namings. Versions have a file of their own in package catalog. Weighed: an age of 0 as before; due at once, which refuses everybody until the pieces are there; writing the age to the store, one more object to read at every start, which nobody may have had the time to write. Its harness was fitted to the shells' new words: it tells what Told gives, takes NamingChanged, and sets the hosts' Settle.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"sort"
-	"strconv"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/step"
@@ -18,11 +17,6 @@
 	outageAfter = 1500 * time.Millisecond
 )
 
-// VersionMargin is how long before a new version must be in use entries insist on it: a request begins with its first token, which
-// comes within a second of its send at the usual load. At a full or slow engine it comes later; what has not begun when the time is
-// nearly over is taken back (package forward).
-const VersionMargin = 1300 * time.Millisecond
-
 // Upstream is one registered upstream of a service.
 type Upstream struct {
 	// ID names the upstream. One that starts again may have the id that it had: see Life.
@@ -51,15 +45,6 @@
 // Life returns the run that the entry is of.
 func (u *Upstream) Life() Life { return Life{ID: u.ID, Born: u.Born} }
 
-// Naming is a version of weights that the operator put in force.
-type Naming struct {
-	Model    string
-	Version  int64
-	Revision int64
-	// Since is when this process learned of it, at the earliest.
-	Since time.Time
-}
-
 // State is what is known of the outside.
 type State struct {
 	// Manifest is nil until one was read.
@@ -69,8 +54,11 @@
 	Changes uint64
 	// Versions are the versions in force, by model.
 	Versions map[string]Naming
-	// history are the namings of each model, the oldest first.
+	// history are the namings of each model, in the order in which they were heard.
 	history map[string][]Naming
+	// ListedAge is how old a version counts as that is in the store already when this process first reads it, as long as nobody tells its
+	// age: the store does not say when it was named, and everybody who knew may have ended with this process.
+	ListedAge time.Duration
 
 	// byAddress holds the ids of the upstreams that registered at an address: more than one when an entry is left over or false.
 	byAddress        map[string][]string
@@ -124,15 +112,6 @@
 	Revision int64
 }
 
-// VersionNamed says that a version of weights is in force, as the store has it.
-type VersionNamed struct {
-	Model    string
-	Version  int64
-	Revision int64
-	// Age is how long it has been in force at least, as another process told.
-	Age time.Duration
-}
-
 // TopicListed says that all objects of a topic were read.
 type TopicListed struct{ Topic Topic }
 
@@ -157,9 +136,6 @@
 // Event marks the type as an event.
 func (UpstreamUnreadable) Event() {}
 
-// Event marks the type as an event.
-func (VersionNamed) Event() {}
-
 // Event marks the type as an event.
 func (TopicListed) Event() {}
 
@@ -367,68 +343,6 @@
 	return effects
 }
 
-func (s *State) versionNamed(now time.Time, ev VersionNamed) []step.Effect {
-	named := Naming{Model: ev.Model, Version: ev.Version, Revision: ev.Revision, Since: now.Add(-ev.Age)}
-	s.remember(named)
-	known, ok := s.Versions[ev.Model]
-	if ok && ev.Version < known.Version {
-		return nil
-	}
-	if ok && ev.Version == known.Version {
-		if named.Since.Before(known.Since) {
-			known.Since = named.Since
-			s.Versions[ev.Model] = known
-		}
-		return nil
-	}
-	s.Versions[ev.Model] = named
-	return []step.Effect{Change{Topic: VersionTopic, Name: ev.Model, Value: strconv.FormatInt(ev.Version, 10), Revision: ev.Revision}}
-}
-
-// maxHistory bounds the namings of a model that are remembered; only those of the last seconds matter.
-const maxHistory = 16
-
-// remember keeps a naming beside the earlier ones, with the earliest time at which it was known.
-func (s *State) remember(n Naming) {
-	list := s.history[n.Model]
-	for i := range list {
-		if list[i].Version == n.Version {
-			if n.Since.Before(list[i].Since) {
-				list[i].Since = n.Since
-			}
-			return
-		}
-	}
-	list = append(list, n)
-	s.history[n.Model] = list[max(0, len(list)-maxHistory):]
-}
-
-// Namings returns the remembered namings of a model.
-func (s *State) Namings(model string) []Naming { return s.history[model] }
-
-// RequiredVersion is the version on which requests for a model must begin at a moment, when each version must be in use within
-// a time after its naming: the newest that was named so long ago. 0 stands for any version.
-func (s *State) RequiredVersion(model string, now time.Time, within time.Duration) int64 {
-	required := int64(0)
-	for _, n := range s.history[model] {
-		if now.Sub(n.Since) >= within {
-			required = max(required, n.Version)
-		}
-	}
-	return required
-}
-
-// Successor is the naming that ends the time of a version: of those of newer versions, the one that was known first. ok is false when
-// no newer version was named.
-func (s *State) Successor(model string, version int64) (first Naming, ok bool) {
-	for _, n := range s.history[model] {
-		if n.Version > version && (!ok || n.Since.Before(first.Since)) {
-			first, ok = n, true
-		}
-	}
-	return first, ok
-}
-
 // At returns the upstream at an address that started at born, or the one that registered last there; nil for none.
 func (s *State) At(address string, born int64) *Upstream {
 	var last *Upstream
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -185,3 +185,52 @@
 	_, ok = s.Successor("m", 3)
 	require.False(t, ok)
 }
+
+// named is a word on version 2 that says how old it is.
+func named(age time.Duration, assumed bool) catalog.VersionNamed {
+	return catalog.VersionNamed{Model: "m", Version: 2, Revision: 9, Age: age, Assumed: assumed}
+}
+
+// TestAnAssumedAgeGivesWayToAKnownOne has a process find a version when it starts, and hear of its age by several ways.
+func TestAnAssumedAgeGivesWayToAKnownOne(t *testing.T) {
+	s := catalog.NewState()
+	s.ListedAge = 5 * time.Second
+	found := catalog.VersionNamed{Model: "m", Version: 2, Revision: 9, Listed: true}
+	age := func() time.Duration { return begin.Sub(s.Versions["m"].Since) }
+	only := s.Reduce(at(0, found))
+	require.Len(t, only, 2)
+	require.True(t, s.Versions["m"].Assumed)
+	require.Equal(t, 5*time.Second, age())
+	s.Reduce(at(0, catalog.TopicListed{Topic: catalog.VersionTopic}))
+
+	s.Reduce(at(0, named(6*time.Second, true)))
+	require.Equal(t, 6*time.Second, age(), "of two assumptions the older one")
+	require.True(t, s.Told(begin, time.Hour)[0].Assumed, "it is told as what it is")
+
+	effects := s.Reduce(at(0, named(2*time.Second, false)))
+	require.Len(t, effects, 1, "the turns of the engines must hear of it")
+	require.Equal(t, 2*time.Second, age(), "who heard it being named knows better")
+	s.Reduce(at(0, named(7*time.Second, true)))
+	require.Equal(t, 2*time.Second, age())
+	require.Empty(t, s.Reduce(at(0, named(2*time.Second+time.Millisecond, false))), "a datagram's way is no news")
+	s.Reduce(at(0, found))
+	require.False(t, s.Versions["m"].Assumed, "a later list says nothing new")
+}
+
+// TestWhatIsToldIsWhatMayStillBeRequired names three versions one after the other.
+func TestWhatIsToldIsWhatMayStillBeRequired(t *testing.T) {
+	s := catalog.NewState()
+	for version := int64(1); version <= 3; version++ {
+		s.Reduce(at(time.Duration(version)*time.Second, catalog.VersionNamed{Model: "m", Version: version, Revision: version}))
+	}
+	told := func(now time.Duration) []int64 {
+		var versions []int64
+		for _, n := range s.Told(begin.Add(now), 8*time.Second) {
+			versions = append(versions, n.Version)
+		}
+		return versions
+	}
+	require.Equal(t, []int64{3, 2, 1}, told(4*time.Second))
+	require.Equal(t, []int64{3, 2}, told(10500*time.Millisecond), "version 2 is due, and version 3 is not yet")
+	require.Equal(t, []int64{3}, told(11*time.Second))
+}
--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -204,8 +204,6 @@
 // version is one version of a model on its way to the engine.
 type version struct {
 	number int64
-	// since is when it was named, as far as known.
-	since  time.Time
 	digest string
 	phase  Phase
 	// next is when a manifest that could not be had is asked for again, and tries how often it was.
@@ -216,6 +214,9 @@
 // model is what is known of one model.
 type model struct {
 	name string
+	// named is when each version was named, as far as known, also those that the engine will leave out: their time ends that of the
+	// versions before them all the same.
+	named map[int64]time.Time
 	// versions are those that the engine may still need, the oldest first; see keep.
 	versions []*version
 	// phase is where the engine stands, and loading the version that it is about.
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -1,35 +1,42 @@
 package install
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
-// named takes in a version.
+// named takes in a version, or what is known better of the time at which it was named.
 func (s *State) named(in step.Input, ev Named) []step.Effect {
-	since := in.Now.Add(-ev.Age)
 	m := s.models[ev.Model]
 	if m == nil {
-		m = &model{name: ev.Model, phase: Idle}
+		m = &model{name: ev.Model, phase: Idle, named: map[int64]time.Time{}}
 		s.models[ev.Model] = m
 	}
-	if v := m.version(ev.Version); v != nil {
-		if since.Before(v.since) {
-			v.since = since
-		}
-		return nil
+	m.remember(ev.Version, in.Now.Add(-ev.Age))
+	var effects []step.Effect
+	if len(m.versions) == 0 || ev.Version > m.newest().number {
+		v := &version{number: ev.Version, phase: Resolving, next: in.Now.Add(resolveTimeout)}
+		m.versions = append(m.keep(m.named[ev.Version]), v)
+		effects = []step.Effect{Resolve{Model: m.name, Version: v.number}, Fetch{}, m.moved(v.number, Resolving, "named")}
 	}
-	if len(m.versions) > 0 && ev.Version < m.newest().number {
-		return nil
+	if m.phase == Waiting && m.best() != nil {
+		m.next = in.Now.Add(s.turn(in.Now, m, s.engine.Loaded[m.name]))
 	}
-	v := &version{number: ev.Version, since: since, phase: Resolving, next: in.Now.Add(resolveTimeout)}
-	m.versions = append(m.keep(since), v)
-	if held := s.engine.Loaded[m.name]; m.phase == Waiting && m.best() != nil {
-		m.next = in.Now.Add(s.turn(in.Now, m, held))
+	return effects
+}
+
+// maxNamed bounds the namings of a model that are remembered; only those of the last seconds matter.
+const maxNamed = 16
+
+func (m *model) remember(number int64, since time.Time) {
+	m.named[number] = since
+	if len(m.named) > maxNamed {
+		delete(m.named, slices.Min(slices.Collect(maps.Keys(m.named))))
 	}
-	return []step.Effect{Resolve{Model: m.name, Version: v.number}, Fetch{}, m.moved(v.number, Resolving, "named")}
 }
 
 // keep returns the versions that are still worth having when a newer one is named: those that are here whole, and the oldest that is
@@ -38,7 +45,7 @@
 	var list []*version
 	onItsWay := false
 	for _, v := range m.versions {
-		worth := v.phase == Fetching && !onItsWay && newer.Sub(v.since) >= leastUse
+		worth := v.phase == Fetching && !onItsWay && newer.Sub(m.named[v.number]) >= leastUse
 		if v.phase == Whole || worth {
 			list = append(list, v)
 			onItsWay = onItsWay || worth
@@ -305,14 +312,19 @@
 	return window * time.Duration(position) / time.Duration(n)
 }
 
-// usableUntil is until when entries send requests to an engine that holds a version: until the first newer one must be in use.
+// usableUntil is until when entries send requests to an engine that holds a version: until the first newer one must be in use. Zero stands
+// for no end.
 func (s *State) usableUntil(m *model, held int64) time.Time {
-	for _, v := range m.versions {
-		if v.number > held {
-			return v.since.Add(s.VersionTime - catalog.VersionMargin)
+	var first time.Time
+	for number, since := range m.named {
+		if number > held && (first.IsZero() || since.Before(first)) {
+			first = since
 		}
 	}
-	return time.Time{}
+	if first.IsZero() {
+		return first
+	}
+	return first.Add(s.VersionTime - catalog.VersionMargin)
 }
 
 // move puts the engine into a phase that goes on at next at the earliest.
--- a/internal/core/install/restart_test.go
+++ b/internal/core/install/restart_test.go
@@ -14,6 +14,7 @@
 	"samphireweir.example/samphireweir/internal/core/install"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/hostconfig"
+	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/storewatch"
 	"samphireweir.example/samphireweir/platform"
 )
@@ -95,6 +96,9 @@
 	fleetModel = "m"
 )
 
+// host has the settings of the fleet's hosts.
+var host = hostconfig.Host{VersionTime: versionTime, Settle: 3 * time.Second}
+
 func newFleet(entries, agents int) *fleet {
 	f := &fleet{version: 1}
 	for i := range agents {
@@ -111,6 +115,7 @@
 func (f *fleet) restart(survivors int) {
 	for i := range f.entries {
 		c := catalog.NewState()
+		c.ListedAge = host.ListedAge()
 		f.entries[i] = forward.NewState(forward.Self{
 			Name: fmt.Sprintf("entry-%d", i), DataCentre: "perth-a", Region: "perth", Regions: map[string]string{"perth-a": "perth"},
 			Retries: hostconfig.Retries{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, VersionTime: versionTime,
@@ -122,6 +127,7 @@
 	}
 	for _, a := range f.agents[survivors:] {
 		a.catalog, a.install = catalog.NewState(), install.NewState(a.host, versionTime)
+		a.catalog.ListedAge = host.ListedAge()
 		f.step(a, install.PeersChanged{Peers: f.hosts()})
 		f.step(a, a.engine)
 		for _, ev := range f.lists() {
@@ -244,10 +250,9 @@
 
 func (f *fleet) told(c *catalog.State) []step.Event {
 	var events []step.Event
-	for _, v := range c.Versions {
-		events = append(events, catalog.VersionNamed{
-			Model: v.Model, Version: v.Version, Revision: v.Revision, Age: begin.Add(f.now).Sub(v.Since),
-		})
+	now := begin.Add(f.now)
+	for _, n := range loadreport.Namings(now, c.Told(now, versionTime)) {
+		events = append(events, n.Event())
 	}
 	return events
 }
@@ -286,10 +291,9 @@
 	effects = append(effects, a.install.Reduce(in)...)
 	for _, effect := range effects {
 		switch effect := effect.(type) {
-		case catalog.Change:
-			if v := a.catalog.Versions[effect.Name]; effect.Topic == catalog.VersionTopic {
-				f.step(a, install.Named{Model: v.Model, Version: v.Version, Age: in.Now.Sub(v.Since)})
-			}
+		case catalog.NamingChanged:
+			n := effect.Naming
+			f.step(a, install.Named{Model: n.Model, Version: n.Version, Age: in.Now.Sub(n.Since)})
 		case install.Prepare:
 			f.step(a, install.Prepared{Model: effect.Model, Version: effect.Version, OK: true, Checked: in.Now})
 		case install.Order:
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"samphireweir.example/samphireweir/internal/control"
-	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/logevent"
@@ -39,11 +38,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := loadreport.Message{DataCentre: g.host.DataCentre, Suspects: g.suspects.Recent(now)}
-	for _, v := range g.catalog.Versions {
-		m.Named = append(m.Named, loadreport.Naming{
-			Model: v.Model, Version: v.Version, Revision: v.Revision, AgeMS: now.Sub(v.Since).Milliseconds(),
-		})
-	}
+	m.Named = loadreport.Namings(now, g.catalog.Told(now, g.host.VersionTime))
 	var agents []netip.AddrPort
 	for _, u := range g.forward.Greet() {
 		if a, err := netip.ParseAddrPort(u.Address); err == nil {
@@ -58,9 +53,7 @@
 	g.neighbours.Heard(from, m)
 	g.neighbours.Answer(g.socket, from, m)
 	for _, n := range m.Named {
-		g.step(catalog.VersionNamed{
-			Model: n.Model, Version: n.Version, Revision: n.Revision, Age: time.Duration(n.AgeMS) * time.Millisecond,
-		})
+		g.step(n.Event())
 	}
 	for _, fingerprint := range m.Suspects {
 		g.step(forward.Quarantined{Fingerprint: fingerprint})
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -95,6 +95,7 @@
 		install: install.NewState(self, host.VersionTime),
 		reports: newReports(),
 	}
+	a.catalog.ListedAge = host.ListedAge()
 	a.origin = platform.NewOrigin(origin, a.originPlace)
 	a.fetcher = &transfer.Fetcher{
 		Memory: transfer.NewMemory(host.Memory / chunkMemoryShare), Sources: []transfer.Source{a.origin},
@@ -164,6 +165,8 @@
 	switch e := e.(type) {
 	case catalog.Change:
 		a.changed(e)
+	case catalog.NamingChanged:
+		a.reduce(install.Named{Model: e.Naming.Model, Version: e.Naming.Version, Age: in.Now.Sub(e.Naming.Since)})
 	case install.Moved:
 		logevent.Info(a.log, logevent.InstallMoved).Str("model", e.Model).Int64("version", e.Version).Str("phase", string(e.Phase)).
 			Str("why", e.Why).Msg("install moved")
@@ -192,10 +195,6 @@
 	}
 	logevent.Info(a.log, logevent.BeliefChanged).Str("what", string(c.Topic)).Str("of", c.Name).Str("value", c.Value).
 		Int64("revision", c.Revision).Msg("belief changed")
-	if c.Topic == catalog.VersionTopic {
-		v := a.catalog.Versions[c.Name]
-		a.reduce(install.Named{Model: v.Model, Version: v.Version, Age: time.Since(v.Since)})
-	}
 }
 
 // setWants tells the weights reducer which versions this host wants, and who else does.
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/install"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/logevent"
@@ -52,7 +51,7 @@
 		return // It is a seed's answer.
 	}
 	for _, n := range m.Named {
-		a.Step(catalog.VersionNamed{Model: n.Model, Version: n.Version, Revision: n.Revision, Age: time.Duration(n.AgeMS) * time.Millisecond})
+		a.Step(n.Event())
 	}
 	a.reports.mu.Lock()
 	defer a.reports.mu.Unlock()
@@ -164,9 +163,5 @@
 	load := loadreport.Load{
 		Address: a.host.Engine, Born: a.install.Born(), Occupied: a.install.Occupied(), Closing: a.install.Closing(), Versions: a.install.Loaded(),
 	}
-	var named []loadreport.Naming
-	for _, v := range a.catalog.Versions {
-		named = append(named, loadreport.Naming{Model: v.Model, Version: v.Version, Revision: v.Revision, AgeMS: now.Sub(v.Since).Milliseconds()})
-	}
-	return load, named
+	return load, loadreport.Namings(now, a.catalog.Told(now, a.host.VersionTime))
 }
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -31,7 +31,19 @@
 	Grace time.Duration
 	// VersionTime is how long after the naming of a version requests may still begin on an older one.
 	VersionTime time.Duration
-	Retries     Retries
+	// Settle is how long after its start or a disturbance a host may take to know what is in force; 0 when the platform does not say.
+	Settle  time.Duration
+	Retries Retries
+}
+
+// ListedAge is how old a version of weights counts as that a process finds in the store when it starts: so old that it is due when the
+// host must know what is in force. A version that was named long ago is thus required in time whoever is left to tell its age; one that
+// was named a moment before is required up to VersionTime - Settle too early, until somebody tells.
+func (h Host) ListedAge() time.Duration {
+	if h.Settle <= 0 {
+		return 0
+	}
+	return max(0, h.VersionTime-h.Settle)
 }
 
 // Retries bounds the repeats that all entries together may send to a service: Ratio of the requests in a Window, and
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/logevent"
 )
 
@@ -24,8 +25,25 @@
 	Model    string `json:"m"`
 	Version  int64  `json:"v"`
 	Revision int64  `json:"r"`
-	// AgeMS is how long its sender has known of it, in milliseconds.
-	AgeMS int64 `json:"a"`
+	// AgeMS is how long its sender has known of it, in milliseconds, and Assumed is set when the sender only assumes so.
+	AgeMS   int64 `json:"a"`
+	Assumed bool  `json:"u,omitempty"`
+}
+
+// Namings returns what a process tells of the namings that it knows.
+func Namings(now time.Time, list []catalog.Naming) []Naming {
+	var told []Naming
+	for _, n := range list {
+		told = append(told, Naming{Model: n.Model, Version: n.Version, Revision: n.Revision, AgeMS: now.Sub(n.Since).Milliseconds(), Assumed: n.Assumed})
+	}
+	return told
+}
+
+// Event returns what the sender's word says.
+func (n Naming) Event() catalog.VersionNamed {
+	return catalog.VersionNamed{
+		Model: n.Model, Version: n.Version, Revision: n.Revision, Age: time.Duration(n.AgeMS) * time.Millisecond, Assumed: n.Assumed,
+	}
 }
 
 // Load is what an agent says of its engine.
--- a/internal/storewatch/beliefs.go
+++ b/internal/storewatch/beliefs.go
@@ -34,7 +34,7 @@
 		f.Listed, f.Changed = b.upstreamsListed, b.upstreamsChanged
 	case platform.VersionKind:
 		f.Wait = longWait
-		f.Listed, f.Changed = b.versionsListed, b.versions
+		f.Listed, f.Changed = b.versionsListed, b.versionsChanged
 	}
 	return f
 }
@@ -89,11 +89,13 @@
 }
 
 func (b Beliefs) versionsListed(_ int64, objects []platform.Object) {
-	b.versions(objects)
+	b.versions(objects, true)
 	b.Step(catalog.TopicListed{Topic: catalog.VersionTopic})
 }
 
-func (b Beliefs) versions(objects []platform.Object) {
+func (b Beliefs) versionsChanged(objects []platform.Object) { b.versions(objects, false) }
+
+func (b Beliefs) versions(objects []platform.Object, listed bool) {
 	for _, o := range objects {
 		if o.Deleted {
 			continue
@@ -103,6 +105,7 @@
 			b.bad(o, err)
 			continue
 		}
+		v.Listed = listed
 		b.Step(v)
 	}
 }
