A conviction wins over the marks of copies that were already on their way

Cause: TestCrashingRequestSentThroughEntriesAtOnce loses 5 or 6 engines, bound 4. A mark's version was (episode, rank), and an agent that has not heard of a crash begins an episode of its own, numbered by its clock. When the last of the copies sent at once crashed its engine a millisecond or more after the first crash, its suspect mark had a higher number than the conviction, which kept the number of the episode that it ended: the mark took the quarantine back at every entry and at the agent that had convicted, and the next copy ran alone once more. From a trace of a failing run (marks as {episode rank}, 1 suspect, 3 quarantined; the last digits of the episode): .178 host-6 crashes, {178 1}; .184 host-8 crashes under a copy without a mark, {184 1} .187 host-4 crashes under the copy alone, convicts: {184 3}; .187615 to .187822 all three entries hold {184 3} .188 host-1, whose engine was the first to go, finds that out and publishes {188 1}; .188679 to .188904 all three entries hold {188 1} .189 entry-1 sends alone to host-4 and host-8 (both refuse, their engines are gone), then host-5: the fifth engine

Change: a conviction is numbered by the time at which the quarantine ends (never below its episode), so it wins over every episode that begins while it holds, in whichever order marks arrive. After it, a first crash begins anew as before. Weighed: a record of its own for the conviction (two records to carry, read and forget); ranks before episodes (no suspect could follow an old clearing); keeping what was heard against newer marks (processes would differ by the order of arrival); one copy at a time by a claim (a write for each request in doubt). Clocks that differ by 30 minutes void the number, and the quarantine with it, which ends by each process's own clock.

--- a/internal/core/suspect/suspect.go
+++ b/internal/core/suspect/suspect.go
@@ -5,7 +5,8 @@
 // Marks are records: they travel with the settings and merge by the higher version. The version is an episode and
 // a rank in it, so no clock decides which mark of an episode wins: suspect < cleared < quarantined < forgotten. An
 // episode's number is above the one before, and at least the time of its first crash, so that it is also above an
-// episode that this process has forgotten.
+// episode that this process has forgotten. Agents that have not heard of one another's crashes begin an episode each;
+// a conviction wins over all of these, since its number is at least the time at which the quarantine ends.
 package suspect
 
 import (
@@ -123,14 +124,21 @@
 		if !alone {
 			return record.Record{}, false
 		}
-		version := record.Version{Major: s.marks[fingerprint].version.Major, Minor: rankQuarantined}
-		return newRecord(fingerprint, version, now.Add(QuarantineFor)), true
+		return s.convicted(now, fingerprint), true
 	}
 	episode := max(s.marks[fingerprint].version.Major+1, uint64(now.UnixMilli()))
 	version := record.Version{Major: episode, Minor: rankSuspect}
 	return newRecord(fingerprint, version, now.Add(SuspectFor)), true
 }
 
+// convicted returns the mark of a quarantine. Copies that ran before the suspect was heard of may crash upstreams after
+// the conviction, and their agents begin later episodes; numbered by its end, the quarantine stands against them.
+func (s *State) convicted(now time.Time, fingerprint string) record.Record {
+	until := now.Add(QuarantineFor)
+	number := max(s.marks[fingerprint].version.Major, uint64(until.UnixMilli()))
+	return newRecord(fingerprint, record.Version{Major: number, Minor: rankQuarantined}, until)
+}
+
 // Expired returns the deletions to publish of marks that expired ForgetAfter ago: without them each fingerprint
 // that ever crashed an upstream would stay in every process.
 func (s *State) Expired(now time.Time) []record.Record {
--- a/internal/core/suspect/suspect_test.go
+++ b/internal/core/suspect/suspect_test.go
@@ -63,6 +63,37 @@
 	assert.True(t, cleared.Version.Less(convicted.Version))
 }
 
+// TestConvictionWinsOverLaterFirstCrashes: an agent that has not heard of the suspect loses its upstream to a copy after
+// another agent convicted the request. Its mark does not take the quarantine back, in whichever order the two arrive; once the
+// quarantine has ended, a first crash begins anew.
+func TestConvictionWinsOverLaterFirstCrashes(t *testing.T) {
+	s := NewState()
+	crash(t, s, false)
+	conviction := crash(t, s, true)
+	for _, later := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond, time.Minute, QuarantineFor - time.Millisecond} {
+		first, ok := NewState().Crashed(now.Add(later), f, false)
+		require.True(t, ok)
+		assert.True(t, first.Version.Less(conviction.Version), "first crash heard of after %v", later)
+	}
+	anew, ok := s.Crashed(now.Add(QuarantineFor), f, false)
+	require.True(t, ok)
+	assert.True(t, conviction.Version.Less(anew.Version))
+	unheard, ok := NewState().Crashed(now.Add(QuarantineFor+time.Millisecond), f, false)
+	require.True(t, ok)
+	assert.True(t, conviction.Version.Less(unheard.Version), "nor does an old conviction hide a new suspect")
+}
+
+// TestConvictionOfAnEpisodeOfAFastClock: the number of a conviction is never below that of the episode that it ends.
+func TestConvictionOfAnEpisodeOfAFastClock(t *testing.T) {
+	s := NewState()
+	first, ok := s.Crashed(now.Add(2*QuarantineFor), f, false)
+	require.True(t, ok)
+	s.Changed([]record.Record{first})
+	conviction := crash(t, s, true)
+	assert.True(t, first.Version.Less(conviction.Version))
+	assert.Equal(t, Quarantined, s.Look(now, f))
+}
+
 func TestQuarantineIsNotConvictedAgain(t *testing.T) {
 	s := NewState()
 	crash(t, s, true)
