No send outlasts its caller's wait for an event

Cause: a send after which no other upstream may be asked had no bound on the wait for its first event but the request's own time. With all engine hosts frozen callers left after 2.4 s without a word, and engines began at the waking what nobody waited for. What is given up is answered at once.

--- a/internal/core/catalog/manifest.go
+++ b/internal/core/catalog/manifest.go
@@ -41,6 +41,9 @@
 	Timeout time.Duration
 	// Objective is the latency within which an answer counts in full.
 	Objective time.Duration
+	// CallerPatience is how long callers of a stream wait for its first event, and for each next one, before they leave; 0 when it is not
+	// known.
+	CallerPatience time.Duration
 	// MaxUpstreams is how many upstreams one request may be sent to.
 	MaxUpstreams int
 	// Priority is the rank of the route's requests; 0 goes first.
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -86,8 +86,9 @@
 type SendEnded struct {
 	ID      uint64
 	Outcome Outcome
-	// Partial is set when a part of the answer was passed on.
+	// Partial is set when a part of the answer was passed on, and Quiet is how long ago the last of it was.
 	Partial bool
+	Quiet   time.Duration
 }
 
 // TimedOut says that a request's time is over.
@@ -233,8 +234,9 @@
 	// sends counts all sends, runs those that may have run.
 	sends int
 	runs  int
-	// partial is set once a part of an answer was passed on.
+	// partial is set once a part of an answer was passed on, the last of it at heardAt; until then this is when the request arrived.
 	partial bool
+	heardAt time.Time
 	tried   map[catalog.Life]bool
 }
 
--- /dev/null
+++ b/internal/core/forward/patience_test.go
@@ -0,0 +1,52 @@
+package forward_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/code"
+	"samphireweir.example/samphireweir/internal/core/forward"
+)
+
+// patientRig is a rig with two engines whose streams' callers wait 2.4 s for an event.
+func patientRig() *rig {
+	r := newRig()
+	for _, path := range []string{reports, notes} {
+		r.state.Catalog.Manifest.Route("h", path).CallerPatience = 2400 * time.Millisecond
+	}
+	r.add("m1", "model", "perth-a", 6)
+	r.add("m2", "model", "perth-a", 6)
+	return r
+}
+
+// TestTheLastUpstreamHasUntilTheCallerWouldLeave has both upstreams that a route allows keep silent.
+func TestTheLastUpstreamHasUntilTheCallerWouldLeave(t *testing.T) {
+	r := patientRig()
+	require.Equal(t, 1500*time.Millisecond, only[forward.Send](t, r.arrive(1, reports)).Patience)
+	r.now = 1500 * time.Millisecond
+	last := only[forward.Send](t, r.step(forward.SendEnded{ID: 1, Outcome: forward.Silent}))
+	require.Equal(t, 750*time.Millisecond, last.Patience)
+	r.now += last.Patience
+	refusal := only[forward.Refuse](t, r.step(forward.SendEnded{ID: 1, Outcome: forward.Silent}))
+	require.Equal(t, code.RetriesExhausted, refusal.Code)
+	require.Equal(t, code.Unknown, refusal.Ran)
+}
+
+func TestAStreamThatRunsOnceHasUntilItsCallerWouldLeave(t *testing.T) {
+	r := patientRig()
+	send := only[forward.Send](t, r.arrive(1, notes))
+	require.Equal(t, 2250*time.Millisecond, send.Patience)
+	require.Equal(t, 2250*time.Millisecond, send.GapPatience)
+}
+
+// TestACallersWaitCountsFromTheLastEventThatItGot breaks a stream 1.2 s after an event was passed on.
+func TestACallersWaitCountsFromTheLastEventThatItGot(t *testing.T) {
+	r := patientRig()
+	only[forward.Send](t, r.arrive(1, reports))
+	r.now = 4 * time.Second
+	resumed := only[forward.Send](t, r.step(forward.SendEnded{ID: 1, Outcome: forward.Silent, Partial: true, Quiet: 1200 * time.Millisecond}))
+	require.True(t, resumed.Resume)
+	require.Equal(t, 1050*time.Millisecond, resumed.Patience)
+}
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -28,6 +28,8 @@
 	plainPatience = 2
 	// leastTime is the least time left that is worth a send.
 	leastTime = 60 * time.Millisecond
+	// answerMargin is how long before a caller stops waiting it is answered: the way to it, some milliseconds, and what a busy entry takes.
+	answerMargin = 150 * time.Millisecond
 )
 
 func (s *State) arrived(in step.Input, ev Arrived) []step.Effect {
@@ -54,7 +56,7 @@
 	}
 	r := &request{
 		id: ev.ID, fingerprint: ev.Fingerprint, prompt: ev.Prompt, route: route, service: route.Pick(in.Rand), model: ev.Model, account: account,
-		arrived: in.Now, by: in.Now.Add(timeFor(route, ev.Budget)), tried: map[catalog.Life]bool{},
+		arrived: in.Now, heardAt: in.Now, by: in.Now.Add(timeFor(route, ev.Budget)), tried: map[catalog.Life]bool{},
 	}
 	r.back = s.limits.cameBack(in.Now, r, ev.Budget)
 	s.requests[r.id] = r
@@ -112,19 +114,10 @@
 			e.Priority = *r.account.Priority
 		}
 	}
-	if r.route.Repeatable() && r.runs+1 < r.route.MaxUpstreams {
-		e.Patience, e.GapPatience = patience(r.route), gapPatience
-	}
+	e.Patience, e.GapPatience = r.patience(in.Now)
 	return []step.Effect{e}
 }
 
-func patience(route *catalog.Route) time.Duration {
-	if route.Kind == catalog.Streaming {
-		return firstEventPatience
-	}
-	return plainPatience * route.Objective
-}
-
 func (s *State) sendEnded(in step.Input, ev SendEnded) []step.Effect {
 	r := s.requests[ev.ID]
 	if r == nil {
@@ -133,7 +126,9 @@
 	effects := s.learn(in, r, r.at, ev)
 	s.noteBlind(in.Now, r, ev.Outcome)
 	s.release(in, r, ev.Outcome)
-	r.partial = r.partial || ev.Partial
+	if ev.Partial {
+		r.partial, r.heardAt = true, in.Now.Add(-ev.Quiet)
+	}
 	if ev.Outcome.ran() {
 		r.runs++
 	}
--- a/internal/gateway/begin_test.go
+++ b/internal/gateway/begin_test.go
@@ -41,6 +41,7 @@
 			t.Parallel()
 			fleet := standin.NewFleet(t)
 			fleet.AddStream("/single/", false)
+			fleet.SetGapTarget(time.Second) // Callers wait for longer than the version's time.
 			if len(c.faults) > 0 {
 				fleet.AddEngine("i-0", standin.NextIP(), 1)
 			}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -35,9 +35,10 @@
 	// ctx ends when the caller leaves or the request's time is over.
 	ctx    context.Context
 	cancel context.CancelFunc
-	// begun is set once the head of an answer was passed on, at beganAt.
-	begun   bool
-	beganAt time.Time
+	// begun is set once the head of an answer was passed on, at beganAt; the last of it was passed on at passedAt.
+	begun    bool
+	beganAt  time.Time
+	passedAt time.Time
 	// present is the send that is being made; nil between two sends.
 	present atomic.Pointer[attempt]
 	// version is the version of the weights on which the last send began; 0 when it did not begin or its upstream does not say.
@@ -169,6 +170,7 @@
 		return
 	}
 	x.begun, x.beganAt = true, time.Now()
+	x.passedAt = x.beganAt
 	out := x.w.Header()
 	for name, values := range header {
 		out[name] = values
@@ -220,5 +222,9 @@
 
 // tell reports the end of a send to the reducer.
 func (x *exchange) tell(outcome forward.Outcome) {
-	x.gateway.step(forward.SendEnded{ID: x.id, Outcome: outcome, Partial: x.begun})
+	ended := forward.SendEnded{ID: x.id, Outcome: outcome, Partial: x.begun}
+	if x.begun {
+		ended.Quiet = time.Since(x.passedAt)
+	}
+	x.gateway.step(ended)
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -208,6 +208,7 @@
 		if err := out.Flush(); err != nil {
 			return errors.Wrap(err, "write to the caller")
 		}
+		a.x.passedAt = time.Now()
 		if e.id != "" {
 			a.x.lastEvent = e.id
 		}
