A list changes nothing that is known of a version; its assumed age counts from the process's start

The age also counted from the list, which may be late, and not from the start. Change: whatever is found in a list is assumed; the first list's versions count from ListedSince, an absolute time that the shell sets at the start. Further findings of the review: beginning and withdrawal exclude one another (one compare-and-swap); an answer that is no stream begins with its head; a repeat is counted when it is sent, not when it is allowed, so that many withdrawals at once use up no repeats.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -56,9 +56,10 @@
 	Versions map[string]Naming
 	// history are the namings of each model, in the order in which they were heard.
 	history map[string][]Naming
-	// ListedAge is how old a version counts as that is in the store already when this process first reads it, as long as nobody tells its
-	// age: the store does not say when it was named, and everybody who knew may have ended with this process.
-	ListedAge time.Duration
+	// ListedSince is since when a version counts as named that is in the store already when this process first reads it, as long as nobody
+	// tells its age: the store does not say when it was named, and everybody who knew may have ended with the process before. Zero stands
+	// for the moment at which it is read.
+	ListedSince time.Time
 
 	// byAddress holds the ids of the upstreams that registered at an address: more than one when an entry is left over or false.
 	byAddress        map[string][]string
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -194,7 +194,7 @@
 // TestAnAssumedAgeGivesWayToAKnownOne has a process find a version when it starts, and hear of its age by several ways.
 func TestAnAssumedAgeGivesWayToAKnownOne(t *testing.T) {
 	s := catalog.NewState()
-	s.ListedAge = 5 * time.Second
+	s.ListedSince = begin.Add(-5 * time.Second)
 	found := catalog.VersionNamed{Model: "m", Version: 2, Revision: 9, Listed: true}
 	age := func() time.Duration { return begin.Sub(s.Versions["m"].Since) }
 	only := s.Reduce(at(0, found))
@@ -202,6 +202,9 @@
 	require.True(t, s.Versions["m"].Assumed)
 	require.Equal(t, 5*time.Second, age())
 	s.Reduce(at(0, catalog.TopicListed{Topic: catalog.VersionTopic}))
+	require.Empty(t, s.Reduce(at(2*time.Second, found)), "a later list says nothing new")
+	require.True(t, s.Versions["m"].Assumed)
+	require.Equal(t, 5*time.Second, age())
 
 	s.Reduce(at(0, named(6*time.Second, true)))
 	require.Equal(t, 6*time.Second, age(), "of two assumptions the older one")
@@ -213,8 +216,22 @@
 	s.Reduce(at(0, named(7*time.Second, true)))
 	require.Equal(t, 2*time.Second, age())
 	require.Empty(t, s.Reduce(at(0, named(2*time.Second+time.Millisecond, false))), "a datagram's way is no news")
-	s.Reduce(at(0, found))
-	require.False(t, s.Versions["m"].Assumed, "a later list says nothing new")
+	s.Reduce(at(3*time.Second, found))
+	require.False(t, s.Versions["m"].Assumed)
+	require.Equal(t, 2*time.Second+time.Millisecond, age())
+}
+
+// TestAVersionThatALaterListBringsIsAssumedToBeNew has a process that reads old lists find a version only in its second one, when the others
+// take it to be older.
+func TestAVersionThatALaterListBringsIsAssumedToBeNew(t *testing.T) {
+	s := catalog.NewState()
+	s.ListedSince = begin.Add(-5 * time.Second)
+	s.Reduce(at(0, catalog.VersionNamed{Model: "m", Version: 1, Revision: 3, Listed: true}))
+	s.Reduce(at(0, catalog.TopicListed{Topic: catalog.VersionTopic}))
+	s.Reduce(at(2*time.Second, catalog.VersionNamed{Model: "m", Version: 2, Revision: 9, Listed: true}))
+	require.Equal(t, begin.Add(2*time.Second), s.Versions["m"].Since)
+	s.Reduce(at(3*time.Second, named(6*time.Second, true)))
+	require.Equal(t, begin.Add(-3*time.Second), s.Versions["m"].Since, "the others' assumption is the older one")
 }
 
 // TestWhatIsToldIsWhatMayStillBeRequired names three versions one after the other.
--- a/internal/core/catalog/version.go
+++ b/internal/core/catalog/version.go
@@ -19,9 +19,9 @@
 	Model    string
 	Version  int64
 	Revision int64
-	// Since is when a process learned of it first, as far as this one was told.
+	// Since is the earliest time at which any process is known to have heard of it.
 	Since time.Time
-	// Assumed is set while nobody has told its age; see State.ListedAge.
+	// Assumed is set while that is not known, since it was found in a list and nobody who heard it being named has told.
 	Assumed bool
 }
 
@@ -33,7 +33,8 @@
 	// Age is how long it has been in force at least, as another process told, and Assumed is set when that one only assumed so.
 	Age     time.Duration
 	Assumed bool
-	// Listed is set when it was found in a list of all versions, which does not say since when it is there.
+	// Listed is set when it was found in a list of all versions, which does not say since when it is there. Processes list again and again;
+	// a list changes nothing that is known of a version.
 	Listed bool
 }
 
@@ -55,8 +56,11 @@
 
 func (s *State) versionNamed(now time.Time, ev VersionNamed) []step.Effect {
 	named := Naming{Model: ev.Model, Version: ev.Version, Revision: ev.Revision, Since: now.Add(-ev.Age), Assumed: ev.Assumed}
-	if ev.Listed && !s.listed[VersionTopic] {
-		named.Since, named.Assumed = now.Add(-s.ListedAge), true
+	if ev.Listed {
+		named.Assumed = true
+	}
+	if ev.Listed && !s.listed[VersionTopic] && s.ListedSince.Before(now) && !s.ListedSince.IsZero() {
+		named.Since = s.ListedSince
 	}
 	effects := s.remember(&named)
 	known, ok := s.Versions[ev.Model]
@@ -92,8 +96,8 @@
 	return []step.Effect{NamingChanged{Naming: *n}}
 }
 
-// replaces tells whether what n says of a naming is better than what was known: the word of a process that heard it being named goes before
-// an assumption, also when it makes the version younger, and of two such words the one of the process that heard first.
+// replaces tells whether what n says of a naming is better than what was known: a known age replaces an assumed one, also when it makes the
+// version younger, and of two of a kind the older one wins.
 func (n Naming) replaces(known Naming) bool {
 	if n.Assumed != known.Assumed {
 		return known.Assumed
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -165,9 +165,6 @@
 		return nil
 	}
 	if s.maySendAgain(in, r, ev.Outcome) {
-		if ev.Outcome != NotSent {
-			s.budget(r.service).repeat(in.Now)
-		}
 		return s.again(in, r, ev.Outcome)
 	}
 	if ev.Outcome == ServerFailed && !r.partial {
@@ -181,6 +178,9 @@
 func (s *State) again(in step.Input, r *request, o Outcome) []step.Effect {
 	u, found := s.pick(in, r)
 	if found == room {
+		if o != NotSent {
+			s.budget(r.service).repeat(in.Now) // A repeat that finds no room is none.
+		}
 		return s.send(in, r, u)
 	}
 	if o == ServerFailed && !r.partial {
--- a/internal/core/forward/version.go
+++ b/internal/core/forward/version.go
@@ -14,7 +14,8 @@
 // has had 0.7 s at least.
 const withdrawMargin = 600 * time.Millisecond
 
-// Withdraw has the shell take a request back from its upstream, which has not begun it: the send ends as Withdrawn. It is repeated until then.
+// Withdraw has the shell take a request back from its upstream, which has not begun it: the send ends as Withdrawn. It comes with each tick
+// until then.
 type Withdraw struct {
 	ID uint64
 	// Number is the send's; see Send.
--- a/internal/core/forward/version_test.go
+++ b/internal/core/forward/version_test.go
@@ -95,10 +95,12 @@
 
 // TestAnEngineFromWhichMuchIsTakenBackIsNotAvoided takes back as many requests in a row as failures take an engine out of use.
 func TestAnEngineFromWhichMuchIsTakenBackIsNotAvoided(t *testing.T) {
-	r := unbegun(t, reports)
-	const failures = 3
+	r := newRig()
+	r.add("m1", "model", "perth-a", 6)
+	r.believe(catalog.VersionNamed{Model: "m", Version: 2, Revision: 50})
 	r.now = 5700 * time.Millisecond
-	for id := uint64(2); id <= failures; id++ {
+	const failures = 3
+	for id := uint64(1); id <= failures; id++ {
 		only[forward.Send](t, r.arrive(id, reports))
 	}
 	r.now = 7400 * time.Millisecond
@@ -108,3 +110,28 @@
 	r.step(forward.LoadTold{Address: "m1", Versions: map[string]int64{"m": 2}})
 	only[forward.Send](t, r.arrive(failures+1, reports))
 }
+
+// TestWhatIsTakenBackAndNotSentAgainUsesUpNoRepeats takes back many requests while no engine has the new version, and has one that does turn a
+// request away after.
+func TestWhatIsTakenBackAndNotSentAgainUsesUpNoRepeats(t *testing.T) {
+	r := newRig()
+	r.state.Self.Retries.Extra = 0
+	r.add("m1", "model", "perth-a", 40)
+	r.believe(catalog.VersionNamed{Model: "m", Version: 2, Revision: 50})
+	r.now = 5700 * time.Millisecond
+	r.step(forward.LoadTold{Address: "m1", Entries: 1, Near: 1, Versions: map[string]int64{"m": 1}})
+	const requests = 20
+	for id := uint64(1); id <= requests; id++ {
+		only[forward.Send](t, r.arrive(id, reports))
+	}
+	r.now = 7400 * time.Millisecond
+	for id := uint64(1); id <= requests; id++ {
+		only[forward.Refuse](t, r.step(forward.SendEnded{ID: id, Outcome: forward.Withdrawn}))
+	}
+	r.add("m2", "model", "perth-a", 40)
+	for _, engine := range []string{"m1", "m2"} {
+		r.step(forward.LoadTold{Address: engine, Entries: 1, Near: 1, Versions: map[string]int64{"m": 2}})
+	}
+	only[forward.Send](t, r.arrive(requests+1, reports))
+	only[forward.Send](t, r.step(forward.SendEnded{ID: requests + 1, Outcome: forward.Declined}))
+}
--- a/internal/core/install/restart_test.go
+++ b/internal/core/install/restart_test.go
@@ -113,7 +113,7 @@
 func (f *fleet) restart(survivors int) {
 	for i := range f.entries {
 		c := catalog.NewState()
-		c.ListedAge = host.ListedAge()
+		c.ListedSince = begin.Add(f.now).Add(-host.ListedAge())
 		f.entries[i] = forward.NewState(forward.Self{
 			Name: fmt.Sprintf("entry-%d", i), DataCentre: "perth-a", Region: "perth", Regions: map[string]string{"perth-a": "perth"},
 			Retries: hostconfig.Retries{Ratio: 0.2, Extra: 100, Window: 10 * time.Second}, VersionTime: versionTime,
@@ -125,7 +125,7 @@
 	}
 	for _, a := range f.agents[survivors:] {
 		a.catalog, a.install = catalog.NewState(), install.NewState(a.host, versionTime)
-		a.catalog.ListedAge = host.ListedAge()
+		a.catalog.ListedSince = begin.Add(f.now).Add(-host.ListedAge())
 		f.step(a, install.PeersChanged{Peers: f.hosts()})
 		f.step(a, a.engine)
 		for _, ev := range f.lists() {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -39,8 +39,8 @@
 	begun    bool
 	beganAt  time.Time
 	passedAt time.Time
-	// present is the send that is being made; nil between two sends.
-	present atomic.Pointer[attempt]
+	// current is the send that is being made; nil between two sends.
+	current atomic.Pointer[attempt]
 	// version is the version of the weights on which the last send began; 0 when it did not begin or its upstream does not say.
 	version int64
 	// lastEvent is the id of the last event that was passed on.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -37,9 +37,17 @@
 	// made is when it was made, and version the one on which the upstream says it began; see begin.
 	made    time.Time
 	version int64
-	begun   atomic.Bool
+	// stage is unbegun until the upstream has begun or the send is withdrawn, whichever comes first.
+	stage atomic.Int32
 }
 
+// The stages of an attempt.
+const (
+	unbegun int32 = iota
+	begun
+	withdrawn
+)
+
 // send makes one send and tells the reducer how it ended. It reports whether the request ended with it.
 func (x *exchange) send(e forward.Send) bool {
 	if !time.Now().Before(e.By) {
@@ -52,8 +60,8 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	a := &attempt{x: x, send: e, cancel: cancel, made: time.Now()}
 	defer cancel(nil)
-	x.present.Store(a)
-	defer x.present.Store(nil)
+	x.current.Store(a)
+	defer x.current.Store(nil)
 	outcome, err := a.make(ctx)
 	if outcome != forward.Answered && x.ctx.Err() != nil {
 		// The caller left, or the time is over: run tells the reducer which.
@@ -116,19 +124,21 @@
 	return forward.Broken
 }
 
-// begin notes, once, that the upstream began: a request begins with the first event of its answer, not with the head.
-func (a *attempt) begin() {
-	if a.begun.Swap(true) {
-		return
+// begin notes that the upstream began: a stream begins with its first event, any other answer with its head. It reports whether the
+// answer may be passed on, which a send that was withdrawn before may not.
+func (a *attempt) begin() bool {
+	if !a.stage.CompareAndSwap(unbegun, begun) {
+		return a.stage.Load() == begun
 	}
 	a.x.version = a.version
 	a.x.gateway.metrics.UpstreamFirstByte.Observe(time.Since(a.made), a.x.routeName(), "", "")
 	a.x.gateway.step(forward.Began{ID: a.x.id, Version: a.version})
+	return true
 }
 
 // withdraw ends the present send if it is the one that is meant and its answer has not begun.
 func (x *exchange) withdraw(e forward.Withdraw) {
-	if a := x.present.Load(); a != nil && a.send.Number == e.Number && !a.begun.Load() {
+	if a := x.current.Load(); a != nil && a.send.Number == e.Number && a.stage.CompareAndSwap(unbegun, withdrawn) {
 		a.cancel(errWithdrawn)
 	}
 }
@@ -169,12 +179,14 @@
 
 // copyWhole reads an answer whole before any of it is passed on, so that one that breaks can still be replaced.
 func (a *attempt) copyWhole(resp *http.Response, header http.Header) error {
+	if !a.begin() {
+		return errWithdrawn
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxWhole))
 	if err != nil {
 		return errors.Wrap(err, "read the upstream's answer")
 	}
 	a.stopPatience()
-	a.begin()
 	if a.x.r.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
@@ -196,7 +208,9 @@
 			return errors.Wrap(err, "read the stream")
 		}
 		a.progress()
-		a.begin()
+		if !a.begin() {
+			return errWithdrawn
+		}
 		if err := a.x.follows(e); err != nil {
 			return err
 		}
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -95,7 +95,7 @@
 		install: install.NewState(self, host.VersionTime),
 		reports: newReports(),
 	}
-	a.catalog.ListedAge = host.ListedAge()
+	a.catalog.ListedSince = time.Now().Add(-host.ListedAge())
 	a.origin = platform.NewOrigin(origin, a.originPlace)
 	a.fetcher = &transfer.Fetcher{
 		Memory: transfer.NewMemory(host.Memory / chunkMemoryShare), Sources: []transfer.Source{a.origin},
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -31,13 +31,14 @@
 	Grace time.Duration
 	// VersionTime is how long after the naming of a version requests may still begin on an older one.
 	VersionTime time.Duration
-	// Settle is how long after its start or a disturbance a host may take to know what is in force; 0 when the platform does not say.
+	// Settle is how long after its start or a disturbance a host may be without knowledge of what is in force; 0 when the platform does not
+	// say.
 	Settle  time.Duration
 	Retries Retries
 }
 
-// ListedAge is how old a version of weights counts as that a process finds in the store when it starts: so old that it is due when the
-// host must know what is in force. A version that was named long ago is thus required in time whoever is left to tell its age; one that
+// ListedAge is how old, at its start, a version of weights counts as that a process finds in the store: so old that it is due when the host
+// must know what is in force. A version that was named long ago is thus required in time whoever is left to tell its age; one that
 // was named a moment before is required up to VersionTime - Settle too early, until somebody tells.
 func (h Host) ListedAge() time.Duration {
 	if h.Settle <= 0 {
