--- a/internal/gateway/begin_test.go
+++ b/internal/gateway/begin_test.go
@@ -10,6 +10,9 @@
 	"samphireweir.example/samphireweir/platform/standin"
 )
 
+// hearing is longer than an entry pauses between two questions to the store.
+const hearing = 600 * time.Millisecond
+
 // TestNoRequestBeginsOnAVersionWhoseTimeIsOver tells an incident.
 //
 // Seen: two streams began on version 1 of the weights 134 and 173 ms after the time was over in which they might, counted from the
@@ -55,6 +58,7 @@
 			go func() { ended <- e.Post(c.path) }()
 			require.Eventually(t, func() bool { return old.Queued() == 1 }, patience, pollInterval)
 			next := fleet.AddEngine("i-2", standin.NextIP(), 2)
+			time.Sleep(hearing) // The entry waits for changes by now, and hears of the version at once.
 			fleet.Name(2)
 			time.Sleep(host.VersionTime)
 			release()
@@ -69,3 +73,22 @@
 		})
 	}
 }
+
+// TestAStreamThatBeganInTimeGoesOnPastTheEndOfItsVersion names a version when a stream has begun that lasts for longer than the version before
+// may be begun on.
+func TestAStreamThatBeganInTimeGoesOnPastTheEndOfItsVersion(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	engine := fleet.AddEngine("i-1", standin.NextIP(), 1)
+	engine.Events, engine.Pace = 40, 50*time.Millisecond
+	host := fleet.Host(standin.NextIP(), false)
+	host.VersionTime = time.Second
+	e := startHost(t, fleet, host)
+	ended := make(chan standin.Reply, 1)
+	go func() { ended <- e.Post("/stream/1") }()
+	require.Eventually(t, func() bool { return engine.Last() != nil }, patience, pollInterval)
+	fleet.Name(2)
+	r := <-ended
+	require.NoError(t, r.Err)
+	require.Equal(t, whole(engine.Events), r.Body)
+}
--- a/internal/gateway/overtaken_test.go
+++ b/internal/gateway/overtaken_test.go
@@ -34,3 +34,16 @@
 	anew.Hear(netip.MustParseAddrPort("127.0.0.2:7700"), loadreport.Message{Named: older.Greeting().Named})
 	require.Equal(t, int64(2), anew.RequiredVersion("m", 4*time.Second, host.VersionTime), "four seconds on, version 2 is 9 s old and version 3 is 6 s old")
 }
+
+// TestAnEntryThatStartsRequiresAVersionOfUnknownAgeWhenItMustKnow has an entry find a version in the store when it starts, and nobody tell how
+// old it is.
+func TestAnEntryThatStartsRequiresAVersionOfUnknownAgeWhenItMustKnow(t *testing.T) {
+	host := hostconfig.Host{Name: "a", IP: "127.0.0.1", PeerPort: 7700, DataCentre: "perth-a", VersionTime: 8 * time.Hour, Settle: 3 * time.Hour}
+	anew := gateway.New(host, zerolog.Nop(), telemetry.NewMetrics(), nil)
+	anew.Step(catalog.VersionNamed{Model: "m", Version: 2, Revision: 60, Listed: true})
+	require.Zero(t, anew.RequiredVersion("m", 2*time.Hour, host.VersionTime))
+	require.Equal(t, int64(2), anew.RequiredVersion("m", 3*time.Hour, host.VersionTime))
+	told := anew.Greeting().Named
+	require.Len(t, told, 1)
+	require.True(t, told[0].Assumed)
+}
--- a/internal/hostagent/age_test.go
+++ b/internal/hostagent/age_test.go
@@ -114,3 +114,15 @@
 	require.GreaterOrEqual(t, ages[2], (5 * time.Second).Milliseconds())
 	require.GreaterOrEqual(t, ages[3], (2 * time.Second).Milliseconds())
 }
+
+// TestAnAgentThatStartsTellsAnAgeThatItAssumesAsSuch has an agent find a version in the store when it starts.
+func TestAnAgentThatStartsTellsAnAgeThatItAssumesAsSuch(t *testing.T) {
+	a := hostagent.New(hostconfig.Host{
+		Name: "a", IP: "127.0.0.1", PeerPort: 7700, VersionTime: 8 * time.Hour, Settle: 3 * time.Hour, Memory: 64 << 20, Link: 1 << 20,
+	}, zerolog.Nop(), telemetry.NewMetrics(), nil)
+	a.Step(catalog.VersionNamed{Model: "m", Version: 2, Revision: 60, Listed: true})
+	named := a.Named()
+	require.Len(t, named, 1)
+	require.True(t, named[0].Assumed)
+	require.GreaterOrEqual(t, named[0].AgeMS, (5 * time.Hour).Milliseconds())
+}
--- a/internal/loadreport/loadreport_test.go
+++ b/internal/loadreport/loadreport_test.go
@@ -1,6 +1,7 @@
 package loadreport_test
 
 import (
+	"encoding/json"
 	"net"
 	"net/netip"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/loadreport"
 )
 
@@ -58,3 +60,16 @@
 	}
 	require.LessOrEqual(t, len(s.Recent(now)), 32)
 }
+
+func TestANamingArrivesAsItWasToldAndSaysWhetherItsAgeIsAssumed(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, assumed := range []bool{false, true} {
+		n := catalog.Naming{Model: "m", Version: 2, Revision: 9, Since: now.Add(-3 * time.Second), Assumed: assumed}
+		text, err := json.Marshal(loadreport.Namings(now, []catalog.Naming{n}))
+		require.NoError(t, err)
+		var told []loadreport.Naming
+		require.NoError(t, json.Unmarshal(text, &told))
+		require.Len(t, told, 1)
+		require.Equal(t, catalog.VersionNamed{Model: "m", Version: 2, Revision: 9, Age: 3 * time.Second, Assumed: assumed}, told[0].Event())
+	}
+}
