--- a/internal/gateway/neighbours_test.go
+++ b/internal/gateway/neighbours_test.go
@@ -1,13 +1,10 @@
 package gateway_test
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -20,25 +17,6 @@
 	"samphireweir.example/samphireweir/platform/standin"
 )
 
-// lines gathers the log of an entry.
-type lines struct {
-	mu  sync.Mutex
-	buf bytes.Buffer
-}
-
-// Write takes a line.
-func (l *lines) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.buf.Write(p)
-}
-
-func (l *lines) has(text string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Contains(l.buf.String(), text)
-}
-
 // TestInALargeDataCentreOneEntryReadsForTheOthers starts as many entries as make a data centre large. All but one read from the same
 // entry; a new manifest is in force at each; and it is so again when the one that reads has stopped.
 func TestInALargeDataCentreOneEntryReadsForTheOthers(t *testing.T) {
@@ -52,11 +30,11 @@
 		addresses[i] = net.JoinHostPort(ips[i], strconv.Itoa(standin.PeerPort))
 	}
 	entries := map[string]*entry{}
-	logs := map[string]*lines{}
+	logs := map[string]*standin.Log{}
 	for i, ip := range ips {
 		host := fleet.Host(ip, false)
 		host.Seeds = addresses[:1]
-		log := &lines{}
+		log := &standin.Log{}
 		g := gateway.New(host, zerolog.New(log), telemetry.NewMetrics(), nil)
 		logs[addresses[i]] = log
 		entries[addresses[i]] = &entry{Caller: standin.Caller{Address: host.Callers, Name: ip}, host: host, stop: fleet.Run(g.Run)}
@@ -64,7 +42,7 @@
 	first := source.First("perth-a", addresses)[0]
 	for address, log := range logs {
 		if address != first {
-			require.Eventually(t, func() bool { return log.has(`"what":"source","value":"` + first + `"`) }, patience, 10*time.Millisecond)
+			require.Eventually(t, func() bool { return log.Has(`"what":"source","value":"` + first + `"`) }, patience, 10*time.Millisecond)
 		}
 	}
 	requireInForce := func(prefix string) {
--- a/internal/hostagent/age_test.go
+++ b/internal/hostagent/age_test.go
@@ -1,11 +1,8 @@
 package hostagent_test
 
 import (
-	"bytes"
 	"fmt"
 	"net/netip"
-	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -19,6 +16,7 @@
 	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/telemetry"
+	"samphireweir.example/samphireweir/platform/standin"
 )
 
 const (
@@ -28,26 +26,6 @@
 	longVersionTime = 10 * time.Minute
 )
 
-// logText is a log that is written and read at the same time.
-type logText struct {
-	mu   sync.Mutex
-	text bytes.Buffer
-}
-
-// Write takes a line.
-func (l *logText) Write(b []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.text.Write(b)
-}
-
-// count tells how often the log says something.
-func (l *logText) count(what string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return strings.Count(l.text.String(), what)
-}
-
 // quietAgent is an agent that does not run: it takes events and answers nobody. Its engine holds version 1.
 func quietAgent(log zerolog.Logger) *hostagent.Agent {
 	a := hostagent.New(hostconfig.Host{Name: "a", IP: "127.0.0.1", PeerPort: 7700, DataCentre: "perth-a", VersionTime: longVersionTime, Memory: 64 << 20, Link: 1 << 20},
@@ -88,19 +66,19 @@
 // Cause: what is believed of the version takes the age in without saying so, so that the turns never hear of it; and a turn that was reckoned
 // stays when the version proves to be older.
 func TestAnAgentThatStartsTakesAVersionsAgeFromItsEntries(t *testing.T) {
-	var log logText
+	var log standin.Log
 	a := quietAgent(zerolog.New(&log))
 	a.Step(install.PeersChanged{Peers: []string{agentSelf, last(t)}})
 	a.Step(catalog.VersionNamed{Model: "m", Version: 2, Revision: 52})
 	a.Step(install.Resolved{Model: "m", Version: 2, Digest: "d2"})
 	a.Step(install.Complete{Digest: "d2"})
 	a.Step(step.Tick{})
-	require.Equal(t, 1, log.count(`"the engine holds another version"`), "the engine waits for its turn")
-	require.Zero(t, log.count(`"its turn"`), "as far as this agent knows, the version was named just now")
+	require.Equal(t, 1, log.Count(`"the engine holds another version"`), "the engine waits for its turn")
+	require.Zero(t, log.Count(`"its turn"`), "as far as this agent knows, the version was named just now")
 
 	a.Hear(entryAddress, greeting(map[int64]time.Duration{2: longVersionTime}))
 	a.Step(step.Tick{})
-	require.Equal(t, 1, log.count(`"its turn"`), "the version is due: the engine loads it now")
+	require.Equal(t, 1, log.Count(`"its turn"`), "the version is due: the engine loads it now")
 }
 
 // TestAnAgentPassesOnAVersionThatWasOvertaken has an entry tell an agent of two versions whose times both run; see TestAnEntryThatStartsLearnsOfAVersionThatWasOvertaken.
