--- a/internal/core/forward/bench_test.go
+++ b/internal/core/forward/bench_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
+	"samphireweir.example/samphireweir/internal/core/step"
 )
 
 // BenchmarkPlacing measures the decisions on one request from its arrival to the end of its answer, before engines that are half full.
@@ -28,3 +30,21 @@
 		})
 	}
 }
+
+// BenchmarkTick measures one look at the requests in flight, all unbegun, while a version is in force whose time has begun to end.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{100, 2000} {
+		b.Run(fmt.Sprintf("%d requests", n), func(b *testing.B) {
+			r := newRig()
+			r.add("m1", "model", "perth-a", 10*n)
+			r.believe(catalog.VersionNamed{Model: "m", Version: 1, Revision: 50})
+			r.now = 20 * time.Second
+			for id := range uint64(n) {
+				r.arrive(id+1, reports)
+			}
+			for b.Loop() {
+				r.step(step.Tick{})
+			}
+		})
+	}
+}
