A send that is withdrawn as its answer begins is not the upstream's failure

Cause: the withdrawal marks the send before it ends its context; an event in between ended the send as broken, which counts against the engine. Change: the error tells it as well as the context's cause. Result: the new test fails without the change (broken), passes with it.

--- a/internal/gateway/begin_test.go
+++ b/internal/gateway/begin_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"samphireweir.example/samphireweir/internal/core/forward"
+	"samphireweir.example/samphireweir/internal/gateway"
 	"samphireweir.example/samphireweir/platform/standin"
 )
 
@@ -107,3 +109,8 @@
 	require.NoError(t, r.Err)
 	require.Equal(t, whole(engine.Events), r.Body)
 }
+
+// TestAnAnswerThatComesAsItIsTakenBackIsNotTheUpstreamsFailure has the first event arrive between the withdrawal and the end of its connection.
+func TestAnAnswerThatComesAsItIsTakenBackIsNotTheUpstreamsFailure(t *testing.T) {
+	require.Equal(t, forward.Withdrawn, gateway.OutcomeOfWithdrawnAnswer())
+}
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"net/netip"
 	"time"
 
+	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/loadreport"
 )
@@ -26,3 +28,14 @@
 	defer g.mu.Unlock()
 	return g.catalog.RequiredVersion(model, time.Now().Add(after), within)
 }
+
+// OutcomeOfWithdrawnAnswer is what a send ends as that is withdrawn at the moment at which its first event is there.
+func OutcomeOfWithdrawnAnswer() forward.Outcome {
+	a := &attempt{}
+	a.connected.Store(true)
+	a.stage.Store(withdrawn)
+	if a.begin() {
+		return forward.Answered
+	}
+	return a.failed(context.Background(), errWithdrawn)
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -114,7 +114,7 @@
 // failed tells what is known of a send that ended with an error.
 func (a *attempt) failed(ctx context.Context, err error) forward.Outcome {
 	switch {
-	case errors.Is(context.Cause(ctx), errWithdrawn):
+	case errors.Is(context.Cause(ctx), errWithdrawn), errors.Is(err, errWithdrawn):
 		return forward.Withdrawn
 	case !a.connected.Load():
 		return forward.NotSent
