One entry reads the store for its data centre from four entries on

Cause: with fewer than eight entries a data centre each entry and agent read the store itself. Change: the limit is four. A reader asks as often as the time allows that the platform gives a change (a quarter of the shorter of the manifest's and the drain's), in place of a fixed half second that was meant for two seconds. Ruled out: a second reader for each data centre (twice the bytes), pushing changes (needs every process to know all others first).

--- a/internal/core/source/source.go
+++ b/internal/core/source/source.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// LeastEntries is how many entries a data centre must have for one of them to read for the others. The reader asks the store
-	// four times as often as it would for itself alone, so that fewer would save calls nowhere and bytes hardly.
-	LeastEntries = 8
+	// LeastEntries is how many entries a data centre must have for one of them to read for the others. The reader asks the store up to
+	// three times as often as it would for itself alone, so that fewer save no calls.
+	LeastEntries = 4
 	// Candidates is how many entries of a data centre are told to those who ask: the reader, and two to take its place.
 	Candidates = 3
 	// toldFor is how long an entry counts after somebody told of it; the rarest word comes each three seconds.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,7 +69,7 @@
 func New(host hostconfig.Host, log zerolog.Logger, m *telemetry.Metrics, traces *telemetry.Traces) *Gateway {
 	c, self := catalog.NewState(), net.JoinHostPort(host.IP, strconv.Itoa(host.PeerPort))
 	c.ListedSince = time.Now().Add(-host.ListedAge())
-	neighbours, cache := storefeed.NewNeighbours(host, self, false, log), storefeed.NewCache()
+	neighbours, cache := storefeed.NewNeighbours(host, self, false, log), storefeed.NewCache(host.ChangeTime())
 	transport := newStoreTransport()
 	upstreams := &http.Client{Transport: newUpstreamTransport()}
 	traces.Client(upstreams, telemetry.NameSend)
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -31,6 +31,9 @@
 	Grace time.Duration
 	// VersionTime is how long after the naming of a version requests may still begin on an older one.
 	VersionTime time.Duration
+	// ManifestTime and DrainTime are how long after the store took it a change of the manifest is in force on every host, and a leaving
+	// upstream gets no more work; 0 when the platform does not say.
+	ManifestTime, DrainTime time.Duration
 	// Settle is how long after its start or a disturbance a host may be without knowledge of what is in force; 0 when the platform does not
 	// say.
 	Settle  time.Duration
@@ -47,6 +50,15 @@
 	return max(0, h.VersionTime-h.Settle)
 }
 
+// ChangeTime is how long a process may take to hear of any change in the store: the shorter of ManifestTime and DrainTime, of those that the
+// platform says.
+func (h Host) ChangeTime() time.Duration {
+	if h.ManifestTime <= 0 || h.DrainTime <= 0 {
+		return max(h.ManifestTime, h.DrainTime)
+	}
+	return min(h.ManifestTime, h.DrainTime)
+}
+
 // Retries bounds the repeats that all entries together may send to a service: Ratio of the requests in a Window, and
 // Extra more.
 type Retries struct {
--- a/internal/storefeed/cache.go
+++ b/internal/storefeed/cache.go
@@ -12,9 +12,12 @@
 )
 
 const (
-	// maxAge is how long ago the store must have been heard for an answer from the cache. It is more than a reader's wait for
-	// the store with the slack of its client, and leaves half of the two seconds in which a change must be in force.
-	maxAge = 1300 * time.Millisecond
+	// leastChangeTime is assumed where the platform does not say in which time a change must be known.
+	leastChangeTime = 2 * time.Second
+	// waitShare is the part of that time which a call for changes may wait when others depend on it.
+	waitShare = 4
+	// answerSlack is how much longer than its wait such a call may take, with the slack of the store's client.
+	answerSlack = 800 * time.Millisecond
 	// keepRemoved is how long it is remembered that an object was removed; who asks from before that lists again.
 	keepRemoved = 30 * time.Second
 )
@@ -48,10 +51,21 @@
 	kinds map[string]*kindCache
 	// asked is when another process last asked.
 	asked time.Time
+	// storeWait is how long a call for changes waits when others depend on it: an entry that has lost the store, and who reads from it,
+	// must notice in less than the time in which a change must be known.
+	storeWait time.Duration
 }
 
-// NewCache returns an empty cache.
-func NewCache() *Cache { return &Cache{kinds: map[string]*kindCache{}} }
+// NewCache returns an empty cache. changeTime is how long after the store took it a change may be unknown; 0 when the platform does not say.
+func NewCache(changeTime time.Duration) *Cache {
+	if changeTime <= 0 {
+		changeTime = leastChangeTime
+	}
+	return &Cache{kinds: map[string]*kindCache{}, storeWait: changeTime / waitShare}
+}
+
+// maxAge is how long ago the store must have been heard for an answer from the cache.
+func (c *Cache) maxAge() time.Duration { return c.storeWait + answerSlack }
 
 // kind returns the cache of a kind. It is called with the lock held.
 func (c *Cache) kind(name string) *kindCache {
@@ -123,7 +137,7 @@
 	k := c.kind(kind)
 	a = Answer{Revision: max(k.revision, since), AgeMS: time.Since(k.heard).Milliseconds()}
 	switch {
-	case !k.listed || time.Since(k.heard) > maxAge:
+	case !k.listed || time.Since(k.heard) > c.maxAge():
 		a.State = Behind
 	case since > 0 && since < k.floor:
 		a.State = Gone
@@ -165,7 +179,7 @@
 		if a.State == Told || a.State == Gone || a.State == Behind && q.Since > 0 {
 			return a
 		}
-		fresh := maxAge - time.Duration(a.AgeMS)*time.Millisecond
+		fresh := c.maxAge() - time.Duration(a.AgeMS)*time.Millisecond
 		if a.State == Behind {
 			fresh = maxWait // It can only become better.
 		}
--- a/internal/storefeed/cache_test.go
+++ b/internal/storefeed/cache_test.go
@@ -12,7 +12,11 @@
 	"samphireweir.example/samphireweir/platform"
 )
 
-const kind = "things"
+const (
+	kind = "things"
+	// changeTime is how long a change may be unknown.
+	changeTime = 2 * time.Second
+)
 
 // model is a store that keeps all its history.
 type model struct {
@@ -108,7 +112,7 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := &model{revision: 1, objects: map[string]platform.Object{}}
-		first, second, cache := &follower{objects: map[string]int64{}}, &follower{objects: map[string]int64{}}, NewCache()
+		first, second, cache := &follower{objects: map[string]int64{}}, &follower{objects: map[string]int64{}}, NewCache(changeTime)
 		readFirst := func(list bool) {
 			if list || first.revision == 0 {
 				first.listed(m.revision, m.list())
@@ -152,7 +156,7 @@
 // TestAnObjectThatCameAndWentBetweenTwoListsIsNotKept has a process see an object in the store that the one it reads from never saw.
 func TestAnObjectThatCameAndWentBetweenTwoListsIsNotKept(t *testing.T) {
 	t.Parallel()
-	c, f := NewCache(), &follower{}
+	c, f := NewCache(changeTime), &follower{}
 	c.listed(kind, nil, 5, 0)
 	f.listed(7, []platform.Object{{Name: "a", Revision: 6}})
 	c.listed(kind, nil, 9, 0)
@@ -163,14 +167,14 @@
 
 func TestACacheThatHasNotHeardOfLateIsBehind(t *testing.T) {
 	t.Parallel()
-	c := NewCache()
+	c := NewCache(changeTime)
 	a, _ := c.answer(kind, 0)
 	require.Equal(t, Behind, a.State, "nothing was read")
 	c.listed(kind, []platform.Object{{Name: "a", Revision: 3}}, 5, 0)
 	a, _ = c.answer(kind, 0)
 	require.Equal(t, Told, a.State)
-	c = NewCache()
-	c.listed(kind, []platform.Object{{Name: "a", Revision: 3}}, 5, maxAge+time.Millisecond)
+	c = NewCache(changeTime)
+	c.listed(kind, []platform.Object{{Name: "a", Revision: 3}}, 5, c.maxAge()+time.Millisecond)
 	a, _ = c.answer(kind, 0)
 	require.Equal(t, Behind, a.State, "the process that this one read from had not heard of late")
 }
@@ -180,19 +184,19 @@
 func TestAQuestionIsAnsweredAsSoonAsTheProcessIsBehind(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		c := NewCache()
+		c := NewCache(changeTime)
 		c.listed(kind, []platform.Object{{Name: "a", Revision: 3}}, 5, 0)
 		began := time.Now()
-		time.Sleep(maxAge - 100*time.Millisecond)
-		a := c.wait(t.Context(), Question{Kind: kind, Since: 5, WaitMS: sharedWait.Milliseconds()})
+		time.Sleep(c.maxAge() - 100*time.Millisecond)
+		a := c.wait(t.Context(), Question{Kind: kind, Since: 5, WaitMS: peerWait.Milliseconds()})
 		require.Equal(t, Behind, a.State)
-		require.Less(t, time.Since(began), maxAge+10*time.Millisecond)
+		require.Less(t, time.Since(began), c.maxAge()+10*time.Millisecond)
 	})
 }
 
 func TestWhoAsksFromBeforeAForgottenRemovalListsAgain(t *testing.T) {
 	t.Parallel()
-	c := NewCache()
+	c := NewCache(changeTime)
 	c.listed(kind, []platform.Object{{Name: "a", Revision: 3}}, 5, 0)
 	c.changedSince(kind, []platform.Object{{Name: "a", Revision: 7, Deleted: true}}, 8, 0)
 	k := c.kind(kind)
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -18,9 +18,8 @@
 	maxWait = 2500 * time.Millisecond
 	// servingFor is how long after the last question a process counts as one that others read from.
 	servingFor = 3 * time.Second
-	// sharedWait is how long a call for changes waits when others depend on it: an entry that has lost the store, and who reads from
-	// it, must notice in less than the time in which a change must be in force.
-	sharedWait = 500 * time.Millisecond
+	// peerWait is how long a question to another process waits for changes, so that one that stopped answering is noticed soon.
+	peerWait = 500 * time.Millisecond
 	// peerSlack is how much longer than it was asked to wait another process may take before it counts as silent.
 	peerSlack = 300 * time.Millisecond
 	// listTime bounds a list from another process: it may wait for its own list, and a megabyte takes a second over an agent's link.
@@ -133,9 +132,9 @@
 // Watch waits for changes of a kind. When the process that is read from fails, the store is asked at once.
 func (r *Reader) Watch(ctx context.Context, kind string, revision int64, wait time.Duration) ([]platform.Object, int64, error) {
 	if address := r.Choice.Address(); address != "" {
-		peerWait := min(wait, sharedWait)
-		q := Question{Kind: kind, Since: revision, WaitMS: peerWait.Milliseconds()}
-		objects, at, age, err := r.ask(ctx, address, q, peerWait+peerSlack)
+		asked := min(wait, peerWait)
+		q := Question{Kind: kind, Since: revision, WaitMS: asked.Milliseconds()}
+		objects, at, age, err := r.ask(ctx, address, q, asked+peerSlack)
 		if err == nil {
 			r.keep(func(c *Cache) { c.changedSince(kind, objects, at, age) })
 		}
@@ -146,7 +145,7 @@
 		wait = 0 // What the other process did not tell may have been there for a while.
 	}
 	if r.Cache != nil && r.Cache.serving() {
-		wait = min(wait, sharedWait)
+		wait = min(wait, r.Cache.storeWait)
 	}
 	objects, at, err := r.Direct.Watch(ctx, kind, revision, wait)
 	if err == nil {
--- a/internal/storefeed/feed_test.go
+++ b/internal/storefeed/feed_test.go
@@ -78,7 +78,7 @@
 func start(t *testing.T, s *store) *process {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	cache := storefeed.NewCache()
+	cache := storefeed.NewCache(2 * time.Second)
 	mux := http.NewServeMux()
 	mux.Handle(control.Path, control.NewServer(cache.Handlers()))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: patience}
