Engines are filled as they read; frozen hosts get nothing while others can be used

(2) While 24 hosts were frozen 530 requests went to them, 350 of these after their agents had been silent for 1.2 s, since the others were full. Change: the entries' shares of an engine's free places are at most what it reads until its agent's next word, by the manifest's usual prompt. An engine whose agent is silent is used only when no other can be, full or not, and 0.5 s of silence are enough where a request there waits beyond its objective.

--- a/internal/core/catalog/manifest.go
+++ b/internal/core/catalog/manifest.go
@@ -71,6 +71,8 @@
 	Slots int
 	// ReadRate is how many tokens of prompts an engine reads in a second; 0 when it is not known.
 	ReadRate float64
+	// UsualPrompt is the mean length of the prompts in tokens; 0 when it is not known.
+	UsualPrompt float64
 	// ChunkBytes and Chunks are the pieces that the weights of a model consist of.
 	ChunkBytes int64
 	Chunks     int
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -316,6 +316,7 @@
 		s.stopping = true
 	case step.Tick:
 		s.forget(in.Now)
+		s.countOverdue(in.Now)
 		s.limits.forget(in.Now)
 		effects := append(s.forgetBreaks(in.Now), s.withdrawUnbegun(in)...)
 		return append(effects, s.serveWaiting(in)...)
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -24,6 +24,9 @@
 	reading  int
 	told     LoadTold
 	toldAt   time.Time
+	// overdue counts this entry's requests there that have waited for their first event longer than their latency objective, as of the
+	// last tick.
+	overdue int
 	// others are the requests of other entries, as of toldAt.
 	others int
 	// allowance is how many more requests this entry gives the engine until its agent's next word; see share.
@@ -96,6 +99,18 @@
 	return append(effects, s.serveQueue(in, u.Service)...)
 }
 
+// countOverdue counts the requests that wait for their first event longer than their objective, by upstream.
+func (s *State) countOverdue(now time.Time) {
+	for _, l := range s.loads {
+		l.overdue = 0
+	}
+	for _, r := range s.requests {
+		if r.reading && r.route.Objective > 0 && now.Sub(r.sentAt) > r.route.Objective {
+			s.load(r.at).overdue++
+		}
+	}
+}
+
 // forget drops what is known of upstreams that are gone.
 func (s *State) forget(now time.Time) {
 	for life, l := range s.loads {
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// quietAfter is how long after its agent's last word an engine is used only when no other has room: the host may be frozen or
+	// quietAfter is how long after its agent's last word an engine is used only when no other can be: the host may be frozen or
 	// cut off. It is a little more than the longest time between two words of an agent that is well.
 	quietAfter = 1200 * time.Millisecond
+	// overdueQuiet is the same for an engine that keeps a request waiting beyond its latency objective: the load of an engine that works
+	// changes with each request, and its agent tells that within 400 ms.
+	overdueQuiet = 500 * time.Millisecond
 	// choices is how many of the nearest upstreams are looked at for a request. With all of them 11 of 100 answers came late at two
 	// thirds of the load of 76 engines, with two 2 of 1,000.
 	choices = 2
@@ -36,9 +39,10 @@
 // entries see the same loads a little late; if each took the least loaded of all, they would take the same one.
 //
 // An engine of which nobody tells is used when those that are told of are full, until one such turns a request away: then the whole fleet is
-// likely to be full; see blindFirst.
+// likely to be full; see blindFirst. One whose agent fell silent is used when no other can be, full or not: a request that waits for
+// a place is answered sooner than one that is with a frozen host.
 func (s *State) pick(in step.Input, r *request) (*catalog.Upstream, found) {
-	var known, strangers choice
+	var known, quiet, strangers choice
 	required := s.requiredVersion(in.Now, r.model)
 	for _, t := range s.targetsOf(r.service) {
 		if !t.usable(in.Now, r, required) {
@@ -48,40 +52,48 @@
 			continue
 		}
 		into := &known
-		if t.stranger() {
+		switch {
+		case t.stranger():
 			into = &strangers
+		case t.quiet(in.Now):
+			into = &quiet
 		}
 		if !t.hasRoom(in.Now, r) {
 			into.found = max(into.found, full)
 			continue
 		}
-		into.consider(candidate{target: t, quiet: t.quiet(in.Now), tie: mix(t.hash ^ in.Rand)})
+		into.consider(candidate{target: t, tie: mix(t.hash ^ in.Rand)})
 	}
 	blind := known.found == none || !in.Now.Before(s.blindAgain)
-	if known.found == room || !blind || strangers.found == none {
-		return known.best(in.Now, r)
+	switch {
+	case known.found < room && blind && strangers.found > none:
+		return strangers.best(in.Now, r)
+	case known.found == none:
+		return quiet.best(in.Now, r)
 	}
-	return strangers.best(in.Now, r)
+	return known.best(in.Now, r)
 }
 
 // candidate is an upstream with room for a request.
 type candidate struct {
 	*target
-	// quiet is set when the engine's agent has said nothing for a while, or is not asked to.
-	quiet bool
 	// tie orders upstreams in another way for each request.
 	tie uint64
 }
 
+// quiet tells whether the engine's agent has said nothing for so long that its host may be frozen or cut off.
 func (t *target) quiet(now time.Time) bool {
-	told := t.load.toldAt
-	return !told.IsZero() && now.Sub(told) > quietAfter || t.stranger()
+	if t.load.toldAt.IsZero() {
+		return false
+	}
+	silence := now.Sub(t.load.toldAt)
+	return silence > quietAfter || t.load.overdue > 0 && silence > overdueQuiet
 }
 
 // nearer tells whether c is to be used before o whatever their loads.
 func (c candidate) nearer(o candidate) bool {
-	if c.quiet != o.quiet {
-		return o.quiet
+	if late, otherLate := c.load.overdue > 0, o.load.overdue > 0; late != otherLate {
+		return otherLate
 	}
 	return c.distance < o.distance
 }
--- a/internal/core/forward/room.go
+++ b/internal/core/forward/room.go
@@ -1,6 +1,9 @@
 package forward
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// plainFactor is how many requests for each slot an entry gives a plain upstream, which queues a few more.
@@ -48,15 +51,19 @@
 // there are, the more engines each has to choose from, so that prompts spread and none waits. With 14 entries, each of which gave the
 // whole, 76.6 of 100 requests of a day of power loss and versions were answered in time, with it 78.3 (one run each).
 func (t *target) readBound() float64 {
-	rate := usualReadRate
-	if t.engine != nil && t.engine.ReadRate > 0 {
-		rate = t.engine.ReadRate
-	}
 	readers := t.load.told.Near
 	if t.distance > 0 {
 		readers = t.load.told.Entries
 	}
-	return rate * readAhead.Seconds() / float64(max(1, readers))
+	return t.readRate() * readAhead.Seconds() / float64(max(1, readers))
+}
+
+// readRate is how many tokens of prompts the engine reads in a second.
+func (t *target) readRate() float64 {
+	if t.engine != nil && t.engine.ReadRate > 0 {
+		return t.engine.ReadRate
+	}
+	return usualReadRate
 }
 
 // limit is how many requests the upstream may have.
@@ -88,9 +95,21 @@
 	if t.distance > 0 {
 		slots, sharers = max(1, slots-farMargin), ev.Entries-ev.Near
 	}
-	free, n := max(0, slots-ev.Occupied), max(1, sharers)
-	rounding := int(mix(draw) % uint64(n)) // So that on the whole no part of a place is lost.
-	return (free + rounding) / n
+	part := math.Min(float64(max(0, slots-ev.Occupied)), t.readable()) / float64(max(1, sharers))
+	whole := math.Floor(part)
+	if float64(mix(draw))/math.MaxUint64 < part-whole { // So that on the whole no part of a place is lost.
+		whole++
+	}
+	return int(whole)
+}
+
+// readable is how many prompts of the usual length an engine reads in readAhead. Its entries begin no more at once together, so that an
+// engine that has come back empty is filled at the pace at which it reads.
+func (t *target) readable() float64 {
+	if t.engine == nil || t.engine.UsualPrompt <= 0 {
+		return math.MaxInt
+	}
+	return math.Max(1, t.readRate()*readAhead.Seconds()/t.engine.UsualPrompt)
 }
 
 // spent tells whether this entry has used its share of an engine's free places.
