A host that is about to know what a version consists of keeps the question

Cause: the list of pieces goes down a tree of hosts; a host that asked too early waited 250 ms for each level, and 1 s where the hosts above were gone, since these were asked one after the other. Change: a question is kept for up to 0.35 s, and the host above and the one next to it are asked at once.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"samphireweir.example/samphireweir/internal/gateway"
@@ -38,7 +37,7 @@
 
 func startHost(t *testing.T, fleet *standin.Fleet, host hostconfig.Host) *entry {
 	t.Helper()
-	g := gateway.New(host, zerolog.Nop(), telemetry.NewMetrics(), nil)
+	g := gateway.New(host, logOf(t), telemetry.NewMetrics(), nil)
 	e := &entry{Caller: standin.Caller{Address: host.Callers, Name: t.Name()}, host: host, gateway: g, stop: fleet.Run(g.Run)}
 	require.Eventually(t, func() bool { return e.ready() == http.StatusOK }, patience, 10*time.Millisecond)
 	return e
@@ -264,7 +263,7 @@
 	fleet := standin.NewFleet(t)
 	fleet.Store.SetDown(true)
 	host := fleet.Host(standin.NextIP(), false)
-	g := gateway.New(host, zerolog.Nop(), telemetry.NewMetrics(), nil)
+	g := gateway.New(host, logOf(t), telemetry.NewMetrics(), nil)
 	e := &entry{Caller: standin.Caller{Address: host.Callers, Name: t.Name()}, host: host, gateway: g, stop: fleet.Run(g.Run)}
 	require.Eventually(t, func() bool { return e.ready() == http.StatusServiceUnavailable }, patience, 10*time.Millisecond)
 	r := e.Post("/once/1")
--- a/internal/hostagent/export_test.go
+++ b/internal/hostagent/export_test.go
@@ -1,10 +1,13 @@
 package hostagent
 
 import (
+	"net/http"
 	"net/netip"
 	"time"
 
+	"samphireweir.example/samphireweir/internal/core/install"
 	"samphireweir.example/samphireweir/internal/loadreport"
+	"samphireweir.example/samphireweir/internal/manifest"
 )
 
 // Hear takes a message.
@@ -15,3 +18,16 @@
 	_, named := a.loadNow(time.Now())
 	return named
 }
+
+// Learn has the agent know what a version consists of.
+func (a *Agent) Learn(model string, version int64, raw []byte, m *manifest.Manifest) error {
+	digest := manifest.Digest(raw)
+	if _, err := a.fetcher.Memory.AddVersion(digest, raw, m); err != nil {
+		return err
+	}
+	a.Step(install.Resolved{Model: model, Version: version, Digest: digest})
+	return nil
+}
+
+// PeerHandler answers the agents of other hosts.
+func (a *Agent) PeerHandler() http.Handler { return a.peerServer().Handler }
--- a/internal/hostagent/work.go
+++ b/internal/hostagent/work.go
@@ -28,7 +28,11 @@
 	// origin takes some tens of connections, and with all hosts empty nobody else knows.
 	originAskers = 3
 	// peerTimeout bounds such a question, and originTimeout one to the origin.
-	peerTimeout   = 500 * time.Millisecond
+	peerTimeout = 500 * time.Millisecond
+	// questionHeld is how long a host that does not know the answer yet keeps such a question, and lookInterval how often it looks: the
+	// answer goes down the tree as it comes, and no level waits for the next to ask again.
+	questionHeld  = 350 * time.Millisecond
+	lookInterval  = 10 * time.Millisecond
 	originTimeout = 2 * time.Second
 	// stageTimeout bounds the laying out of a version's pieces.
 	stageTimeout = 10 * time.Second
@@ -65,12 +69,8 @@
 // versionManifest asks peers, and the origin when it is this host's turn.
 func (a *Agent) versionManifest(e install.Resolve) ([]byte, error) {
 	position, peers := a.place(e.Model, e.Version)
-	for _, peer := range peers {
-		raw, err := a.askPeer(peer, e.Model, e.Version)
-		if err == nil {
-			return raw, nil
-		}
-		logevent.Debug(a.log, logevent.PeerFailed).Str("peer", peer).Err(err).Msg("peer failed")
+	if raw := a.askPeers(peers, e.Model, e.Version); raw != nil {
+		return raw, nil
 	}
 	if position >= originAskers*(e.Try+1) {
 		return nil, errNotMyTurn
@@ -80,8 +80,30 @@
 	return a.origin.Manifest(ctx, ref(e.Model, e.Version))
 }
 
+// askPeers asks some hosts at once and returns the first answer, nil for none. One of them may be gone without a word.
+func (a *Agent) askPeers(peers []string, model string, version int64) []byte {
+	answers := make(chan []byte, len(peers))
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	for _, peer := range peers {
+		go func() {
+			raw, err := a.askPeer(ctx, peer, model, version)
+			if err != nil {
+				logevent.Debug(a.log, logevent.PeerFailed).Str("peer", peer).Err(err).Msg("peer failed")
+			}
+			answers <- raw
+		}()
+	}
+	for range peers {
+		if raw := <-answers; raw != nil {
+			return raw
+		}
+	}
+	return nil
+}
+
 // place returns this host's position in a version's rendezvous order, and the hosts that it asks: the one above it in the tree, and
-// the first.
+// the one next to that.
 func (a *Agent) place(model string, version int64) (position int, ask []string) {
 	a.mu.Lock()
 	ranked := step.Rank(model+"/"+strconv.FormatInt(version, 10), a.peerAddresses())
@@ -91,16 +113,10 @@
 		return position, nil
 	}
 	parent := (position - 1) / fanOut
-	ask = []string{ranked[parent]}
-	if parent > 0 {
-		ask = append(ask, ranked[0])
-	}
-	return position, ask
+	return position, ranked[parent:min(parent+2, position)]
 }
 
-func (a *Agent) askPeer(peer, model string, version int64) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-	defer cancel()
+func (a *Agent) askPeer(ctx context.Context, peer, model string, version int64) ([]byte, error) {
 	target := "http://" + peer + versionsPath + model + "/" + strconv.FormatInt(version, 10)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
@@ -115,25 +131,42 @@
 		return nil, errors.Errorf("ask a peer: status %d", resp.StatusCode)
 	}
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, manifest.MaxBytes+1))
-	return raw, errors.Wrap(err, "ask a peer")
+	if err != nil {
+		return nil, errors.Wrap(err, "ask a peer")
+	}
+	return raw, nil
 }
 
-// serveVersion tells a peer what a version consists of.
+// serveVersion tells a peer what a version consists of, once this host knows.
 func (a *Agent) serveVersion(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), questionHeld)
+	defer cancel()
+	for {
+		if raw := a.versionHere(r.PathValue("model"), r.PathValue("version")); raw != nil {
+			_, _ = w.Write(raw) // A peer that left asks another.
+			return
+		}
+		select {
+		case <-time.After(lookInterval):
+		case <-ctx.Done():
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+}
+
+// versionHere is what a version consists of, nil as long as this host does not know.
+func (a *Agent) versionHere(model, version string) []byte {
 	a.mu.Lock()
 	wanted := a.install.Wanted()
 	a.mu.Unlock()
-	var raw []byte
 	for _, v := range wanted {
-		if v.Model == r.PathValue("model") && strconv.FormatInt(v.Version, 10) == r.PathValue("version") {
-			raw, _ = a.fetcher.Memory.Manifest(v.Digest)
+		if v.Model == model && strconv.FormatInt(v.Version, 10) == version {
+			raw, _ := a.fetcher.Memory.Manifest(v.Digest)
+			return raw
 		}
 	}
-	if raw == nil {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	_, _ = w.Write(raw) // A peer that left asks another.
+	return nil
 }
 
 // takeOver puts the right pieces that lie at the engine into the chunk memory, from which other hosts get them.
