--- a/internal/core/forward/greet.go
+++ b/internal/core/forward/greet.go
@@ -9,8 +9,7 @@
 
 const (
 	// nearAgents and farAgents are how many agents an entry greets in its own data centre and elsewhere. Each tells it of its engine up to
-	// eleven and two and a half times a second. With all agents of 300 hosts greeted by all entries, bytes between regions were the largest
-	// price of a day: 0.644 of what was owed went for prices, and 0.396 with these bounds (one run each).
+	// eleven and two and a half times a second, so that without a bound the bytes between regions grow with the square of the fleet.
 	nearAgents = 64
 	farAgents  = 32
 )
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -16,12 +16,10 @@
 	// overdueQuiet is the same for an engine that keeps a request waiting beyond its latency objective: the load of an engine that works
 	// changes with each request, and its agent tells that within 400 ms.
 	overdueQuiet = 500 * time.Millisecond
-	// choices is how many of the nearest upstreams are looked at for a request. With all of them 11 of 100 answers came late at two
-	// thirds of the load of 76 engines, with two 2 of 1,000.
+	// choices is how many of the nearest upstreams are looked at for a request; see pick.
 	choices = 2
 	// blindFirst and blindMost bound how long an entry sends nothing to engines of which nobody tells, after one of them turned a request away
-	// or kept it waiting; it doubles until one answers. Of 823 requests that were sent so while 76 engines changed their version 157 were
-	// turned away, and half of the others waited over 480 ms for their first event.
+	// or kept it waiting; it doubles until one answers. When those that are told of are full, such engines mostly are, too.
 	blindFirst = time.Second
 	blindMost  = 8 * time.Second
 )
--- a/internal/core/forward/queue.go
+++ b/internal/core/forward/queue.go
@@ -10,18 +10,15 @@
 )
 
 // waitShare is the part of the latency objective that a request waits for room at most. Since the newest goes first, those that are served
-// have waited little, and three fifths are left for the engine's first event. With a fifth 70.0 of 100 requests were answered in time at one
-// and a half times the engines' capacity, with two fifths 72.0, with 0.55 of it 73.1 against 72.8 (means of six days).
+// have waited little, and three fifths are left for the engine's first event.
 const waitShare = 0.4
 
 // keepFree is how long after a first try had to wait for room a free place is kept for the next one, and not given to a request whose caller
-// came back. At one and a half times the capacity it brought 1.0 of 100 requests in time (76.0 against 74.9, means of six days). With 400 ms
-// it was 1.4, but on days with less load more of those that came back were refused again, and the worth of three of them fell by 0.012.
+// came back, which can only be late. Kept for longer, it has more of those that came back refused again.
 const keepFree = 100 * time.Millisecond
 
 // wait has a request wait for room, or refuses it when it has waited long enough. One whose caller came back after a refusal does not wait:
-// by the end of its wait others that can be in time have come, and the place that it took was missed by these (73.4 of 100 in time
-// without its wait, 72.0 with it).
+// by the end of its wait others that can be in time have come, and would miss the place that it took.
 func (s *State) wait(in step.Input, r *request) []step.Effect {
 	if r.queuedBy.IsZero() {
 		r.queuedBy = in.Now.Add(waitFor(r))
@@ -65,7 +62,7 @@
 }
 
 // inTurn returns the requests in the order in which they get room, the newest first: the one that has waited longest is the likeliest to be
-// late. Without it 72.6 of 100 requests were answered in time at one and a half times the capacity, with it 74.2 (means of three days).
+// late.
 func (s *State) inTurn(ids []uint64) []*request {
 	var list []*request
 	for _, id := range ids {
--- a/internal/core/forward/room.go
+++ b/internal/core/forward/room.go
@@ -10,14 +10,11 @@
 	plainFactor = 2
 	// readAhead is how much reading of prompts entries give an engine at once. An engine reads prompts one after the other, so that
 	// whoever comes behind this waits about as long on top of the usual time to the first event, a third of the users' objectives.
-	// Without the bound 62.5 of 100 requests were answered in time at one and a half times the engines' capacity, with it 68.0 (means of
-	// six days); 60 ms did as well there.
 	readAhead = 90 * time.Millisecond
 	// usualReadRate is in tokens of prompts a second, for engines of which the manifest does not say it.
 	usualReadRate = 30000.0
 	// farMargin is how many places an entry leaves free at an engine of another data centre, of whose load it hears late: nearer
-	// entries fill them meanwhile, and what comes on top waits at the engine. It brought 4.5 of 100 requests in time at one and
-	// a half times the capacity (72.5 against 68.0).
+	// entries fill them meanwhile, and what comes on top waits at the engine.
 	farMargin = 2
 	// unheardSharers is how many entries an entry assumes to give an engine as much work as itself, that has no word on
 	// the engine's load: about two entries stand in a data centre.
@@ -48,8 +45,7 @@
 }
 
 // readBound is how many tokens of prompts an entry has an engine read at once: its part of what entries give it together. The more entries
-// there are, the more engines each has to choose from, so that prompts spread and none waits. With 14 entries, each of which gave the
-// whole, 76.6 of 100 requests of a day of power loss and versions were answered in time, with it 78.3 (one run each).
+// there are, the more engines each has to choose from, so that prompts spread and none waits.
 func (t *target) readBound() float64 {
 	readers := t.load.told.Near
 	if t.distance > 0 {
@@ -87,9 +83,7 @@
 }
 
 // share is how many requests this entry may give an engine until its agent's next word, beside those whose places it frees itself: its part
-// of the free places, since all entries that hear of these fill them at once. Where each took them all, requests for far engines waited
-// 835 ms in the middle for their first event while 76 engines changed their version; with it 74.5 of 100 requests of that day were
-// answered in time, before 70.8 (one run each). draw is any random number.
+// of the free places, since all entries that hear of these fill them at once; see also readable. draw is any random number.
 func (t *target) share(ev LoadTold, draw uint64) int {
 	slots, sharers := t.slots(), ev.Near
 	if t.distance > 0 {
--- a/internal/core/forward/target.go
+++ b/internal/core/forward/target.go
@@ -87,8 +87,7 @@
 }
 
 // loading tells whether an engine takes nothing now and will in a moment: it loads its weights in some 0.4 s. When no other can be used
-// it is worth the wait for room; refusing at once cost 0.3 of 100 requests in time on days on which all engines load at the same time
-// (means of eight runs).
+// it is worth the wait for room.
 func (t *target) loading(now time.Time, r *request) bool {
 	return r.model != "" && !t.Draining && t.load.closing(now)
 }
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -258,9 +258,8 @@
 // requests any more.
 const overtakenWait = time.Second
 
-// leastUse is how long a version must be of use for its load to be worth it: an engine takes no requests for about usualLoad. With
-// versions named 2 s apart, loading the first cost more than it brought (1.60 against 1.92 of 5 in the ten seconds that it
-// touched, one run each); that it pays 4 s apart is arithmetic.
+// leastUse is how long a version must be of use for its load to be worth it: an engine takes no requests for about usualLoad.
+// A version that is overtaken sooner costs more service than it brings.
 const leastUse = 2500 * time.Millisecond
 
 // notWorthIt tells whether a version would be loaded only to be out of use soon, since a newer one is due by then. The engine rather
--- a/internal/core/weights/pick.go
+++ b/internal/core/weights/pick.go
@@ -11,8 +11,8 @@
 
 const (
 	maxChunks = manifest.MaxChunks
-	// maxAtPeers bounds the fetches from peers at once, those that wait for an upload slot included. With 20 hosts on links of
-	// 7.6 Mbit/s and chunks of 32 KiB, 6 bring 85 chunks in 200 ms to all of them and 4 bring 75, of 116 that the links carry.
+	// maxAtPeers bounds the fetches from peers at once, those that wait for an upload slot included. With fewer a
+	// slow link carries nothing while a fetch waits for its turn at the sender.
 	maxAtPeers = 6
 	// firstAtPeers is how many are made at once at the beginning.
 	firstAtPeers = 2
--- a/internal/core/weights/tier.go
+++ b/internal/core/weights/tier.go
@@ -35,9 +35,8 @@
 	// slotRanks is how many hosts may draw for an origin slot, one after the other.
 	slotRanks = 4
 	// originSlots is how many parts the chunks are drawn from the origin in, and with it a bound of the hosts that draw at once and of the
-	// connections that the origin must take. Where it followed the number of hosts, two hosts whose lists differed by one agreed on
-	// nothing: chunks were drawn twice and others not at all until a stand-in's patience was over, 2.3 s to over 2.6 s for a copy
-	// that the origin's link carries in 1.3 s.
+	// connections that the origin must take. It must not follow the number of hosts: two hosts whose lists differ by one would agree on
+	// nothing, and chunks would be drawn twice and others not at all until a stand-in's patience is over.
 	originSlots = 24
 )
 
@@ -99,9 +98,7 @@
 }
 
 // assignSlots shares the origin's slots out over the hosts. An origin fetcher is the first holder of what it draws, and sends it to more
-// hosts than any other; with as many fetchers as there may be, all links send about as much. With 20 hosts of 7.6 Mbit/s and an origin
-// of 9.9 the busiest host sent 94 chunks with 8 slots and 80 with 20, and two bursts 4 s apart were over after 7.7 s in place of 8.5 s
-// (one run each). No host is first for more than its share, so that a host that one list lacks moves few slots.
+// hosts than any other; with as many fetchers as there may be, all links send about as much. No host is first for more than its share, so that a host that one list lacks moves few slots.
 func (b *Burst) assignSlots() []slot {
 	slots := make([]slot, originSlots)
 	share := (originSlots + b.hosts() - 1) / b.hosts()
--- a/internal/transfer/link.go
+++ b/internal/transfer/link.go
@@ -10,7 +10,6 @@
 )
 
 // pieceSize is how many bytes pass the pacing at a time: what a live request may find before it on a link, some 10 ms at 7.6 Mbit/s.
-// Measured together with pacing only: without either, 43 and 72 of 100 requests came late during a burst (two runs), with both 10.
 const pieceSize = 8 << 10
 
 const (
