Agents that start wait a moment to hear from whom to read

Cause: after a loss of power all 215 processes list the store at once, some 5 MB by reckoning over each link between regions; connections to the origin took over 0.7 s meanwhile.

--- a/internal/storefeed/choice.go
+++ b/internal/storefeed/choice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // Choice is where a process reads from at a moment. It is safe for concurrent use; its zero value is the store.
@@ -12,6 +13,45 @@
 	// moved ends when the choice changes; nil until somebody needs it.
 	moved  context.Context
 	cancel context.CancelFunc
+	// held is closed when lists need not wait for a choice any more; nil when they never did.
+	held     chan struct{}
+	released bool
+}
+
+// hold has lists wait until a process to read from is known, there is none, or d is over.
+func (c *Choice) hold(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.held = make(chan struct{})
+	time.AfterFunc(d, c.release)
+}
+
+// release ends the wait of hold.
+func (c *Choice) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releaseLocked()
+}
+
+func (c *Choice) releaseLocked() {
+	if c.held != nil && !c.released {
+		c.released = true
+		close(c.held)
+	}
+}
+
+// await waits as long as lists are held.
+func (c *Choice) await(ctx context.Context) {
+	c.mu.Lock()
+	held := c.held
+	c.mu.Unlock()
+	if held == nil {
+		return
+	}
+	select {
+	case <-held:
+	case <-ctx.Done():
+	}
 }
 
 // Address is the process to read from; empty for the store.
@@ -29,6 +69,7 @@
 		return
 	}
 	c.address = address
+	c.releaseLocked()
 	if c.cancel != nil {
 		c.cancel()
 		c.moved, c.cancel = nil, nil
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -103,6 +103,7 @@
 
 // List reads all objects of a kind. A list under way is begun anew when the place to read from changes.
 func (r *Reader) List(ctx context.Context, kind string, stale bool) ([]platform.Object, int64, error) {
+	r.Choice.await(ctx)
 	for {
 		address, during, done := r.Choice.begin(ctx)
 		objects, revision, age, err := r.list(during, address, kind, stale)
