Callers stay away longer while most engines can't be used

Cause: engines that lost their weights need seconds; a caller that comes back after one is refused again, and has no third try. While fewer than half of the engines can take requests, full or not, Retry-After is 2 to 2.9 s; the callers of the users' streams stay away for 2 s at most.

--- a/internal/core/forward/queue_test.go
+++ b/internal/core/forward/queue_test.go
@@ -122,3 +122,37 @@
 	r.now += 60 * time.Millisecond
 	require.Equal(t, []uint64{5}, sends(r.ask(5, 4500*time.Millisecond)))
 }
+
+// TestCallersStayAwayLongerWhileMostEnginesAreEmpty is the load after all hosts lost power: one engine of three has its weights again, and the
+// callers that it has no place for are asked to come back when the others are likely to have theirs.
+func TestCallersStayAwayLongerWhileMostEnginesAreEmpty(t *testing.T) {
+	for _, empty := range []int{1, 2} {
+		r := newRig()
+		for i, id := range []string{"m1", "m2", "m3"} {
+			r.add(id, "model", "perth-a", 1)
+			told := forward.LoadTold{Address: id, Versions: map[string]int64{"m": 1}}
+			if i < empty {
+				told.Versions = nil
+			}
+			r.step(told)
+		}
+		var refused []forward.Refuse
+		for id := uint64(1); id <= 20; id++ {
+			r.arrive(id, reports)
+		}
+		r.now += 250 * time.Millisecond
+		for _, e := range r.step(step.Tick{}) {
+			if refuse, ok := e.(forward.Refuse); ok {
+				refused = append(refused, refuse)
+			}
+		}
+		require.Len(t, refused, 20-3+empty)
+		for _, refuse := range refused {
+			if empty == 2 {
+				require.GreaterOrEqual(t, refuse.RetryAfter, 2*time.Second)
+			} else {
+				require.Less(t, refuse.RetryAfter, 2*time.Second)
+			}
+		}
+	}
+}
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -19,6 +19,9 @@
 	// users' streams.
 	leastAway  = 950 * time.Millisecond
 	spreadAway = 900 * time.Millisecond
+	// leastAwayInOutage is the same while most upstreams of a service can't be used, as when engines have lost their weights: they need
+	// seconds, and a caller that comes back sooner is refused again. It is as long as the callers of the users' streams stay away.
+	leastAwayInOutage = 2 * time.Second
 	// firstEventPatience bounds the wait for the first event of a stream that may be sent again. It is three to four times the
 	// objective of the users' streams, and within the two seconds that their callers wait.
 	firstEventPatience = 1500 * time.Millisecond
@@ -220,7 +223,23 @@
 
 // giveUp ends a request, whose caller may come back; see giveUpAs.
 func (s *State) giveUp(in step.Input, r *request, c code.Code, why string) []step.Effect {
-	return s.giveUpAs(in, r, bar{code: c, why: why, after: s.retryAfter(in)})
+	after := s.retryAfter(in)
+	if s.outage(in.Now, r) {
+		after += leastAwayInOutage - leastAway
+	}
+	return s.giveUpAs(in, r, bar{code: c, why: why, after: after})
+}
+
+// outage tells whether fewer than half of the upstreams of a request's service can take requests, full or not.
+func (s *State) outage(now time.Time, r *request) bool {
+	targets, usable := s.targetsOf(r.service), 0
+	required := s.requiredVersion(now, r.model)
+	for _, t := range targets {
+		if t.usable(now, r, required) || r.tried[t.Life()] && !now.Before(t.load.avoid) {
+			usable++
+		}
+	}
+	return 2*usable < len(targets)
 }
 
 // giveUpAs ends a request. What it says of the run decides the code: only a request that did not run is refused.
