Weights are on their way while the engine starts; near agents speak each 0.3 s

Cause: 84 engines that join under load; their agents named the first version after the engine's first answer, 1.0 s after their own start, by the logs. They name it once it is known that the operator named none. A frozen host in the entry's data centre is noticed after 0.7 s (1.2 s). New test fails without the change.

--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -11,8 +11,9 @@
 
 const (
 	// quietAfter is how long after its agent's last word an engine is used only when no other can be: the host may be frozen or
-	// cut off. It is a little more than the longest time between two words of an agent that is well.
+	// cut off. It is a little more than the longest time between two words of an agent that is well, which is shorter in this data centre.
 	quietAfter = 1200 * time.Millisecond
+	quietNear  = 700 * time.Millisecond
 	// overdueQuiet is the same for an engine that keeps a request waiting beyond its latency objective: the load of an engine that works
 	// changes with each request, and its agent tells that within 400 ms.
 	overdueQuiet = 500 * time.Millisecond
@@ -84,8 +85,11 @@
 	if t.load.toldAt.IsZero() {
 		return false
 	}
-	silence := now.Sub(t.load.toldAt)
-	return silence > quietAfter || t.load.overdue > 0 && silence > overdueQuiet
+	silence, usual := now.Sub(t.load.toldAt), quietAfter
+	if t.distance == 0 {
+		usual = quietNear
+	}
+	return silence > usual || t.load.overdue > 0 && silence > overdueQuiet
 }
 
 // nearer tells whether c is to be used before o whatever their loads.
--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -26,6 +26,8 @@
 	// maxCheckAge is how old the oldest reading of a piece may be when the engine is ordered to load. Stored pieces can go bad;
 	// an engine that loads one soon after its check is within what the platform tolerates.
 	maxCheckAge = 2 * time.Second
+	// servingShare is the part of the host's link that transfers may use while the engine holds weights: its answers take the same way.
+	servingShare = 0.8
 	// engineSilent is how long an engine may not answer before it counts as down: some readings, which are made each 100 ms.
 	engineSilent = 800 * time.Millisecond
 )
@@ -178,6 +180,9 @@
 	MaxAge  time.Duration
 }
 
+// ShareLink has the shell let transfers use a part of the host's link from now on, above 0 up to 1.
+type ShareLink struct{ Share float64 }
+
 // Moved tells the shell that a model entered a phase, for its log.
 type Moved struct {
 	Model   string
@@ -198,6 +203,9 @@
 // Effect marks the type as an effect.
 func (Order) Effect() {}
 
+// Effect marks the type as an effect.
+func (ShareLink) Effect() {}
+
 // Effect marks the type as an effect.
 func (Moved) Effect() {}
 
@@ -238,6 +246,8 @@
 	engine EngineRead
 	// readAt is when the engine last answered.
 	readAt time.Time
+	// share is the part of the link that transfers may use; see ShareLink.
+	share float64
 	// bornAt is the latest start of the engine that is known; see EngineRead.
 	bornAt int64
 	// complete are the digests whose chunks are all here.
@@ -246,7 +256,7 @@
 
 // NewState returns the state of a fresh agent.
 func NewState(self string, versionTime time.Duration) *State {
-	return &State{Self: self, VersionTime: versionTime, models: map[string]*model{}, complete: map[string]bool{}}
+	return &State{Self: self, VersionTime: versionTime, models: map[string]*model{}, complete: map[string]bool{}, share: 1}
 }
 
 // Loaded returns the versions that the engine holds whole, by model.
--- a/internal/core/install/install_test.go
+++ b/internal/core/install/install_test.go
@@ -336,3 +336,14 @@
 	require.Len(t, effects, 1)
 	require.Zero(t, effects[0].(install.Order).Sequence)
 }
+
+// TestTransfersHaveTheWholeLinkUntilTheEngineServes is the pattern of empty engines that join and of a fleet that has lost power.
+func TestTransfersHaveTheWholeLinkUntilTheEngineServes(t *testing.T) {
+	r := newRig()
+	require.NotContains(t, r.read(), install.ShareLink{Share: 1}, "it has the whole link from the start")
+	r.engine.Loaded["m"] = 1
+	require.Contains(t, r.read(), install.ShareLink{Share: 0.8})
+	require.Empty(t, r.read())
+	r.engine.Loaded["m"] = 0
+	require.Contains(t, r.read(), install.ShareLink{Share: 1})
+}
--- a/internal/hostagent/export_test.go
+++ b/internal/hostagent/export_test.go
@@ -31,3 +31,6 @@
 
 // PeerHandler answers the agents of other hosts.
 func (a *Agent) PeerHandler() http.Handler { return a.peerServer().Handler }
+
+// Tick lets a moment pass.
+func (a *Agent) Tick() { a.tick() }
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -100,7 +100,7 @@
 	a.fetcher = &transfer.Fetcher{
 		Memory: transfer.NewMemory(host.Memory / chunkMemoryShare), Sources: []transfer.Source{a.origin},
 		Pool: pool, Client: client, Self: self,
-		Up: transfer.NewLink(transferRate(host)), Down: transfer.NewLink(transferRate(host)), Steps: a, Log: log,
+		Up: transfer.NewLink(host.Link), Down: transfer.NewLink(host.Link), Steps: a, Log: log,
 	}
 	return a
 }
@@ -113,10 +113,6 @@
 	}}
 }
 
-// transferRate is the part of the link that transfers may use, in bytes a second; the rest is for the engine's live requests. With
-// 8 tenths and small pieces a burst of 20 hosts took 3.2 s, no longer than with the whole link.
-func transferRate(host hostconfig.Host) int64 { return host.Link * 8 / 10 }
-
 // originPlace returns the origin's address and how many pieces a version has.
 func (a *Agent) originPlace() (string, int) {
 	a.mu.Lock()
@@ -172,6 +168,8 @@
 			Str("why", e.Why).Msg("install moved")
 	case install.Resolve:
 		go a.resolve(e)
+	case install.ShareLink:
+		a.fetcher.Carry(weights.SetShare{Share: e.Share})
 	case install.Fetch:
 		a.setWants(in)
 	case install.Prepare:
@@ -286,6 +284,7 @@
 
 func (a *Agent) tick() {
 	a.Step(step.Tick{})
+	a.nameUnnamed()
 	a.neighbours.Tick()
 }
 
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -19,8 +19,10 @@
 	// and elsewhere. Entries elsewhere send work only when their own engines are full.
 	nearInterval = 90 * time.Millisecond
 	farInterval  = 400 * time.Millisecond
-	// calmInterval is the time between two reports without a change.
+	// calmInterval is the time between two reports without a change, and nearCalm the same to entries of this data centre, which send most
+	// of the work and must notice soon when this host freezes.
 	calmInterval = 900 * time.Millisecond
+	nearCalm     = 300 * time.Millisecond
 )
 
 // listener is an entry that hears of this engine's load.
@@ -83,15 +85,15 @@
 		return
 	}
 	a.Step(reading)
-	a.nameUnnamed()
 }
 
-// nameUnnamed gives models that the operator has named no version of the newest version that an engine holds.
+// nameUnnamed gives models that the operator has named no version of the newest version that an engine holds, once it is known what was
+// named. It does not wait for this host's engine, which may still be starting while its weights are on their way.
 func (a *Agent) nameUnnamed() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	terms := a.engineTerms()
-	if terms == nil {
+	if terms == nil || !a.catalog.Ready() {
 		return
 	}
 	for _, model := range terms.Models {
@@ -152,10 +154,18 @@
 	}
 }
 
+// calm is how long an entry may hear nothing.
+func (l *listener) calm() time.Duration {
+	if l.near {
+		return nearCalm
+	}
+	return calmInterval
+}
+
 // due tells whether an entry is to hear of the load now.
 func (l *listener) due(now time.Time, load loadreport.Load) bool {
 	since := now.Sub(l.told)
-	if since >= calmInterval || load.Born != l.last.Born || load.Closing != l.last.Closing {
+	if since >= l.calm() || load.Born != l.last.Born || load.Closing != l.last.Closing {
 		return true
 	}
 	if load.Occupied == l.last.Occupied {
