--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -180,9 +180,6 @@
 	MaxAge  time.Duration
 }
 
-// ShareLink has the shell let transfers use a part of the host's link from now on, above 0 up to 1.
-type ShareLink struct{ Share float64 }
-
 // Moved tells the shell that a model entered a phase, for its log.
 type Moved struct {
 	Model   string
@@ -203,9 +200,6 @@
 // Effect marks the type as an effect.
 func (Order) Effect() {}
 
-// Effect marks the type as an effect.
-func (ShareLink) Effect() {}
-
 // Effect marks the type as an effect.
 func (Moved) Effect() {}
 
@@ -246,8 +240,6 @@
 	engine EngineRead
 	// readAt is when the engine last answered.
 	readAt time.Time
-	// share is the part of the link that transfers may use; see ShareLink.
-	share float64
 	// bornAt is the latest start of the engine that is known; see EngineRead.
 	bornAt int64
 	// complete are the digests whose chunks are all here.
@@ -256,7 +248,7 @@
 
 // NewState returns the state of a fresh agent.
 func NewState(self string, versionTime time.Duration) *State {
-	return &State{Self: self, VersionTime: versionTime, models: map[string]*model{}, complete: map[string]bool{}, share: 1}
+	return &State{Self: self, VersionTime: versionTime, models: map[string]*model{}, complete: map[string]bool{}}
 }
 
 // Loaded returns the versions that the engine holds whole, by model.
@@ -272,6 +264,17 @@
 	return s.engine.Busy
 }
 
+// LinkShare is the part of the host's link that transfers may use, above 0 up to 1. An engine that holds nothing answers nobody, and its
+// weights may have the whole link.
+func (s *State) LinkShare() float64 {
+	for _, v := range s.engine.Loaded {
+		if v > 0 {
+			return servingShare
+		}
+	}
+	return 1
+}
+
 // Born is when the engine started, as of its last reading.
 func (s *State) Born() int64 { return s.engine.Born }
 
--- a/internal/core/install/install_test.go
+++ b/internal/core/install/install_test.go
@@ -340,10 +340,13 @@
 // TestTransfersHaveTheWholeLinkUntilTheEngineServes is the pattern of empty engines that join and of a fleet that has lost power.
 func TestTransfersHaveTheWholeLinkUntilTheEngineServes(t *testing.T) {
 	r := newRig()
-	require.NotContains(t, r.read(), install.ShareLink{Share: 1}, "it has the whole link from the start")
+	require.InDelta(t, 1, r.state.LinkShare(), 0, "nothing is known of the engine")
+	r.read()
+	require.InDelta(t, 1, r.state.LinkShare(), 0)
 	r.engine.Loaded["m"] = 1
-	require.Contains(t, r.read(), install.ShareLink{Share: 0.8})
-	require.Empty(t, r.read())
+	r.read()
+	require.InDelta(t, 0.8, r.state.LinkShare(), 0)
 	r.engine.Loaded["m"] = 0
-	require.Contains(t, r.read(), install.ShareLink{Share: 1})
+	r.read()
+	require.InDelta(t, 1, r.state.LinkShare(), 0)
 }
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -122,10 +122,10 @@
 func (s *State) engineRead(in step.Input, ev EngineRead) []step.Effect {
 	again := s.bornAt > 0 && ev.Born > s.bornAt
 	s.engine, s.readAt, s.bornAt = ev, in.Now, max(s.bornAt, ev.Born)
-	effects := s.shareLink()
 	if !again {
-		return effects
+		return nil
 	}
+	var effects []step.Effect
 	for _, name := range s.Models() {
 		if m := s.models[name]; m.phase != Idle {
 			effects = append(effects, m.move(Idle, in.Now, "the engine started again")...)
@@ -134,21 +134,6 @@
 	return effects
 }
 
-// shareLink gives transfers the whole link as long as the engine holds nothing and so has nobody to answer.
-func (s *State) shareLink() []step.Effect {
-	share := 1.0
-	for _, v := range s.engine.Loaded {
-		if v > 0 {
-			share = servingShare
-		}
-	}
-	if share == s.share {
-		return nil
-	}
-	s.share = share
-	return []step.Effect{ShareLink{Share: share}}
-}
-
 // engineFailed forgets what an engine held that has not answered for long: it may come back empty.
 func (s *State) engineFailed(now time.Time) {
 	if now.Sub(s.readAt) > engineSilent {
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -168,8 +168,6 @@
 			Str("why", e.Why).Msg("install moved")
 	case install.Resolve:
 		go a.resolve(e)
-	case install.ShareLink:
-		a.fetcher.Carry(weights.SetShare{Share: e.Share})
 	case install.Fetch:
 		a.setWants(in)
 	case install.Prepare:
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -8,6 +8,7 @@
 
 	"samphireweir.example/samphireweir/internal/core/install"
 	"samphireweir.example/samphireweir/internal/core/quarantine"
+	"samphireweir.example/samphireweir/internal/core/weights"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/logevent"
 )
@@ -85,6 +86,15 @@
 		return
 	}
 	a.Step(reading)
+	a.shareLink()
+}
+
+// shareLink lets transfers use as much of the link as the engine leaves.
+func (a *Agent) shareLink() {
+	a.mu.Lock()
+	share := a.install.LinkShare()
+	a.mu.Unlock()
+	a.fetcher.Carry(weights.SetShare{Share: share})
 }
 
 // nameUnnamed gives models that the operator has named no version of the newest version that an engine holds, once it is known what was
