Only agents of large fleets wait for whom to read from; entries greet when they are ready

Cause: entries greeted agents with their start, when they know none, and a second later. Agents wait up to a second where the store allows 10,000 reads a second or more, a hundred hosts; a smaller fleet's lists do not fill its links, and its agents would lose the time.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,6 +117,7 @@
 	if !g.ready.Load() && g.catalog.Ready() {
 		g.ready.Store(true)
 		logevent.Info(g.log, logevent.Ready).Int("upstreams", len(g.catalog.Upstreams)).Msg("ready")
+		go g.greetAll() // Agents that start as well wait to hear of entries.
 	}
 }
 
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -23,6 +23,8 @@
 	EngineService string
 	// Store is the address of the platform's object store.
 	Store string
+	// StoreReads is how many reads a second the store allows all processes together; 0 when the platform does not say.
+	StoreReads float64
 	// Memory is the limit of a process in bytes.
 	Memory int64
 	// Link is the rate of the host's link in bytes a second.
--- a/internal/storefeed/choice.go
+++ b/internal/storefeed/choice.go
@@ -18,7 +18,7 @@
 	released bool
 }
 
-// hold has lists wait until a process to read from is known, there is none, or d is over.
+// hold has lists wait until a process to read from is known or d is over.
 func (c *Choice) hold(d time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/storefeed/neighbours.go
+++ b/internal/storefeed/neighbours.go
@@ -24,10 +24,13 @@
 	seedInterval = 3 * time.Second
 	// tellingFor is how long what a data centre's processes are told is used again.
 	tellingFor = 500 * time.Millisecond
-	// sourceWait is how long an agent that starts waits to hear from which entry to read, before it reads the store itself: a whole fleet that
-	// starts at once would fill the links between regions with the same lists. Hosts that start together do so within 0.3 s. It is
-	// also how long a process must run to know how many entries there are.
-	sourceWait = 400 * time.Millisecond
+	// sourceWait is how long an agent of a large fleet that starts waits to hear from which entry to read, before it reads the store itself:
+	// if all hosts start at once they fill the links between regions with the same lists. Entries greet agents once they have read
+	// theirs.
+	sourceWait = time.Second
+	// crowdReads is from which rate of reads a second, which the platform allows all processes together, a fleet counts as large in this:
+	// it allows about a hundred for each host.
+	crowdReads = 10000
 )
 
 // Neighbours is what a process knows of the entries of its data centre, and where it reads the store from. It is safe for
@@ -36,7 +39,6 @@
 	self       string
 	dataCentre string
 	agent      bool
-	started    time.Time
 	seeds      []netip.AddrPort
 	log        zerolog.Logger
 	choice     Choice
@@ -59,15 +61,14 @@
 func NewNeighbours(host hostconfig.Host, self string, agent bool, log zerolog.Logger) *Neighbours {
 	n := &Neighbours{
 		self: self, dataCentre: host.DataCentre, agent: agent, log: log, state: source.NewState(self, host.DataCentre, agent),
-		started: time.Now(),
-		told:    map[string]telling{},
+		told: map[string]telling{},
 	}
 	for _, s := range host.Seeds {
 		if a, err := netip.ParseAddrPort(s); err == nil && s != self {
 			n.seeds = append(n.seeds, a)
 		}
 	}
-	if agent && len(n.seeds) > 0 {
+	if agent && host.StoreReads >= crowdReads {
 		n.choice.hold(sourceWait)
 	}
 	return n
@@ -87,9 +88,6 @@
 func (n *Neighbours) Heard(from netip.AddrPort, m loadreport.Message) {
 	if m.EntryCount > 0 {
 		n.step(source.Told{Entries: m.Entries, Count: m.EntryCount})
-		if m.EntryCount < source.LeastEntries {
-			n.choice.release()
-		}
 	}
 	if m.DataCentre == "" || m.Agent {
 		return
@@ -118,13 +116,6 @@
 func (n *Neighbours) Tell(dataCentre string, m *loadreport.Message) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if t := n.telling(dataCentre); t.count >= source.LeastEntries {
-		m.Entries, m.EntryCount = t.first, t.count
-	}
-}
-
-// telling is what a data centre's processes are to be told. It is called with the lock held.
-func (n *Neighbours) telling(dataCentre string) telling {
 	now := time.Now()
 	t, known := n.told[dataCentre]
 	if !known || now.Sub(t.at) > tellingFor {
@@ -134,22 +125,18 @@
 			n.told[dataCentre] = t
 		}
 	}
-	return t
+	if t.count >= source.LeastEntries {
+		m.Entries, m.EntryCount = t.first, t.count
+	}
 }
 
-// Answer answers the greeting of a process that takes this one for a seed. Who waits to hear from which entry to read is told as well that
-// there is none, once this process has run long enough to know.
+// Answer answers the greeting of a process that takes this one for a seed.
 func (n *Neighbours) Answer(socket *loadreport.Socket, from netip.AddrPort, m loadreport.Message) {
 	if m.DataCentre == "" {
 		return
 	}
 	var answer loadreport.Message
 	n.Tell(m.DataCentre, &answer)
-	if m.Agent && answer.EntryCount == 0 && time.Since(n.started) >= sourceWait {
-		n.mu.Lock()
-		answer.EntryCount = n.telling(m.DataCentre).count
-		n.mu.Unlock()
-	}
 	if answer.EntryCount > 0 {
 		n.send(socket, from, answer)
 	}
