--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"strings"
 
 	"github.com/google/subcommands"
@@ -23,6 +24,7 @@
 	sample  int
 	seed    uint64
 	losses  bool
+	install string
 }
 
 // Name returns the command's name.
@@ -40,9 +42,11 @@
   explain -belief upstreams/i-7f3a91c2 FILE...
   explain -sample 20 -seed 1 FILE...
   explain -losses FILE...
+  explain -install MODEL/VERSION FILE...
   Reads log files, or standard input when none is named. -request prints the lines of one request, what its entry learned in the ten
   seconds before its end, and what is missing. -belief prints how a manifest, an upstream or a version went through the processes. -sample
-  draws failed and refused requests and prints a line on each. -losses counts the requests that were not answered in time, by reason. Lines that can't be read are counted.
+  draws failed and refused requests and prints a line on each. -losses counts the requests that were not answered in time, by reason. -install tells when hosts took each step of a version's way to
+  their engines. Lines that can't be read are counted.
 `
 }
 
@@ -53,23 +57,34 @@
 	fs.IntVar(&c.sample, "sample", 0, "how many failed requests to draw")
 	fs.Uint64Var(&c.seed, "seed", 1, "seed of the draw; the same logs give the same requests")
 	fs.BoolVar(&c.losses, "losses", false, "count the requests that were not answered in time, by reason")
+	fs.StringVar(&c.install, "install", "", "MODEL/VERSION whose way to the engines is told")
 	describeFlags(fs)
 }
 
 // Check refuses flags that don't say what to explain.
 func (c *explainCommand) Check() error {
 	asked := 0
-	for _, set := range []bool{c.request != "", c.belief != "", c.sample != 0, c.losses} {
+	for _, set := range []bool{c.request != "", c.belief != "", c.sample != 0, c.losses, c.install != ""} {
 		if set {
 			asked++
 		}
 	}
 	if asked != 1 || c.sample < 0 {
-		return code.Errorf(code.BadProcess, "-request, -belief, -sample, -losses", "want one of them, and a positive number for -sample")
+		return code.Errorf(code.BadProcess, "-request, -belief, -sample, -losses, -install", "want one of them, and a positive number for -sample")
+	}
+	if _, _, err := c.version(); c.install != "" && err != nil {
+		return code.Errorf(code.BadProcess, "-install", "%q, want MODEL/VERSION", c.install)
 	}
 	return nil
 }
 
+// version is the model and the version of -install.
+func (c *explainCommand) version() (string, int64, error) {
+	model, text, _ := strings.Cut(c.install, "/")
+	number, err := strconv.ParseInt(text, 10, 64)
+	return model, number, errors.Wrap(err, "read a version")
+}
+
 // Execute prints the story.
 func (c *explainCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	err := config.FromEnvironment(fs, os.Environ(), variables())
@@ -117,6 +132,12 @@
 		return v.Print(w)
 	case c.losses:
 		return log.Losses().Print(w)
+	case c.install != "":
+		model, version, err := c.version()
+		if err != nil {
+			return err
+		}
+		return log.Installs(model, version).Print(w)
 	case c.belief != "":
 		topic, of, _ := strings.Cut(c.belief, "/")
 		return log.Belief(topic, of).Print(w)
--- a/internal/story/read.go
+++ b/internal/story/read.go
@@ -36,6 +36,10 @@
 	Of       string `json:"of"`
 	Value    string `json:"value"`
 	Revision int64  `json:"revision"`
+	// Model, Version and Phase are a version's on its way to an engine.
+	Model   string `json:"model"`
+	Version int64  `json:"version"`
+	Phase   string `json:"phase"`
 	// Upstream is an upstream's id, and Sends counts the sends of a request.
 	Upstream string `json:"upstream"`
 	Sends    int    `json:"sends"`
