Idle engines load for the last seconds; nobody asks blindly; a starting host waits for the others

With eight engines heard of and none usable, no other is asked. One such engine gets one request at a time from each entry where these are many; four from each of 35 was a flood. - A host that knows no other host took itself for the first of the tree and asked the origin.

--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -17,6 +17,9 @@
 	// overdueQuiet is the same for an engine that keeps a request waiting beyond its latency objective: the load of an engine that works
 	// changes with each request, and its agent tells that within 400 ms.
 	overdueQuiet = 500 * time.Millisecond
+	// fewHeard is how many engines an entry must hear of for these to tell of the others: when all of them are without the weights, so
+	// are most likely those of which nobody tells, whatever the store still says of them.
+	fewHeard = 8
 	// choices is how many of the nearest upstreams are looked at for a request; see pick.
 	choices = 2
 	// blindFirst and blindMost bound how long an entry sends nothing to engines of which nobody tells, after one of them turned a request away
@@ -39,11 +42,15 @@
 //
 // An engine of which nobody tells is used when those that are told of are full, until one such turns a request away: then the whole fleet is
 // likely to be full; see blindFirst. One whose agent fell silent is used when no other can be, full or not: a request that waits for
-// a place is answered sooner than one that is with a frozen host.
+// a place is answered sooner than one that is with a frozen host. Neither is used when enough are heard of that could take nothing
+// even if they were not full; see fewHeard.
 func (s *State) pick(in step.Input, r *request) (*catalog.Upstream, found) {
 	var known, quiet, strangers choice
-	required := s.requiredVersion(in.Now, r.model)
+	heard, required := 0, s.requiredVersion(in.Now, r.model)
 	for _, t := range s.targetsOf(r.service) {
+		if t.load.heard(in.Now) {
+			heard++
+		}
 		if !t.usable(in.Now, r, required) {
 			if t.loading(in.Now, r) {
 				known.found = max(known.found, full)
@@ -65,6 +72,8 @@
 	}
 	blind := known.found == none || !in.Now.Before(s.blindAgain)
 	switch {
+	case known.found == none && heard >= fewHeard:
+		return nil, none
 	case known.found < room && blind && strangers.found > none:
 		return strangers.best(in.Now, r)
 	case known.found == none:
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -230,18 +230,36 @@
 	return s.giveUpAs(in, r, bar{code: c, why: why, after: after})
 }
 
-// outage tells whether fewer than half of the upstreams of a request's service can take requests, full or not.
+// outage tells whether fewer than half of the upstreams of a request's service can take requests, full or not. Engines of which nobody tells
+// say nothing of that, but where they are nearly all.
 func (s *State) outage(now time.Time, r *request) bool {
-	targets, usable := s.targetsOf(r.service), 0
+	var all, heard census
 	required := s.requiredVersion(now, r.model)
-	for _, t := range targets {
-		if t.usable(now, r, required) || r.tried[t.Life()] && !now.Before(t.load.avoid) {
-			usable++
+	for _, t := range s.targetsOf(r.service) {
+		usable := t.usable(now, r, required) || r.tried[t.Life()] && !now.Before(t.load.avoid)
+		all.count(usable)
+		if t.load.heard(now) {
+			heard.count(usable)
 		}
 	}
-	return 2*usable < len(targets)
+	if heard.upstreams >= fewHeard {
+		return heard.mostlyDown()
+	}
+	return all.mostlyDown()
+}
+
+// census counts upstreams, and those of them that can take requests.
+type census struct{ upstreams, usable int }
+
+func (c *census) count(usable bool) {
+	c.upstreams++
+	if usable {
+		c.usable++
+	}
 }
 
+func (c *census) mostlyDown() bool { return 2*c.usable < c.upstreams }
+
 // giveUpAs ends a request. What it says of the run decides the code: only a request that did not run is refused.
 func (s *State) giveUpAs(in step.Input, r *request, b bar) []step.Effect {
 	delete(s.requests, r.id)
--- a/internal/core/forward/refill_test.go
+++ b/internal/core/forward/refill_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -100,3 +101,32 @@
 	r.step(step.Tick{})
 	require.Equal(t, "hangs", only[forward.Send](t, r.prompt(3, 10)).Upstream.ID, "it answers again, and is nearer")
 }
+
+// TestAFleetWithoutWeightsIsNotAskedBlindly is the load after all hosts lost power: the store still tells of engines as they were, and the agents
+// that an entry hears say that theirs hold nothing. Requests are refused at once and asked to come back late, in place of being sent to
+// the engines of which nobody tells.
+func TestAFleetWithoutWeightsIsNotAskedBlindly(t *testing.T) {
+	r := newFleetRig("entry-1", 80, 0)
+	for _, u := range r.state.Greet() {
+		r.step(forward.LoadTold{Address: u.Address, Entries: 35, Near: 35})
+	}
+	refuse := only[forward.Refuse](t, r.arrive(1, notes))
+	require.GreaterOrEqual(t, refuse.RetryAfter, 2*time.Second)
+}
+
+// TestBlindSendsAreShared has the engines that an entry hears of be full, with 35 entries before the fleet: at an engine of which nobody tells
+// it has no more than its part of eight places, which is one request at a time.
+func TestBlindSendsAreShared(t *testing.T) {
+	r := newFleetRig("entry-1", 65, 0)
+	for i := range 65 {
+		r.add(fmt.Sprintf("near-%d", i), "model", "perth-a", 8)
+	}
+	for _, u := range r.state.Greet() {
+		r.step(forward.LoadTold{Address: u.Address, Occupied: 99, Versions: map[string]int64{"m": 1}, Entries: 35, Near: 35})
+	}
+	sent := 0
+	for id := range uint64(5) {
+		sent += len(sends(r.arrive(id+1, notes)))
+	}
+	require.Equal(t, 1, sent)
+}
--- a/internal/core/forward/room.go
+++ b/internal/core/forward/room.go
@@ -16,8 +16,8 @@
 	// farMargin is how many places an entry leaves free at an engine of another data centre, of whose load it hears late: nearer
 	// entries fill them meanwhile, and what comes on top waits at the engine.
 	farMargin = 2
-	// unheardSharers is how many entries an entry assumes to give an engine as much work as itself, that has no word on
-	// the engine's load: about two entries stand in a data centre.
+	// unheardSharers is how many entries an entry at least assumes to give an engine as much work as itself, that has no word on
+	// the engine's load.
 	unheardSharers = 2
 )
 
@@ -34,7 +34,7 @@
 	if t.load.heard(now) {
 		return t.load.inFlight + t.load.others
 	}
-	return t.load.inFlight * unheardSharers
+	return t.load.inFlight * max(unheardSharers, t.sharers)
 }
 
 // crowded tells whether an engine has as many prompts to read as this entry gives it at once. A request that was sent before does
--- a/internal/core/forward/target.go
+++ b/internal/core/forward/target.go
@@ -17,6 +17,8 @@
 	distance int
 	// unasked is set when its agent is not asked for its load, because the entry greets too many others.
 	unasked bool
+	// sharers is how many entries may give it work, as far as agents have counted them.
+	sharers int
 	// hash is the upstream's, for an order that differs from request to request.
 	hash uint64
 }
@@ -27,13 +29,14 @@
 	byService map[string][]*target
 	changes   uint64
 	manifest  *catalog.Manifest
+	entries   int
 }
 
 // targetsOf returns the upstreams of a service.
 func (s *State) targetsOf(service string) []*target {
 	t := &s.targets
-	if t.byService == nil || t.changes != s.Catalog.Changes || t.manifest != s.Catalog.Manifest {
-		*t = targets{byService: map[string][]*target{}, changes: s.Catalog.Changes, manifest: s.Catalog.Manifest}
+	if t.byService == nil || t.changes != s.Catalog.Changes || t.manifest != s.Catalog.Manifest || t.entries != s.entries {
+		*t = targets{byService: map[string][]*target{}, changes: s.Catalog.Changes, manifest: s.Catalog.Manifest, entries: s.entries}
 		for _, u := range s.Catalog.Upstreams {
 			t.byService[u.Service] = append(t.byService[u.Service], s.target(u))
 		}
@@ -44,6 +47,7 @@
 // target returns an upstream with what is derived of it.
 func (s *State) target(u *catalog.Upstream) *target {
 	t := &target{Upstream: u, load: s.load(u.Life()), engine: s.engine(u), distance: s.distance(u), hash: step.Score(u.ID, "")}
+	t.sharers = s.entries
 	t.unasked = s.greeted != nil && !s.greeted[u.ID] && t.engine != nil
 	return t
 }
--- a/internal/core/install/overtaken_test.go
+++ b/internal/core/install/overtaken_test.go
@@ -39,3 +39,32 @@
 		require.LessOrEqual(t, r.now, versionTime-catalog.VersionMargin, "the turn of the engine of %s, since version 2 was named", host)
 	}
 }
+
+// TestAnEngineThatServesNobodyLoadsAVersionForItsLastSeconds is the pattern of an origin that goes away right after two namings and comes back when
+// the time of the version that engines hold is over: the first of the new ones arrives some seconds before the second must be in use. An
+// engine that still serves leaves such a version out.
+func TestAnEngineThatServesNobodyLoadsAVersionForItsLastSeconds(t *testing.T) {
+	const named, outOfUse = 3 * time.Second, versionTime - catalog.VersionMargin
+	for _, c := range []struct {
+		held  int64
+		at    time.Duration
+		loads bool
+	}{
+		{held: 1, at: outOfUse + 300*time.Millisecond, loads: true},
+		{held: 0, at: outOfUse - time.Second, loads: true},
+		{held: 1, at: outOfUse + named - 900*time.Millisecond, loads: false},
+		{held: 0, at: outOfUse + named - 900*time.Millisecond, loads: false},
+	} {
+		r := newRig()
+		if c.held > 0 {
+			r.engine.Loaded["m"] = c.held
+		}
+		r.read()
+		r.step(install.Named{Model: "m", Version: 2})
+		r.step(install.Resolved{Model: "m", Version: 2, Digest: "d2"})
+		r.pass(named)
+		r.step(install.Named{Model: "m", Version: 3})
+		r.pass(c.at - named)
+		require.Equal(t, c.loads, prepares(r.step(install.Complete{Digest: "d2"})) || prepares(r.pass(100*time.Millisecond)), "%+v", c)
+	}
+}
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -262,16 +262,27 @@
 // A version that is overtaken sooner costs more service than it brings.
 const leastUse = 2500 * time.Millisecond
 
+// idleLoad is about how long an engine takes to load that has nothing to finish, and leastIdleUse how long a version must be of use from then
+// on for such a load to be worth it: nothing is lost meanwhile.
+const (
+	idleLoad     = 500 * time.Millisecond
+	leastIdleUse = 500 * time.Millisecond
+)
+
 // notWorthIt tells whether a version would be loaded only to be out of use soon, since a newer one is due by then. The engine rather
-// waits for that one.
+// waits for that one. An engine whose own version is out of use serves nobody until it loads another.
 func (s *State) notWorthIt(now time.Time, m *model, v *version, held int64) bool {
 	until := s.usableUntil(m, v.number)
 	if until.IsZero() || !now.Before(until.Add(loadAnyway)) {
 		return false
 	}
+	heldUntil := s.usableUntil(m, held)
+	if held == 0 || !heldUntil.IsZero() && !now.Before(heldUntil) {
+		return until.Sub(now.Add(idleLoad)) < leastIdleUse
+	}
 	from := now.Add(usualLoad)
-	if other := s.usableUntil(m, held); other.After(from) {
-		from = other
+	if heldUntil.After(from) {
+		from = heldUntil
 	}
 	return until.Sub(from) < leastUse
 }
--- a/internal/hostagent/work.go
+++ b/internal/hostagent/work.go
@@ -34,6 +34,9 @@
 	questionHeld  = 350 * time.Millisecond
 	lookInterval  = 10 * time.Millisecond
 	originTimeout = 2 * time.Second
+	// startWait is how long a host that has just started waits to know the other hosts and the origin: without them it would take itself for
+	// the first, and a fleet that starts at once would ask the origin all together.
+	startWait = time.Second
 	// stageTimeout bounds the laying out of a version's pieces.
 	stageTimeout = 10 * time.Second
 	// stagePasses is how often the pieces are gone through before the engine is left alone for a while.
@@ -68,6 +71,7 @@
 
 // versionManifest asks peers, and the origin when it is this host's turn.
 func (a *Agent) versionManifest(e install.Resolve) ([]byte, error) {
+	a.awaitOthers()
 	position, peers := a.place(e.Model, e.Version)
 	if raw := a.askPeers(peers, e.Model, e.Version); raw != nil {
 		return raw, nil
@@ -80,6 +84,13 @@
 	return a.origin.Manifest(ctx, ref(e.Model, e.Version))
 }
 
+// awaitOthers waits until the other hosts and the origin are known, up to startWait.
+func (a *Agent) awaitOthers() {
+	for began := time.Now(); !a.knows() && time.Since(began) < startWait; {
+		time.Sleep(lookInterval)
+	}
+}
+
 // askPeers asks some hosts at once and returns the first answer, nil for none. One of them may be gone without a word.
 func (a *Agent) askPeers(peers []string, model string, version int64) []byte {
 	answers := make(chan []byte, len(peers))
