Agents wait for entries that have lost the store

Cause: when a store came back after 8 s, all agents listed it at once, since their entries were behind; a manifest of 1,400 routes to 239 processes fills the links between regions for seconds, and a version's list of pieces came 5 s late. An agent hears what is urgent from entries: it asks them again, for up to 8 s, before it turns to the store. Ruled out: waiting for ever (an agent whose entries are cut off from the store would know nothing new).

--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,9 @@
 	peerSlack = 300 * time.Millisecond
 	// listTime bounds a list from another process: it may wait for its own list, and a megabyte takes a second over an agent's link.
 	listTime = 2900 * time.Millisecond
+	// behindFor is how long a patient process goes on asking entries that have not heard from the store of late, before it asks the store
+	// itself. It is longer than entries take to hear again from a store that is back.
+	behindFor = 8 * time.Second
 )
 
 // Object is an object of the store between processes; see platform.Object.
@@ -99,6 +103,14 @@
 	Choice *Choice
 	// Failed hears of a process that did not answer, or has not heard from the store.
 	Failed func(address string, err error)
+	// Patient is set for a process that hears of what is urgent in another way: it does not turn to the store as soon as those that it reads
+	// from have lost that. When a store comes back to a large fleet, all processes would ask it for the same at once and fill the links
+	// between regions.
+	Patient bool
+
+	mu sync.Mutex
+	// behindSince is since when those that are read from have said that they are behind; zero when they are not.
+	behindSince time.Time
 }
 
 // List reads all objects of a kind. A list under way is begun anew when the place to read from changes.
@@ -115,7 +127,7 @@
 			return objects, revision, nil
 		case moved:
 			continue
-		case address == "", ctx.Err() != nil:
+		case address == "", ctx.Err() != nil, r.waits(err):
 			return nil, 0, err
 		}
 		r.Failed(address, err)
@@ -139,7 +151,7 @@
 		if err == nil {
 			r.keep(func(c *Cache) { c.changedSince(kind, objects, at, age) })
 		}
-		if err == nil || errors.Is(err, platform.ErrHistoryGone) || ctx.Err() != nil {
+		if err == nil || errors.Is(err, platform.ErrHistoryGone) || ctx.Err() != nil || r.waits(err) {
 			return objects, at, err
 		}
 		r.Failed(address, err)
@@ -155,6 +167,26 @@
 	return objects, at, err
 }
 
+// waits tells whether a question to another process that ended with err is better asked again than put to the store.
+func (r *Reader) waits(err error) bool {
+	if !r.Patient || !errors.Is(err, errBehind) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.behindSince.IsZero() {
+		r.behindSince = time.Now()
+	}
+	return time.Since(r.behindSince) < behindFor
+}
+
+// caughtUp notes that a process that is read from has heard from the store.
+func (r *Reader) caughtUp() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.behindSince = time.Time{}
+}
+
 // Shared tells whether another process is read from; its calls cost nothing.
 func (r *Reader) Shared() bool { return r.Choice.Address() != "" }
 
@@ -178,6 +210,7 @@
 	case a.State == Behind, a.State == Same && q.Since == 0:
 		return nil, 0, 0, errBehind
 	}
+	r.caughtUp()
 	objects := make([]platform.Object, 0, len(a.Objects))
 	for _, o := range a.Objects {
 		objects = append(objects, platform.Object(o))
--- a/internal/storefeed/feed_test.go
+++ b/internal/storefeed/feed_test.go
@@ -182,3 +182,23 @@
 	_, _, err = second.List(context.Background(), kind, false)
 	require.Error(t, err)
 }
+
+// TestAnAgentDoesNotTurnToTheStoreWhenItsEntriesHaveLostIt is the pattern of a store that comes back to a large fleet: entries hear from it first, and
+// agents from these.
+func TestAnAgentDoesNotTurnToTheStoreWhenItsEntriesHaveLostIt(t *testing.T) {
+	t.Parallel()
+	s := &store{revision: 5}
+	first, agent := start(t, s), start(t, s)
+	agent.Patient = true
+	agent.Choice.Set(first.address)
+	_, _, err := agent.Watch(context.Background(), kind, 5, 0)
+	require.Error(t, err, "the entry has read nothing")
+	require.Empty(t, agent.failed, "it is not given up")
+	require.Zero(t, s.count())
+	_, _, err = first.List(context.Background(), kind, false)
+	require.NoError(t, err)
+	objects, _, err := agent.List(context.Background(), kind, false)
+	require.NoError(t, err)
+	require.Len(t, objects, 1)
+	require.Equal(t, 1, s.count(), "the entry's list")
+}
--- a/internal/storefeed/neighbours.go
+++ b/internal/storefeed/neighbours.go
@@ -76,7 +76,7 @@
 
 // Reader returns a reader of a store that reads through neighbours where they are many. cache is nil for a process that nobody reads from.
 func (n *Neighbours) Reader(direct Store, pool *control.Pool, cache *Cache) *Reader {
-	return &Reader{Direct: direct, Pool: pool, Cache: cache, Choice: &n.choice, Failed: n.failed}
+	return &Reader{Direct: direct, Pool: pool, Cache: cache, Choice: &n.choice, Failed: n.failed, Patient: n.agent}
 }
 
 func (n *Neighbours) failed(address string, err error) {
