--- a/internal/experiment/failure_test.go
+++ b/internal/experiment/failure_test.go
@@ -153,7 +153,16 @@
 	stats, err := f.EngineStats()
 	require.NoError(t, err)
 	slow := stats["e0-0"].Runs + stats["e1-0"].Runs
-	require.Less(t, 5*slow, int64(s.Requests), "the slow third gets much less than its third")
+	require.Less(t, 5*slow, int64(s.Requests), "the slow third gets much less than its third; runs by engine %v, first bytes %v in the middle, %v for one in twenty",
+		runsByEngine(stats), s.FirstByte50, s.FirstByte95)
+}
+
+func runsByEngine(stats map[string]engine.Stats) map[string]int64 {
+	runs := map[string]int64{}
+	for name, e := range stats {
+		runs[name] = e.Runs
+	}
+	return runs
 }
 
 // TestStaleLoadAndLostCacheEvents runs with engines whose word on their load is seconds old and most of whose cache
