--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -14,14 +14,6 @@
 	defaultTimeout = 30 * time.Second
 	// maxSends bounds the sends of one request, those included that upstreams declined.
 	maxSends = 4
-	// leastAway and spreadAway say how long a refused caller is asked to stay away, from leastAway to as much more as spreadAway: one to
-	// two answers' time of a loaded engine. Callers wait a third of what is left to them at most, which is two seconds for the
-	// users' streams.
-	leastAway  = 950 * time.Millisecond
-	spreadAway = 900 * time.Millisecond
-	// leastAwayInOutage is the same while most upstreams of a service can't be used, as when engines have lost their weights: they need
-	// seconds, and a caller that comes back sooner is refused again. It is as long as the callers of the users' streams stay away.
-	leastAwayInOutage = 2 * time.Second
 	// firstEventPatience bounds the wait for the first event of a stream that may be sent again. It is three to four times the
 	// objective of the users' streams, and within the two seconds that their callers wait.
 	firstEventPatience = 1500 * time.Millisecond
@@ -223,43 +215,9 @@
 
 // giveUp ends a request, whose caller may come back; see giveUpAs.
 func (s *State) giveUp(in step.Input, r *request, c code.Code, why string) []step.Effect {
-	after := s.retryAfter(in)
-	if s.outage(in.Now, r) {
-		after += leastAwayInOutage - leastAway
-	}
-	return s.giveUpAs(in, r, bar{code: c, why: why, after: after})
+	return s.giveUpAs(in, r, bar{code: c, why: why, after: s.awayFor(in, r)})
 }
 
-// outage tells whether fewer than half of the upstreams of a request's service can take requests, full or not. Engines of which nobody tells
-// say nothing of that, but where they are nearly all.
-func (s *State) outage(now time.Time, r *request) bool {
-	var all, heard census
-	required := s.requiredVersion(now, r.model)
-	for _, t := range s.targetsOf(r.service) {
-		usable := t.usable(now, r, required) || r.tried[t.Life()] && !now.Before(t.load.avoid)
-		all.count(usable)
-		if t.load.heard(now) {
-			heard.count(usable)
-		}
-	}
-	if heard.upstreams >= fewHeard {
-		return heard.mostlyDown()
-	}
-	return all.mostlyDown()
-}
-
-// census counts upstreams, and those of them that can take requests.
-type census struct{ upstreams, usable int }
-
-func (c *census) count(usable bool) {
-	c.upstreams++
-	if usable {
-		c.usable++
-	}
-}
-
-func (c *census) mostlyDown() bool { return 2*c.usable < c.upstreams }
-
 // giveUpAs ends a request. What it says of the run decides the code: only a request that did not run is refused.
 func (s *State) giveUpAs(in step.Input, r *request, b bar) []step.Effect {
 	delete(s.requests, r.id)
@@ -278,11 +236,6 @@
 	return []step.Effect{Refuse{ID: r.id, Code: b.code, Ran: code.NotRun, Why: b.why, RetryAfter: b.after, CameBack: r.back}}
 }
 
-// retryAfter spreads the callers' return, so that they don't come back together.
-func (s *State) retryAfter(in step.Input) time.Duration {
-	return leastAway + time.Duration(in.Rand%uint64(spreadAway))
-}
-
 func (s *State) callerGone(in step.Input, id uint64) []step.Effect {
 	r := s.requests[id]
 	if r == nil {
