The whole link for weights while the engine is idle; peers are asked beside the origin

And hosts whose turn it was to ask an origin that had just come back waited up to 2 s for it while others knew the answer.

--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -26,7 +26,7 @@
 	// maxCheckAge is how old the oldest reading of a piece may be when the engine is ordered to load. Stored pieces can go bad;
 	// an engine that loads one soon after its check is within what the platform tolerates.
 	maxCheckAge = 2 * time.Second
-	// servingShare is the part of the host's link that transfers may use while the engine holds weights: its answers take the same way.
+	// servingShare is the part of the host's link that transfers may use while the engine works on requests: its answers take the same way.
 	servingShare = 0.8
 	// engineSilent is how long an engine may not answer before it counts as down: some readings, which are made each 100 ms.
 	engineSilent = 800 * time.Millisecond
@@ -264,13 +264,10 @@
 	return s.engine.Busy
 }
 
-// LinkShare is the part of the host's link that transfers may use, above 0 up to 1. An engine that holds nothing answers nobody, and its
-// weights may have the whole link.
+// LinkShare is the part of the host's link that transfers may use, above 0 up to 1: the whole while the engine answers nobody.
 func (s *State) LinkShare() float64 {
-	for _, v := range s.engine.Loaded {
-		if v > 0 {
-			return servingShare
-		}
+	if s.engine.Occupied > 0 {
+		return servingShare
 	}
 	return 1
 }
--- a/internal/hostagent/resolve.go
+++ b/internal/hostagent/resolve.go
@@ -26,6 +26,8 @@
 	originAskers = 3
 	// peerTimeout bounds such a question, and originTimeout one to the origin.
 	peerTimeout = 500 * time.Millisecond
+	// peerAgain is the wait before peers are asked again that did not know.
+	peerAgain = 100 * time.Millisecond
 	// questionHeld is how long a host that does not know the answer yet keeps such a question, and lookInterval how often it looks: the
 	// answer goes down the tree as it comes, and no level waits for the next to ask again.
 	questionHeld  = 350 * time.Millisecond
@@ -70,9 +72,39 @@
 	if position >= originAskers*(e.Try+1) {
 		return nil, errNotMyTurn
 	}
+	return a.askOrigin(e, peers)
+}
+
+// askOrigin asks the origin, and meanwhile the peers again: an origin that is away or busy answers nobody for seconds, and these may know first.
+func (a *Agent) askOrigin(e install.Resolve, peers []string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
 	defer cancel()
-	return a.origin.Manifest(ctx, ref(e.Model, e.Version))
+	told := make(chan []byte, 1)
+	go func() {
+		for ctx.Err() == nil {
+			if raw := a.askPeers(peers, e.Model, e.Version); raw != nil {
+				told <- raw
+				cancel()
+				return
+			}
+			sleep(ctx, peerAgain)
+		}
+	}()
+	raw, err := a.origin.Manifest(ctx, ref(e.Model, e.Version))
+	select {
+	case raw := <-told:
+		return raw, nil
+	default:
+		return raw, err
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
 }
 
 // awaitOthers waits until the other hosts and the origin are known, up to startWait.
