An upstream whose address has another gets nothing

Cause: after a loss of power engines come back under other ids at their addresses, and the store holds the entries of before for seconds, with the weights of before. What an agent tells of its address went to one of the two, and where both were known of the same start to the first. The agent's word on the start ends the others' lives, and of two entries of one start the later one holds. A new test failed before, for either order of the agent's word and the new entry. Ruled out: trusting the later start that an entry claims, which another writer could make up.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -62,7 +62,9 @@
 	ListedSince time.Time
 
 	// byAddress holds the ids of the upstreams that registered at an address: more than one when an entry is left over or false.
-	byAddress        map[string][]string
+	byAddress map[string][]string
+	// bornAt is the latest start of an upstream at an address that the agent beside it told.
+	bornAt           map[string]int64
 	manifestRevision int64
 	listRevision     int64
 	listed           map[Topic]bool
@@ -165,7 +167,7 @@
 func NewState() *State {
 	return &State{
 		Upstreams: map[string]*Upstream{}, Versions: map[string]Naming{}, history: map[string][]Naming{}, listed: map[Topic]bool{},
-		byAddress: map[string][]string{}, removed: map[string]int64{}, lapsing: map[string]time.Time{},
+		byAddress: map[string][]string{}, bornAt: map[string]int64{}, removed: map[string]int64{}, lapsing: map[string]time.Time{},
 	}
 }
 
@@ -269,11 +271,14 @@
 
 // put takes the entry of an upstream in place of an older one, if there is one.
 func (s *State) put(old, u *Upstream) {
+	s.Upstreams[u.ID] = u
+	s.Changes++
+	if old != nil && old.Address == u.Address {
+		return
+	}
 	if old != nil {
 		s.unlink(old)
 	}
-	s.Upstreams[u.ID] = u
-	s.Changes++
 	s.byAddress[u.Address] = append(s.byAddress[u.Address], u.ID)
 }
 
@@ -282,6 +287,7 @@
 	rest := slices.DeleteFunc(s.byAddress[u.Address], func(id string) bool { return id == u.ID })
 	if len(rest) == 0 {
 		delete(s.byAddress, u.Address)
+		delete(s.bornAt, u.Address)
 		return
 	}
 	s.byAddress[u.Address] = rest
@@ -349,16 +355,46 @@
 	var last *Upstream
 	for _, id := range s.byAddress[address] {
 		u := s.Upstreams[id]
-		if born > 0 && u.Born == born {
-			return u
-		}
-		if last == nil || u.Revision > last.Revision {
+		if last == nil || u.later(last, born) {
 			last = u
 		}
 	}
 	return last
 }
 
+// later tells whether u is to be taken before another upstream at the same address for one that started at born.
+func (u *Upstream) later(other *Upstream, born int64) bool {
+	if fits, otherFits := u.Born == born, other.Born == born; born > 0 && fits != otherFits {
+		return fits
+	}
+	return u.Revision > other.Revision
+}
+
+// Confirm notes when the upstream at an address started, as the agent beside it tells.
+func (s *State) Confirm(address string, born int64) {
+	if len(s.byAddress[address]) > 0 && born > s.bornAt[address] {
+		s.bornAt[address] = born
+		s.Changes++
+	}
+}
+
+// Superseded tells whether an upstream's life is over although its entry is still there: the agent beside it tells of a later start, or
+// another upstream registered there later for the same one.
+func (s *State) Superseded(u *Upstream) bool {
+	if u.Born <= 0 {
+		return false
+	}
+	if s.bornAt[u.Address] > u.Born {
+		return true
+	}
+	for _, id := range s.byAddress[u.Address] {
+		if other := s.Upstreams[id]; other.Born == u.Born && other.Revision > u.Revision {
+			return true
+		}
+	}
+	return false
+}
+
 // Origin returns the address of the origin of weights, empty when the manifest names none.
 func (s *State) Origin() string {
 	if s.Manifest == nil {
--- a/internal/core/forward/lives_test.go
+++ b/internal/core/forward/lives_test.go
@@ -71,3 +71,35 @@
 	only[forward.Send](t, r.arrive(2, reports))
 	require.Empty(t, sends(r.arrive(3, reports)))
 }
+
+// TestAnUpstreamWhoseAddressHasAnotherGetsNothing is the pattern of hosts that lost power: engines come back under other ids at their addresses, and the
+// store still holds the entries of before for seconds.
+func TestAnUpstreamWhoseAddressHasAnotherGetsNothing(t *testing.T) {
+	register := func(r *rig, id string, born int64, versions map[string]int64) {
+		r.next++
+		r.believe(catalog.UpstreamChanged{Upstream: &catalog.Upstream{
+			ID: id, Born: born, Service: "model", Address: "10.0.0.9:8080", DataCentre: "perth-a", Slots: 4, Revision: int64(r.next), Versions: versions,
+		}})
+	}
+	told := func(r *rig, versions map[string]int64) {
+		r.step(forward.LoadTold{Address: "10.0.0.9:8080", Born: 200, Versions: versions, Entries: 1, Near: 1})
+	}
+	for _, toldFirst := range []bool{true, false} {
+		r := newRig()
+		register(r, "before", 100, map[string]int64{"m": 1})
+		if toldFirst {
+			told(r, nil)
+			register(r, "after", 200, nil)
+		} else {
+			register(r, "after", 200, nil)
+			told(r, nil)
+		}
+		only[forward.Refuse](t, r.arrive(1, reports))
+		register(r, "after", 200, nil)
+		told(r, map[string]int64{"m": 1})
+		for id := uint64(2); id <= 5; id++ {
+			r.now += 10 * time.Millisecond
+			require.Equal(t, "after", only[forward.Send](t, r.arrive(id, reports)).Upstream.ID, "told first: %v", toldFirst)
+		}
+	}
+}
--- a/internal/core/forward/target.go
+++ b/internal/core/forward/target.go
@@ -17,6 +17,8 @@
 	distance int
 	// unasked is set when its agent is not asked for its load, because the entry greets too many others.
 	unasked bool
+	// superseded is set when another upstream has its address by now.
+	superseded bool
 	// sharers is how many entries may give it work, as far as agents have counted them.
 	sharers int
 	// hash is the upstream's, for an order that differs from request to request.
@@ -48,6 +50,7 @@
 func (s *State) target(u *catalog.Upstream) *target {
 	t := &target{Upstream: u, load: s.load(u.Life()), engine: s.engine(u), distance: s.distance(u), hash: step.Score(u.ID, "")}
 	t.sharers = s.entries
+	t.superseded = s.Catalog.Superseded(u)
 	t.unasked = s.greeted != nil && !s.greeted[u.ID] && t.engine != nil
 	return t
 }
@@ -80,7 +83,7 @@
 
 // usable tells whether the upstream could take a request, room or no; required is the version that the request must begin on.
 func (t *target) usable(now time.Time, r *request, required int64) bool {
-	if t.Draining || now.Before(t.load.avoid) || len(r.tried) > 0 && r.tried[t.Life()] {
+	if t.Draining || t.superseded || now.Before(t.load.avoid) || len(r.tried) > 0 && r.tried[t.Life()] {
 		return false
 	}
 	if r.model == "" {
