--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -16,7 +16,7 @@
 	// resolveTimeout is how long the question what a version consists of may be unanswered.
 	resolveTimeout = 4 * time.Second
 	// resolveRetry is the wait before a manifest that could not be had is asked for again.
-	resolveRetry = 250 * time.Millisecond
+	resolveRetry = 100 * time.Millisecond
 	// prepareRetry is the wait after pieces could not be laid out.
 	prepareRetry = 200 * time.Millisecond
 	// orderRetry is the wait after an order that showed no effect. An order that was accepted shows as busy at the next reading.
@@ -28,6 +28,8 @@
 	maxCheckAge = 2 * time.Second
 	// servingShare is the part of the host's link that transfers may use while the engine works on requests: its answers take the same way.
 	servingShare = 0.8
+	// idleShare is the same while the engine is idle; what the hosts tell one another takes the rest.
+	idleShare = 0.92
 	// engineSilent is how long an engine may not answer before it counts as down: some readings, which are made each 100 ms.
 	engineSilent = 800 * time.Millisecond
 )
@@ -264,12 +266,12 @@
 	return s.engine.Busy
 }
 
-// LinkShare is the part of the host's link that transfers may use, above 0 up to 1: the whole while the engine answers nobody.
+// LinkShare is the part of the host's link that transfers may use, above 0 up to 1: nearly the whole while the engine answers nobody.
 func (s *State) LinkShare() float64 {
 	if s.engine.Occupied > 0 {
 		return servingShare
 	}
-	return 1
+	return idleShare
 }
 
 // Born is when the engine started, as of its last reading.
