A full fleet is not filled further blindly

Cause, by the requests at each engine as a request is sent to it: in the seconds in which a fleet is asked for more than it does, two of three sends went to engines of other data centres, 77 of 100 of these to one that had all places taken, at which half of the answers then came late. Each entry hears of 32 engines elsewhere; what it had no place for it sent to the others, of which nobody tells it, and so did 28 entries for each engine. The queue of an engine takes 16 and turns nobody away, so that nothing ended it. Change: at most three requests of an entry wait for their first event at such engines while those that are told of work at all their places, and a first event that comes after half of the objective counts like a request turned away. A new test of that load failed before.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -245,6 +245,8 @@
 	// prompt is the length of the prompt in tokens, and reading is set while the upstream has not answered yet.
 	prompt  int
 	reading bool
+	// blind is set when nobody tells of the load of the engine that it is with, and keptWaiting when its first event came late there.
+	blind, keptWaiting bool
 	// version is the version that the present send insists on; 0 for none.
 	version int64
 	// sends counts all sends, runs those that may have run.
@@ -280,6 +282,8 @@
 	// blindAgain is when requests may be sent to engines of which nobody tells, and blindFor how long that was put off last.
 	blindAgain time.Time
 	blindFor   time.Duration
+	// blindWaiting counts the requests that wait for their first event there.
+	blindWaiting int
 	// nearShare and farShare are which part of the agents of this data centre and of others is greeted.
 	nearShare, farShare float64
 	// entries is how many entries share the budgets of repeats, as the agents count them.
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -22,10 +22,6 @@
 	fewHeard = 8
 	// choices is how many of the nearest upstreams are looked at for a request; see pick.
 	choices = 2
-	// blindFirst and blindMost bound how long an entry sends nothing to engines of which nobody tells, after one of them turned a request away
-	// or kept it waiting; it doubles until one answers. When those that are told of are full, such engines mostly are, too.
-	blindFirst = time.Second
-	blindMost  = 8 * time.Second
 )
 
 // found tells how the search for an upstream ended.
@@ -40,8 +36,8 @@
 // pick chooses an upstream with room: of the nearest ones some at random, and of these the one that will answer soonest. The
 // entries see the same loads a little late; if each took the least loaded of all, they would take the same one.
 //
-// An engine of which nobody tells is used when those that are told of are full, until one such turns a request away: then the whole fleet is
-// likely to be full; see blindFirst. One whose agent fell silent is used when no other can be, full or not: a request that waits for
+// An engine of which nobody tells is used when those that are told of are full, until one such turns a request away or keeps it waiting: then
+// the whole fleet is likely to be full; see mayBlind. One whose agent fell silent is used when no other can be, full or not: a request that waits for
 // a place is answered sooner than one that is with a frozen host. Neither is used when enough are heard of that could take nothing
 // even if they were not full; see fewHeard.
 func (s *State) pick(in step.Input, r *request) (*catalog.Upstream, found) {
@@ -66,15 +62,15 @@
 		}
 		if !t.hasRoom(in.Now, r) {
 			into.found = max(into.found, full)
+			into.busy = true
 			continue
 		}
 		into.consider(candidate{target: t, tie: mix(t.hash ^ in.Rand)})
 	}
-	blind := known.found == none || !in.Now.Before(s.blindAgain)
 	switch {
 	case known.found == none && heard >= fewHeard:
 		return nil, none
-	case known.found < room && blind && strangers.found > none:
+	case known.found < room && strangers.found > none && s.mayBlind(in.Now, &known):
 		return strangers.best(in.Now, r)
 	case known.found == none:
 		return quiet.best(in.Now, r)
@@ -117,6 +113,8 @@
 // choice draws some of the nearest upstreams with room: those whose tie is the smallest.
 type choice struct {
 	found found
+	// busy is set when one that could take the request is full.
+	busy  bool
 	drawn [choices]candidate
 	n     int
 }
@@ -160,21 +158,6 @@
 	return best.Upstream, room
 }
 
-// noteBlind learns from the end of a send to an engine of which nobody tells.
-func (s *State) noteBlind(now time.Time, r *request, o Outcome) {
-	u := s.Catalog.Upstreams[r.at.ID]
-	if u == nil || !s.target(u).stranger() {
-		return
-	}
-	switch o {
-	case Answered:
-		s.blindFor = 0
-	case Declined, Silent:
-		s.blindFor = min(max(2*s.blindFor, blindFirst), blindMost)
-		s.blindAgain = now.Add(s.blindFor)
-	}
-}
-
 // mix spreads the bits of z, so that numbers that differ in few bits are in no order.
 func mix(z uint64) uint64 {
 	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -94,7 +94,11 @@
 	s.load(r.at).inFlight++
 	s.load(r.at).allowance--
 	s.load(r.at).reading += r.prompt
-	r.reading = true
+	r.reading, r.keptWaiting = true, false
+	r.blind = s.target(u).stranger()
+	if r.blind {
+		s.blindWaiting++
+	}
 	e := Send{
 		ID: r.id, Number: r.sends, Upstream: u, Priority: r.route.Priority, By: r.by, Resume: r.partial, CameBack: r.back,
 	}
@@ -136,6 +140,9 @@
 	if r := s.requests[id]; r != nil && r.reading {
 		r.reading = false
 		s.load(r.at).reading -= r.prompt
+		if r.blind {
+			s.blindWaiting--
+		}
 	}
 }
 
--- a/internal/core/forward/share_test.go
+++ b/internal/core/forward/share_test.go
@@ -115,3 +115,37 @@
 		require.Equal(t, first, chosen)
 	}
 }
+
+// TestAFullFleetIsNotFilledFurtherBlindly is the load of more requests than a fleet can take, before an entry that hears of a part of it: what it has no
+// place for does not go to the others all at once, and not at all once one of these kept a request waiting.
+func TestAFullFleetIsNotFilledFurtherBlindly(t *testing.T) {
+	r := newFleetRig("entry-1", 80, 0)
+	tell := func() {
+		for _, u := range r.state.Greet() {
+			r.step(forward.LoadTold{Address: u.Address, Occupied: 1, Versions: map[string]int64{"m": 1}, Entries: 1, Near: 1})
+		}
+	}
+	tell()
+	next := uint64(0)
+	ask := func(n int) []uint64 {
+		var sent []uint64
+		for range n {
+			next++
+			sent = append(sent, sends(r.arrive(next, notes))...)
+		}
+		r.now += 250 * time.Millisecond // What was not sent is refused.
+		r.step(step.Tick{})
+		return sent
+	}
+	blind := ask(10)
+	require.Len(t, blind, 3)
+	require.Empty(t, ask(1), "three wait there for their first events")
+	r.step(forward.Began{ID: blind[0]})
+	require.Empty(t, ask(1), "one of them waited for over half of its objective")
+	r.step(forward.Began{ID: blind[1]})
+	r.step(forward.Began{ID: blind[2]})
+	require.Empty(t, ask(1), "and the pause doubles")
+	r.now += 4 * time.Second
+	tell()
+	require.Len(t, ask(10), 3)
+}
--- a/internal/core/forward/version.go
+++ b/internal/core/forward/version.go
@@ -54,6 +54,9 @@
 func (s *State) hasBegun(in step.Input, ev Began) []step.Effect {
 	s.began(ev.ID)
 	r := s.requests[ev.ID]
+	if r != nil {
+		s.blindBegan(in.Now, r)
+	}
 	if r == nil || r.model == "" || ev.Version == 0 || s.Self.VersionTime <= 0 {
 		return nil
 	}
