What lies beside an engine that starts later than its agent is taken over then

Change: an engine that did not answer is asked again when it does, while the pieces are fetched; and only an agent that joins a fleet that runs, by the word of a seed, names the first version before its engine answers. Tried first and taken back: to wait up to 1.5 s for the engine, which some engines take longer than, and of which a fleet that lost power has nothing. New tests failed before.

--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -274,6 +274,9 @@
 	return idleShare
 }
 
+// Answered tells whether the engine has ever answered.
+func (s *State) Answered() bool { return !s.readAt.IsZero() }
+
 // Born is when the engine started, as of its last reading.
 func (s *State) Born() int64 { return s.engine.Born }
 
--- a/internal/core/weights/burst.go
+++ b/internal/core/weights/burst.go
@@ -253,6 +253,9 @@
 	if from == Origin {
 		return FromOrigin
 	}
+	if string(from) == b.self.Address {
+		return Place // It lay on this host.
+	}
 	if f != nil {
 		return b.peers[f.peer].tier
 	}
--- a/internal/hostagent/hostagent_test.go
+++ b/internal/hostagent/hostagent_test.go
@@ -124,3 +124,25 @@
 	requireLoaded(t, []*standin.Upstream{engine}, 1)
 	require.Equal(t, sent, fleet.Origin.Sent())
 }
+
+// TestAnAgentThatStartsBeforeItsEngineTakesOverWhatLiesThere is the pattern of hosts that start again: the agent hears of the version at once, and its
+// engine, beside which the pieces lie, answers a second and a half later. The origin, which is slow, sends no second copy.
+func TestAnAgentThatStartsBeforeItsEngineTakesOverWhatLiesThere(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	fleet.Origin.AnswerTime = 300 * time.Millisecond
+	fleet.Name(1)
+	ip := standin.NextIP()
+	engine := fleet.AddEngine("a", ip, 0)
+	run := func() (stop func()) {
+		return fleet.Run(hostagent.New(fleet.Host(ip, true), zerolog.Nop(), telemetry.NewMetrics(), nil).Run)
+	}
+	stop := run()
+	requireLoaded(t, []*standin.Upstream{engine}, 1)
+	stop()
+	engine.Weights.Crash(false)
+	engine.Away(1500 * time.Millisecond)
+	run()
+	requireLoaded(t, []*standin.Upstream{engine}, 1)
+	require.Less(t, fleet.Origin.Sent(), 2*fleet.Origin.Pieces)
+}
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -98,12 +98,13 @@
 }
 
 // nameUnnamed gives models that the operator has named no version of the newest version that an engine holds, once it is known what was
-// named. It does not wait for this host's engine, which may still be starting while its weights are on their way.
+// named. It waits for this host's engine, beside which the pieces may lie, but where that joins a fleet that runs: its weights are on their way
+// while it starts.
 func (a *Agent) nameUnnamed() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	terms := a.engineTerms()
-	if terms == nil || !a.catalog.Ready() {
+	if terms == nil || !a.catalog.Ready() || !a.install.Answered() && !a.joins() {
 		return
 	}
 	for _, model := range terms.Models {
@@ -114,6 +115,11 @@
 	}
 }
 
+// joins tells whether this host is new to a fleet that runs. It is called with the lock held.
+func (a *Agent) joins() bool {
+	return a.catalog.At(a.host.Engine, 0) == nil && a.neighbours.FleetRuns()
+}
+
 // firstVersion is the version that models begin with.
 const firstVersion = 1
 
--- a/internal/hostagent/resolve.go
+++ b/internal/hostagent/resolve.go
@@ -55,8 +55,11 @@
 		a.Step(install.Resolved{Model: e.Model, Version: e.Version})
 		return
 	}
-	a.takeOver(e.Model, m)
+	_, err = a.takeOver(e.Model, m)
 	a.Step(install.Resolved{Model: e.Model, Version: e.Version, Digest: digest})
+	if err != nil {
+		a.takeOverLater(e.Model, digest, m)
+	}
 }
 
 // errNotMyTurn says that no peer asked knows a version, and that others ask the origin.
--- a/internal/hostagent/staging.go
+++ b/internal/hostagent/staging.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"samphireweir.example/samphireweir/internal/core/install"
+	"samphireweir.example/samphireweir/internal/core/weights"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/manifest"
 	"samphireweir.example/samphireweir/internal/transfer"
@@ -23,15 +24,17 @@
 	orderTimeout = 2 * time.Second
 )
 
-// takeOver puts the right pieces that lie at the engine into the chunk memory, from which other hosts get them.
-func (a *Agent) takeOver(model string, m *manifest.Manifest) {
+// takeOver puts the right pieces that lie at the engine into the chunk memory, from which other hosts get them, and returns their numbers. An
+// error says that the engine did not answer.
+func (a *Agent) takeOver(model string, m *manifest.Manifest) ([]int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), stageTimeout)
 	defer cancel()
 	held, err := a.engine.StageHeld(ctx, model)
 	if err != nil {
 		logevent.Warn(a.log, logevent.EngineCallFailed).Err(err).Msg("engine call failed")
-		return
+		return nil, err
 	}
+	var taken []int
 	for n, piece := range held {
 		if piece < 0 || piece >= len(m.Chunks) {
 			continue
@@ -39,16 +42,44 @@
 		data, err := a.engine.StageGet(ctx, model, piece)
 		if err != nil || !matches(data, m.Chunks[piece]) {
 			if n == 0 {
-				return // Another version lies there.
+				return nil, nil // Another version lies there.
 			}
 			continue
 		}
 		if err := a.fetcher.Memory.Put(m.Chunks[piece].SHA256, data); err != nil {
 			logevent.Warn(a.log, logevent.ChunkRefused).Int("chunk", piece).Err(err).Msg("chunk refused")
+			continue
+		}
+		taken = append(taken, piece)
+	}
+	return taken, nil
+}
+
+// takeOverLater takes over what lies at an engine that starts later than this agent, once it answers. Its weights are being fetched meanwhile: after
+// a loss of power nothing lies there.
+func (a *Agent) takeOverLater(model, digest string, m *manifest.Manifest) {
+	for began := time.Now(); time.Since(began) < stageTimeout; {
+		time.Sleep(readInterval)
+		if !a.engineAnswered() {
+			continue
 		}
+		pieces, err := a.takeOver(model, m)
+		if err != nil {
+			continue
+		}
+		for _, piece := range pieces {
+			a.Step(weights.ChunkStored{Digest: digest, Index: piece, From: weights.Source(a.self)})
+		}
+		return
 	}
 }
 
+func (a *Agent) engineAnswered() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.install.Answered()
+}
+
 func matches(data []byte, c manifest.Chunk) bool {
 	sum := sha256.Sum256(data)
 	return hex.EncodeToString(sum[:]) == c.SHA256
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -69,8 +69,10 @@
 	// Entries are the first entries of the receiver's data centre, and EntryCount is how many it has; see package source.
 	Entries    []string `json:"e,omitempty"`
 	EntryCount int      `json:"k,omitempty"`
-	Load       *Load    `json:"l,omitempty"`
-	Named      []Naming `json:"w,omitempty"`
+	// RunningMS is how long a seed that answers a greeting has run, in milliseconds.
+	RunningMS int64    `json:"r,omitempty"`
+	Load      *Load    `json:"l,omitempty"`
+	Named     []Naming `json:"w,omitempty"`
 	// Crashes are the requests under which upstreams went down of late.
 	Crashes []quarantine.Report `json:"x,omitempty"`
 }
--- a/internal/storefeed/neighbours.go
+++ b/internal/storefeed/neighbours.go
@@ -28,6 +28,8 @@
 	// if all hosts start at once they fill the links between regions with the same lists. Entries greet agents once they have read
 	// theirs.
 	sourceWait = time.Second
+	// runningLonger is how much longer than a process its seeds must have run for it to have joined a fleet that runs.
+	runningLonger = 5 * time.Second
 	// crowdReads is from which rate of reads a second, which the platform allows all processes together, a fleet counts as large in this:
 	// it allows about a hundred for each host.
 	crowdReads = 10000
@@ -39,6 +41,7 @@
 	self       string
 	dataCentre string
 	agent      bool
+	started    time.Time
 	seeds      []netip.AddrPort
 	log        zerolog.Logger
 	choice     Choice
@@ -46,6 +49,8 @@
 	mu    sync.Mutex
 	roll  loadreport.Roll
 	state *source.State
+	// running is how much longer than this process a seed said to have run at least.
+	running time.Duration
 	// told is what was last told to a data centre's processes; it is used again for a while, since agents report often.
 	told map[string]telling
 }
@@ -61,7 +66,8 @@
 func NewNeighbours(host hostconfig.Host, self string, agent bool, log zerolog.Logger) *Neighbours {
 	n := &Neighbours{
 		self: self, dataCentre: host.DataCentre, agent: agent, log: log, state: source.NewState(self, host.DataCentre, agent),
-		told: map[string]telling{},
+		started: time.Now(),
+		told:    map[string]telling{},
 	}
 	for _, s := range host.Seeds {
 		if a, err := netip.ParseAddrPort(s); err == nil && s != self {
@@ -89,6 +95,9 @@
 	if m.EntryCount > 0 {
 		n.step(source.Told{Entries: m.Entries, Count: m.EntryCount})
 	}
+	if m.RunningMS > 0 {
+		n.heardRunning(time.Duration(m.RunningMS) * time.Millisecond)
+	}
 	if m.DataCentre == "" || m.Agent {
 		return
 	}
@@ -102,6 +111,21 @@
 	}
 }
 
+// heardRunning takes how long a seed has run.
+func (n *Neighbours) heardRunning(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.running = max(n.running, d-time.Since(n.started))
+}
+
+// FleetRuns tells whether this process has joined a fleet that ran before, as far as it has heard: in one that starts at once all do so within
+// a second.
+func (n *Neighbours) FleetRuns() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.running > runningLonger
+}
+
 // entries are the entries of a data centre, this process included. It is called with the lock held.
 func (n *Neighbours) entries(now time.Time, dataCentre string) []string {
 	list := n.roll.Entries(now, dataCentre)
@@ -138,6 +162,7 @@
 	var answer loadreport.Message
 	n.Tell(m.DataCentre, &answer)
 	if answer.EntryCount > 0 {
+		answer.RunningMS = time.Since(n.started).Milliseconds()
 		n.send(socket, from, answer)
 	}
 }
