An agent whose engine is starting speaks for every entry at its address

Cause, by a log of whom requests are sent to after a loss of power: of the 2,100 that one minute's logs show as turned away all went to greeted engines of the entry's data centre of which it had no word: the store held the entries of before and of after at one address, and the agent's word, which can't tell the start of an engine that does not answer yet, went to the later one. The entry of before still told of weights. Change: a word that the engine holds nothing holds for every entry at the address that nobody has told of. An engine of which nobody tells that turns a request away as another ends the blind sends like one that is full.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -362,6 +362,15 @@
 	return last
 }
 
+// AllAt returns all upstreams that registered at an address, of which at most one is there.
+func (s *State) AllAt(address string) []*Upstream {
+	var list []*Upstream
+	for _, id := range s.byAddress[address] {
+		list = append(list, s.Upstreams[id])
+	}
+	return list
+}
+
 // later tells whether u is to be taken before another upstream at the same address for one that started at born.
 func (u *Upstream) later(other *Upstream, born int64) bool {
 	if fits, otherFits := u.Born == born, other.Born == born; born > 0 && fits != otherFits {
--- a/internal/core/forward/blind.go
+++ b/internal/core/forward/blind.go
@@ -41,7 +41,7 @@
 		if !r.keptWaiting {
 			s.blindFor = 0
 		}
-	case Declined, Silent:
+	case Declined, Misdirected, Silent:
 		s.pauseBlind(now)
 	}
 }
--- a/internal/core/forward/lives_test.go
+++ b/internal/core/forward/lives_test.go
@@ -84,6 +84,7 @@
 	told := func(r *rig, versions map[string]int64) {
 		r.step(forward.LoadTold{Address: "10.0.0.9:8080", Born: 200, Versions: versions, Entries: 1, Near: 1})
 	}
+	starting := func(r *rig) { r.step(forward.LoadTold{Address: "10.0.0.9:8080", Entries: 1, Near: 1}) }
 	for _, toldFirst := range []bool{true, false} {
 		r := newRig()
 		register(r, "before", 100, map[string]int64{"m": 1})
@@ -92,6 +93,8 @@
 			register(r, "after", 200, nil)
 		} else {
 			register(r, "after", 200, nil)
+			starting(r)
+			only[forward.Refuse](t, r.arrive(10, reports))
 			told(r, nil)
 		}
 		only[forward.Refuse](t, r.arrive(1, reports))
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -90,6 +90,9 @@
 		s.Catalog.Reborn(u.ID, ev.Born)
 		u = s.Catalog.Upstreams[u.ID]
 	}
+	if len(ev.Versions) == 0 {
+		s.nothingAt(in.Now, ev)
+	}
 	l := s.load(u.Life())
 	if empties(l.told, ev) {
 		effects = append(effects, s.wentDown(in, u.Life())...)
@@ -100,6 +103,17 @@
 	return append(effects, s.serveQueue(in, u.Service)...)
 }
 
+// nothingAt notes for every upstream that registered at an address that the engine there holds nothing: while it starts, its agent can't say
+// which of them it is.
+func (s *State) nothingAt(now time.Time, ev LoadTold) {
+	for _, u := range s.Catalog.AllAt(ev.Address) {
+		l := s.load(u.Life())
+		if l.toldAt.IsZero() {
+			l.told, l.toldAt = ev, now
+		}
+	}
+}
+
 // countOverdue counts the requests that wait for their first event longer than their objective, by upstream.
 func (s *State) countOverdue(now time.Time) {
 	for _, l := range s.loads {
