A host whose time of day jumped back is used again; one Sleep

Cause, found by reading the change for jumps of the time of day: that an upstream's address has another was taken from the latest start that its agent ever told. An engine that started while its host's time of day was ahead, and again when it had jumped back, has the earlier start: it would have got nothing for as long as its entry stays. An earlier start is taken for a late word for 2.5 s after a later one was last told, and holds then. New test: its engine was superseded for ever before. The wait that ends with a context stood in three places.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -63,8 +63,8 @@
 
 	// byAddress holds the ids of the upstreams that registered at an address: more than one when an entry is left over or false.
 	byAddress map[string][]string
-	// bornAt is the latest start of an upstream at an address that the agent beside it told.
-	bornAt           map[string]int64
+	// starts are when the upstreams at addresses started, as the agents beside them tell.
+	starts           map[string]start
 	manifestRevision int64
 	listRevision     int64
 	listed           map[Topic]bool
@@ -167,7 +167,7 @@
 func NewState() *State {
 	return &State{
 		Upstreams: map[string]*Upstream{}, Versions: map[string]Naming{}, history: map[string][]Naming{}, listed: map[Topic]bool{},
-		byAddress: map[string][]string{}, bornAt: map[string]int64{}, removed: map[string]int64{}, lapsing: map[string]time.Time{},
+		byAddress: map[string][]string{}, starts: map[string]start{}, removed: map[string]int64{}, lapsing: map[string]time.Time{},
 	}
 }
 
@@ -287,7 +287,7 @@
 	rest := slices.DeleteFunc(s.byAddress[u.Address], func(id string) bool { return id == u.ID })
 	if len(rest) == 0 {
 		delete(s.byAddress, u.Address)
-		delete(s.bornAt, u.Address)
+		delete(s.starts, u.Address)
 		return
 	}
 	s.byAddress[u.Address] = rest
@@ -379,10 +379,24 @@
 	return u.Revision > other.Revision
 }
 
-// Confirm notes when the upstream at an address started, as the agent beside it tells.
-func (s *State) Confirm(address string, born int64) {
-	if len(s.byAddress[address]) > 0 && born > s.bornAt[address] {
-		s.bornAt[address] = born
+// start is when an upstream started, in its host's time of day, and when that was last heard.
+type start struct {
+	born  int64
+	heard time.Time
+}
+
+// startKept is how long an earlier start that is told is taken for a late word; after that the host's time of day has jumped back. It is longer
+// than agents are silent.
+const startKept = 2500 * time.Millisecond
+
+// Confirm notes when the upstream at an address started, as the agent beside it tells now.
+func (s *State) Confirm(now time.Time, address string, born int64) {
+	known := s.starts[address]
+	if len(s.byAddress[address]) == 0 || born <= 0 || born < known.born && now.Sub(known.heard) < startKept {
+		return
+	}
+	s.starts[address] = start{born: born, heard: now}
+	if born != known.born {
 		s.Changes++
 	}
 }
@@ -393,7 +407,7 @@
 	if u.Born <= 0 {
 		return false
 	}
-	if s.bornAt[u.Address] > u.Born {
+	if s.starts[u.Address].born > u.Born {
 		return true
 	}
 	for _, id := range s.byAddress[u.Address] {
--- a/internal/core/forward/lives_test.go
+++ b/internal/core/forward/lives_test.go
@@ -106,3 +106,27 @@
 		}
 	}
 }
+
+// TestAHostWhoseClockJumpedBackIsUsedAgain has an engine start while its host's time of day is ahead, and again under another id when that has jumped
+// back: the later life has the earlier start.
+func TestAHostWhoseClockJumpedBackIsUsedAgain(t *testing.T) {
+	r := newRig()
+	register := func(id string, born int64) {
+		r.next++
+		r.believe(catalog.UpstreamChanged{Upstream: &catalog.Upstream{
+			ID: id, Born: born, Service: "model", Address: "10.0.0.9:8080", DataCentre: "perth-a", Slots: 4, Revision: int64(r.next), Versions: map[string]int64{"m": 1},
+		}})
+	}
+	told := func(born int64) {
+		r.step(forward.LoadTold{Address: "10.0.0.9:8080", Born: born, Versions: map[string]int64{"m": 1}, Entries: 1, Near: 1})
+	}
+	register("ahead", 2_400_000)
+	told(2_400_000)
+	register("back", 1_000)
+	r.believe(catalog.UpstreamRemoved{ID: "ahead", Revision: 100})
+	for range 10 {
+		r.now += 300 * time.Millisecond
+		told(1_000)
+	}
+	require.Equal(t, "back", only[forward.Send](t, r.arrive(1, reports)).Upstream.ID)
+}
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -79,7 +79,7 @@
 	if ev.Entries > 0 {
 		s.entries = s.countEntries(ev)
 	}
-	s.Catalog.Confirm(ev.Address, ev.Born)
+	s.Catalog.Confirm(in.Now, ev.Address, ev.Born)
 	u := s.Catalog.At(ev.Address, ev.Born)
 	if u == nil || ev.Born > 0 && ev.Born < u.Born {
 		return nil // It is the word on an earlier life.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -15,6 +15,7 @@
 	"samphireweir.example/samphireweir/internal/core/request"
 	"samphireweir.example/samphireweir/internal/frame"
 	"samphireweir.example/samphireweir/internal/logevent"
+	"samphireweir.example/samphireweir/internal/periodic"
 	"samphireweir.example/samphireweir/internal/setting"
 )
 
@@ -49,7 +50,7 @@
 func (e *Entry) attempt(c *call, eff request.Send) bool {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.until.Add(settleSlack))
 	defer cancel()
-	sleep(ctx, eff.Wait)
+	periodic.Sleep(ctx, eff.Wait)
 	reader, ok := c.body.reader()
 	if !ok {
 		e.attemptFailed(c, eff.Try, &frame.Fail{Code: code.RetriesExhausted, Ran: code.NotRun})
@@ -112,7 +113,7 @@
 		if rejoins == 0 {
 			e.agents.CloseIdleConnections()
 		} else {
-			sleep(ctx, rejoinWait<<(rejoins-1))
+			periodic.Sleep(ctx, rejoinWait<<(rejoins-1))
 		}
 		s, err = e.rejoin(ctx, c, t)
 	}
@@ -132,15 +133,6 @@
 	return e.open(ctx, agentCall{address: t.Target.Address, path: frame.ResumePath, env: env, header: http.Header{}, fresh: true})
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (e *Entry) envelope(c *call, t request.Try) frame.Envelope {
 	env := frame.Envelope{
 		Request: c.id, Attempt: t.Attempt, Upstream: t.Target.Upstream.Name,
@@ -219,7 +211,7 @@
 func (e *Entry) resume(c *call, eff request.Resume) bool {
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.until.Add(settleSlack))
 	defer cancel()
-	sleep(ctx, eff.Wait)
+	periodic.Sleep(ctx, eff.Wait)
 	if c.r.Context().Err() != nil {
 		e.giveUp(c, eff.Try)
 		return true
--- a/internal/hostagent/resolve.go
+++ b/internal/hostagent/resolve.go
@@ -14,6 +14,7 @@
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/manifest"
+	"samphireweir.example/samphireweir/internal/periodic"
 )
 
 const (
@@ -90,7 +91,7 @@
 				cancel()
 				return
 			}
-			sleep(ctx, peerAgain)
+			periodic.Sleep(ctx, peerAgain)
 		}
 	}()
 	raw, err := a.origin.Manifest(ctx, ref(e.Model, e.Version))
@@ -102,14 +103,6 @@
 	}
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // awaitOthers waits until the other hosts and the origin are known, up to startWait.
 func (a *Agent) awaitOthers() {
 	for began := time.Now(); !a.knows() && time.Since(began) < startWait; {
--- a/internal/periodic/periodic.go
+++ b/internal/periodic/periodic.go
@@ -1,4 +1,4 @@
-// Package periodic runs a function again and again.
+// Package periodic runs a function again and again, and waits.
 package periodic
 
 import (
@@ -19,3 +19,14 @@
 		}
 	}
 }
+
+// Sleep waits for d or until ctx ends. It returns at once when d is not positive.
+func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"samphireweir.example/samphireweir/internal/logevent"
+	"samphireweir.example/samphireweir/internal/periodic"
 	"samphireweir.example/samphireweir/platform"
 )
 
@@ -67,7 +68,7 @@
 		if err == nil {
 			f.answered()
 			revision, retry = next, firstRetry
-			sleep(ctx, f.gather()-time.Since(began))
+			periodic.Sleep(ctx, f.gather()-time.Since(began))
 			continue
 		}
 		if ctx.Err() != nil {
@@ -79,7 +80,7 @@
 			continue
 		}
 		f.failed(err)
-		sleep(ctx, retry/2+rand.N(retry))
+		periodic.Sleep(ctx, retry/2+rand.N(retry))
 		retry = min(2*retry, lastRetry)
 	}
 }
@@ -94,7 +95,7 @@
 		} else if ctx.Err() == nil {
 			f.failed(err)
 		}
-		sleep(ctx, wait/2+rand.N(wait))
+		periodic.Sleep(ctx, wait/2+rand.N(wait))
 	}
 }
 
@@ -170,13 +171,3 @@
 		logevent.Warn(f.Log, logevent.PlatformLost).Str("kind", f.Kind).Err(err).Msg("platform lost")
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
