--- a/internal/hostagent/resolve.go
+++ b/internal/hostagent/resolve.go
@@ -26,14 +26,14 @@
 	// origin takes some tens of connections, and with all hosts empty nobody else knows.
 	originAskers = 3
 	// peerTimeout bounds such a question, and originTimeout one to the origin.
-	peerTimeout = 500 * time.Millisecond
+	peerTimeout   = 500 * time.Millisecond
+	originTimeout = 2 * time.Second
 	// peerAgain is the wait before peers are asked again that did not know.
 	peerAgain = 100 * time.Millisecond
 	// questionHeld is how long a host that does not know the answer yet keeps such a question, and lookInterval how often it looks: the
 	// answer goes down the tree as it comes, and no level waits for the next to ask again.
-	questionHeld  = 350 * time.Millisecond
-	lookInterval  = 10 * time.Millisecond
-	originTimeout = 2 * time.Second
+	questionHeld = 350 * time.Millisecond
+	lookInterval = 10 * time.Millisecond
 	// startWait is how long a host that has just started waits to know the other hosts and the origin: without them it would take itself for
 	// the first, and a fleet that starts at once would ask the origin all together.
 	startWait = time.Second
