What upstreams say of themselves in the heads of their answers is read and logged

Nothing is decided by it yet. The stand-in's upstreams can say all three, and remember what reached them.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -316,6 +316,8 @@
 		return s.loadTold(in, ev)
 	case CrashesTold:
 		return s.crashesTold(in, ev)
+	case Noticed:
+		return s.noticed(in, ev)
 	case StopAsked:
 		s.stopping = true
 	case step.Tick:
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -36,6 +36,8 @@
 	avoidFor  time.Duration
 	// foundDown is when it was last found to have gone down.
 	foundDown time.Time
+	// notice is what it said of itself last.
+	notice Notice
 	// broken are the requests that broke there in the last moments, the oldest first.
 	broken []broken
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,6 +136,8 @@
 		logevent.Warn(g.log, logevent.CrashesDropped).Int("count", e.Count).Msg("crashes dropped")
 	case forward.BegunLate:
 		g.begunLate(e)
+	case forward.UpstreamSaid:
+		g.upstreamSaid(e)
 	case forward.Withdraw:
 		if x := g.exchanges[e.ID]; x != nil {
 			x.withdraw(e)
@@ -159,6 +161,14 @@
 		Bool("told", upstream == "").Msg("request held back")
 }
 
+func (g *Gateway) upstreamSaid(e forward.UpstreamSaid) {
+	g.metrics.UpstreamNotices.Add(1)
+	logevent.Info(g.log, logevent.UpstreamSaid).Str("upstream", e.Upstream).Bool("limited", e.Notice.Limited).Float64("rate_limit", e.Notice.RateLimit).
+		Bool("garbled", e.Notice.Garbled).Bool("leaving", e.Notice.Leaving).Dur("retry_after_ms", e.Notice.RetryAfter).
+		Bool("limited_before", e.Before.Limited).Bool("leaving_before", e.Before.Leaving).
+		Msg("upstream said")
+}
+
 func (g *Gateway) begunLate(e forward.BegunLate) {
 	g.metrics.BegunLate.Add(1)
 	if x := g.exchanges[e.ID]; x != nil {
--- /dev/null
+++ b/internal/gateway/notice_test.go
@@ -0,0 +1,32 @@
+package gateway_test
+
+import (
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/gateway"
+	"samphireweir.example/samphireweir/internal/telemetry"
+	"samphireweir.example/samphireweir/platform/standin"
+)
+
+// TestTheLogTellsWhatUpstreamsSayOfThemselves guards against an entry of which nobody can see what it was told in the head of an answer.
+func TestTheLogTellsWhatUpstreamsSayOfThemselves(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	desk := fleet.AddService("i-desk")
+	host, log := fleet.Host(standin.NextIP(), false), &standin.Log{}
+	g := gateway.New(host, zerolog.New(log), telemetry.NewMetrics(), nil)
+	fleet.Run(g.Run)
+	e := &entry{Caller: standin.Caller{Address: host.Callers, Name: t.Name()}, host: host, gateway: g}
+	require.Eventually(t, func() bool { return e.ready() == 200 }, patience, pollInterval)
+	desk.Say(standin.Notice{Limit: "7.5"})
+	require.Equal(t, 200, e.Post("/again/1").Status)
+	require.Equal(t, 200, e.Post("/again/1").Status)
+	require.Contains(t, log.String(), `"event":2011,"upstream":"i-desk","limited":true,"rate_limit":7.5`)
+	require.NotContains(t, log.String(), `"limited_before":true`, "what was said before is no news")
+	desk.Say(standin.Notice{Leaving: true})
+	require.Equal(t, 200, e.Post("/again/1").Status)
+	require.Contains(t, log.String(), `"leaving":true`)
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -96,6 +96,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	reading := platform.ReadHead(resp, a.x.call.ID)
 	a.version = reading.Version
+	a.x.gateway.step(forward.Noticed{Upstream: a.send.Upstream.Life(), Sent: a.made, Outcome: reading.Outcome, Notice: reading.Notice})
 	switch {
 	case reading.Outcome == forward.ServerFailed:
 		return a.keepFailure(ctx, resp, reading)
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -27,6 +27,7 @@
 	BeliefChanged       ID = 2008
 	BadEntry            ID = 2009
 	SettingsFileChanged ID = 2010
+	UpstreamSaid        ID = 2011
 	BurstStarted        ID = 3001
 	BurstComplete       ID = 3002
 	ChunkRefused        ID = 3003
@@ -82,6 +83,7 @@
 	{BeliefChanged, "belief changed", "What the process believes of the manifest, an upstream or a version changed; revision is the store's."},
 	{BadEntry, "bad entry", "An entry of the platform's store or a datagram could not be read; what was in force before stays."},
 	{SettingsFileChanged, "settings file changed", "The platform's settings file changed and is right; it is in force from the next start on."},
+	{UpstreamSaid, "upstream said", "An upstream says something else of itself than before in the head of an answer: limited that it takes rate_limit requests a second from all entries together, garbled that it names a limit that is no number, leaving that it shuts down, retry_after_ms how long it wants nothing from this entry."},
 	{BurstStarted, "burst started", "The host begins to fetch a version."},
 	{BurstComplete, "burst complete", "The host holds every verified chunk of a version."},
 	{ChunkRefused, "chunk refused", "A chunk failed its digest or could not be had; the field from names the sender."},
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -47,6 +47,8 @@
 		"Time from a call to an upstream to the beginning of its answer, at the process that calls it: the first event of a stream."}
 	begunLateDefinition = Definition{"samphireweir_begun_late_total", CounterKind, nil,
 		"Requests that an upstream began on a version of weights whose time was over."}
+	upstreamNoticesDefinition = Definition{"samphireweir_upstream_notices_total", CounterKind, nil,
+		"Changes of what upstreams say of themselves in their answers: a limit, that they shut down, how long to stay away."}
 	runsRefusedDefinition = Definition{"samphireweir_runs_refused_total", CounterKind, []string{"cause"},
 		"Runs that this agent refused to start, by the result code of the cause."}
 	recordsDefinition = Definition{"samphireweir_records_total", CounterKind, []string{"way"},
@@ -79,7 +81,7 @@
 // Catalogue lists every metric in the order of the page.
 var Catalogue = []Definition{
 	requestsDefinition, refusalsDefinition, inFlightDefinition, firstByteDefinition, totalDefinition,
-	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, begunLateDefinition, runsRefusedDefinition,
+	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, begunLateDefinition, upstreamNoticesDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, settingsDefinition,
 	panicsDefinition, goroutinesDefinition, memoryDefinition,
