--- /dev/null
+++ b/internal/gateway/limit_test.go
@@ -0,0 +1,45 @@
+package gateway_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/platform/standin"
+)
+
+// TestEntriesKeepTheLimitThatAnEngineNames guards against entries that pass on the answers in which an engine names a limit and go on as
+// before: 21 requests in four seconds reached one that had said 1 a second.
+func TestEntriesKeepTheLimitThatAnEngineNames(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	limited, other := fleet.AddEngine("i-limited", standin.NextIP(), 1), fleet.AddEngine("i-other", standin.NextIP(), 1)
+	limited.Say(standin.Notice{Limit: "1"})
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers sync.WaitGroup
+	for range 3 {
+		e := start(t, fleet)
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				e.Do(ctx, standin.Request{Path: "/stream/1"})
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return limited.Arrived() > 0 }, patience, pollInterval)
+	from := limited.Arrivals()[0].At.Add(3 * time.Second) // From then on the limit holds.
+	time.Sleep(time.Until(from.Add(4 * time.Second)))
+	cancel()
+	callers.Wait()
+	within := 0
+	for _, a := range limited.Arrivals() {
+		if a.At.After(from) && a.At.Before(from.Add(4*time.Second)) {
+			within++
+		}
+	}
+	require.LessOrEqual(t, within, 11, "one and a half times what it takes in four seconds, and five more")
+	require.Greater(t, other.Arrived(), 20, "callers are served elsewhere")
+}
