The limit that an upstream names is kept by all entries together

Cause: the head of an answer was read for what it says of the answer only. The upstream's word on itself was passed on to the caller and nowhere else.

Each entry now has moments at which it may send a request to an upstream that has named a limit: one in (entries / limit) seconds, at random from entry to entry, so that together they make the limit without a word to one another. A moment that is not used within a second is lost: with a bucket that fills while an entry is idle, 35 entries would bring 35 requests at once where 11 are allowed. At its limit an upstream counts as full: a request goes elsewhere, waits as for room, or is refused. The limit ends with the answer to a request that ran and was sent after the limit was last heard, and with the upstream's life. A limit that is no number changes nothing; one of 0 leaves 0.2 requests a second, by which its end is noticed.

--- a/internal/core/forward/limit_test.go
+++ b/internal/core/forward/limit_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
 )
@@ -93,13 +94,23 @@
 
 // play has each entry get some requests a second for a while.
 func (f *limitedFleet) play(d time.Duration, perSecond float64) {
+	f.playUneven(d, perSecond, perSecond)
+}
+
+// playUneven is the same with another number at the entries that are far from the upstream.
+func (f *limitedFleet) playUneven(d time.Duration, nearPerSecond, farPerSecond float64) {
 	for end := f.now + d; f.now < end; f.now += fleetStep {
-		for _, e := range f.entries {
+		for i, e := range f.entries {
+			perSecond := nearPerSecond
+			if i >= f.near {
+				perSecond = farPerSecond
+			}
 			e.rig.now = f.now
 			e.end(f)
 			if f.service == "model" {
 				for _, id := range []string{limited, "i-other"} {
-					e.rig.step(forward.LoadTold{Address: id, Versions: map[string]int64{"m": 1}, Entries: len(f.entries), Near: f.near})
+					told := forward.LoadTold{Address: id, Versions: map[string]int64{"m": 1}, Entries: len(f.entries), Near: f.near}
+					e.take(f, sendsAmong(e.rig.step(told)))
 				}
 			}
 			e.take(f, sendsAmong(e.rig.step(step.Tick{})))
@@ -202,3 +213,77 @@
 		}
 	}
 }
+
+// TestAnUpstreamAtItsLimitIsUsed guards against parts of a limit that lie with entries that do not need them: a caller is refused while the
+// upstream would have taken it.
+func TestAnUpstreamAtItsLimitIsUsed(t *testing.T) {
+	for _, size := range []struct{ near, far int }{{1, 0}, {2, 2}, {2, 4}, {3, 12}} {
+		for _, limit := range []float64{2, 8} {
+			f := newLimitedFleet(7, size.near, size.far, "model", reports)
+			f.limit = limit
+			f.play(4*time.Second, 12)
+			for _, load := range []struct{ near, far float64 }{{40, 40}, {40, 1}} {
+				before, from := f.all, f.now
+				f.playUneven(30*time.Second, load.near, load.far)
+				rate := float64(f.all-before) / (f.now - from).Seconds()
+				t.Logf("%d near, %d far, %v requests a second at each near and %v at each far entry: %.2f a second of %v", size.near, size.far, load.near, load.far, rate, limit)
+				require.Greater(t, rate, limit/2, "%d near and %d far entries, load %v, limit %v", size.near, size.far, load, limit)
+			}
+		}
+	}
+}
+
+// TestALimitEndsWithTheAnswerToALaterRequest guards against a limit that an answer lifts which the upstream gave before it named the limit,
+// and against one that stays for ever.
+func TestALimitEndsWithTheAnswerToALaterRequest(t *testing.T) {
+	r := newRig()
+	r.add("d1", "desk", "perth-a", 6)
+	r.step(forward.LoadTold{Address: "d1", Entries: 10, Near: 10})
+	life := r.state.Catalog.Upstreams["d1"].Life()
+	hear := func(sent time.Duration, outcome forward.Outcome, n forward.Notice) {
+		r.step(forward.Noticed{Upstream: life, Sent: begin.Add(sent), Outcome: outcome, Notice: n})
+	}
+	next := uint64(0)
+	free := func() bool {
+		next++
+		first := len(sends(r.arrive(next, lookups)))
+		next++
+		both := first + len(sends(r.arrive(next, lookups)))
+		r.step(forward.CallerGone{ID: next - 1})
+		r.step(forward.CallerGone{ID: next})
+		return both == 2
+	}
+	require.True(t, free())
+	r.now = 100 * time.Millisecond
+	hear(0, forward.Answered, forward.Notice{Limited: true, RateLimit: 1})
+	require.False(t, free())
+	hear(50*time.Millisecond, forward.Answered, forward.Notice{})
+	require.False(t, free(), "it was sent before the limit was heard")
+	r.now = 200 * time.Millisecond
+	hear(150*time.Millisecond, forward.Answered, forward.Notice{Garbled: true})
+	require.False(t, free(), "what can't be read ends nothing")
+	hear(150*time.Millisecond, forward.Declined, forward.Notice{})
+	require.False(t, free(), "it turned the request away")
+	hear(150*time.Millisecond, forward.Misdirected, forward.Notice{})
+	require.False(t, free(), "another upstream says so")
+	hear(150*time.Millisecond, forward.ServerFailed, forward.Notice{})
+	require.True(t, free())
+}
+
+// TestALimitEndsWithTheLifeOfItsUpstream guards against a limit that holds for an upstream that has started again, or for another one that has
+// its address, and against one that an answer of the life before names.
+func TestALimitEndsWithTheLifeOfItsUpstream(t *testing.T) {
+	r := newRig()
+	first := &catalog.Upstream{ID: "m1", Born: 1000, Service: "model", Address: "m1", DataCentre: "perth-a", Slots: 4, Versions: map[string]int64{"m": 1}, Revision: 1}
+	r.believe(catalog.UpstreamChanged{Upstream: first})
+	told := forward.LoadTold{Address: "m1", Born: 1000, Versions: map[string]int64{"m": 1}, Entries: 30, Near: 1}
+	r.step(told)
+	named := forward.Noticed{Upstream: first.Life(), Outcome: forward.Answered, Notice: forward.Notice{Limited: true, RateLimit: 1}}
+	r.step(named)
+	require.Empty(t, sends(r.arrive(1, reports)))
+	told.Born = 2000
+	require.Len(t, sends(r.step(told)), 1)
+	r.step(named)
+	r.step(forward.SendEnded{ID: 1, Outcome: forward.Answered})
+	require.Len(t, sends(r.arrive(2, reports)), 1)
+}
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -36,8 +36,9 @@
 	avoidFor  time.Duration
 	// foundDown is when it was last found to have gone down.
 	foundDown time.Time
-	// notice is what it said of itself last.
+	// notice is what it said of itself last, and pace spreads what it gets while it names a limit.
 	notice Notice
+	pace   pace
 	// broken are the requests that broke there in the last moments, the oldest first.
 	broken []broken
 }
--- a/internal/core/forward/notice.go
+++ b/internal/core/forward/notice.go
@@ -45,11 +45,13 @@
 func (UpstreamSaid) Effect() {}
 
 // noticed takes what an upstream says of itself.
-func (s *State) noticed(_ step.Input, ev Noticed) []step.Effect {
-	if ev.Outcome == Misdirected || ev.Outcome == Broken {
-		return nil // It comes from another upstream, or from nobody knows whom.
+func (s *State) noticed(in step.Input, ev Noticed) []step.Effect {
+	u := s.Catalog.Upstreams[ev.Upstream.ID]
+	if ev.Outcome == Misdirected || ev.Outcome == Broken || u == nil || u.Life() != ev.Upstream {
+		return nil // It comes from another upstream, from nobody knows whom, or from a life that is over.
 	}
 	l := s.load(ev.Upstream)
+	s.noteLimit(in, s.target(u), ev)
 	before := l.notice
 	l.notice = ev.Notice
 	if before == ev.Notice {
@@ -57,3 +59,25 @@
 	}
 	return []step.Effect{UpstreamSaid{Upstream: ev.Upstream.ID, Notice: ev.Notice, Before: before}}
 }
+
+// noteLimit takes the limit that an upstream names, or ends the one that it named. Answers may overtake one another, and one that turns a
+// request away may lack the limit: only the answer to a request that ran and was sent after the limit was last heard tells that it has ended.
+func (s *State) noteLimit(in step.Input, t *target, ev Noticed) {
+	p := &t.load.pace
+	ran := ev.Outcome == Answered || ev.Outcome == ServerFailed
+	switch {
+	case ev.Notice.Limited:
+		p.set(in.Now, ev.Notice.RateLimit, s.part(t), in.Rand)
+	case !ev.Notice.Garbled && ran && ev.Sent.After(p.heard):
+		p.lift()
+	}
+}
+
+// part is which part of an upstream's limit this entry may use, so that the parts of all entries are the whole.
+func (s *State) part(*target) float64 {
+	entries := s.entries
+	if entries <= 0 {
+		entries = assumedEntries
+	}
+	return 1 / float64(entries)
+}
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -94,6 +94,7 @@
 	s.load(r.at).inFlight++
 	s.load(r.at).allowance--
 	s.load(r.at).reading += r.prompt
+	s.load(r.at).pace.use()
 	r.reading, r.keptWaiting = true, false
 	r.blind = s.target(u).stranger()
 	if r.blind {
