--- a/internal/gateway/notice_test.go
+++ b/internal/gateway/notice_test.go
@@ -21,10 +21,10 @@
 	fleet.Run(g.Run)
 	e := &entry{Caller: standin.Caller{Address: host.Callers, Name: t.Name()}, host: host, gateway: g}
 	require.Eventually(t, func() bool { return e.ready() == 200 }, patience, pollInterval)
-	desk.Say(standin.Notice{Limit: "7.5"})
+	desk.Say(standin.Notice{Limit: "750.5"})
 	require.Equal(t, 200, e.Post("/again/1").Status)
 	require.Equal(t, 200, e.Post("/again/1").Status)
-	require.Contains(t, log.String(), `"event":2011,"upstream":"i-desk","limited":true,"rate_limit":7.5`)
+	require.Contains(t, log.String(), `"event":2011,"upstream":"i-desk","limited":true,"rate_limit":750.5`)
 	require.NotContains(t, log.String(), `"limited_before":true`, "what was said before is no news")
 	desk.Say(standin.Notice{Leaving: true})
 	require.Equal(t, 200, e.Post("/again/1").Status)
