The entries of an engine's data centre divide three quarters of its limit

Two ways to divide a limit, in the same emulated fleets: equal parts (as before) and three quarters for the entries of the engine's own data centre, which send it most of its work. Where all entries have as much to send as they may, both use the whole limit. Each request a second that is not used is a caller who waits or is refused in a full fleet. An entry that no agent tells how many are near takes a part that fits both; the bound holds with 28 such entries (a new case of its test).

--- a/internal/core/forward/limit_test.go
+++ b/internal/core/forward/limit_test.go
@@ -27,8 +27,10 @@
 type limitedFleet struct {
 	entries []*limitedEntry
 	// near counts those in the upstream's data centre.
-	near   int
-	random *rand.Rand
+	near int
+	// strangers is set when no agent tells the far entries of its engine.
+	strangers bool
+	random    *rand.Rand
 	// limit is what the upstream names now, 0 for none, and service where it belongs to.
 	limit   float64
 	service string
@@ -65,9 +67,9 @@
 	fleetStep = 20 * time.Millisecond
 )
 
-// newLimitedFleet returns entries of which near are in the upstream's data centre.
-func newLimitedFleet(seed uint64, near, far int, service, path string) *limitedFleet {
-	f := &limitedFleet{near: near, random: rand.New(rand.NewPCG(seed, 1)), service: service, path: path}
+// newLimitedFleet returns entries of which near are in the upstream's data centre. The others hear of its load, or are strangers to it.
+func newLimitedFleet(seed uint64, near, far int, strangers bool, service, path string) *limitedFleet {
+	f := &limitedFleet{near: near, strangers: strangers, random: rand.New(rand.NewPCG(seed, 1)), service: service, path: path}
 	for i := range near + far {
 		r := newRig()
 		r.rand = f.random.Uint64()
@@ -76,9 +78,10 @@
 		if i >= near {
 			place = "bunbury-a"
 		}
+		r.state.Catalog.Manifest.Services["model"] = &catalog.Service{Name: "model", Engine: &catalog.Engine{}}
 		r.add(limited, service, place, 12)
 		r.add("i-other", service, place, 12)
-		if service == "model" {
+		if service == "model" && !(strangers && i >= near) {
 			told := forward.LoadTold{Address: limited, Versions: map[string]int64{"m": 1}, Entries: near + far, Near: near}
 			r.step(told)
 			told.Address = "i-other"
@@ -109,6 +112,9 @@
 			e.end(f)
 			if f.service == "model" {
 				for _, id := range []string{limited, "i-other"} {
+					if f.strangers && i >= f.near {
+						continue
+					}
 					told := forward.LoadTold{Address: id, Versions: map[string]int64{"m": 1}, Entries: len(f.entries), Near: f.near}
 					e.take(f, sendsAmong(e.rig.step(told)))
 				}
@@ -197,19 +203,24 @@
 // be it that they don't read what it says, that each keeps it for itself, or that they use at once what they saved.
 func TestALimitThatAnUpstreamNamesHoldsForAllEntriesTogether(t *testing.T) {
 	for _, service := range []struct{ name, path string }{{"model", reports}, {"desk", lookups}} {
-		for _, size := range []struct{ near, far int }{{1, 0}, {2, 2}, {4, 0}, {0, 4}, {3, 12}, {7, 28}} {
-			for _, limit := range []float64{0.3, 1, 2.1, 8, 40} {
-				for seed := range uint64(3) {
-					f := newLimitedFleet(seed, size.near, size.far, service.name, service.path)
-					f.limit = limit
-					f.play(4*time.Second, 12)
-					f.play(8*time.Second, 0.2) // A calm moment, in which much could be saved up.
-					f.play(8*time.Second, 20)
-					allowed := limitFactor*limit*limitWindow.Seconds() + limitExtra
-					require.LessOrEqual(t, float64(f.most(limitFrom)), allowed, "%s, %d near and %d far entries, limit %v, seed %d",
-						service.name, size.near, size.far, limit, seed)
+		for _, size := range []struct {
+			near, far int
+			strangers bool
+		}{{1, 0, false}, {2, 2, false}, {4, 0, false}, {0, 4, false}, {3, 12, false}, {7, 28, false}, {7, 28, true}} {
+			t.Run(fmt.Sprintf("%s, %d near and %d far entries, strangers %v", service.name, size.near, size.far, size.strangers), func(t *testing.T) {
+				t.Parallel()
+				for _, limit := range []float64{0.3, 1, 2.1, 8, 40} {
+					for seed := range uint64(3) {
+						f := newLimitedFleet(seed, size.near, size.far, size.strangers, service.name, service.path)
+						f.limit = limit
+						f.play(4*time.Second, 12)
+						f.play(8*time.Second, 0.2) // A calm moment, in which much could be saved up.
+						f.play(8*time.Second, 20)
+						allowed := limitFactor*limit*limitWindow.Seconds() + limitExtra
+						require.LessOrEqual(t, float64(f.most(limitFrom)), allowed, "limit %v, seed %d", limit, seed)
+					}
 				}
-			}
+			})
 		}
 	}
 }
@@ -219,7 +230,7 @@
 func TestAnUpstreamAtItsLimitIsUsed(t *testing.T) {
 	for _, size := range []struct{ near, far int }{{1, 0}, {2, 2}, {2, 4}, {3, 12}} {
 		for _, limit := range []float64{2, 8} {
-			f := newLimitedFleet(7, size.near, size.far, "model", reports)
+			f := newLimitedFleet(7, size.near, size.far, false, "model", reports)
 			f.limit = limit
 			f.play(4*time.Second, 12)
 			for _, load := range []struct{ near, far float64 }{{40, 40}, {40, 1}} {
--- a/internal/core/forward/notice.go
+++ b/internal/core/forward/notice.go
@@ -73,11 +73,27 @@
 	}
 }
 
-// part is which part of an upstream's limit this entry may use, so that the parts of all entries are the whole.
-func (s *State) part(*target) float64 {
-	entries := s.entries
-	if entries <= 0 {
+// nearPart is the part of an engine's limit that the entries of its data centre divide, which send it most of its work.
+const nearPart = 0.75
+
+// part is which part of an upstream's limit this entry may use, so that the parts of all entries are the whole. Only the agent beside an engine
+// tells how many entries are near it; an entry that it does not tell takes no more than it would if it were told.
+func (s *State) part(t *target) float64 {
+	entries := float64(s.entries)
+	if s.entries <= 0 {
 		entries = assumedEntries
 	}
-	return 1 / float64(entries)
+	near := float64(t.load.told.Near)
+	if s.greeted != nil {
+		near /= s.nearShare
+	}
+	switch {
+	case t.load.toldAt.IsZero() && t.engine != nil && t.distance > 0:
+		return (1 - nearPart) / entries
+	case near == 0 || near >= entries:
+		return 1 / entries
+	case t.distance == 0:
+		return nearPart / near
+	}
+	return (1 - nearPart) / (entries - near)
 }
