Agents tell entries of a limit that their engine names to them

An engine names its limit in its answers to the agent beside it too, which tells all entries with its reports (at once when it begins and ends). The limit ends as any other, by the answer to a later request. TestALimitThatAnAgentTellsIsKept failed before: 200 requests in four seconds where 11 are allowed. What an agent tells that is no limit (negative, no number) limits nothing.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -123,6 +123,8 @@
 	Closing bool
 	// Versions are the versions that it holds whole, by model.
 	Versions map[string]int64
+	// RateLimit is the limit that the engine names to its agent, in requests a second from all entries together; nil for none.
+	RateLimit *float64
 	// Entries is how many entries listen to this agent, and Near how many of them are in its data centre.
 	Entries int
 	Near    int
--- a/internal/core/forward/limit_test.go
+++ b/internal/core/forward/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -172,9 +173,9 @@
 }
 
 func (e *limitedEntry) head(f *limitedFleet, s openSend) {
-	notice := forward.Notice{}
+	notice := catalog.Notice{}
 	if s.send.Upstream.ID == limited && f.limit > 0 {
-		notice = forward.Notice{Limited: true, RateLimit: f.limit}
+		notice = catalog.Notice{Limited: true, RateLimit: f.limit}
 		if e.told == 0 {
 			e.told = f.now
 		}
@@ -251,7 +252,7 @@
 	r.add("d1", "desk", "perth-a", 6)
 	r.step(forward.LoadTold{Address: "d1", Entries: 10, Near: 10})
 	life := r.state.Catalog.Upstreams["d1"].Life()
-	hear := func(sent time.Duration, outcome forward.Outcome, n forward.Notice) {
+	hear := func(sent time.Duration, outcome forward.Outcome, n catalog.Notice) {
 		r.step(forward.Noticed{Upstream: life, Sent: begin.Add(sent), Outcome: outcome, Notice: n})
 	}
 	next := uint64(0)
@@ -266,18 +267,18 @@
 	}
 	require.True(t, free())
 	r.now = 100 * time.Millisecond
-	hear(0, forward.Answered, forward.Notice{Limited: true, RateLimit: 1})
+	hear(0, forward.Answered, catalog.Notice{Limited: true, RateLimit: 1})
 	require.False(t, free())
-	hear(50*time.Millisecond, forward.Answered, forward.Notice{})
+	hear(50*time.Millisecond, forward.Answered, catalog.Notice{})
 	require.False(t, free(), "it was sent before the limit was heard")
 	r.now = 200 * time.Millisecond
-	hear(150*time.Millisecond, forward.Answered, forward.Notice{Garbled: true})
+	hear(150*time.Millisecond, forward.Answered, catalog.Notice{Garbled: true})
 	require.False(t, free(), "what can't be read ends nothing")
-	hear(150*time.Millisecond, forward.Declined, forward.Notice{})
+	hear(150*time.Millisecond, forward.Declined, catalog.Notice{})
 	require.False(t, free(), "it turned the request away")
-	hear(150*time.Millisecond, forward.Misdirected, forward.Notice{})
+	hear(150*time.Millisecond, forward.Misdirected, catalog.Notice{})
 	require.False(t, free(), "another upstream says so")
-	hear(150*time.Millisecond, forward.ServerFailed, forward.Notice{})
+	hear(150*time.Millisecond, forward.ServerFailed, catalog.Notice{})
 	require.True(t, free())
 }
 
@@ -289,7 +290,7 @@
 	r.believe(catalog.UpstreamChanged{Upstream: first})
 	told := forward.LoadTold{Address: "m1", Born: 1000, Versions: map[string]int64{"m": 1}, Entries: 30, Near: 1}
 	r.step(told)
-	named := forward.Noticed{Upstream: first.Life(), Outcome: forward.Answered, Notice: forward.Notice{Limited: true, RateLimit: 1}}
+	named := forward.Noticed{Upstream: first.Life(), Outcome: forward.Answered, Notice: catalog.Notice{Limited: true, RateLimit: 1}}
 	r.step(named)
 	require.Empty(t, sends(r.arrive(1, reports)))
 	told.Born = 2000
@@ -298,3 +299,28 @@
 	r.step(forward.SendEnded{ID: 1, Outcome: forward.Answered})
 	require.Len(t, sends(r.arrive(2, reports)), 1)
 }
+
+// TestALimitThatAnAgentTellsIsKept guards against an entry that has just started, or was cut off, and gives an engine in need what it likes
+// until an answer tells of the limit.
+func TestALimitThatAnAgentTellsIsKept(t *testing.T) {
+	r := newRig()
+	r.add("m1", "model", "perth-a", 12)
+	limit := 1.0
+	told := forward.LoadTold{Address: "m1", Versions: map[string]int64{"m": 1}, Entries: 10, Near: 1, RateLimit: &limit}
+	sent := 0
+	for id := range uint64(200) {
+		r.now += 20 * time.Millisecond
+		sent += len(sends(r.step(told)))
+		sent += len(sends(r.arrive(id+1, reports)))
+		r.step(forward.SendEnded{ID: id + 1, Outcome: forward.Answered})
+	}
+	require.LessOrEqual(t, sent, 11)
+	for _, nonsense := range []float64{-1, math.NaN(), math.Inf(1)} {
+		r = newRig()
+		r.add("m1", "model", "perth-a", 12)
+		told.RateLimit = &nonsense
+		r.step(told)
+		require.Len(t, sends(r.arrive(1, reports)), 1)
+		require.Len(t, sends(r.arrive(2, reports)), 1, "what is no limit of requests limits nothing")
+	}
+}
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
@@ -37,7 +38,7 @@
 	// foundDown is when it was last found to have gone down.
 	foundDown time.Time
 	// notice is what it said of itself last, and pace spreads what it gets while it names a limit.
-	notice Notice
+	notice catalog.Notice
 	pace   pace
 	// broken are the requests that broke there in the last moments, the oldest first.
 	broken []broken
@@ -103,6 +104,9 @@
 	l.told, l.toldAt = ev, in.Now
 	l.others = max(0, ev.Occupied-l.inFlight)
 	l.allowance = s.target(u).share(ev, in.Rand)
+	if limit := ev.RateLimit; limit != nil && *limit >= 0 && !math.IsInf(*limit, 0) {
+		l.pace.set(in.Now, *limit, s.part(s.target(u)), in.Rand) // It ends as any other: by an answer without it.
+	}
 	return append(effects, s.serveQueue(in, u.Service)...)
 }
 
--- a/internal/core/forward/notice.go
+++ b/internal/core/forward/notice.go
@@ -7,19 +7,6 @@
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
-// Notice is what an upstream says of itself in the head of an answer, whatever the answer is. Its zero value says nothing.
-type Notice struct {
-	// Limited is set when the upstream names a limit: RateLimit requests a second from all entries together, which may be 0.
-	Limited   bool
-	RateLimit float64
-	// Garbled is set when it names a limit that is no number, so that the one that it named before stays.
-	Garbled bool
-	// Leaving is set when the upstream is shutting down.
-	Leaving bool
-	// RetryAfter is how long the upstream, which turned the request away, wants nothing from this entry; 0 when it does not say.
-	RetryAfter time.Duration
-}
-
 // Noticed says that the head of an answer came.
 type Noticed struct {
 	// Upstream is the life that the request was sent to, and Sent is when.
@@ -27,7 +14,7 @@
 	Sent     time.Time
 	// Outcome is what the head alone says of the send: Answered for an answer that may be passed on.
 	Outcome Outcome
-	Notice  Notice
+	Notice  catalog.Notice
 }
 
 // Event marks the type as an event.
@@ -36,9 +23,9 @@
 // UpstreamSaid tells the shell that an upstream says something else of itself than before, for its log.
 type UpstreamSaid struct {
 	Upstream string
-	Notice   Notice
+	Notice   catalog.Notice
 	// Before is what it said last.
-	Before Notice
+	Before catalog.Notice
 }
 
 // Effect marks the type as an effect.
--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -9,6 +9,7 @@
 	"sort"
 	"time"
 
+	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
@@ -94,6 +95,8 @@
 	Sequence int64
 	// Occupied counts the requests that it works on or has queued.
 	Occupied int
+	// Notice is what it says of itself beside that.
+	Notice catalog.Notice
 }
 
 // EngineFailed says that the engine did not answer a reading.
@@ -280,6 +283,15 @@
 // Born is when the engine started, as of its last reading.
 func (s *State) Born() int64 { return s.engine.Born }
 
+// RateLimit is the limit that the engine names, in requests a second from all entries together; nil for none.
+func (s *State) RateLimit() *float64 {
+	if !s.engine.Notice.Limited {
+		return nil
+	}
+	limit := s.engine.Notice.RateLimit
+	return &limit
+}
+
 // Occupied counts the requests at the engine.
 func (s *State) Occupied() int { return s.engine.Occupied }
 
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -56,6 +56,8 @@
 	Occupied int              `json:"o"`
 	Closing  bool             `json:"c,omitempty"`
 	Versions map[string]int64 `json:"v"`
+	// RateLimit is the limit that the engine names, in requests a second from all entries together; nil for none.
+	RateLimit *float64 `json:"q,omitempty"`
 	// Entries counts the entries that greeted the agent of late, and Near those of them in its data centre.
 	Entries int `json:"n"`
 	Near    int `json:"i"`
