A limit is remembered while its upstream's entry is gone for a moment

It is remembered for a minute now. The test failed before (2 requests at once to an upstream with a limit of 1 a second for ten entries). A refusal's words say how many upstreams are at their limit.

--- a/internal/core/forward/limit_test.go
+++ b/internal/core/forward/limit_test.go
@@ -324,3 +324,20 @@
 		require.Len(t, sends(r.arrive(2, reports)), 1, "what is no limit of requests limits nothing")
 	}
 }
+
+// TestALimitOutlivesAnEntryThatIsGoneForAWhile guards against a limit that is forgotten with the upstream's entry in the store, which lapses when
+// the upstream does not reach the store and comes back with the same life.
+func TestALimitOutlivesAnEntryThatIsGoneForAWhile(t *testing.T) {
+	r := newRig()
+	r.add("d1", "desk", "perth-a", 6)
+	r.step(forward.LoadTold{Address: "d1", Entries: 10, Near: 10})
+	life := r.state.Catalog.Upstreams["d1"].Life()
+	r.step(forward.Noticed{Upstream: life, Outcome: forward.Answered, Notice: catalog.Notice{Limited: true, RateLimit: 1}})
+	r.next++
+	r.believe(catalog.UpstreamRemoved{ID: "d1", Revision: int64(r.next)})
+	r.now = 5 * time.Second
+	r.step(step.Tick{})
+	r.add("d1", "desk", "perth-a", 6)
+	sent := len(sends(r.arrive(1, lookups))) + len(sends(r.arrive(2, lookups)))
+	require.LessOrEqual(t, sent, 1)
+}
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -133,11 +133,18 @@
 	}
 }
 
+// wordKept is how long what an upstream said of itself is remembered after its entry is gone: an entry lapses when its upstream does not reach
+// the store, and comes back with the same life.
+const wordKept = time.Minute
+
+// remembered tells whether the upstream said something of itself that may still hold if it comes back.
+func (l *load) remembered(now time.Time) bool { return now.Sub(l.pace.heard) < wordKept }
+
 // forget drops what is known of upstreams that are gone.
 func (s *State) forget(now time.Time) {
 	for life, l := range s.loads {
 		u := s.Catalog.Upstreams[life.ID]
-		if (u == nil || u.Born != life.Born) && l.inFlight == 0 && now.Sub(l.toldAt) > toldFor {
+		if (u == nil || u.Born != life.Born) && l.inFlight == 0 && now.Sub(l.toldAt) > toldFor && !l.remembered(now) {
 			delete(s.loads, life)
 		}
 	}
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -167,7 +167,7 @@
 
 // census says in words why no upstream was found.
 func (s *State) census(now time.Time, r *request) string {
-	var registered, draining, avoided, loading, empty, fullOnes int
+	var registered, draining, avoided, loading, empty, limited, fullOnes int
 	required := s.requiredVersion(now, r.model)
 	for _, t := range s.targetsOf(r.service) {
 		registered++
@@ -180,12 +180,14 @@
 			loading++
 		case !t.usable(now, r, required):
 			empty++
+		case !t.load.pace.allows(now):
+			limited++
 		case !t.hasRoom(now, r):
 			fullOnes++
 		}
 	}
-	return fmt.Sprintf("%d registered, %d draining, %d avoided after failures, %d loading, %d without the weights or tried, %d full",
-		registered, draining, avoided, loading, empty, fullOnes)
+	return fmt.Sprintf("%d registered, %d draining, %d avoided after failures, %d loading, %d without the weights or tried, %d at the limit that they named, %d full",
+		registered, draining, avoided, loading, empty, limited, fullOnes)
 }
 
 func sortedKeys[T any](m map[string]T) []string {
