A limit is heard from an upstream whose entry is gone

What is said belongs to the upstream's life now, whatever the store holds. The test failed before (2 requests at once).

--- a/internal/core/forward/limit_test.go
+++ b/internal/core/forward/limit_test.go
@@ -341,3 +341,17 @@
 	sent := len(sends(r.arrive(1, lookups))) + len(sends(r.arrive(2, lookups)))
 	require.LessOrEqual(t, sent, 1)
 }
+
+// TestALimitIsHeardFromAnUpstreamWhoseEntryIsGone guards against the loss of what the last answers say before the entry is back.
+func TestALimitIsHeardFromAnUpstreamWhoseEntryIsGone(t *testing.T) {
+	r := newRig()
+	r.add("d1", "desk", "perth-a", 6)
+	r.step(forward.LoadTold{Address: "d1", Entries: 10, Near: 10})
+	life := r.state.Catalog.Upstreams["d1"].Life()
+	r.next++
+	r.believe(catalog.UpstreamRemoved{ID: "d1", Revision: int64(r.next)})
+	r.step(forward.Noticed{Upstream: life, Outcome: forward.Answered, Notice: catalog.Notice{Limited: true, RateLimit: 1}})
+	r.add("d1", "desk", "perth-a", 6)
+	sent := len(sends(r.arrive(1, lookups))) + len(sends(r.arrive(2, lookups)))
+	require.LessOrEqual(t, sent, 1)
+}
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -105,7 +105,7 @@
 	l.others = max(0, ev.Occupied-l.inFlight)
 	l.allowance = s.target(u).share(ev, in.Rand)
 	if limit := ev.RateLimit; limit != nil && *limit >= 0 && !math.IsInf(*limit, 0) {
-		l.pace.set(in.Now, *limit, s.part(s.target(u)), in.Rand) // It ends as any other: by an answer without it.
+		l.pace.set(in.Now, *limit, s.part(u.Life()), in.Rand) // It ends as any other: by an answer without it.
 	}
 	return append(effects, s.serveQueue(in, u.Service)...)
 }
--- a/internal/core/forward/notice.go
+++ b/internal/core/forward/notice.go
@@ -33,12 +33,11 @@
 
 // noticed takes what an upstream says of itself.
 func (s *State) noticed(in step.Input, ev Noticed) []step.Effect {
-	u := s.Catalog.Upstreams[ev.Upstream.ID]
-	if ev.Outcome == Misdirected || ev.Outcome == Broken || u == nil || u.Life() != ev.Upstream {
-		return nil // It comes from another upstream, from nobody knows whom, or from a life that is over.
+	if ev.Outcome == Misdirected || ev.Outcome == Broken {
+		return nil // It comes from another upstream, or from nobody knows whom.
 	}
 	l := s.load(ev.Upstream)
-	s.noteLimit(in, s.target(u), ev)
+	s.noteLimit(in, &l.pace, ev)
 	before := l.notice
 	l.notice = ev.Notice
 	if before == ev.Notice {
@@ -49,12 +48,11 @@
 
 // noteLimit takes the limit that an upstream names, or ends the one that it named. Answers may overtake one another, and one that turns a
 // request away may lack the limit: only the answer to a request that ran and was sent after the limit was last heard tells that it has ended.
-func (s *State) noteLimit(in step.Input, t *target, ev Noticed) {
-	p := &t.load.pace
+func (s *State) noteLimit(in step.Input, p *pace, ev Noticed) {
 	ran := ev.Outcome == Answered || ev.Outcome == ServerFailed
 	switch {
 	case ev.Notice.Limited:
-		p.set(in.Now, ev.Notice.RateLimit, s.part(t), in.Rand)
+		p.set(in.Now, ev.Notice.RateLimit, s.part(ev.Upstream), in.Rand)
 	case !ev.Notice.Garbled && ran && ev.Sent.After(p.heard):
 		p.lift()
 	}
@@ -65,11 +63,16 @@
 
 // part is which part of an upstream's limit this entry may use, so that the parts of all entries are the whole. Only the agent beside an engine
 // tells how many entries are near it; an entry that it does not tell takes no more than it would if it were told.
-func (s *State) part(t *target) float64 {
+func (s *State) part(life catalog.Life) float64 {
 	entries := float64(s.entries)
 	if s.entries <= 0 {
 		entries = assumedEntries
 	}
+	u := s.Catalog.Upstreams[life.ID]
+	if u == nil || u.Life() != life {
+		return 1 / entries
+	}
+	t := s.target(u)
 	near := float64(t.load.told.Near)
 	if s.greeted != nil {
 		near /= s.nearShare
