An upstream that says in its answers that it leaves gets no new work

Callers saw nothing: the upstream went on serving.

Cause: an entry knew of a leaving by the store alone.

What an answer says of leaving holds for the upstream's life from that moment on: for requests that arrive, that wait and that are sent a second time; whatever the store says later, and also when the entry lapses and comes back. A new life under the same id, another upstream at the address and a late word of the life before are not touched.

--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -37,9 +37,12 @@
 	avoidFor  time.Duration
 	// foundDown is when it was last found to have gone down.
 	foundDown time.Time
-	// notice is what it said of itself last, and pace spreads what it gets while it names a limit.
-	notice catalog.Notice
-	pace   pace
+	// leaving is set once it said that it shuts down, which it does not take back in this life.
+	leaving bool
+	// notice is what it said of itself last, at noticedAt, and pace spreads what it gets while it names a limit.
+	notice    catalog.Notice
+	noticedAt time.Time
+	pace      pace
 	// broken are the requests that broke there in the last moments, the oldest first.
 	broken []broken
 }
@@ -138,7 +141,9 @@
 const wordKept = time.Minute
 
 // remembered tells whether the upstream said something of itself that may still hold if it comes back.
-func (l *load) remembered(now time.Time) bool { return now.Sub(l.pace.heard) < wordKept }
+func (l *load) remembered(now time.Time) bool {
+	return now.Sub(l.noticedAt) < wordKept || now.Sub(l.pace.heard) < wordKept
+}
 
 // forget drops what is known of upstreams that are gone.
 func (s *State) forget(now time.Time) {
--- a/internal/core/forward/notice.go
+++ b/internal/core/forward/notice.go
@@ -38,8 +38,9 @@
 	}
 	l := s.load(ev.Upstream)
 	s.noteLimit(in, &l.pace, ev)
+	l.leaving = l.leaving || ev.Notice.Leaving
 	before := l.notice
-	l.notice = ev.Notice
+	l.notice, l.noticedAt = ev.Notice, in.Now
 	if before == ev.Notice {
 		return nil
 	}
