--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -125,6 +125,8 @@
 	Versions map[string]int64
 	// RateLimit is the limit that the engine names to its agent, in requests a second from all entries together; nil for none.
 	RateLimit *float64
+	// Leaving is set when the engine tells its agent that it shuts down.
+	Leaving bool
 	// Entries is how many entries listen to this agent, and Near how many of them are in its data centre.
 	Entries int
 	Near    int
--- a/internal/core/forward/leaving_test.go
+++ b/internal/core/forward/leaving_test.go
@@ -85,3 +85,16 @@
 	r.add("d1", "desk", "perth-a", 6)
 	require.Empty(t, sends(r.arrive(1, lookups)))
 }
+
+// TestAnUpstreamThatTellsItsAgentThatItLeavesGetsNoNewWork guards against work from entries that no answer has told: one that has started a moment
+// ago while the store is away.
+func TestAnUpstreamThatTellsItsAgentThatItLeavesGetsNoNewWork(t *testing.T) {
+	r := newRig()
+	r.add("m1", "model", "perth-a", 6)
+	told := forward.LoadTold{Address: "m1", Versions: map[string]int64{"m": 1}, Entries: 1, Near: 1, Leaving: true}
+	r.step(told)
+	require.Empty(t, sends(r.arrive(1, reports)))
+	told.Leaving = false
+	r.step(told)
+	require.Empty(t, sends(r.arrive(2, reports)), "reports may overtake one another")
+}
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -107,6 +107,7 @@
 	l.told, l.toldAt = ev, in.Now
 	l.others = max(0, ev.Occupied-l.inFlight)
 	l.allowance = s.target(u).share(ev, in.Rand)
+	l.leaving = l.leaving || ev.Leaving
 	if limit := ev.RateLimit; limit != nil && *limit >= 0 && !math.IsInf(*limit, 0) {
 		l.pace.set(in.Now, *limit, s.part(u.Life()), in.Rand) // It ends as any other: by an answer without it.
 	}
@@ -142,7 +143,7 @@
 
 // remembered tells whether the upstream said something of itself that may still hold if it comes back.
 func (l *load) remembered(now time.Time) bool {
-	return now.Sub(l.noticedAt) < wordKept || now.Sub(l.pace.heard) < wordKept
+	return now.Sub(l.noticedAt) < wordKept || now.Sub(l.pace.heard) < wordKept || l.leaving && now.Sub(l.toldAt) < wordKept
 }
 
 // forget drops what is known of upstreams that are gone.
--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -292,6 +292,9 @@
 	return &limit
 }
 
+// Leaving tells whether the engine says that it shuts down.
+func (s *State) Leaving() bool { return s.engine.Notice.Leaving }
+
 // Occupied counts the requests at the engine.
 func (s *State) Occupied() int { return s.engine.Occupied }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -61,7 +61,7 @@
 	if m.Load != nil {
 		g.step(forward.LoadTold{
 			Address: m.Load.Address, Born: m.Load.Born, Occupied: m.Load.Occupied, Closing: m.Load.Closing,
-			Versions: m.Load.Versions, RateLimit: m.Load.RateLimit, Entries: m.Load.Entries, Near: m.Load.Near,
+			Versions: m.Load.Versions, RateLimit: m.Load.RateLimit, Leaving: m.Load.Leaving, Entries: m.Load.Entries, Near: m.Load.Near,
 		})
 	}
 }
--- a/internal/hostagent/notice_test.go
+++ b/internal/hostagent/notice_test.go
@@ -15,8 +15,9 @@
 	"samphireweir.example/samphireweir/platform/standin"
 )
 
-// TestAnAgentTellsEntriesOfItsEnginesLimit guards against a limit that only those entries know which have passed on an answer since.
-func TestAnAgentTellsEntriesOfItsEnginesLimit(t *testing.T) {
+// TestAnAgentTellsEntriesWhatItsEngineSaysOfItself guards against a limit or a leaving that only those entries know which have passed on an answer
+// since.
+func TestAnAgentTellsEntriesWhatItsEngineSaysOfItself(t *testing.T) {
 	t.Parallel()
 	fleet := standin.NewFleet(t)
 	host := fleet.Host(standin.NextIP(), true)
@@ -43,6 +44,8 @@
 	require.Eventually(t, tells(func(l *loadreport.Load) bool { return l.RateLimit == nil }), patience, 10*time.Millisecond)
 	engine.Say(standin.Notice{Limit: "2.5"})
 	require.Eventually(t, tells(func(l *loadreport.Load) bool { return l.RateLimit != nil && *l.RateLimit == 2.5 }), patience, 10*time.Millisecond)
+	engine.Say(standin.Notice{Leaving: true})
+	require.Eventually(t, tells(func(l *loadreport.Load) bool { return l.Leaving }), patience, 10*time.Millisecond)
 	engine.Say(standin.Notice{})
 	require.Eventually(t, tells(func(l *loadreport.Load) bool { return l.RateLimit == nil }), patience, 10*time.Millisecond)
 }
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -181,7 +181,7 @@
 // due tells whether an entry is to hear of the load now.
 func (l *listener) due(now time.Time, load loadreport.Load) bool {
 	since := now.Sub(l.told)
-	if since >= l.calm() || load.Born != l.last.Born || load.Closing != l.last.Closing || (load.RateLimit != nil) != (l.last.RateLimit != nil) {
+	if since >= l.calm() || load.Born != l.last.Born || load.Closing != l.last.Closing || load.Leaving != l.last.Leaving || (load.RateLimit != nil) != (l.last.RateLimit != nil) {
 		return true
 	}
 	if load.Occupied == l.last.Occupied {
@@ -204,7 +204,7 @@
 	defer a.mu.Unlock()
 	load := loadreport.Load{
 		Address: a.host.Engine, Born: a.install.Born(), Occupied: a.install.Occupied(), Closing: a.install.Closing(), Versions: a.install.Loaded(),
-		RateLimit: a.install.RateLimit(),
+		RateLimit: a.install.RateLimit(), Leaving: a.install.Leaving(),
 	}
 	return load, loadreport.Namings(now, a.catalog.Told(now, a.host.VersionTime))
 }
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -58,6 +58,8 @@
 	Versions map[string]int64 `json:"v"`
 	// RateLimit is the limit that the engine names, in requests a second from all entries together; nil for none.
 	RateLimit *float64 `json:"q,omitempty"`
+	// Leaving is set when the engine says that it shuts down.
+	Leaving bool `json:"z,omitempty"`
 	// Entries counts the entries that greeted the agent of late, and Near those of them in its data centre.
 	Entries int `json:"n"`
 	Near    int `json:"i"`
