An upstream that does not say when it started is tried again a minute after it left

One that names no start would have stayed out of use for ever once it came back under its id. The test failed before (never tried again).

--- a/internal/core/forward/leaving_test.go
+++ b/internal/core/forward/leaving_test.go
@@ -98,3 +98,17 @@
 	r.step(told)
 	require.Empty(t, sends(r.arrive(2, reports)), "reports may overtake one another")
 }
+
+// TestAnUpstreamWithoutAStartIsTriedAgainAfterItLeft guards against an upstream that is out of use for ever: one that does not say when it started
+// can't be told from the next life under its id.
+func TestAnUpstreamWithoutAStartIsTriedAgainAfterItLeft(t *testing.T) {
+	r := newRig()
+	r.add("d1", "desk", "perth-a", 6)
+	r.saysItLeaves("d1", forward.Answered)
+	r.now = 59 * time.Second
+	require.Empty(t, sends(r.arrive(1, lookups)))
+	r.now = 61 * time.Second
+	require.Len(t, sends(r.arrive(2, lookups)), 1)
+	r.saysItLeaves("d1", forward.Answered)
+	require.Empty(t, sends(r.arrive(3, lookups)))
+}
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -37,12 +37,11 @@
 	avoidFor  time.Duration
 	// foundDown is when it was last found to have gone down.
 	foundDown time.Time
-	// leaving is set once it said that it shuts down, which it does not take back in this life.
-	leaving bool
-	// notice is what it said of itself last, at noticedAt, and pace spreads what it gets while it names a limit.
-	notice    catalog.Notice
-	noticedAt time.Time
-	pace      pace
+	// leftAt is when it said last that it shuts down, which it does not take back in this life; zero when it did not.
+	leftAt time.Time
+	// notice is what it said of itself last, and pace spreads what it gets while it names a limit.
+	notice catalog.Notice
+	pace   pace
 	// broken are the requests that broke there in the last moments, the oldest first.
 	broken []broken
 }
@@ -107,7 +106,9 @@
 	l.told, l.toldAt = ev, in.Now
 	l.others = max(0, ev.Occupied-l.inFlight)
 	l.allowance = s.target(u).share(ev, in.Rand)
-	l.leaving = l.leaving || ev.Leaving
+	if ev.Leaving {
+		l.leftAt = in.Now
+	}
 	if limit := ev.RateLimit; limit != nil && *limit >= 0 && !math.IsInf(*limit, 0) {
 		l.pace.set(in.Now, *limit, s.part(u.Life()), in.Rand) // It ends as any other: by an answer without it.
 	}
@@ -143,7 +144,7 @@
 
 // remembered tells whether the upstream said something of itself that may still hold if it comes back.
 func (l *load) remembered(now time.Time) bool {
-	return now.Sub(l.noticedAt) < wordKept || now.Sub(l.pace.heard) < wordKept || l.leaving && now.Sub(l.toldAt) < wordKept
+	return now.Sub(l.pace.heard) < wordKept || now.Sub(l.leftAt) < wordKept
 }
 
 // forget drops what is known of upstreams that are gone.
--- a/internal/core/forward/notice.go
+++ b/internal/core/forward/notice.go
@@ -38,9 +38,11 @@
 	}
 	l := s.load(ev.Upstream)
 	s.noteLimit(in, &l.pace, ev)
-	l.leaving = l.leaving || ev.Notice.Leaving
+	if ev.Notice.Leaving {
+		l.leftAt = in.Now
+	}
 	before := l.notice
-	l.notice, l.noticedAt = ev.Notice, in.Now
+	l.notice = ev.Notice
 	if before == ev.Notice {
 		return nil
 	}
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -172,7 +172,7 @@
 	for _, t := range s.targetsOf(r.service) {
 		registered++
 		switch {
-		case t.leaving():
+		case t.leaving(now):
 			draining++
 		case now.Before(t.load.avoid):
 			avoided++
--- a/internal/core/forward/target.go
+++ b/internal/core/forward/target.go
@@ -81,12 +81,19 @@
 // stranger tells whether nobody tells this entry of the engine's load.
 func (t *target) stranger() bool { return t.unasked && t.load.toldAt.IsZero() }
 
-// leaving tells whether the upstream shuts down, as the store says or it says itself, whichever comes first.
-func (t *target) leaving() bool { return t.Draining || t.load.leaving }
+// leaving tells whether the upstream shuts down, as the store says or it says itself, whichever comes first. One that does not say when it
+// started may be another life under the same id after a while, and is tried again.
+func (t *target) leaving(now time.Time) bool {
+	if t.Draining {
+		return true
+	}
+	said := !t.load.leftAt.IsZero()
+	return said && (t.Born > 0 || now.Sub(t.load.leftAt) < wordKept)
+}
 
 // usable tells whether the upstream could take a request, room or no; required is the version that the request must begin on.
 func (t *target) usable(now time.Time, r *request, required int64) bool {
-	if t.leaving() || t.superseded || now.Before(t.load.avoid) || len(r.tried) > 0 && r.tried[t.Life()] {
+	if t.leaving(now) || t.superseded || now.Before(t.load.avoid) || len(r.tried) > 0 && r.tried[t.Life()] {
 		return false
 	}
 	if r.model == "" {
@@ -99,7 +106,7 @@
 // loading tells whether an engine takes nothing now and will in a moment: it loads its weights in some 0.4 s. When no other can be used
 // it is worth the wait for room.
 func (t *target) loading(now time.Time, r *request) bool {
-	return r.model != "" && !t.leaving() && t.load.closing(now)
+	return r.model != "" && !t.leaving(now) && t.load.closing(now)
 }
 
 // held is the version of a model that an engine holds; its agent knows it sooner than the store.
