An upstream that asks for rest gets it

Cause: a refusal was read as one more failure; its Retry-After was not read. The pause after failures in a row begins with the third, at 0.3 s, and any good answer to a request from before ends it: an engine whose streams end while it rests got three more requests with each.

An upstream that turns a request away and says for how long gets nothing from this entry until then. Nothing shortens that but the end of its life: no answer to an earlier request, no shorter time that it names later, no word of the store or of its agent. It is told for one entry and goes to no other. While all upstreams rest, requests are refused at once, with the time at which the first one is back; one that rests for less than a request may wait counts as full. A rest of over 30 s is believed so far; then a request asks now and then, each time after twice as long, and one that runs ends it.

--- a/internal/core/forward/away.go
+++ b/internal/core/forward/away.go
@@ -28,7 +28,22 @@
 	if s.outage(in.Now, r) {
 		after += leastAwayInOutage - leastAway
 	}
-	return after
+	return max(after, s.restLeft(in.Now, r)+after-leastAway)
+}
+
+// restLeft is how long it takes until the first upstream of a request's service has rested; 0 when one can take requests now, or none rests.
+func (s *State) restLeft(now time.Time, r *request) time.Duration {
+	var left time.Duration
+	required := s.requiredVersion(now, r.model)
+	for _, t := range s.targetsOf(r.service) {
+		if t.usable(now, r, required) {
+			return 0
+		}
+		if rest := &t.load.rest; rest.on(now) && (left == 0 || rest.left(now) < left) {
+			left = rest.left(now)
+		}
+	}
+	return left
 }
 
 // outage tells whether fewer than half of the upstreams of a request's service can take requests, full or not. Engines of which nobody tells
--- a/internal/core/forward/notice.go
+++ b/internal/core/forward/notice.go
@@ -20,6 +20,9 @@
 // Event marks the type as an event.
 func (Noticed) Event() {}
 
+// ran tells whether the upstream ran the request.
+func (ev Noticed) ran() bool { return ev.Outcome == Answered || ev.Outcome == ServerFailed }
+
 // UpstreamSaid tells the shell that an upstream says something else of itself than before, for its log.
 type UpstreamSaid struct {
 	Upstream string
@@ -38,6 +41,11 @@
 	}
 	l := s.load(ev.Upstream)
 	s.noteLimit(in, &l.pace, ev)
+	if ev.Notice.RetryAfter > 0 {
+		l.rest.ask(in.Now, ev.Notice.RetryAfter)
+	} else if ev.ran() {
+		l.rest.ran(ev.Sent)
+	}
 	if ev.Notice.Leaving {
 		l.leftAt = in.Now
 	}
@@ -52,11 +60,10 @@
 // noteLimit takes the limit that an upstream names, or ends the one that it named. Answers may overtake one another, and one that turns a
 // request away may lack the limit: only the answer to a request that ran and was sent after the limit was last heard tells that it has ended.
 func (s *State) noteLimit(in step.Input, p *pace, ev Noticed) {
-	ran := ev.Outcome == Answered || ev.Outcome == ServerFailed
 	switch {
 	case ev.Notice.Limited:
 		p.set(in.Now, ev.Notice.RateLimit, s.part(ev.Upstream), in.Rand)
-	case !ev.Notice.Garbled && ran && ev.Sent.After(p.heard):
+	case !ev.Notice.Garbled && ev.ran() && ev.Sent.After(p.heard):
 		p.lift()
 	}
 }
--- a/internal/core/forward/rest_test.go
+++ b/internal/core/forward/rest_test.go
@@ -126,3 +126,11 @@
 	require.Positive(t, tried(time.Hour, forward.Declined))
 	require.Greater(t, tried(3*time.Hour, forward.Answered), 100)
 }
+
+// TestACallerIsNotSentAwayForAges guards against a caller who is told to come back in a day, since an upstream says so.
+func TestACallerIsNotSentAwayForAges(t *testing.T) {
+	r := newRig()
+	r.add("u1", "desk", "perth-a", 6)
+	r.asksForRest("u1", 24*time.Hour)
+	require.Less(t, only[forward.Refuse](t, r.arrive(1, bookings)).RetryAfter, 35*time.Second)
+}
