--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -290,9 +290,11 @@
 	blindWaiting int
 	// nearShare and farShare are which part of the agents of this data centre and of others is greeted.
 	nearShare, farShare float64
-	// entries is how many entries share the budgets of repeats, as the agents count them.
-	entries  int
-	stopping bool
+	// entries is how many entries share the budgets of repeats and the limits of upstreams, as the last agent counts them, and entryPeak as any
+	// of them did of late.
+	entries   int
+	entryPeak peak
+	stopping  bool
 }
 
 // NewState returns a state without requests.
--- a/internal/core/forward/limit_test.go
+++ b/internal/core/forward/limit_test.go
@@ -29,6 +29,8 @@
 	entries []*limitedEntry
 	// near counts those in the upstream's data centre.
 	near int
+	// restarted is set while the upstream's agent, which has just started, has heard of the entry only that it tells.
+	restarted bool
 	// strangers is set when no agent tells the far entries of its engine.
 	strangers bool
 	random    *rand.Rand
@@ -117,6 +119,9 @@
 						continue
 					}
 					told := forward.LoadTold{Address: id, Versions: map[string]int64{"m": 1}, Entries: len(f.entries), Near: f.near}
+					if f.restarted && id == limited {
+						told.Entries, told.Near = 1, min(1, f.near)
+					}
 					e.take(f, sendsAmong(e.rig.step(told)))
 				}
 			}
@@ -217,6 +222,10 @@
 						f.play(4*time.Second, 12)
 						f.play(8*time.Second, 0.2) // A calm moment, in which much could be saved up.
 						f.play(8*time.Second, 20)
+						f.restarted = true
+						f.play(time.Second, 20) // Entries greet agents each second.
+						f.restarted = false
+						f.play(4*time.Second, 20)
 						allowed := limitFactor*limit*limitWindow.Seconds() + limitExtra
 						require.LessOrEqual(t, float64(f.most(limitFrom)), allowed, "limit %v, seed %d", limit, seed)
 					}
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -25,6 +25,8 @@
 	reading  int
 	told     LoadTold
 	toldAt   time.Time
+	// nearPeak is how many entries of its data centre its agent counts.
+	nearPeak peak
 	// overdue counts this entry's requests there that have waited for their first event longer than their latency objective, as of the
 	// last tick.
 	overdue int
@@ -86,6 +88,7 @@
 func (s *State) loadTold(in step.Input, ev LoadTold) []step.Effect {
 	if ev.Entries > 0 {
 		s.entries = s.countEntries(ev)
+		s.entryPeak.note(in.Now, s.entries)
 	}
 	s.Catalog.Confirm(in.Now, ev.Address, ev.Born)
 	u := s.Catalog.At(ev.Address, ev.Born)
@@ -106,6 +109,7 @@
 		effects = append(effects, s.wentDown(in, u.Life())...)
 	}
 	l.told, l.toldAt = ev, in.Now
+	l.nearPeak.note(in.Now, ev.Near)
 	l.others = max(0, ev.Occupied-l.inFlight)
 	l.allowance = s.target(u).share(ev, in.Rand)
 	if ev.Leaving {
--- a/internal/core/forward/notice.go
+++ b/internal/core/forward/notice.go
@@ -74,8 +74,8 @@
 // part is which part of an upstream's limit this entry may use, so that the parts of all entries are the whole. Only the agent beside an engine
 // tells how many entries are near it; an entry that it does not tell takes no more than it would if it were told.
 func (s *State) part(life catalog.Life) float64 {
-	entries := float64(s.entries)
-	if s.entries <= 0 {
+	entries := float64(s.entryPeak.value())
+	if entries == 0 {
 		entries = assumedEntries
 	}
 	u := s.Catalog.Upstreams[life.ID]
@@ -83,7 +83,7 @@
 		return 1 / entries
 	}
 	t := s.target(u)
-	near := float64(t.load.told.Near)
+	near := float64(t.load.nearPeak.value())
 	if s.greeted != nil {
 		near /= s.nearShare
 	}
