--- a/internal/core/forward/greet_test.go
+++ b/internal/core/forward/greet_test.go
@@ -90,3 +90,26 @@
 	send := only[forward.Send](t, r.arrive(64, notes))
 	require.False(t, greeted[send.Upstream.ID])
 }
+
+// TestAnAgentThatHasJustStartedDoesNotEnlargeTheBudgetOfRepeats guards against an entry that takes the whole fleet's repeats for its own, since the
+// agent that spoke last has heard of no other entry yet.
+func TestAnAgentThatHasJustStartedDoesNotEnlargeTheBudgetOfRepeats(t *testing.T) {
+	repeats := func(counts ...int) int {
+		r := newRig()
+		r.add("m1", "model", "perth-a", 6)
+		for i := range 20 {
+			r.add(fmt.Sprintf("d%d", i), "desk", "perth-a", 6)
+		}
+		for _, n := range counts {
+			r.step(forward.LoadTold{Address: "m1", Versions: map[string]int64{"m": 1}, Entries: n, Near: n})
+		}
+		count := 0
+		for id := range uint64(60) {
+			r.arrive(id, lookups)
+			count += len(sends(r.step(forward.SendEnded{ID: id, Outcome: forward.Declined})))
+		}
+		return count
+	}
+	require.Positive(t, repeats(20))
+	require.Equal(t, repeats(20), repeats(20, 1))
+}
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -205,7 +205,7 @@
 	if r.runs >= r.route.MaxUpstreams || r.sends >= maxSends || r.by.Sub(in.Now) < leastTime {
 		return false
 	}
-	return !o.sent() || s.budget(r.service).allows(in.Now, s.Self.Retries, s.entries)
+	return !o.sent() || s.budget(r.service).allows(in.Now, s.Self.Retries, s.entryPeak.value())
 }
 
 func (s *State) timedOut(in step.Input, ev TimedOut) []step.Effect {
