The soak's upstreams say limit, leaving and rest, and each run checks the users' rules on them

At the end each request that reached them is held against the users' rules with the excuses that these allow: entry and time of sending are passed on in headers of the soak's callers.

--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -24,6 +25,8 @@
 	cmd *exec.Cmd
 	// launches counts its lives.
 	launches int
+	// disturbed are the times in which it was ended or stood still.
+	disturbed []span
 	// done is closed when the process has ended; ending is set while that is meant.
 	done   chan struct{}
 	ending bool
@@ -63,6 +66,7 @@
 	switch {
 	case p.ending:
 	case known && status.Signaled() && status.Signal() == syscall.SIGHUP:
+		p.disturbed = append(p.disturbed, span{from: time.Now(), to: time.Now()})
 		p.launch()
 	default:
 		p.t.Errorf("%s ended by itself: %v", p.role, err)
@@ -79,13 +83,25 @@
 func (p *process) end(s os.Signal) {
 	p.turn.Lock()
 	defer p.turn.Unlock()
+	defer p.note(time.Now())
 	<-p.endBy(s)
+	p.restart()
+}
+
+func (p *process) restart() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ending = false
 	p.launch()
 }
 
+// note remembers that the process was disturbed since a moment.
+func (p *process) note(from time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.disturbed = append(p.disturbed, span{from: from, to: time.Now()})
+}
+
 func (p *process) endBy(s os.Signal) (done chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -103,6 +119,7 @@
 func (p *process) freeze(pause func()) {
 	p.turn.Lock()
 	defer p.turn.Unlock()
+	defer p.note(time.Now())
 	p.signal(syscall.SIGSTOP)
 	pause()
 	p.signal(syscall.SIGCONT)
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -17,6 +17,8 @@
 
 	mu    sync.Mutex
 	pairs map[*pair]bool
+	// harmed are the times in which its connections were harmed.
+	harmed []span
 	// delay holds up each part; refuse cuts new connections; to and from lose what goes to the target or comes from it.
 	delay            time.Duration
 	refuse, to, from bool
@@ -153,6 +155,8 @@
 
 // harm does one kind of harm to a proxy's connections for a moment.
 func (s *striker) harm(p *proxy) {
+	from := time.Now()
+	defer func() { p.set(func() { p.harmed = append(p.harmed, span{from: from, to: time.Now()}) }) }()
 	switch s.random.IntN(6) {
 	case 0:
 		p.reset()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -82,6 +82,9 @@
 	allowed  bool
 	// proxies stand before the store, one for each process, before each upstream, and before each entry.
 	proxies []*proxy
+	// before are those before the upstreams, in their order.
+	before []*proxy
+	notices
 	// fronts are the addresses at which callers reach the entries.
 	fronts []string
 
@@ -99,8 +102,10 @@
 	s.allow(secondKey, true)
 	for i := range hosts {
 		s.upstreams = append(s.upstreams, s.fleet.AddService(fmt.Sprintf("i-desk-%d", i)))
+		s.before = append(s.before, s.last())
 		ip := standin.NextIP()
 		s.upstreams = append(s.upstreams, s.fleet.AddEngine(fmt.Sprintf("i-engine-%d", i), ip, 0))
+		s.before = append(s.before, s.last())
 		agent := s.fleet.Host(ip, true)
 		agent.Engine, agent.Store = s.last().address(), s.through(agent.Store)
 		s.agents = append(s.agents, &process{t: t, role: "platform-agent", settings: s.fleet.SettingsFile(dir, agent)})
@@ -129,7 +134,8 @@
 
 // call sends one request and checks what can be told at once.
 func (s *soak) call(c *standin.Caller, q standin.Request) standin.Reply {
-	path := q.Path
+	path, entry := q.Path, s.entryAt(c.Address)
+	q.Header = marked(entry, time.Now())
 	ctx, cancel := context.WithCancel(context.Background())
 	if slices.Contains(s.fronts, c.Address) {
 		ctx, cancel = context.WithTimeout(ctx, callerPatience)
@@ -148,6 +154,7 @@
 		return r
 	}
 	s.answered++
+	s.noteTold(entry, r)
 	if r.Seal == "" {
 		s.t.Errorf("%s: a success without an upstream's mark", r.ID)
 	}
@@ -222,6 +229,7 @@
 	}
 	s.settleKey()
 	s.settleCrashes()
+	s.settleNotices()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	runs := func(id string) int {
@@ -286,8 +294,8 @@
 	return n
 }
 
-func TestSoak(t *testing.T) {
-	seeds := ciSeeds
+// seedsOf are the seeds that are played: those of a list, or those that the environment names.
+func seedsOf(t *testing.T, seeds []uint64) []uint64 {
 	if list := os.Getenv(seedsVariable); list != "" {
 		seeds = nil
 		for _, text := range strings.Split(list, ",") {
@@ -296,8 +304,12 @@
 			seeds = append(seeds, seed)
 		}
 	}
+	return seeds
+}
+
+func TestSoak(t *testing.T) {
 	seconds, hosts := numberFrom(t, secondsVariable, ciSeconds), numberFrom(t, hostsVariable, usualHosts)
-	for _, seed := range seeds {
+	for _, seed := range seedsOf(t, ciSeeds) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			s := newSoak(t, hosts)
 			stop := make(chan struct{})
@@ -307,6 +319,7 @@
 			end := time.Now().Add(time.Duration(seconds) * time.Second)
 			strikers.Go(func() { s.striker(seed, seed, 0, 16).until(end) })
 			strikers.Go(func() { s.striker(seed, seed+1, 0, 21).until(end) })
+			strikers.Go(func() { s.striker(seed, seed+2, 0, 0).sayUntil(end, 0, 1) })
 			strikers.Wait()
 			close(stop)
 			done.Wait()
--- a/internal/soak/strikes_test.go
+++ b/internal/soak/strikes_test.go
@@ -91,6 +91,36 @@
 	s.pause()
 }
 
+// strikeAround injects one fault that spares all entries but the last and their ways to upstreams, and waits a little.
+func (s *striker) strikeAround() {
+	last := s.entries[len(s.entries)-1]
+	switch s.random.IntN(9) {
+	case 0:
+		last.end(syscall.SIGKILL)
+	case 1:
+		last.end(syscall.SIGTERM)
+	case 2:
+		pick(s, append(slices.Clone(s.agents), last)).freeze(s.pause)
+	case 3:
+		pick(s, s.agents).end(syscall.SIGKILL)
+	case 4:
+		s.fleet.Store.SetDown(true)
+		time.Sleep(time.Duration(s.random.IntN(5000)) * time.Millisecond)
+		s.fleet.Store.SetDown(false)
+	case 5:
+		s.fleet.Store.SetSilent(true)
+		s.pause()
+		s.fleet.Store.SetSilent(false)
+	case 6:
+		s.fleet.Store.Compact()
+	case 7:
+		s.nameNext()
+	default:
+		s.configure()
+	}
+	s.pause()
+}
+
 func (s *striker) pause() { time.Sleep(time.Duration(50+s.random.IntN(300)) * time.Millisecond) }
 
 // engines are the upstreams that hold weights.
