How long a silent upstream may take to answer follows what answers took of late

A question stays open for three times as long as the slowest answer of the last 30 s, at least 2 s as before and at most 6 s: where answers are fast a frozen engine is found as soon as before. TestAnEngineThatAnswersSlowlyIsNotSilent failed before (an answer after 2.4 s that followed one after 1.2 s).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -33,8 +33,9 @@
 	// pooled and single call upstreams; a call that runs at most once has a connection of its own.
 	pooled *http.Client
 	single *http.Client
-	// prober asks engines whether they live.
-	prober *engine.Client
+	// prober asks engines whether they live, and answers are how long these took.
+	prober  *engine.Client
+	answers answerTimes
 	// orders holds the cancel functions of the orders on their way, by serial.
 	orders sync.Map
 	// byURL names the upstreams in metrics and traces.
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -18,7 +18,7 @@
 	// probeInterval is how long an upstream may be silent before it is asked whether it lives, and the time between
 	// two such questions.
 	probeInterval = time.Second
-	// openFor is how long a question to a silent upstream stays open: an answer that comes late is a sign of life as well. The upstream is
+	// openFor is how long a question to a silent upstream stays open at least: an answer that comes late is a sign of life as well. The upstream is
 	// taken for frozen when no answer came to it, nor to the one after it, which is asked over another connection. Given up after 0.5 s, an
 	// engine whose answers took 0.7 s was taken for frozen, and its caller told so. A frozen one is found probeInterval and openFor after its
 	// last byte.
@@ -37,7 +37,7 @@
 // watch tells a slow upstream from a dead one while a run is silent, until the run ends.
 func (a *Agent) watch(x *execution) {
 	began := time.Now()
-	answers := make(chan probed, int(openFor/probeInterval)+1) // As many as may be open at once.
+	answers := make(chan probed, int(openAtMost/probeInterval)+1) // As many as may be open at once.
 	alive := began
 	ticks := time.NewTicker(probeInterval)
 	defer ticks.Stop()
@@ -109,13 +109,15 @@
 }
 
 func (a *Agent) probe(s run.Start) run.Probe {
-	ctx, cancel := context.WithTimeout(context.Background(), openFor)
+	asked := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), a.answers.wait(asked))
 	defer cancel()
 	if s.Kind != setting.Engine {
 		return probeConnection(ctx, s.URL)
 	}
 	state, err := a.prober.State(ctx, s.URL)
 	if err == nil {
+		a.answers.note(time.Now(), time.Since(asked))
 		return run.Probe{BootID: state.BootID}
 	}
 	if ctx.Err() != nil {
