An engine serves until shortly before its version's end while no successor has room

Now: as before where an engine with the next version has room; otherwise a request that may be sent again goes to an engine of the version before, as long as half of its latency objective is left until unbegun requests are taken back (0.6 s before the end, unchanged, so that no request can begin later than before). In a fleet whose next version has not come each tenth of a second of that time had all callers refused.

The figures by which an entry decides under load stand in one type now, forward.Policy, with the product's as its default, so that others can be compared with them.

--- a/internal/core/forward/blind.go
+++ b/internal/core/forward/blind.go
@@ -7,10 +7,6 @@
 	// or kept it waiting; it doubles until one answers soon. When those that are told of are full, such engines mostly are, too.
 	blindFirst = time.Second
 	blindMost  = 8 * time.Second
-	// blindAtOnce is how many requests of an entry may wait for their first event at such engines while those that are told of work at all
-	// their places. All entries of the other data centres are blind to an engine; if each sent what it has no place for, the engine's
-	// queue would fill.
-	blindAtOnce = 3
 	// blindWaitShare is the part of the latency objective that a request may wait there for its first event.
 	blindWaitShare = 0.5
 )
@@ -20,7 +16,7 @@
 	if known.found == none {
 		return true
 	}
-	return !now.Before(s.blindAgain) && (!known.busy || s.blindWaiting < blindAtOnce)
+	return !now.Before(s.blindAgain) && (!known.busy || s.blindWaiting < s.Self.Policy.BlindAtOnce)
 }
 
 // blindBegan learns from the first event of a send to an engine of which nobody tells.
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -28,6 +28,8 @@
 	Retries hostconfig.Retries
 	// VersionTime is how long after the naming of a version requests may begin on an older one.
 	VersionTime time.Duration
+	// Policy is DefaultPolicy unless it is set.
+	Policy Policy
 }
 
 // Outcome tells how a send ended.
@@ -299,6 +301,9 @@
 
 // NewState returns a state without requests.
 func NewState(self Self, c *catalog.State) *State {
+	if self.Policy == (Policy{}) {
+		self.Policy = DefaultPolicy()
+	}
 	return &State{
 		Self: self, Catalog: c, requests: map[uint64]*request{}, loads: map[catalog.Life]*load{},
 		budgets: map[string]*budget{}, limits: limits{}, Crashes: quarantine.NewTable(), broke: map[uint64][]breakAt{}, waiting: map[string][]uint64{}, waited: map[string]time.Time{},
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -20,8 +20,8 @@
 	// fewHeard is how many engines an entry must hear of for these to tell of the others: when all of them are without the weights, so
 	// are most likely those of which nobody tells, whatever the store still says of them.
 	fewHeard = 8
-	// choices is how many of the nearest upstreams are looked at for a request; see pick.
-	choices = 2
+	// mostChoices bounds how many of the nearest upstreams are looked at for a request; see pick.
+	mostChoices = 4
 )
 
 // found tells how the search for an upstream ended.
@@ -41,14 +41,17 @@
 // a place is answered sooner than one that is with a frozen host. Neither is used when enough are heard of that could take nothing
 // even if they were not full; see fewHeard.
 func (s *State) pick(in step.Input, r *request) (*catalog.Upstream, found) {
-	var known, quiet, strangers choice
-	heard, required := 0, s.requiredVersion(in.Now, r.model)
+	known, quiet, strangers, ending := s.noChoice(), s.noChoice(), s.noChoice(), s.noChoice()
+	heard, required, last := 0, s.requiredVersion(in.Now, r.model), s.lastVersion(in.Now, r)
 	for _, t := range s.targetsOf(r.service) {
 		if t.load.heard(in.Now) {
 			heard++
 		}
 		if !t.usable(in.Now, r, required) {
-			if t.loading(in.Now, r) || t.backSoon(in.Now, r) {
+			if last < required && t.usable(in.Now, r, last) && !t.quiet(in.Now) && t.hasRoom(in.Now, r) {
+				ending.consider(candidate{target: t, tie: mix(t.hash ^ in.Rand)})
+			}
+			if t.loading(in.Now, r) || t.backSoon(in.Now, s.waitFor(r)) {
 				known.found = max(known.found, full)
 			}
 			continue
@@ -68,6 +71,8 @@
 		into.consider(candidate{target: t, tie: mix(t.hash ^ in.Rand)})
 	}
 	switch {
+	case known.found < room && ending.found == room:
+		return ending.best(in.Now, r)
 	case known.found == none && heard >= fewHeard:
 		return nil, none
 	case known.found < room && strangers.found > none && s.mayBlind(in.Now, &known):
@@ -115,10 +120,14 @@
 	found found
 	// busy is set when one that could take the request is full.
 	busy  bool
-	drawn [choices]candidate
+	drawn [mostChoices]candidate
 	n     int
+	// most is how many are drawn.
+	most int
 }
 
+func (s *State) noChoice() choice { return choice{most: s.Self.Policy.Choices} }
+
 func (h *choice) consider(c candidate) {
 	h.found = room
 	if h.n > 0 && h.drawn[0].nearer(c) {
@@ -127,13 +136,13 @@
 	if h.n > 0 && c.nearer(h.drawn[0]) {
 		h.n = 0
 	}
-	if h.n < choices {
+	if h.n < h.most {
 		h.drawn[h.n] = c
 		h.n++
 		return
 	}
 	last := 0
-	for i := range h.drawn {
+	for i := range h.drawn[:h.n] {
 		if h.drawn[i].tie > h.drawn[last].tie {
 			last = i
 		}
--- a/internal/core/forward/queue.go
+++ b/internal/core/forward/queue.go
@@ -9,19 +9,11 @@
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
-// waitShare is the part of the latency objective that a request waits for room at most. Since the newest goes first, those that are served
-// have waited little, and three fifths are left for the engine's first event.
-const waitShare = 0.4
-
-// keepFree is how long after a first try had to wait for room a free place is kept for the next one, and not given to a request whose caller
-// came back, which can only be late. Kept for longer, it has more of those that came back refused again.
-const keepFree = 100 * time.Millisecond
-
 // wait has a request wait for room, or refuses it when it has waited long enough. One whose caller came back after a refusal does not wait:
 // by the end of its wait others that can be in time have come, and would miss the place that it took.
 func (s *State) wait(in step.Input, r *request) []step.Effect {
 	if r.queuedBy.IsZero() {
-		r.queuedBy = in.Now.Add(waitFor(r))
+		r.queuedBy = in.Now.Add(s.waitFor(r))
 	}
 	if !in.Now.Before(r.queuedBy) {
 		return s.giveUp(in, r, code.Overloaded, fmt.Sprintf("every upstream of %s is full: %s", r.service, s.census(in.Now, r)))
@@ -32,11 +24,11 @@
 }
 
 // waitFor is how long a request waits for room.
-func waitFor(r *request) time.Duration {
+func (s *State) waitFor(r *request) time.Duration {
 	if r.back {
 		return 0
 	}
-	return time.Duration(waitShare * float64(r.route.Objective))
+	return time.Duration(s.Self.Policy.WaitShare * float64(r.route.Objective))
 }
 
 // serveWaiting sends what waits as far as there is room, and refuses what has waited long enough.
@@ -70,6 +62,9 @@
 			list = append(list, r)
 		}
 	}
+	if s.Self.Policy.OldestFirst {
+		return list
+	}
 	sort.SliceStable(list, func(i, j int) bool { return list[i].arrived.After(list[j].arrived) })
 	return list
 }
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -75,7 +75,7 @@
 		return s.giveUpAs(in, r, bar)
 	}
 	u, found := s.pick(in, r)
-	if found == room && r.back && in.Now.Sub(s.waited[r.service]) < keepFree {
+	if found == room && r.back && in.Now.Sub(s.waited[r.service]) < s.Self.Policy.KeepFree {
 		return s.giveUp(in, r, code.Overloaded, fmt.Sprintf("the free places of %s are kept for first tries", r.service))
 	}
 	switch found {
@@ -104,9 +104,11 @@
 	e := Send{
 		ID: r.id, Number: r.sends, Upstream: u, Priority: r.route.Priority, By: r.by, Resume: r.partial, CameBack: r.back,
 	}
-	if s.requiredVersion(in.Now, r.model) > 0 {
+	if required := s.requiredVersion(in.Now, r.model); required > 0 {
 		// An engine compares for equality; one that holds a newer version than required is as good.
-		e.Version = s.target(u).held(in.Now, r.model)
+		if held := s.target(u).held(in.Now, r.model); held >= required {
+			e.Version = held
+		}
 	}
 	r.version = e.Version
 	if r.account != nil {
--- a/internal/core/forward/room.go
+++ b/internal/core/forward/room.go
@@ -8,9 +8,6 @@
 const (
 	// plainFactor is how many requests for each slot an entry gives a plain upstream, which queues a few more.
 	plainFactor = 2
-	// readAhead is how much reading of prompts entries give an engine at once. An engine reads prompts one after the other, so that
-	// whoever comes behind this waits about as long on top of the usual time to the first event, a third of the users' objectives.
-	readAhead = 90 * time.Millisecond
 	// usualReadRate is in tokens of prompts a second, for engines of which the manifest does not say it.
 	usualReadRate = 30000.0
 	// farMargin is how many places an entry leaves free at an engine of another data centre, of whose load it hears late: nearer
@@ -51,7 +48,7 @@
 	if t.distance > 0 {
 		readers = t.load.told.Entries
 	}
-	return t.readRate() * readAhead.Seconds() / float64(max(1, readers))
+	return t.readRate() * t.readAhead.Seconds() / float64(max(1, readers))
 }
 
 // readRate is how many tokens of prompts the engine reads in a second.
@@ -97,13 +94,13 @@
 	return int(whole)
 }
 
-// readable is how many prompts of the usual length an engine reads in readAhead. Its entries begin no more at once together, so that an
+// readable is how many prompts of the usual length an engine reads in the time that entries let it read ahead. Its entries begin no more at once together, so that an
 // engine that has come back empty is filled at the pace at which it reads.
 func (t *target) readable() float64 {
 	if t.engine == nil || t.engine.UsualPrompt <= 0 {
 		return math.MaxInt
 	}
-	return math.Max(1, t.readRate()*readAhead.Seconds()/t.engine.UsualPrompt)
+	return math.Max(1, t.readRate()*t.readAhead.Seconds()/t.engine.UsualPrompt)
 }
 
 // spent tells whether this entry has used its share of an engine's free places.
--- a/internal/core/forward/target.go
+++ b/internal/core/forward/target.go
@@ -21,6 +21,8 @@
 	superseded bool
 	// sharers is how many entries may give it work, as far as agents have counted them.
 	sharers int
+	// readAhead is the policy's; see Policy.
+	readAhead time.Duration
 	// hash is the upstream's, for an order that differs from request to request.
 	hash uint64
 }
@@ -48,7 +50,7 @@
 
 // target returns an upstream with what is derived of it.
 func (s *State) target(u *catalog.Upstream) *target {
-	t := &target{Upstream: u, load: s.load(u.Life()), engine: s.engine(u), distance: s.distance(u), hash: step.Score(u.ID, "")}
+	t := &target{Upstream: u, load: s.load(u.Life()), engine: s.engine(u), distance: s.distance(u), readAhead: s.Self.Policy.ReadAhead, hash: step.Score(u.ID, "")}
 	t.sharers = s.entries
 	t.superseded = s.Catalog.Superseded(u)
 	t.unasked = s.greeted != nil && !s.greeted[u.ID] && t.engine != nil
@@ -109,10 +111,10 @@
 	return r.model != "" && !t.leaving(now) && t.load.closing(now)
 }
 
-// backSoon tells whether an upstream that rests takes requests again within the time that one may wait for room.
-func (t *target) backSoon(now time.Time, r *request) bool {
+// backSoon tells whether an upstream that rests takes requests again within a time.
+func (t *target) backSoon(now time.Time, within time.Duration) bool {
 	rest := &t.load.rest
-	return !t.leaving(now) && !rest.allows(now) && rest.left(now) <= waitFor(r)
+	return !t.leaving(now) && !rest.allows(now) && rest.left(now) <= within
 }
 
 // held is the version of a model that an engine holds; its agent knows it sooner than the store.
--- a/internal/core/forward/version.go
+++ b/internal/core/forward/version.go
@@ -50,6 +50,19 @@
 	return s.Catalog.RequiredVersion(model, now, s.Self.VersionTime-catalog.VersionMargin)
 }
 
+// lastVersion is the version that a request must begin on when nothing newer has room: it may go to an engine whose version is about to end as long
+// as that is likely to begin it before requests are taken back.
+func (s *State) lastVersion(now time.Time, r *request) int64 {
+	if s.Self.VersionTime <= 0 {
+		return 0
+	}
+	if !r.route.Repeatable() {
+		return s.requiredVersion(now, r.model) // Taken back, it could not go anywhere else.
+	}
+	margin := withdrawMargin + time.Duration(s.Self.Policy.BeginShare*float64(r.route.Objective))
+	return s.Catalog.RequiredVersion(r.model, now, s.Self.VersionTime-min(margin, catalog.VersionMargin))
+}
+
 // hasBegun takes the first event of an answer.
 func (s *State) hasBegun(in step.Input, ev Began) []step.Effect {
 	s.began(ev.ID)
