--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -9,6 +9,7 @@
 	"github.com/google/subcommands"
 
 	"samphireweir.example/samphireweir/internal/demo/burst"
+	"samphireweir.example/samphireweir/internal/emulator"
 	"samphireweir.example/samphireweir/internal/experiment"
 	"samphireweir.example/samphireweir/internal/experiment/claimload"
 	"samphireweir.example/samphireweir/internal/experiment/faults"
@@ -20,6 +21,7 @@
 	subcommands.Register(burst.NewCommand(), "")
 	subcommands.Register(claimload.NewCommand(), "")
 	subcommands.Register(faults.NewCommand(), "")
+	subcommands.Register(emulator.NewCommand(), "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/internal/emulator/plot.go
@@ -0,0 +1,48 @@
+package emulator
+
+import (
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 28 * vg.Centimeter
+	plotHeight = 14 * vg.Centimeter
+)
+
+// drawRows plots what each way answers in time on each pattern, beside the bound.
+func drawRows(rows []Row, path string) error {
+	p := plot.New()
+	p.Title.Text = "Part of the callers answered in time"
+	p.Y.Min, p.Y.Max = 0.5, 1
+	p.Legend.Top = true
+	var names []string
+	byWay, order := map[string]plotter.XYs{}, []string{}
+	bound := plotter.XYs{}
+	for _, r := range rows {
+		if len(names) == 0 || names[len(names)-1] != r.Pattern {
+			names = append(names, r.Pattern)
+			bound = append(bound, plotter.XY{X: float64(len(names) - 1), Y: r.Bound})
+		}
+		if byWay[r.Way] == nil {
+			order = append(order, r.Way)
+		}
+		byWay[r.Way] = append(byWay[r.Way], plotter.XY{X: float64(len(names) - 1), Y: r.InTime})
+	}
+	byWay["bound"] = bound
+	for i, way := range append(order, "bound") {
+		marks, err := plotter.NewScatter(byWay[way])
+		if err != nil {
+			return errors.Wrap(err, "plot a way")
+		}
+		marks.Color, marks.Shape = plotutil.Color(i), plotutil.Shape(i)
+		p.Add(marks)
+		p.Legend.Add(way, marks)
+	}
+	p.NominalX(names...)
+	p.X.Tick.Label.Rotation = 0.4
+	return errors.Wrap(p.Save(plotWidth, plotHeight, path), "save the plot")
+}
