--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -41,46 +41,60 @@
 // a place is answered sooner than one that is with a frozen host. Neither is used when enough are heard of that could take nothing
 // even if they were not full; see fewHeard.
 func (s *State) pick(in step.Input, r *request) (*catalog.Upstream, found) {
-	known, quiet, strangers, ending := s.noChoice(), s.noChoice(), s.noChoice(), s.noChoice()
-	heard, required, last := 0, s.requiredVersion(in.Now, r.model), s.lastVersion(in.Now, r)
+	p := s.pools(in, r)
+	switch {
+	case p.known.found < room && p.ending.found == room:
+		return p.ending.best(in.Now, r)
+	case p.known.found == none && p.heard >= fewHeard:
+		return nil, none
+	case p.known.found < room && p.strangers.found > none && s.mayBlind(in.Now, &p.known):
+		return p.strangers.best(in.Now, r)
+	case p.known.found == none:
+		return p.quiet.best(in.Now, r)
+	}
+	return p.known.best(in.Now, r)
+}
+
+// pools are the upstreams that could take a request, by how much is known of them.
+type pools struct {
+	// known are those that an agent tells of, and those that need none; the agents of quiet ones fell silent, and nobody tells of strangers.
+	known, quiet, strangers choice
+	// ending are those with a version that the request may begin on for a moment more; see lastVersion.
+	ending choice
+	// heard counts the upstreams whose agents are heard, whatever these say.
+	heard int
+}
+
+// pools looks at every upstream of a request's service.
+func (s *State) pools(in step.Input, r *request) pools {
+	p := pools{known: s.noChoice(), quiet: s.noChoice(), strangers: s.noChoice(), ending: s.noChoice()}
+	required, last := s.requiredVersion(in.Now, r.model), s.lastVersion(in.Now, r)
+	wait := s.waitFor(r)
 	for _, t := range s.targetsOf(r.service) {
 		if t.load.heard(in.Now) {
-			heard++
-		}
-		if !t.usable(in.Now, r, required) {
-			if last < required && t.usable(in.Now, r, last) && !t.quiet(in.Now) && t.hasRoom(in.Now, r) {
-				ending.consider(candidate{target: t, tie: mix(t.hash ^ in.Rand)})
-			}
-			if t.loading(in.Now, r) || t.backSoon(in.Now, s.waitFor(r)) {
-				known.found = max(known.found, full)
-			}
-			continue
+			p.heard++
 		}
-		into := &known
 		switch {
-		case t.stranger():
-			into = &strangers
-		case t.quiet(in.Now):
-			into = &quiet
+		case t.usable(in.Now, r, required):
+			p.of(t, in.Now).consider(in, t, r)
+		case last < required && !t.quiet(in.Now) && t.usable(in.Now, r, last):
+			p.ending.consider(in, t, r)
+		case t.loading(in.Now, r) || t.backSoon(in.Now, wait):
+			p.known.found = max(p.known.found, full)
 		}
-		if !t.hasRoom(in.Now, r) {
-			into.found = max(into.found, full)
-			into.busy = true
-			continue
-		}
-		into.consider(candidate{target: t, tie: mix(t.hash ^ in.Rand)})
 	}
+	return p
+}
+
+// of is the pool that a usable upstream belongs to.
+func (p *pools) of(t *target, now time.Time) *choice {
 	switch {
-	case known.found < room && ending.found == room:
-		return ending.best(in.Now, r)
-	case known.found == none && heard >= fewHeard:
-		return nil, none
-	case known.found < room && strangers.found > none && s.mayBlind(in.Now, &known):
-		return strangers.best(in.Now, r)
-	case known.found == none:
-		return quiet.best(in.Now, r)
+	case t.stranger():
+		return &p.strangers
+	case t.quiet(now):
+		return &p.quiet
 	}
-	return known.best(in.Now, r)
+	return &p.known
 }
 
 // candidate is an upstream with room for a request.
@@ -126,9 +140,20 @@
 	most int
 }
 
+// noChoice is a choice of which nothing was considered.
 func (s *State) noChoice() choice { return choice{most: s.Self.Policy.Choices} }
 
-func (h *choice) consider(c candidate) {
+// consider takes an upstream that could take a request: among those that are drawn from, or as one that is full.
+func (h *choice) consider(in step.Input, t *target, r *request) {
+	if !t.hasRoom(in.Now, r) {
+		h.found, h.busy = max(h.found, full), true
+		return
+	}
+	h.draw(candidate{target: t, tie: mix(t.hash ^ in.Rand)})
+}
+
+// draw draws from one more upstream with room.
+func (h *choice) draw(c candidate) {
 	h.found = room
 	if h.n > 0 && h.drawn[0].nearer(c) {
 		return
