--- a/internal/soak/strikes_test.go
+++ b/internal/soak/strikes_test.go
@@ -44,13 +44,9 @@
 	case 3:
 		pick(s, slices.Concat(s.agents, s.entries)).freeze(s.pause)
 	case 4:
-		s.fleet.Store.SetDown(true)
-		s.pause()
-		s.fleet.Store.SetDown(false)
+		s.loseStore(s.fleet.Store.SetDown, s.shortly())
 	case 5:
-		s.fleet.Store.SetSilent(true)
-		s.pause()
-		s.fleet.Store.SetSilent(false)
+		s.loseStore(s.fleet.Store.SetSilent, s.shortly())
 	case 6:
 		s.fleet.Store.Compact()
 	case 7:
@@ -104,13 +100,9 @@
 	case 3:
 		pick(s, s.agents).end(syscall.SIGKILL)
 	case 4:
-		s.fleet.Store.SetDown(true)
-		time.Sleep(time.Duration(s.random.IntN(5000)) * time.Millisecond)
-		s.fleet.Store.SetDown(false)
+		s.loseStore(s.fleet.Store.SetDown, time.Duration(s.random.IntN(5000))*time.Millisecond)
 	case 5:
-		s.fleet.Store.SetSilent(true)
-		s.pause()
-		s.fleet.Store.SetSilent(false)
+		s.loseStore(s.fleet.Store.SetSilent, s.shortly())
 	case 6:
 		s.fleet.Store.Compact()
 	case 7:
@@ -121,7 +113,16 @@
 	s.pause()
 }
 
-func (s *striker) pause() { time.Sleep(time.Duration(50+s.random.IntN(300)) * time.Millisecond) }
+// loseStore has the store out of reach in some way for a while.
+func (s *striker) loseStore(set func(bool), d time.Duration) {
+	set(true)
+	time.Sleep(d)
+	set(false)
+}
+
+func (s *striker) shortly() time.Duration { return time.Duration(50+s.random.IntN(300)) * time.Millisecond }
+
+func (s *striker) pause() { time.Sleep(s.shortly()) }
 
 // engines are the upstreams that hold weights.
 func (s *soak) engines() []*standin.Upstream {
