--- a/internal/soak/strikes_test.go
+++ b/internal/soak/strikes_test.go
@@ -120,7 +120,9 @@
 	set(false)
 }
 
-func (s *striker) shortly() time.Duration { return time.Duration(50+s.random.IntN(300)) * time.Millisecond }
+func (s *striker) shortly() time.Duration {
+	return time.Duration(50+s.random.IntN(300)) * time.Millisecond
+}
 
 func (s *striker) pause() { time.Sleep(s.shortly()) }
 
