--- a/internal/core/forward/away.go
+++ b/internal/core/forward/away.go
@@ -28,19 +28,20 @@
 	if s.outage(in.Now, r) {
 		after += leastAwayInOutage - leastAway
 	}
-	return max(after, s.restLeft(in.Now, r)+after-leastAway)
+	return max(after, s.backoffLeft(in.Now, r)+after-leastAway)
 }
 
-// restLeft is how long it takes until the first upstream of a request's service has rested; 0 when one can take requests now, or none rests.
-func (s *State) restLeft(now time.Time, r *request) time.Duration {
+// backoffLeft is how long it takes until the first upstream of a request's service takes requests again that has asked this entry to stay away; 0
+// when one can take requests now, or none has asked.
+func (s *State) backoffLeft(now time.Time, r *request) time.Duration {
 	var left time.Duration
 	required := s.requiredVersion(now, r.model)
 	for _, t := range s.targetsOf(r.service) {
 		if t.usable(now, r, required) {
 			return 0
 		}
-		if rest := &t.load.rest; rest.on(now) && (left == 0 || rest.left(now) < left) {
-			left = rest.left(now)
+		if b := &t.load.backoff; b.on(now) && (left == 0 || b.left(now) < left) {
+			left = b.left(now)
 		}
 	}
 	return left
--- a/internal/core/forward/rest_test.go
+++ b/internal/core/forward/backoff_test.go
@@ -63,7 +63,7 @@
 	refuse := only[forward.Refuse](t, r.arrive(1, bookings))
 	require.Equal(t, code.NoUpstream, refuse.Code)
 	require.Equal(t, code.NotRun, refuse.Ran)
-	require.Contains(t, refuse.Why, "2 resting")
+	require.Contains(t, refuse.Why, "2 that sent Retry-After")
 	require.GreaterOrEqual(t, refuse.RetryAfter, 3*time.Second)
 	require.Less(t, refuse.RetryAfter, 5*time.Second)
 	r.now = 2900 * time.Millisecond
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -44,8 +44,8 @@
 	// notice is what it said of itself last, and pace spreads what it gets while it names a limit.
 	notice catalog.Notice
 	pace   pace
-	// rest is the time in which it wants nothing from this entry.
-	rest rest
+	// backoff is the time in which it wants nothing from this entry.
+	backoff backoff
 	// broken are the requests that broke there in the last moments, the oldest first.
 	broken []broken
 }
@@ -150,7 +150,7 @@
 
 // remembered tells whether the upstream said something of itself that may still hold if it comes back.
 func (l *load) remembered(now time.Time) bool {
-	return now.Sub(l.pace.heard) < wordKept || now.Sub(l.leftAt) < wordKept || l.rest.on(now)
+	return now.Sub(l.pace.heard) < wordKept || now.Sub(l.leftAt) < wordKept || l.backoff.on(now)
 }
 
 // forget drops what is known of upstreams that are gone.
--- a/internal/core/forward/notice.go
+++ b/internal/core/forward/notice.go
@@ -42,9 +42,9 @@
 	l := s.load(ev.Upstream)
 	s.noteLimit(in, &l.pace, ev)
 	if ev.Notice.RetryAfter > 0 {
-		l.rest.ask(in.Now, ev.Notice.RetryAfter)
+		l.backoff.ask(in.Now, ev.Notice.RetryAfter)
 	} else if ev.ran() {
-		l.rest.ran(ev.Sent)
+		l.backoff.ran(ev.Sent)
 	}
 	if ev.Notice.Leaving {
 		l.leftAt = in.Now
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -201,7 +201,7 @@
 
 // census says in words why no upstream was found.
 func (s *State) census(now time.Time, r *request) string {
-	var registered, draining, avoided, loading, resting, empty, limited, fullOnes int
+	var registered, draining, avoided, loading, backedOff, empty, limited, fullOnes int
 	required := s.requiredVersion(now, r.model)
 	for _, t := range s.targetsOf(r.service) {
 		registered++
@@ -212,8 +212,8 @@
 			avoided++
 		case t.loading(now, r):
 			loading++
-		case !t.load.rest.allows(now):
-			resting++
+		case !t.load.backoff.allows(now):
+			backedOff++
 		case !t.usable(now, r, required):
 			empty++
 		case !t.load.pace.allows(now):
@@ -222,8 +222,8 @@
 			fullOnes++
 		}
 	}
-	return fmt.Sprintf("%d registered, %d draining, %d avoided after failures, %d loading, %d resting, %d without the weights or tried, %d at the limit that they named, %d full",
-		registered, draining, avoided, loading, resting, empty, limited, fullOnes)
+	return fmt.Sprintf("%d registered, %d draining, %d avoided after failures, %d loading, %d that sent Retry-After, %d without the weights or tried, %d at the limit that they named, %d full",
+		registered, draining, avoided, loading, backedOff, empty, limited, fullOnes)
 }
 
 func sortedKeys[T any](m map[string]T) []string {
--- a/internal/core/forward/target.go
+++ b/internal/core/forward/target.go
@@ -95,7 +95,7 @@
 
 // usable tells whether the upstream could take a request, room or no; required is the version that the request must begin on.
 func (t *target) usable(now time.Time, r *request, required int64) bool {
-	if t.leaving(now) || t.superseded || now.Before(t.load.avoid) || !t.load.rest.allows(now) || len(r.tried) > 0 && r.tried[t.Life()] {
+	if t.leaving(now) || t.superseded || now.Before(t.load.avoid) || !t.load.backoff.allows(now) || len(r.tried) > 0 && r.tried[t.Life()] {
 		return false
 	}
 	if r.model == "" {
@@ -111,10 +111,10 @@
 	return r.model != "" && !t.leaving(now) && t.load.closing(now)
 }
 
-// backSoon tells whether an upstream that rests takes requests again within a time.
+// backSoon tells whether an upstream that this entry stays away from takes requests again within a time.
 func (t *target) backSoon(now time.Time, within time.Duration) bool {
-	rest := &t.load.rest
-	return !t.leaving(now) && !rest.allows(now) && rest.left(now) <= within
+	b := &t.load.backoff
+	return !t.leaving(now) && !b.allows(now) && b.left(now) <= within
 }
 
 // held is the version of a model that an engine holds; its agent knows it sooner than the store.
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -42,7 +42,7 @@
 // TestEveryCallerEndsSomehowAndNobodyBeatsTheBound guards against an emulator that loses callers, or engines that do more than they can.
 func TestEveryCallerEndsSomehowAndNobodyBeatsTheBound(t *testing.T) {
 	t.Parallel()
-	for _, name := range []string{"steady overload", "engines that leave", "engines that ask for rest"} {
+	for _, name := range []string{"steady overload", "engines that leave", "engines that send Retry-After"} {
 		r := Play(Streams(), pattern(t, name), forward.DefaultPolicy(), 1)
 		require.Equal(t, r.Asked, r.InTime+r.Late+r.Refused+r.Failed, name)
 		require.LessOrEqual(t, r.InTime, r.Bound, name)
--- a/internal/emulator/pattern.go
+++ b/internal/emulator/pattern.go
@@ -100,7 +100,7 @@
 		f.load(0.8)
 		f.say(4, catalog.Notice{Limited: true, RateLimit: 2})
 	}},
-	{Name: "engines that ask for rest", Play: func(f *fleet) {
+	{Name: "engines that send Retry-After", Play: func(f *fleet) {
 		f.load(0.8)
 		f.say(4, catalog.Notice{RetryAfter: 3 * time.Second})
 	}},
