A caller is told to come back when the first upstream is back, not when one has rested

Found by reading. Cause: the time that a refused caller stays away took the shortest backoff also where another upstream was only avoided for 0.3 s, or where the one in backoff leaves. It holds only when all upstreams that stay have asked the entry to stay away.

--- a/internal/core/forward/away.go
+++ b/internal/core/forward/away.go
@@ -31,16 +31,19 @@
 	return max(after, s.backoffLeft(in.Now, r)+after-leastAway)
 }
 
-// backoffLeft is how long it takes until the first upstream of a request's service takes requests again that has asked this entry to stay away; 0
-// when one can take requests now, or none has asked.
+// backoffLeft is how long it takes until the first upstream of a request's service takes requests again, when all that do not leave have asked this
+// entry to stay away; 0 when one has not, which is back sooner or can't be waited for.
 func (s *State) backoffLeft(now time.Time, r *request) time.Duration {
 	var left time.Duration
-	required := s.requiredVersion(now, r.model)
 	for _, t := range s.targetsOf(r.service) {
-		if t.usable(now, r, required) {
+		if t.leaving(now) || t.superseded {
+			continue
+		}
+		b := &t.load.backoff
+		if !b.on(now) {
 			return 0
 		}
-		if b := &t.load.backoff; b.on(now) && (left == 0 || b.left(now) < left) {
+		if left == 0 || b.left(now) < left {
 			left = b.left(now)
 		}
 	}
--- a/internal/core/forward/backoff_test.go
+++ b/internal/core/forward/backoff_test.go
@@ -134,3 +134,24 @@
 	r.asksForRest("u1", 24*time.Hour)
 	require.Less(t, only[forward.Refuse](t, r.arrive(1, bookings)).RetryAfter, 35*time.Second)
 }
+
+// TestACallerComesBackToTheUpstreamThatIsBackFirst guards against a caller who is told to stay away for as long as one upstream has asked for,
+// while another one, avoided for a moment after a failure, is back sooner.
+func TestACallerComesBackToTheUpstreamThatIsBackFirst(t *testing.T) {
+	r := newRig()
+	r.add("u1", "desk", "perth-a", 6)
+	only[forward.Send](t, r.arrive(1, bookings))
+	r.step(forward.SendEnded{ID: 1, Outcome: forward.NotSent})
+	r.add("u2", "desk", "perth-a", 6)
+	r.asksForRest("u2", 9*time.Second)
+	require.Less(t, only[forward.Refuse](t, r.arrive(2, bookings)).RetryAfter, 3*time.Second)
+}
+
+// TestAnUpstreamThatLeavesIsNotWaitedFor guards against a return that is named by an upstream which will not be there.
+func TestAnUpstreamThatLeavesIsNotWaitedFor(t *testing.T) {
+	r := newRig()
+	r.add("u1", "desk", "perth-a", 6)
+	r.asksForRest("u1", 25*time.Second)
+	r.saysItLeaves("u1", forward.Declined)
+	require.Less(t, only[forward.Refuse](t, r.arrive(1, bookings)).RetryAfter, 3*time.Second)
+}
