--- a/internal/core/forward/policy.go
+++ b/internal/core/forward/policy.go
@@ -16,7 +16,8 @@
 	// caller came back, which can only be late. Kept for longer, it has more of those that came back refused again.
 	KeepFree time.Duration
 	// BlindAtOnce is how many requests of an entry may wait for their first event at engines of which nobody tells, while those that are
-	// told of work at all their places.
+	// told of work at all their places. All entries of the other data centres are blind to an engine; if each sent what it has no place for,
+	// the engine's queue would fill.
 	BlindAtOnce int
 	// Choices is how many of the nearest upstreams are looked at for a request, mostChoices at most; see pick.
 	Choices int
--- a/internal/core/forward/room.go
+++ b/internal/core/forward/room.go
@@ -94,7 +94,8 @@
 	return int(whole)
 }
 
-// readable is how many prompts of the usual length an engine reads in the time that entries let it read ahead. Its entries begin no more at once together, so that an
+// readable is how many prompts of the usual length an engine reads in the time that entries let it read ahead; see Policy. They begin no more at
+// once together, so that an
 // engine that has come back empty is filled at the pace at which it reads.
 func (t *target) readable() float64 {
 	if t.engine == nil || t.engine.UsualPrompt <= 0 {
--- a/internal/emulator/entry.go
+++ b/internal/emulator/entry.go
@@ -31,10 +31,12 @@
 	try   *try
 	entry *entry
 	id    uint64
-	// send is the present send, task what the engine has of it, and number counts the sends.
-	send    forward.Send
-	task    *task
-	began   bool
+	// send is the present send, made at sentAt, and task what the engine has of it; began is set with its first event.
+	send   forward.Send
+	sentAt time.Duration
+	task   *task
+	began  bool
+	// partial is set once an event of any send was passed on, the last at lastAt.
 	partial bool
 	lastAt  time.Duration
 	// written are the events that were passed on.
@@ -128,55 +130,71 @@
 
 // make makes a send: a connection, the request and its answer.
 func (x *exchange) make(send forward.Send) {
-	w := x.entry.fleet.world
-	engine := x.entry.fleet.engineOf(send.Upstream)
-	x.send, x.began = send, false
-	way, sent := x.way(send.Upstream), w.now
-	t := &task{unread: x.try.request.prompt, unwritten: max(1, x.try.request.events-x.written)}
+	w, engine := x.entry.fleet.world, x.entry.fleet.engineOf(send.Upstream)
+	x.send, x.began, x.sentAt = send, false, w.now
+	t := x.newTask(engine)
 	x.task = t
-	current := func() bool { return x.task == t && x.entry.open[x.id] == x }
-	t.event = func() {
-		notice := engine.notice
-		w.after(way, func() {
-			if current() {
-				x.event(sent, notice)
-			}
-		})
-	}
-	t.end = func() {
-		w.after(way, func() {
-			if current() {
-				x.answered()
-			}
-		})
-	}
 	if send.Patience > 0 {
 		w.after(send.Patience, func() {
-			if current() && !x.began {
+			if x.current(t) && !x.began {
 				x.ended(forward.Silent)
 			}
 		})
 	}
-	w.after(3*way, func() { // A round trip for the connection.
+	way := x.way(send.Upstream)
+	w.after(3*way, func() { // A round trip for the connection comes first.
 		if t.cancelled || engine.take(t) {
 			return
 		}
+		notice := engine.notice
+		w.after(way, func() { x.declined(t, notice) })
+	})
+}
+
+// newTask is the present send as its engine sees it: what the engine does reaches the entry a way later.
+func (x *exchange) newTask(engine *engine) *task {
+	w, way := x.entry.fleet.world, x.way(engine.upstream)
+	t := &task{unread: x.try.request.prompt, unwritten: max(1, x.try.request.events-x.written)}
+	t.event = func() {
 		notice := engine.notice
 		w.after(way, func() {
-			if current() {
-				x.entry.step(forward.Noticed{Upstream: send.Upstream.Life(), Sent: epoch.Add(sent), Outcome: forward.Declined, Notice: notice})
-				x.ended(forward.Declined)
+			if x.current(t) {
+				x.event(notice)
 			}
 		})
-	})
+	}
+	t.end = func() {
+		w.after(way, func() {
+			if x.current(t) {
+				x.answered()
+			}
+		})
+	}
+	return t
+}
+
+// current tells whether a task is the present send's.
+func (x *exchange) current(t *task) bool { return x.task == t && x.entry.open[x.id] == x }
+
+// noticed tells the reducer of the head of an answer.
+func (x *exchange) noticed(o forward.Outcome, notice catalog.Notice) {
+	x.entry.step(forward.Noticed{Upstream: x.send.Upstream.Life(), Sent: epoch.Add(x.sentAt), Outcome: o, Notice: notice})
+}
+
+// declined ends a send that its engine turned away.
+func (x *exchange) declined(t *task, notice catalog.Notice) {
+	if x.current(t) {
+		x.noticed(forward.Declined, notice)
+		x.ended(forward.Declined)
+	}
 }
 
 // event passes an event on.
-func (x *exchange) event(sent time.Duration, notice catalog.Notice) {
+func (x *exchange) event(notice catalog.Notice) {
 	w := x.entry.fleet.world
 	if !x.began {
 		x.began = true
-		x.entry.step(forward.Noticed{Upstream: x.send.Upstream.Life(), Sent: epoch.Add(sent), Outcome: forward.Answered, Notice: notice})
+		x.noticed(forward.Answered, notice)
 		x.entry.step(forward.Began{ID: x.id, Version: 1})
 	}
 	x.partial, x.lastAt = true, w.now
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -178,10 +178,17 @@
 	return calmInterval
 }
 
+// urgent tells whether an entry that was told one load must hear of another at once: it may send what the engine does not take, or nothing to one
+// that takes it.
+func urgent(told, load loadreport.Load) bool {
+	limited := (load.RateLimit != nil) != (told.RateLimit != nil)
+	return limited || load.Born != told.Born || load.Closing != told.Closing || load.Leaving != told.Leaving
+}
+
 // due tells whether an entry is to hear of the load now.
 func (l *listener) due(now time.Time, load loadreport.Load) bool {
 	since := now.Sub(l.told)
-	if since >= l.calm() || load.Born != l.last.Born || load.Closing != l.last.Closing || load.Leaving != l.last.Leaving || (load.RateLimit != nil) != (l.last.RateLimit != nil) {
+	if since >= l.calm() || urgent(l.last, load) {
 		return true
 	}
 	if load.Occupied == l.last.Occupied {
