Waits of an agent that starts can be set, so that two tests don't hang on a machine's stalls

Change: both waits are fields of the agent with the product's values; the tests set them to the test's patience. That the product's wait is ten times what the others need is asserted beside it.

--- a/internal/hostagent/export_test.go
+++ b/internal/hostagent/export_test.go
@@ -37,3 +37,9 @@
 
 // AskersAt gives the number of hosts that ask the origin at a try.
 func AskersAt(try int) int { return askersAt(try) }
+
+// StartWait is how long a host that has just started waits to know the others.
+const StartWait = startWait
+
+// WaitUpTo bounds the waits for other hosts and for the origin, in place of the product's.
+func (a *Agent) WaitUpTo(d time.Duration) { a.waits = waits{start: d, origin: d} }
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -70,6 +70,7 @@
 	client     *http.Client
 	fetcher    *transfer.Fetcher
 	socket     *loadreport.Socket
+	waits      waits
 
 	mu      sync.Mutex
 	catalog *catalog.State
@@ -93,7 +94,7 @@
 		catalog: catalog.NewState(),
 		weights: weights.NewState(weights.Peer{Address: self, Place: host.DataCentre, Region: host.Region}),
 		install: install.NewState(self, host.VersionTime),
-		reports: newReports(),
+		reports: newReports(), waits: defaultWaits(),
 	}
 	a.catalog.ListedSince = time.Now().Add(-host.ListedAge())
 	a.origin = platform.NewOrigin(origin, a.originPlace)
--- a/internal/hostagent/resolve.go
+++ b/internal/hostagent/resolve.go
@@ -28,7 +28,7 @@
 	originAskers = 3
 	quickSteps   = 3
 	slowStep     = 8
-	// peerTimeout bounds such a question, and originTimeout one to the origin.
+	// peerTimeout bounds such a question, and originTimeout one to the origin; see waits.
 	peerTimeout   = 500 * time.Millisecond
 	originTimeout = 2 * time.Second
 	// peerAgain is the wait before peers are asked again that did not know.
@@ -42,6 +42,16 @@
 	startWait = time.Second
 )
 
+// waits bound how long the question what a version consists of waits for others.
+type waits struct {
+	// start is for the other hosts and the origin to become known.
+	start time.Duration
+	// origin is for the origin's answer.
+	origin time.Duration
+}
+
+func defaultWaits() waits { return waits{start: startWait, origin: originTimeout} }
+
 // resolve finds out what a version consists of, and takes over what of it lies at the engine already.
 func (a *Agent) resolve(e install.Resolve) {
 	raw, err := a.versionManifest(e)
@@ -89,7 +99,7 @@
 
 // askOrigin asks the origin, and meanwhile the peers again: an origin that is away or busy answers nobody for seconds, and these may know first.
 func (a *Agent) askOrigin(e install.Resolve, peers []string) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), a.waits.origin)
 	defer cancel()
 	told := make(chan []byte, 1)
 	go func() {
@@ -111,9 +121,9 @@
 	}
 }
 
-// awaitOthers waits until the other hosts and the origin are known, up to startWait.
+// awaitOthers waits until the other hosts and the origin are known, for a bounded time.
 func (a *Agent) awaitOthers() {
-	for began := time.Now(); !a.knows() && time.Since(began) < startWait; {
+	for began := time.Now(); !a.knows() && time.Since(began) < a.waits.start; {
 		time.Sleep(lookInterval)
 	}
 }
--- a/internal/hostagent/starting_test.go
+++ b/internal/hostagent/starting_test.go
@@ -21,8 +21,12 @@
 	"samphireweir.example/samphireweir/platform/standin"
 )
 
+// othersKnownAfter is how long after a host has heard of a version it knows the other hosts.
+const othersKnownAfter = 100 * time.Millisecond
+
 // TestAHostThatStartsDoesNotTakeItselfForTheFirst is the pattern of a fleet that has lost power: a host hears from an entry of a version before it
-// knows the other hosts. Ten hosts share the asking of the origin, and it is not this one's turn.
+// knows the other hosts. Ten hosts share the asking of the origin, and it is not this one's turn. The wait is long here: a machine that stands
+// still for seconds must not use it up before the others are told.
 func TestAHostThatStartsDoesNotTakeItselfForTheFirst(t *testing.T) {
 	t.Parallel()
 	var asked atomic.Int64
@@ -33,8 +37,10 @@
 	defer origin.Close()
 	var log standin.Log
 	a := startingAgent(&log, "127.0.0.1", 7700, origin.URL)
+	a.WaitUpTo(patience)
+	require.GreaterOrEqual(t, hostagent.StartWait, 10*othersKnownAfter, "the product waits for longer than the others need")
 	a.Step(catalog.VersionNamed{Model: "m", Version: 2, Revision: 52})
-	time.Sleep(100 * time.Millisecond) // The others become known a moment later.
+	time.Sleep(othersKnownAfter)
 	var upstreams []*catalog.Upstream
 	for _, p := range append(before(t, 9), agentSelf) {
 		upstreams = append(upstreams, &catalog.Upstream{ID: p, Service: "model", Address: p, DataCentre: "perth-a", Revision: 1})
@@ -59,7 +65,8 @@
 }
 
 // TestAHostThatAsksTheOriginHearsFromOthersMeanwhile is the pattern of an origin that comes back under load: it keeps the question of one host for
-// as long as that waits, and has answered another.
+// as long as that waits, and has answered another. The origin never answers and the question to it stays open as long as the test has: only the
+// questions to others can end it, however slow the machine is.
 func TestAHostThatAsksTheOriginHearsFromOthersMeanwhile(t *testing.T) {
 	t.Parallel()
 	over, asked := make(chan struct{}), make(chan struct{}, 8)
@@ -86,6 +93,7 @@
 	var log standin.Log
 	ip := after(t, fmt.Sprintf("127.0.0.1:%d", port), port)
 	a := startingAgent(&log, ip, port, origin.URL)
+	a.WaitUpTo(2 * patience)
 	a.Step(catalog.UpstreamsListed{Revision: 1, Upstreams: []*catalog.Upstream{
 		{ID: "peer", Service: "model", Address: "127.0.0.1:1", DataCentre: "perth-a", Revision: 1},
 		{ID: "self", Service: "model", Address: ip + ":1", DataCentre: "perth-a", Revision: 1},
