Homes: the predicate and its decoding, and four tests of the rule that fail

Package residency holds the one predicate; the four tests in forward/homes_test.go (a property over all ways to an upstream, none in common, a home that is gone, a stream whose homes change) fail: TestNoSendLeavesTheHomes, TestNoCommonHomeIsRefusedAtOnce, TestAHomeThatIsGoneIsWaitedForByItsCallers, TestAStreamEndsWhenItsHomesDoNotAllowItToGoOn.

--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -44,6 +44,7 @@
 	NotReady          Code = 2008
 	NoSuchRoute       Code = 2009
 	HeldBack          Code = 2010
+	NoCommonHome      Code = 2011
 	ClaimUnavailable  Code = 3001
 	AlreadyRun        Code = 3002
 	OutcomeUnknown    Code = 3003
@@ -114,6 +115,7 @@
 	{NotReady, "not ready", http.StatusServiceUnavailable, "This process has not read the settings yet."},
 	{NoSuchRoute, "no such route", http.StatusNotFound, "No route of the manifest in force has this host and path."},
 	{HeldBack, "held back", http.StatusServiceUnavailable, "Upstreams went down under this request; it is not sent to more of them until Retry-After has passed."},
+	{NoCommonHome, "no common home", http.StatusServiceUnavailable, "The route and the client account are bound to regions of which they have none in common; the request was not run. An operator must change one of the two."},
 	{ClaimUnavailable, "claim unavailable", http.StatusServiceUnavailable, "The platform can't record that this request runs at most once, so it was not run; come back after Retry-After."},
 	{AlreadyRun, "already run", http.StatusConflict, "The request of this idempotency key was run, and its answer is not kept; it is not run again."},
 	{OutcomeUnknown, "outcome unknown", http.StatusConflict, "This idempotency key was claimed before and how it ended is not known; it is not run again."},
--- a/internal/core/catalog/manifest.go
+++ b/internal/core/catalog/manifest.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"samphireweir.example/samphireweir/internal/core/residency"
 )
 
 // Kind says what may be repeated of a route's requests.
@@ -53,6 +55,8 @@
 	Anonymous bool
 	// Resumable streams may go on at another upstream.
 	Resumable bool
+	// Homes are the regions in which the route's requests may be; see package residency.
+	Homes residency.Regions
 }
 
 // Repeatable tells whether a request of the route may run more than once.
@@ -96,6 +100,8 @@
 	Name string
 	// Priority goes before the route's when it is set.
 	Priority *int
+	// Homes are the regions in which the account's requests may be; see package residency.
+	Homes residency.Regions
 }
 
 // Manifest is what the operator decided, as of one version.
--- /dev/null
+++ b/internal/core/forward/homes_test.go
@@ -0,0 +1,128 @@
+package forward_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"samphireweir.example/samphireweir/internal/code"
+	"samphireweir.example/samphireweir/internal/core/catalog"
+	"samphireweir.example/samphireweir/internal/core/forward"
+	"samphireweir.example/samphireweir/internal/core/residency"
+	"samphireweir.example/samphireweir/internal/core/step"
+)
+
+// bind puts a manifest in force in which all routes and the account of key-1 have homes.
+func (r *rig) bind(route, account residency.Regions) {
+	old := r.state.Catalog.Manifest
+	r.next++
+	var routes []*catalog.Route
+	for _, prefix := range []string{bookings, lookups, reports, notes} {
+		next := *old.Route("h", prefix)
+		next.Homes = route
+		routes = append(routes, &next)
+	}
+	m := catalog.NewManifest(int64(r.next), routes, map[string]*catalog.Account{"key-1": {Name: "karrakin", Homes: account}})
+	m.HasAccounts, m.Services = true, old.Services
+	r.believe(catalog.ManifestRead{Revision: int64(r.next), Manifest: m})
+}
+
+// mayBeIn tells whether a request of key-1 may be in a region as the manifest in force says, written out apart from the product.
+func (r *rig) mayBeIn(region string) bool {
+	m := r.state.Catalog.Manifest
+	for _, homes := range []residency.Regions{m.Route("h", reports).Homes, m.Account("key-1").Homes} {
+		if len(homes) > 0 && !slices.Contains(homes, region) {
+			return false
+		}
+	}
+	return true
+}
+
+// TestNoSendLeavesTheHomes guards against a request that is sent outside the regions to which its route and its account are bound, by any way to
+// an upstream: a first choice, a wait for room, a second try, the resume of a stream, an engine of which nobody tells, and one whose version is about
+// to end; also after the homes have changed while it waited or ran.
+func TestNoSendLeavesTheHomes(t *testing.T) {
+	regions := []string{"perth", "southwest", "pilbara"}
+	places := map[string]string{"perth-a": "perth", "bunbury-a": "southwest", "karratha-a": "pilbara"}
+	rapid.Check(t, func(rt *rapid.T) {
+		r := newRig()
+		r.state.Self.Regions = places
+		homes := rapid.SliceOfNDistinct(rapid.SampledFrom(regions), 0, 2, rapid.ID[string])
+		check := func(effects []step.Effect) {
+			for _, send := range sendsAmong(effects) {
+				require.True(rt, r.mayBeIn(places[send.Upstream.DataCentre]), "sent to %s", send.Upstream.DataCentre)
+			}
+		}
+		for i, place := range []string{"perth-a", "bunbury-a", "karratha-a", "perth-a", "bunbury-a"} {
+			r.add(fmt.Sprintf("m%d", i), "model", place, 1)
+			r.add(fmt.Sprintf("d%d", i), "desk", place, 1)
+		}
+		if rapid.Bool().Draw(rt, "strangers") {
+			r.state.Greet()
+		}
+		open, next := []uint64{}, uint64(0)
+		for range rapid.IntRange(5, 40).Draw(rt, "steps") {
+			r.now += 30 * time.Millisecond
+			switch rapid.IntRange(0, 5).Draw(rt, "step") {
+			case 0:
+				r.bind(homes.Draw(rt, "route"), homes.Draw(rt, "account"))
+			case 1:
+				check(r.step(step.Tick{}))
+			case 2:
+				id := fmt.Sprintf("m%d", rapid.IntRange(0, 4).Draw(rt, "engine"))
+				check(r.step(forward.LoadTold{Address: id, Versions: map[string]int64{"m": 1}, Entries: 1, Near: 1}))
+			case 3:
+				if len(open) > 0 {
+					outcome := rapid.SampledFrom([]forward.Outcome{forward.Broken, forward.Declined, forward.NotSent, forward.Silent, forward.Answered}).Draw(rt, "outcome")
+					partial := outcome == forward.Broken && rapid.Bool().Draw(rt, "partial")
+					id := rapid.SampledFrom(open).Draw(rt, "id")
+					check(r.step(forward.SendEnded{ID: id, Outcome: outcome, Partial: partial}))
+				}
+			default:
+				next++
+				open = append(open, next)
+				check(r.arrive(next, rapid.SampledFrom([]string{bookings, lookups, reports, notes}).Draw(rt, "path")))
+			}
+		}
+	})
+}
+
+// TestNoCommonHomeIsRefusedAtOnce guards against a request that waits, or is sent anywhere, though its route and its account have no region in
+// common.
+func TestNoCommonHomeIsRefusedAtOnce(t *testing.T) {
+	r := newRig()
+	r.add("d1", "desk", "perth-a", 6)
+	r.bind(residency.Regions{"perth"}, residency.Regions{"southwest"})
+	refuse := only[forward.Refuse](t, r.arrive(1, lookups))
+	require.Equal(t, code.NoCommonHome, refuse.Code)
+	require.Equal(t, code.NotRun, refuse.Ran)
+	require.Zero(t, r.state.Open())
+}
+
+// TestAHomeThatIsGoneIsWaitedForByItsCallers guards against a request that goes elsewhere, or waits for its time to pass, while its only home has
+// no upstream: it is refused at once with the time when to come back.
+func TestAHomeThatIsGoneIsWaitedForByItsCallers(t *testing.T) {
+	r := newRig()
+	r.add("d1", "desk", "perth-a", 6)
+	r.bind(nil, residency.Regions{"southwest"})
+	refuse := only[forward.Refuse](t, r.arrive(1, lookups))
+	require.Equal(t, code.NoUpstream, refuse.Code)
+	require.Equal(t, code.NotRun, refuse.Ran)
+	require.Positive(t, refuse.RetryAfter)
+	r.add("d2", "desk", "bunbury-a", 6)
+	require.Equal(t, "d2", only[forward.Send](t, r.arrive(2, lookups)).Upstream.ID)
+}
+
+// TestAStreamEndsWhenItsHomesDoNotAllowItToGoOn guards against the resume of a broken stream in a region that has ceased to be a home.
+func TestAStreamEndsWhenItsHomesDoNotAllowItToGoOn(t *testing.T) {
+	r := newRig()
+	r.add("m1", "model", "perth-a", 4)
+	only[forward.Send](t, r.arrive(1, reports))
+	r.add("m2", "model", "bunbury-a", 4)
+	r.bind(residency.Regions{"perth"}, nil)
+	only[forward.Abort](t, r.step(forward.SendEnded{ID: 1, Outcome: forward.Broken, Partial: true}))
+}
