A request is sent only in the regions that its route and its account are bound to

Cause: the choice of an upstream looked at all upstreams of the service. Change: each search for an upstream (first send, wait, second send, resume, strangers, a version about to end, and what a refusal is told) starts from targetsFor, which asks residency.Bound; the bound follows the newest manifest before each send.

--- a/internal/core/forward/bar.go
+++ b/internal/core/forward/bar.go
@@ -6,6 +6,7 @@
 
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core/catalog"
+	"samphireweir.example/samphireweir/internal/core/residency"
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
@@ -44,7 +45,11 @@
 	if r.runs > 0 && nameOf(account) != nameOf(r.account) {
 		return bar{code: code.UnknownKey, why: fmt.Sprintf("the key belongs to another client account in manifest %d", m.Version)}, true
 	}
-	r.manifest, r.route, r.account = m, route, account
+	bound := residency.Of(route.Homes, homesOf(account))
+	if bound.Nowhere() {
+		return bar{code: code.NoCommonHome, why: fmt.Sprintf("no region is a home of both (%s) in manifest %d", bound, m.Version)}, true
+	}
+	r.manifest, r.route, r.account, r.bound = m, route, account, bound
 	if !r.partial && !route.Serves(r.service) { // Only the service that began an answer can go on with it.
 		r.service = route.Pick(in.Rand)
 	}
@@ -61,6 +66,14 @@
 	return service.Engine.Models[0]
 }
 
+// homesOf are the homes of a client account, none for a caller without one.
+func homesOf(a *catalog.Account) residency.Regions {
+	if a == nil {
+		return nil
+	}
+	return a.Homes
+}
+
 // nameOf is the name of a client account, empty for a caller without one.
 func nameOf(a *catalog.Account) string {
 	if a == nil {
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -13,6 +13,7 @@
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/quarantine"
+	"samphireweir.example/samphireweir/internal/core/residency"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/hostconfig"
 )
@@ -172,7 +173,9 @@
 	Number   int
 	Upstream *catalog.Upstream
 	// Account is the client account's name, empty when the caller has none.
-	Account  string
+	Account string
+	// Homes are the regions in which the request may be.
+	Homes    residency.Bound
 	Priority int
 	// Version is the version of weights that the upstream must hold; 0 for any.
 	Version int64
@@ -234,6 +237,8 @@
 	route    *catalog.Route
 	service  string
 	account  *catalog.Account
+	// bound is where it may be, as manifest says.
+	bound residency.Bound
 	// named is the model that its caller named, and model the one that it is for: empty at a plain service.
 	named, model string
 	// fingerprint names what is asked; see package quarantine.
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -65,12 +65,12 @@
 	heard int
 }
 
-// pools looks at every upstream of a request's service.
+// pools looks at every upstream that a request may go to.
 func (s *State) pools(in step.Input, r *request) pools {
 	p := pools{known: s.noChoice(), quiet: s.noChoice(), strangers: s.noChoice(), ending: s.noChoice()}
 	required, last := s.requiredVersion(in.Now, r.model), s.lastVersion(in.Now, r)
 	wait := s.waitFor(r)
-	for _, t := range s.targetsOf(r.service) {
+	for _, t := range s.targetsFor(r) {
 		if t.load.heard(in.Now) {
 			p.heard++
 		}
@@ -203,7 +203,7 @@
 func (s *State) census(now time.Time, r *request) string {
 	var registered, draining, avoided, loading, backedOff, empty, limited, fullOnes int
 	required := s.requiredVersion(now, r.model)
-	for _, t := range s.targetsOf(r.service) {
+	for _, t := range s.targetsFor(r) {
 		registered++
 		switch {
 		case t.leaving(now):
@@ -222,7 +222,11 @@
 			fullOnes++
 		}
 	}
-	return fmt.Sprintf("%d registered, %d draining, %d avoided after failures, %d loading, %d that sent Retry-After, %d without the weights or tried, %d at the limit that they named, %d full",
+	homes := ""
+	if !r.bound.Free() {
+		homes = fmt.Sprintf("of those in its homes (%s): ", r.bound)
+	}
+	return homes + fmt.Sprintf("%d registered, %d draining, %d avoided after failures, %d loading, %d that sent Retry-After, %d without the weights or tried, %d at the limit that they named, %d full",
 		registered, draining, avoided, loading, backedOff, empty, limited, fullOnes)
 }
 
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -102,7 +102,7 @@
 		s.blindWaiting++
 	}
 	e := Send{
-		ID: r.id, Number: r.sends, Upstream: u, Priority: r.route.Priority, By: r.by, Resume: r.partial, CameBack: r.back,
+		ID: r.id, Number: r.sends, Upstream: u, Homes: r.bound, Priority: r.route.Priority, By: r.by, Resume: r.partial, CameBack: r.back,
 	}
 	if required := s.requiredVersion(in.Now, r.model); required > 0 {
 		// An engine compares for equality; one that holds a newer version than required is as good.
--- a/internal/core/forward/target.go
+++ b/internal/core/forward/target.go
@@ -13,6 +13,8 @@
 	load *load
 	// engine is what the manifest says of it; nil for an upstream of a plain service.
 	engine *catalog.Engine
+	// region is the one that its data centre is in, empty for a data centre that the settings do not name.
+	region string
 	// distance is 0 in this data centre, 1 in this region, 2 elsewhere.
 	distance int
 	// unasked is set when its agent is not asked for its load, because the entry greets too many others.
@@ -48,9 +50,25 @@
 	return t.byService[service]
 }
 
+// targetsFor returns the upstreams of a request's service in the regions in which the request may be. Every search for an upstream starts here.
+func (s *State) targetsFor(r *request) []*target {
+	all := s.targetsOf(r.service)
+	if r.bound.Free() {
+		return all
+	}
+	var allowed []*target
+	for _, t := range all {
+		if r.bound.Allows(t.region) {
+			allowed = append(allowed, t)
+		}
+	}
+	return allowed
+}
+
 // target returns an upstream with what is derived of it.
 func (s *State) target(u *catalog.Upstream) *target {
 	t := &target{Upstream: u, load: s.load(u.Life()), engine: s.engine(u), distance: s.distance(u), readAhead: s.Self.Policy.ReadAhead, hash: step.Score(u.ID, "")}
+	t.region = s.Self.Regions[u.DataCentre]
 	t.sharers = s.entries
 	t.superseded = s.Catalog.Superseded(u)
 	t.unasked = s.greeted != nil && !s.greeted[u.ID] && t.engine != nil
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -55,7 +55,7 @@
 	}
 	logevent.Info(x.gateway.log, logevent.RequestSent).Str("request", x.call.ID).Str("route", x.routeName()).Str("upstream", e.Upstream.ID).
 		Int64("entry_revision", e.Upstream.Revision).Int("sends", e.Number).Bool("resume", e.Resume).
-		Int64("version", e.Version).Bool("came_back", e.CameBack).Dur("waited_ms", time.Since(x.arrived)).Msg("request sent")
+		Int64("version", e.Version).Stringer("homes", e.Homes).Bool("came_back", e.CameBack).Dur("waited_ms", time.Since(x.arrived)).Msg("request sent")
 	x.gateway.metrics.Attempts.Add(1, x.routeName(), "", strconv.Itoa(e.Number))
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	a := &attempt{x: x, send: e, cancel: cancel, made: time.Now()}
