--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -54,6 +54,10 @@
 	Changes uint64
 	// Versions are the versions in force, by model.
 	Versions map[string]Naming
+	// FollowsEvacuations is set where operators may evacuate data centres, so that a process must know them before it serves.
+	FollowsEvacuations bool
+	// evacuations is what is known of data centres that were ever evacuated.
+	evacuations map[string]evacuation
 	// history are the namings of each model, in the order in which they were heard.
 	history map[string][]Naming
 	// ListedSince is since when a version counts as named that is in the store already when this process first reads it, as long as nobody
@@ -86,6 +90,8 @@
 	ManifestTopic Topic = "manifest"
 	UpstreamTopic Topic = "upstreams"
 	VersionTopic  Topic = "versions"
+	// EvacuationTopic are the data centres that an operator evacuates.
+	EvacuationTopic Topic = "evacuations"
 )
 
 // ManifestRead says that the store holds a manifest at a revision.
@@ -168,12 +174,16 @@
 	return &State{
 		Upstreams: map[string]*Upstream{}, Versions: map[string]Naming{}, history: map[string][]Naming{}, listed: map[Topic]bool{},
 		byAddress: map[string][]string{}, starts: map[string]start{}, removed: map[string]int64{}, lapsing: map[string]time.Time{},
+		evacuations: map[string]evacuation{},
 	}
 }
 
 // Ready tells whether enough is known to take requests: a process that does not know the manifest or the upstreams
 // could only guess.
 func (s *State) Ready() bool {
+	if s.FollowsEvacuations && !s.listed[EvacuationTopic] {
+		return false
+	}
 	return s.Manifest != nil && s.listed[UpstreamTopic] && s.listed[VersionTopic]
 }
 
@@ -198,6 +208,12 @@
 		return s.upstreamRemoved(in.Now, ev)
 	case UpstreamUnreadable:
 		return s.upstreamUnreadable(ev)
+	case EvacuationAsked:
+		return s.evacuate(ev.DataCentre, evacuation{asked: true, revision: ev.Revision})
+	case EvacuationEnded:
+		return s.evacuate(ev.DataCentre, evacuation{revision: ev.Revision})
+	case EvacuationsListed:
+		return s.evacuationsListed(ev)
 	case VersionNamed:
 		return s.versionNamed(in.Now, ev)
 	case step.Tick:
--- /dev/null
+++ b/internal/core/catalog/evacuation_test.go
@@ -0,0 +1,41 @@
+package catalog_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/core/catalog"
+)
+
+// TestEvacuationsFollowTheRevision guards against an evacuation that a late answer of the store ends, or brings back.
+func TestEvacuationsFollowTheRevision(t *testing.T) {
+	s := catalog.NewState()
+	require.NotEmpty(t, s.Reduce(at(0, catalog.EvacuationAsked{DataCentre: "a", Revision: 5})))
+	require.True(t, s.Evacuated("a"))
+	s.Reduce(at(0, catalog.EvacuationsListed{Revision: 4}))
+	require.True(t, s.Evacuated("a"), "the list is older")
+	require.NotEmpty(t, s.Reduce(at(0, catalog.EvacuationEnded{DataCentre: "a", Revision: 7})))
+	require.False(t, s.Evacuated("a"))
+	s.Reduce(at(0, catalog.EvacuationAsked{DataCentre: "a", Revision: 5}))
+	require.False(t, s.Evacuated("a"), "the word is older than the end")
+	s.Reduce(at(0, catalog.EvacuationsListed{Revision: 6, DataCentres: []string{"a"}}))
+	require.False(t, s.Evacuated("a"), "so is the list")
+	s.Reduce(at(0, catalog.EvacuationsListed{Revision: 9, DataCentres: []string{"a", "b"}}))
+	require.True(t, s.Evacuated("a"))
+	require.True(t, s.Evacuated("b"))
+	s.Reduce(at(0, catalog.EvacuationsListed{Revision: 10, DataCentres: []string{"b"}}))
+	require.False(t, s.Evacuated("a"), "it went unheard")
+}
+
+// TestNobodyIsServedBeforeTheEvacuationsAreKnown guards against an entry that starts during an evacuation and sends to the data centre.
+func TestNobodyIsServedBeforeTheEvacuationsAreKnown(t *testing.T) {
+	s := catalog.NewState()
+	s.FollowsEvacuations = true
+	s.Reduce(at(0, catalog.ManifestRead{Revision: 1, Manifest: catalog.NewManifest(1, nil, nil)}))
+	s.Reduce(at(0, catalog.TopicListed{Topic: catalog.UpstreamTopic}))
+	s.Reduce(at(0, catalog.TopicListed{Topic: catalog.VersionTopic}))
+	require.False(t, s.Ready())
+	s.Reduce(at(0, catalog.TopicListed{Topic: catalog.EvacuationTopic}))
+	require.True(t, s.Ready())
+}
