Nothing more is sent to a data centre that is being evacuated

Cause: nothing read evacuations. Change: entries follow them in the store where the platform has a bound for them, and do not serve before they know them; an upstream of an evacuated data centre is closed to every search. Its running requests go on.

--- a/internal/core/forward/away.go
+++ b/internal/core/forward/away.go
@@ -31,12 +31,12 @@
 	return max(after, s.backoffLeft(in.Now, r)+after-leastAway)
 }
 
-// backoffLeft is how long it takes until the first upstream of a request's service takes requests again, when all that do not leave have asked this
+// backoffLeft is how long it takes until the first upstream of a request's service takes requests again, when all that are not closed have asked this
 // entry to stay away; 0 when one has not, which is back sooner or can't be waited for.
 func (s *State) backoffLeft(now time.Time, r *request) time.Duration {
 	var left time.Duration
 	for _, t := range s.targetsFor(r) {
-		if t.leaving(now) || t.superseded {
+		if t.closed(now) {
 			continue
 		}
 		b := &t.load.backoff
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -201,11 +201,13 @@
 
 // census says in words why no upstream was found.
 func (s *State) census(now time.Time, r *request) string {
-	var registered, draining, avoided, loading, backedOff, empty, limited, fullOnes int
+	var registered, evacuated, draining, avoided, loading, backedOff, empty, limited, fullOnes int
 	required := s.requiredVersion(now, r.model)
 	for _, t := range s.targetsFor(r) {
 		registered++
 		switch {
+		case t.evacuated:
+			evacuated++
 		case t.leaving(now):
 			draining++
 		case now.Before(t.load.avoid):
@@ -226,8 +228,8 @@
 	if !r.bound.Free() {
 		homes = fmt.Sprintf("of those in its homes (%s): ", r.bound)
 	}
-	return homes + fmt.Sprintf("%d registered, %d draining, %d avoided after failures, %d loading, %d that sent Retry-After, %d without the weights or tried, %d at the limit that they named, %d full",
-		registered, draining, avoided, loading, backedOff, empty, limited, fullOnes)
+	return homes + fmt.Sprintf("%d registered, %d evacuated, %d draining, %d avoided after failures, %d loading, %d that sent Retry-After, %d without the weights or tried, %d at the limit that they named, %d full",
+		registered, evacuated, draining, avoided, loading, backedOff, empty, limited, fullOnes)
 }
 
 func sortedKeys[T any](m map[string]T) []string {
--- a/internal/core/forward/target.go
+++ b/internal/core/forward/target.go
@@ -21,6 +21,8 @@
 	unasked bool
 	// superseded is set when another upstream has its address by now.
 	superseded bool
+	// evacuated is set while the operator evacuates its data centre.
+	evacuated bool
 	// sharers is how many entries may give it work, as far as agents have counted them.
 	sharers int
 	// readAhead is the policy's; see Policy.
@@ -71,6 +73,7 @@
 	t.region = s.Self.Regions[u.DataCentre]
 	t.sharers = s.entries
 	t.superseded = s.Catalog.Superseded(u)
+	t.evacuated = s.Catalog.Evacuated(u.DataCentre)
 	t.unasked = s.greeted != nil && !s.greeted[u.ID] && t.engine != nil
 	return t
 }
@@ -111,9 +114,12 @@
 	return said && (t.Born > 0 || now.Sub(t.load.leftAt) < wordKept)
 }
 
+// closed tells whether the upstream gets no new work until further notice.
+func (t *target) closed(now time.Time) bool { return t.evacuated || t.superseded || t.leaving(now) }
+
 // usable tells whether the upstream could take a request, room or no; required is the version that the request must begin on.
 func (t *target) usable(now time.Time, r *request, required int64) bool {
-	if t.leaving(now) || t.superseded || now.Before(t.load.avoid) || !t.load.backoff.allows(now) || len(r.tried) > 0 && r.tried[t.Life()] {
+	if t.closed(now) || now.Before(t.load.avoid) || !t.load.backoff.allows(now) || len(r.tried) > 0 && r.tried[t.Life()] {
 		return false
 	}
 	if r.model == "" {
@@ -126,13 +132,13 @@
 // loading tells whether an engine takes nothing now and will in a moment: it loads its weights in some 0.4 s. When no other can be used
 // it is worth the wait for room.
 func (t *target) loading(now time.Time, r *request) bool {
-	return r.model != "" && !t.leaving(now) && t.load.closing(now)
+	return r.model != "" && !t.closed(now) && t.load.closing(now)
 }
 
 // backSoon tells whether an upstream that this entry stays away from takes requests again within a time.
 func (t *target) backSoon(now time.Time, within time.Duration) bool {
 	b := &t.load.backoff
-	return !t.leaving(now) && !b.allows(now) && b.left(now) <= within
+	return !t.closed(now) && !b.allows(now) && b.left(now) <= within
 }
 
 // held is the version of a model that an engine holds; its agent knows it sooner than the store.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -9,10 +9,14 @@
 	"samphireweir.example/samphireweir/platform"
 )
 
-// follow follows the manifest, the upstreams and the versions in the store.
+// follow follows the manifest, the upstreams, the versions and the evacuations in the store.
 func (g *Gateway) follow(ctx context.Context) {
 	beliefs := storewatch.Beliefs{Step: g.believe, Log: g.log}
-	for _, kind := range []string{platform.ConfigKind, platform.ServerKind, platform.VersionKind} {
+	kinds := []string{platform.ConfigKind, platform.ServerKind, platform.VersionKind}
+	if g.catalog.FollowsEvacuations {
+		kinds = append(kinds, platform.EvacuationKind)
+	}
+	for _, kind := range kinds {
 		f := beliefs.Follower(g.store, kind)
 		f.Shared = g.store.Shared
 		go f.Run(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,7 +68,7 @@
 // New returns an entry of a host. Its metrics are written to m; traces is nil when tracing is off.
 func New(host hostconfig.Host, log zerolog.Logger, m *telemetry.Metrics, traces *telemetry.Traces) *Gateway {
 	c, self := catalog.NewState(), net.JoinHostPort(host.IP, strconv.Itoa(host.PeerPort))
-	c.ListedSince = time.Now().Add(-host.ListedAge())
+	c.ListedSince, c.FollowsEvacuations = time.Now().Add(-host.ListedAge()), host.EvacuationTime > 0
 	neighbours, cache := storefeed.NewNeighbours(host, self, false, log), storefeed.NewCache(host.ChangeTime())
 	transport := newStoreTransport()
 	upstreams := &http.Client{Transport: newUpstreamTransport()}
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -36,6 +36,9 @@
 	// ManifestTime and DrainTime are how long after the store took it a change of the manifest is in force on every host, and a leaving
 	// upstream gets no more work; 0 when the platform does not say.
 	ManifestTime, DrainTime time.Duration
+	// EvacuationTime is how long after the store took it an evacuation of a data centre is in force on every host; 0 where the platform has
+	// none.
+	EvacuationTime time.Duration
 	// Settle is how long after its start or a disturbance a host may be without knowledge of what is in force; 0 when the platform does not
 	// say.
 	Settle  time.Duration
--- a/internal/storewatch/beliefs.go
+++ b/internal/storewatch/beliefs.go
@@ -35,6 +35,8 @@
 	case platform.VersionKind:
 		f.Wait = longWait
 		f.Listed, f.Changed = b.versionsListed, b.versionsChanged
+	case platform.EvacuationKind:
+		f.Listed, f.Changed = b.evacuationsListed, b.evacuationsChanged
 	}
 	return f
 }
@@ -110,6 +112,30 @@
 	}
 }
 
+// evacuationsListed takes the data centres that are being evacuated; the content of their entries says nothing more.
+func (b Beliefs) evacuationsListed(revision int64, objects []platform.Object) {
+	ev := catalog.EvacuationsListed{Revision: revision}
+	for _, o := range objects {
+		if o.Name != "" {
+			ev.DataCentres = append(ev.DataCentres, o.Name)
+		}
+	}
+	b.Step(ev)
+	b.Step(catalog.TopicListed{Topic: catalog.EvacuationTopic})
+}
+
+func (b Beliefs) evacuationsChanged(objects []platform.Object) {
+	for _, o := range objects {
+		switch {
+		case o.Name == "":
+		case o.Deleted:
+			b.Step(catalog.EvacuationEnded{DataCentre: o.Name, Revision: o.Revision})
+		default:
+			b.Step(catalog.EvacuationAsked{DataCentre: o.Name, Revision: o.Revision})
+		}
+	}
+}
+
 // maxTold bounds the unreadable objects that are remembered.
 const maxTold = 1000
 
