--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -32,6 +32,9 @@
 	Draining bool
 	// Versions are the versions of the weights it holds whole, by model.
 	Versions map[string]int64
+	// ColdLeft is how much longer it is cold, as its entry says, and ColdUntil when that ends, which the reducer sets; see Service.
+	ColdLeft  time.Duration
+	ColdUntil time.Time
 	// Revision is the store's revision of the entry.
 	Revision int64
 }
--- a/internal/core/catalog/manifest.go
+++ b/internal/core/catalog/manifest.go
@@ -93,6 +93,10 @@
 	// Origin is the address of the origin of weights, for the service that is one.
 	Origin     string
 	DataCentre string
+	// ColdFor is how long an upstream is cold after a start, and ColdRate how many requests a second it takes meanwhile from all entries
+	// together; 0 where upstreams take all from their start on.
+	ColdFor  time.Duration
+	ColdRate float64
 }
 
 // Account is a client account.
--- a/internal/core/catalog/notice.go
+++ b/internal/core/catalog/notice.go
@@ -13,4 +13,6 @@
 	Leaving bool
 	// RetryAfter is how long the upstream, which turned the request away, wants nothing from this entry; 0 when it does not say.
 	RetryAfter time.Duration
+	// ColdLeft is how much longer the upstream is cold; 0 when it does not say, or is not.
+	ColdLeft time.Duration
 }
