--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -206,7 +206,7 @@
 	case UpstreamsListed:
 		return s.upstreamsListed(in.Now, ev)
 	case UpstreamChanged:
-		return s.upstreamChanged(ev.Upstream)
+		return s.upstreamChanged(in.Now, ev.Upstream)
 	case UpstreamRemoved:
 		return s.upstreamRemoved(in.Now, ev)
 	case UpstreamUnreadable:
@@ -250,7 +250,7 @@
 	present := map[string]bool{}
 	for _, u := range ev.Upstreams {
 		present[u.ID] = true
-		effects = append(effects, s.upstreamChanged(u)...)
+		effects = append(effects, s.upstreamChanged(now, u)...)
 	}
 	for _, id := range sortedIDs(s.Upstreams) {
 		if !present[id] && s.Upstreams[id].Revision <= ev.Revision {
@@ -260,7 +260,7 @@
 	return effects
 }
 
-func (s *State) upstreamChanged(u *Upstream) []step.Effect {
+func (s *State) upstreamChanged(now time.Time, u *Upstream) []step.Effect {
 	if u.Revision <= s.removed[u.ID] {
 		return nil
 	}
@@ -277,7 +277,7 @@
 	}
 	delete(s.lapsing, u.ID)
 	delete(s.removed, u.ID)
-	s.put(old, u)
+	s.put(old, u.coldFrom(now, old))
 	if old != nil && old.Draining == u.Draining && old.Born == u.Born {
 		return nil
 	}
@@ -288,6 +288,18 @@
 	return []step.Effect{Change{Topic: UpstreamTopic, Name: u.ID, Value: value, Revision: u.Revision}}
 }
 
+// coldFrom returns the upstream with the end of its time as cold. An entry that was read before, as in a list, says nothing new.
+func (u *Upstream) coldFrom(now time.Time, old *Upstream) *Upstream {
+	next := *u
+	switch {
+	case old != nil && old.Revision == u.Revision && old.Born == u.Born:
+		next.ColdUntil = old.ColdUntil
+	case u.ColdLeft > 0:
+		next.ColdUntil = now.Add(u.ColdLeft)
+	}
+	return &next
+}
+
 // put takes the entry of an upstream in place of an older one, if there is one.
 func (s *State) put(old, u *Upstream) {
 	s.Upstreams[u.ID] = u
@@ -322,18 +334,27 @@
 }
 
 // Reborn notes that an upstream has started again under its id, as the agent beside it tells before the store does. A new life holds no
-// weights.
-func (s *State) Reborn(id string, born int64) {
+// weights, and is cold until it says otherwise.
+func (s *State) Reborn(now time.Time, id string, born int64) {
 	u := s.Upstreams[id]
 	if u == nil || born <= u.Born {
 		return
 	}
 	next := *u
 	next.Born, next.Versions = born, map[string]int64{}
+	next.ColdUntil = now.Add(s.coldFor(u.Service))
 	s.Upstreams[id] = &next
 	s.Changes++
 }
 
+// coldFor is how long an upstream of a service is cold after a start.
+func (s *State) coldFor(service string) time.Duration {
+	if s.Manifest == nil || s.Manifest.Services[service] == nil {
+		return 0
+	}
+	return s.Manifest.Services[service].ColdFor
+}
+
 func (s *State) upstreamRemoved(now time.Time, ev UpstreamRemoved) []step.Effect {
 	u := s.Upstreams[ev.ID]
 	if u == nil || ev.Revision < u.Revision {
--- a/internal/core/catalog/lives_test.go
+++ b/internal/core/catalog/lives_test.go
@@ -31,10 +31,10 @@
 func TestANewLifeIsKnownByTheAgentFirst(t *testing.T) {
 	s := catalog.NewState()
 	s.Reduce(at(0, catalog.UpstreamChanged{Upstream: life(100, 4)}))
-	s.Reborn("a", 200)
+	s.Reborn(begin, "a", 200)
 	require.Equal(t, catalog.Life{ID: "a", Born: 200}, s.Upstreams["a"].Life())
 	require.Empty(t, s.Upstreams["a"].Versions, "it holds nothing yet")
-	s.Reborn("a", 100)
+	s.Reborn(begin, "a", 100)
 	s.Reduce(at(0, catalog.UpstreamChanged{Upstream: life(100, 5)}))
 	require.Equal(t, int64(200), s.Upstreams["a"].Born)
 }
--- a/internal/core/forward/away.go
+++ b/internal/core/forward/away.go
@@ -35,7 +35,7 @@
 // entry to stay away; 0 when one has not, which is back sooner or can't be waited for.
 func (s *State) backoffLeft(now time.Time, r *request) time.Duration {
 	var left time.Duration
-	for _, t := range s.targetsFor(r) {
+	for _, t := range s.targetsFor(now, r) {
 		if t.closed(now) {
 			continue
 		}
@@ -55,7 +55,7 @@
 func (s *State) outage(now time.Time, r *request) bool {
 	var all, heard census
 	required := s.requiredVersion(now, r.model)
-	for _, t := range s.targetsFor(r) {
+	for _, t := range s.targetsFor(now, r) {
 		usable := t.usable(now, r, required) || r.tried[t.Life()] && !now.Before(t.load.avoid)
 		all.count(usable)
 		if t.load.heard(now) {
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -130,6 +130,8 @@
 	RateLimit *float64
 	// Leaving is set when the engine tells its agent that it shuts down.
 	Leaving bool
+	// ColdLeft is how much longer the engine is cold, as it tells its agent; 0 when it does not say.
+	ColdLeft time.Duration
 	// Entries is how many entries listen to this agent, and Near how many of them are in its data centre.
 	Entries int
 	Near    int
--- a/internal/core/forward/greet.go
+++ b/internal/core/forward/greet.go
@@ -62,4 +62,7 @@
 }
 
 // isEngine tells whether an upstream is a model engine, beside which an agent runs.
-func (s *State) isEngine(u *catalog.Upstream) bool { return s.engine(u) != nil }
+func (s *State) isEngine(u *catalog.Upstream) bool {
+	service := s.service(u)
+	return service != nil && service.Engine != nil
+}
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -44,6 +44,9 @@
 	// notice is what it said of itself last, and pace spreads what it gets while it names a limit.
 	notice catalog.Notice
 	pace   pace
+	// coldUntil is when it is no longer cold, as it said itself, and cold spreads what it gets until then.
+	coldUntil time.Time
+	cold      pace
 	// backoff is the time in which it wants nothing from this entry.
 	backoff backoff
 	// broken are the requests that broke there in the last moments, the oldest first.
@@ -98,7 +101,7 @@
 	var effects []step.Effect
 	if ev.Born > u.Born && u.Born > 0 {
 		effects = s.wentDown(in, u.Life())
-		s.Catalog.Reborn(u.ID, ev.Born)
+		s.Catalog.Reborn(in.Now, u.ID, ev.Born)
 		u = s.Catalog.Upstreams[u.ID]
 	}
 	if len(ev.Versions) == 0 {
@@ -111,7 +114,10 @@
 	l.told, l.toldAt = ev, in.Now
 	l.nearPeak.note(in.Now, ev.Near)
 	l.others = max(0, ev.Occupied-l.inFlight)
-	l.allowance = s.target(u).share(ev, in.Rand)
+	l.saidCold(in.Now, ev.ColdLeft)
+	t := s.target(u)
+	l.allowance = t.share(ev, in.Rand)
+	s.paceCold(in.Now, t)
 	if ev.Leaving {
 		l.leftAt = in.Now
 	}
--- a/internal/core/forward/notice.go
+++ b/internal/core/forward/notice.go
@@ -49,9 +49,13 @@
 	if ev.Notice.Leaving {
 		l.leftAt = in.Now
 	}
+	if l.saidCold(in.Now, ev.Notice.ColdLeft); ev.Notice.ColdLeft > 0 {
+		s.paceColdLife(in.Now, ev.Upstream)
+	}
 	before := l.notice
 	l.notice = ev.Notice
-	if before == ev.Notice {
+	l.notice.ColdLeft = 0 // It shrinks with each answer, which is no news.
+	if before == l.notice {
 		return nil
 	}
 	return []step.Effect{UpstreamSaid{Upstream: ev.Upstream.ID, Notice: ev.Notice, Before: before}}
--- a/internal/core/forward/pace.go
+++ b/internal/core/forward/pace.go
@@ -23,6 +23,8 @@
 	// interval is the time between two moments of this entry, 0 without a limit, and next the first one that was not used.
 	interval time.Duration
 	next     time.Time
+	// kept is how long a moment stays of use; 0 stands for slotKept.
+	kept time.Duration
 }
 
 // set takes a limit of which this entry has a part; draw is any random number.
@@ -50,11 +52,18 @@
 	if p.interval == 0 {
 		return true
 	}
-	if missed := now.Add(-slotKept).Sub(p.next); missed > 0 {
+	if missed := now.Add(-p.slotKept()).Sub(p.next); missed > 0 {
 		p.next = p.next.Add((missed/p.interval + 1) * p.interval)
 	}
 	return !p.next.After(now)
 }
 
+func (p *pace) slotKept() time.Duration {
+	if p.kept > 0 {
+		return p.kept
+	}
+	return slotKept
+}
+
 // use notes that a request was sent.
 func (p *pace) use() { p.next = p.next.Add(p.interval) }
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -70,7 +70,7 @@
 	p := pools{known: s.noChoice(), quiet: s.noChoice(), strangers: s.noChoice(), ending: s.noChoice()}
 	required, last := s.requiredVersion(in.Now, r.model), s.lastVersion(in.Now, r)
 	wait := s.waitFor(r)
-	for _, t := range s.targetsFor(r) {
+	for _, t := range s.targetsFor(in.Now, r) {
 		if t.load.heard(in.Now) {
 			p.heard++
 		}
@@ -203,7 +203,7 @@
 func (s *State) census(now time.Time, r *request) string {
 	var registered, evacuated, draining, avoided, loading, backedOff, empty, limited, fullOnes int
 	required := s.requiredVersion(now, r.model)
-	for _, t := range s.targetsFor(r) {
+	for _, t := range s.targetsFor(now, r) {
 		registered++
 		switch {
 		case t.evacuated:
@@ -218,7 +218,7 @@
 			backedOff++
 		case !t.usable(now, r, required):
 			empty++
-		case !t.load.pace.allows(now):
+		case !t.paced(now):
 			limited++
 		case !t.hasRoom(now, r):
 			fullOnes++
@@ -228,7 +228,7 @@
 	if !r.bound.Free() {
 		homes = fmt.Sprintf("of those in its homes (%s): ", r.bound)
 	}
-	return homes + fmt.Sprintf("%d registered, %d evacuated, %d draining, %d avoided after failures, %d loading, %d that sent Retry-After, %d without the weights or tried, %d at the limit that they named, %d full",
+	return homes + fmt.Sprintf("%d registered, %d evacuated, %d draining, %d avoided after failures, %d loading, %d that sent Retry-After, %d without the weights or tried, %d at their limit, %d full",
 		registered, evacuated, draining, avoided, loading, backedOff, empty, limited, fullOnes)
 }
 
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -95,6 +95,7 @@
 	s.load(r.at).allowance--
 	s.load(r.at).reading += r.prompt
 	s.load(r.at).pace.use()
+	s.load(r.at).cold.use()
 	s.load(r.at).backoff.use(in.Now)
 	r.reading, r.keptWaiting = true, false
 	r.blind = s.target(u).stranger()
--- a/internal/core/forward/room.go
+++ b/internal/core/forward/room.go
@@ -20,7 +20,7 @@
 
 // hasRoom tells whether this entry may give the upstream one more request.
 func (t *target) hasRoom(now time.Time, r *request) bool {
-	return t.occupied(now, r) < t.limit(r) && !t.crowded(r) && !t.spent(now, r) && t.load.pace.allows(now)
+	return t.occupied(now, r) < t.limit(r) && !t.crowded(r) && !t.spent(now, r) && t.paced(now)
 }
 
 // occupied is how many requests the upstream has, as far as this entry knows.
--- a/internal/core/forward/target.go
+++ b/internal/core/forward/target.go
@@ -15,6 +15,8 @@
 	engine *catalog.Engine
 	// region is the one that its data centre is in, empty for a data centre that the settings do not name.
 	region string
+	// coldRate is what its service says; see catalog.Service.
+	coldRate float64
 	// distance is 0 in this data centre, 1 in this region, 2 elsewhere.
 	distance int
 	// unasked is set when its agent is not asked for its load, because the entry greets too many others.
@@ -41,20 +43,22 @@
 }
 
 // targetsOf returns the upstreams of a service.
-func (s *State) targetsOf(service string) []*target {
+func (s *State) targetsOf(now time.Time, service string) []*target {
 	t := &s.targets
 	if t.byService == nil || t.changes != s.Catalog.Changes || t.manifest != s.Catalog.Manifest || t.entries != s.entries {
 		*t = targets{byService: map[string][]*target{}, changes: s.Catalog.Changes, manifest: s.Catalog.Manifest, entries: s.entries}
 		for _, u := range s.Catalog.Upstreams {
-			t.byService[u.Service] = append(t.byService[u.Service], s.target(u))
+			made := s.target(u)
+			s.paceCold(now, made)
+			t.byService[u.Service] = append(t.byService[u.Service], made)
 		}
 	}
 	return t.byService[service]
 }
 
 // targetsFor returns the upstreams of a request's service in the regions in which the request may be. Every search for an upstream starts here.
-func (s *State) targetsFor(r *request) []*target {
-	all := s.targetsOf(r.service)
+func (s *State) targetsFor(now time.Time, r *request) []*target {
+	all := s.targetsOf(now, r.service)
 	if r.bound.Free() {
 		return all
 	}
@@ -69,25 +73,24 @@
 
 // target returns an upstream with what is derived of it.
 func (s *State) target(u *catalog.Upstream) *target {
-	t := &target{Upstream: u, load: s.load(u.Life()), engine: s.engine(u), distance: s.distance(u), readAhead: s.Self.Policy.ReadAhead, hash: step.Score(u.ID, "")}
+	t := &target{Upstream: u, load: s.load(u.Life()), distance: s.distance(u), readAhead: s.Self.Policy.ReadAhead, hash: step.Score(u.ID, "")}
 	t.region = s.Self.Regions[u.DataCentre]
 	t.sharers = s.entries
+	if service := s.service(u); service != nil {
+		t.engine, t.coldRate = service.Engine, service.ColdRate
+	}
 	t.superseded = s.Catalog.Superseded(u)
 	t.evacuated = s.Catalog.Evacuated(u.DataCentre)
 	t.unasked = s.greeted != nil && !s.greeted[u.ID] && t.engine != nil
 	return t
 }
 
-// engine returns what the manifest says of an upstream that is a model engine, nil for others.
-func (s *State) engine(u *catalog.Upstream) *catalog.Engine {
+// service returns what the manifest says of an upstream's service; nil when it says nothing.
+func (s *State) service(u *catalog.Upstream) *catalog.Service {
 	if s.Catalog.Manifest == nil {
 		return nil
 	}
-	svc := s.Catalog.Manifest.Services[u.Service]
-	if svc == nil {
-		return nil
-	}
-	return svc.Engine
+	return s.Catalog.Manifest.Services[u.Service]
 }
 
 // distance returns how far away an upstream is; see target.
--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -283,6 +283,9 @@
 // Born is when the engine started, as of its last reading.
 func (s *State) Born() int64 { return s.engine.Born }
 
+// ColdLeft is how much longer the engine says that it is cold; 0 when it does not say.
+func (s *State) ColdLeft() time.Duration { return s.engine.Notice.ColdLeft }
+
 // RateLimit is the limit that the engine names, in requests a second from all entries together; nil for none.
 func (s *State) RateLimit() *float64 {
 	if !s.engine.Notice.Limited {
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -182,7 +182,8 @@
 // that takes it.
 func urgent(told, load loadreport.Load) bool {
 	limited := (load.RateLimit != nil) != (told.RateLimit != nil)
-	return limited || load.Born != told.Born || load.Closing != told.Closing || load.Leaving != told.Leaving
+	cold := (load.ColdMS > 0) != (told.ColdMS > 0)
+	return limited || cold || load.Born != told.Born || load.Closing != told.Closing || load.Leaving != told.Leaving
 }
 
 // due tells whether an entry is to hear of the load now.
@@ -211,7 +212,7 @@
 	defer a.mu.Unlock()
 	load := loadreport.Load{
 		Address: a.host.Engine, Born: a.install.Born(), Occupied: a.install.Occupied(), Closing: a.install.Closing(), Versions: a.install.Loaded(),
-		RateLimit: a.install.RateLimit(), Leaving: a.install.Leaving(),
+		RateLimit: a.install.RateLimit(), Leaving: a.install.Leaving(), ColdMS: a.install.ColdLeft().Milliseconds(),
 	}
 	return load, loadreport.Namings(now, a.catalog.Told(now, a.host.VersionTime))
 }
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -60,6 +60,8 @@
 	RateLimit *float64 `json:"q,omitempty"`
 	// Leaving is set when the engine says that it shuts down.
 	Leaving bool `json:"z,omitempty"`
+	// ColdMS is how much longer the engine says that it is cold, in milliseconds; 0 when it does not say.
+	ColdMS int64 `json:"h,omitempty"`
 	// Entries counts the entries that greeted the agent of late, and Near those of them in its data centre.
 	Entries int `json:"n"`
 	Near    int `json:"i"`
