Slow readers: a budget of bytes, and two tests that fail

What an entry holds for callers was bounded by nothing but the answers; an engine was read at its caller's pace. Package membudget holds the budget; TestAnEngineIsReadWhoeverReadsSlowly and TestAThousandSlowReadersStayWithinTheMemory fail.

--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -43,3 +43,6 @@
 	}
 	return a.failed(context.Background(), errWithdrawn)
 }
+
+// Held is how many bytes are held for callers.
+func (g *Gateway) Held() int64 { return g.memory.Used() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/logevent"
+	"samphireweir.example/samphireweir/internal/membudget"
 	"samphireweir.example/samphireweir/internal/periodic"
 	"samphireweir.example/samphireweir/internal/storefeed"
 	"samphireweir.example/samphireweir/internal/telemetry"
@@ -53,6 +54,8 @@
 	store  *storefeed.Reader
 	self   string
 	socket *loadreport.Socket
+	// memory bounds what is held for callers.
+	memory *membudget.Budget
 
 	mu        sync.Mutex
 	catalog   *catalog.State
@@ -79,13 +82,29 @@
 			Name: host.Name, DataCentre: host.DataCentre, Region: host.Region, Regions: host.Regions,
 			Retries: host.Retries, VersionTime: host.VersionTime,
 		}, c),
-		exchanges: map[uint64]*exchange{},
+		exchanges: map[uint64]*exchange{}, memory: membudget.New(callersMemory(host), time.Now),
 		upstreams: upstreams.Transport, traces: traces,
 		store: neighbours.Reader(
 			platform.NewStore(host.Store, &http.Client{Transport: transport}), control.NewPool(self, "", transport.DialContext), cache),
 	}
 }
 
+const (
+	// callersShare is the part of a process's memory that is held for callers at most, as a divisor; the runtime takes about as much again, and
+	// beliefs and buffers the rest.
+	callersShare = 4
+	// usualMemory stands for a limit that the platform does not say, in bytes.
+	usualMemory = 256 << 20
+)
+
+// callersMemory is how many bytes are held for callers at most.
+func callersMemory(host hostconfig.Host) int64 {
+	if host.Memory <= 0 {
+		return usualMemory / callersShare
+	}
+	return host.Memory / callersShare
+}
+
 // newUpstreamTransport returns a transport that makes a connection for each request. A connection that is used once can't have
 // gone silent, be about to be closed by the other side, or carry a late answer to an earlier request; each of these would
 // leave open whether a request ran. A connection costs one round trip.
--- /dev/null
+++ b/internal/gateway/slow_reader_test.go
@@ -0,0 +1,69 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/platform/standin"
+)
+
+// unread asks for a stream and reads nothing of it.
+func unread(t *testing.T, address string, i int) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
+	_, err = fmt.Fprintf(conn, "POST /stream/1 HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer key-1\r\nDeadline-Ms: 20000\r\nModel: m\r\nAttempt-Id: slow-%d\r\nContent-Length: 0\r\n\r\n", i)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// slowReaders is an entry of 184 MB with an engine whose streams are larger than the buffers of connections, and n callers that read nothing.
+func slowReaders(t *testing.T, n, events, eventBytes int) (*entry, *standin.Upstream) {
+	t.Helper()
+	fleet := standin.NewFleet(t)
+	fleet.Slots = n + 10
+	fleet.Configure()
+	engine := fleet.AddEngine("i-engine", standin.NextIP(), 1)
+	engine.Events, engine.Pace, engine.EventBytes = events, time.Millisecond, eventBytes
+	host := fleet.Host(standin.NextIP(), false)
+	host.Memory = 184 << 20
+	e := startHost(t, fleet, host)
+	for i := range n {
+		unread(t, e.host.Callers, i)
+	}
+	return e, engine
+}
+
+// TestAnEngineIsReadWhoeverReadsSlowly guards against an engine whose answer is left unread, which it cuts off after some seconds, because its
+// caller does not read.
+func TestAnEngineIsReadWhoeverReadsSlowly(t *testing.T) {
+	t.Parallel()
+	const events = 40
+	_, engine := slowReaders(t, 1, events, 256<<10)
+	require.Eventually(t, func() bool { return engine.Ended() == 1 }, patience, pollInterval)
+}
+
+// TestAThousandSlowReadersStayWithinTheMemory guards against a process that holds what a thousand callers do not read until it is killed, and
+// against one that serves nobody else meanwhile.
+func TestAThousandSlowReadersStayWithinTheMemory(t *testing.T) {
+	t.Parallel()
+	const readers, events, eventBytes = 1000, 8, 128 << 10
+	e, engine := slowReaders(t, readers, events, eventBytes)
+	require.Eventually(t, func() bool { return e.gateway.Held() > 0 }, patience, pollInterval)
+	served := 0
+	for range 20 {
+		require.LessOrEqual(t, e.gateway.Held(), int64(184<<20)/4, "a quarter of the process's memory")
+		if r := e.Post("/stream/1"); r.Err == nil && r.Status == 200 && strings.Count(r.Body, "id:") == events {
+			served++
+		}
+	}
+	require.Positive(t, served, "others are served")
+	require.Positive(t, engine.Ended())
+}
