An engine is sent no more than its memory holds

Cause: room was counted in places only; an engine whose requests exceed its memory takes begun ones off, or crashes. Other entries' tokens are not told: their requests count by places.

--- a/internal/core/catalog/manifest.go
+++ b/internal/core/catalog/manifest.go
@@ -73,6 +73,8 @@
 type Engine struct {
 	// Slots is how many requests an engine works on at once.
 	Slots int
+	// Tokens is how many tokens of prompts and answers an engine's memory holds; 0 when it is not known.
+	Tokens int
 	// ReadRate is how many tokens of prompts an engine reads in a second; 0 when it is not known.
 	ReadRate float64
 	// UsualPrompt is the mean length of the prompts in tokens; 0 when it is not known.
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -80,8 +80,8 @@
 	Reading time.Duration
 	// Size is the length of the body in bytes.
 	Size int64
-	// Prompt is the length of the prompt in tokens; 0 when it is not known.
-	Prompt int
+	// Prompt is the length of the prompt in tokens, and Answer that of the longest answer; 0 when it is not known.
+	Prompt, Answer int
 	// Fingerprint names what is asked and by whom, whatever the request's id; 0 when it is not known.
 	Fingerprint uint64
 }
@@ -258,6 +258,8 @@
 	// prompt is the length of the prompt in tokens, and reading is set while the upstream has not answered yet.
 	prompt  int
 	reading bool
+	// tokens is what it may take of an engine's memory: its prompt and the longest answer.
+	tokens int
 	// blind is set when nobody tells of the load of the engine that it is with, and keptWaiting when its first event came late there.
 	blind, keptWaiting bool
 	// version is the version that the present send insists on; 0 for none.
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -23,8 +23,10 @@
 	// inFlight are this entry's own requests there, and reading the tokens of their prompts that were not answered yet.
 	inFlight int
 	reading  int
-	told     LoadTold
-	toldAt   time.Time
+	// tokens is what this entry's own requests there may take of its memory.
+	tokens int
+	told   LoadTold
+	toldAt time.Time
 	// nearPeak is how many entries of its data centre its agent counts.
 	nearPeak peak
 	// overdue counts this entry's requests there that have waited for their first event longer than their latency objective, as of the
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -37,7 +37,7 @@
 	}
 	head := in.Now.Add(-ev.Reading)
 	r := &request{
-		id: ev.ID, host: ev.Host, path: ev.Path, key: ev.Key, fingerprint: ev.Fingerprint, prompt: ev.Prompt, named: ev.Model,
+		id: ev.ID, host: ev.Host, path: ev.Path, key: ev.Key, fingerprint: ev.Fingerprint, prompt: ev.Prompt, tokens: ev.Prompt + ev.Answer, named: ev.Model,
 		arrived: head, heardAt: head, tried: map[catalog.Life]bool{},
 	}
 	if bar, barred := s.follow(in, r); barred {
@@ -94,6 +94,7 @@
 	s.load(r.at).inFlight++
 	s.load(r.at).allowance--
 	s.load(r.at).reading += r.prompt
+	s.load(r.at).tokens += r.tokens
 	s.load(r.at).pace.use()
 	s.load(r.at).cold.use()
 	s.load(r.at).backoff.use(in.Now)
@@ -159,6 +160,7 @@
 	s.began(r.id)
 	l := s.load(r.at)
 	l.inFlight--
+	l.tokens -= r.tokens
 	l.allowance++
 	if o != Misdirected || r.version == 0 {
 		l.note(in.Now, o) // Otherwise the engine is well, and only its version is another than was thought.
--- a/internal/core/forward/room.go
+++ b/internal/core/forward/room.go
@@ -20,7 +20,12 @@
 
 // hasRoom tells whether this entry may give the upstream one more request.
 func (t *target) hasRoom(now time.Time, r *request) bool {
-	return t.occupied(now, r) < t.limit(r) && !t.crowded(r) && !t.spent(now, r) && t.paced(now)
+	return t.occupied(now, r) < t.limit(r) && !t.crowded(r) && !t.spent(now, r) && t.paced(now) && t.holds(t.load.tokens+r.tokens)
+}
+
+// holds tells whether an engine's memory holds so many tokens. An engine that runs out of it takes a request off that has begun, or crashes.
+func (t *target) holds(tokens int) bool {
+	return t.engine == nil || t.engine.Tokens <= 0 || tokens <= t.engine.Tokens
 }
 
 // occupied is how many requests the upstream has, as far as this entry knows.
--- a/internal/core/forward/target.go
+++ b/internal/core/forward/target.go
@@ -128,6 +128,9 @@
 	if r.model == "" {
 		return true
 	}
+	if !t.holds(r.tokens) {
+		return false
+	}
 	held := t.held(now, r.model)
 	return !t.load.closing(now) && held > 0 && held >= required
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -122,7 +122,7 @@
 	defer func() { x.cancel() }()
 	x.fingerprint = fingerprint(x.r, x.call.Key, x.body)
 	x.gateway.step(forward.Arrived{
-		ID: x.id, Host: x.r.Host, Path: x.r.URL.EscapedPath(), Key: x.call.Key, Model: x.call.Model, Prompt: x.call.Prompt,
+		ID: x.id, Host: x.r.Host, Path: x.r.URL.EscapedPath(), Key: x.call.Key, Model: x.call.Model, Prompt: x.call.Prompt, Answer: x.call.Answer,
 		Budget: x.call.Budget, Reading: time.Since(x.arrived), Size: int64(len(x.body)), Fingerprint: x.fingerprint,
 	})
 	for {
--- a/internal/gateway/slow_reader_test.go
+++ b/internal/gateway/slow_reader_test.go
@@ -1,8 +1,6 @@
 package gateway_test
 
 import (
-	"fmt"
-	"net"
 	"strings"
 	"testing"
 	"time"
@@ -12,18 +10,6 @@
 	"samphireweir.example/samphireweir/platform/standin"
 )
 
-// unread asks for a stream and reads nothing of it.
-func unread(t *testing.T, address string, i int) net.Conn {
-	t.Helper()
-	conn, err := net.Dial("tcp", address)
-	require.NoError(t, err)
-	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(4<<10))
-	_, err = fmt.Fprintf(conn, "POST /stream/1 HTTP/1.1\r\nHost: a.example\r\nAuthorization: Bearer key-1\r\nDeadline-Ms: 20000\r\nModel: m\r\nAttempt-Id: slow-%d\r\nContent-Length: 0\r\n\r\n", i)
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = conn.Close() })
-	return conn
-}
-
 // slowReaders is an entry of 184 MB with an engine whose streams are larger than the buffers of connections, and n callers that read nothing.
 func slowReaders(t *testing.T, n, events, eventBytes int) (*entry, *standin.Upstream) {
 	t.Helper()
@@ -35,8 +21,10 @@
 	host := fleet.Host(standin.NextIP(), false)
 	host.Memory = 184 << 20
 	e := startHost(t, fleet, host)
-	for i := range n {
-		unread(t, e.host.Callers, i)
+	for range n {
+		unread, err := e.AskOnly(standin.Request{Path: "/stream/1", DeadlineMS: 20000})
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = unread.Close() })
 	}
 	return e, engine
 }
