--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -85,22 +85,35 @@
 	// before are those before the upstreams, in their order.
 	before []*proxy
 	notices
+	// tenants are client accounts beside the usual one.
+	tenants []map[string]any
+	// places are the data centres of the hosts, in turn; none for one data centre.
+	places []string
 	// fronts are the addresses at which callers reach the entries.
 	fronts []string
 
 	mu sync.Mutex
+	// storeAway are the times in which the store was out of reach for all.
+	storeAway []span
 	// once are the ids of requests that may run once, refused those that were said not to have run.
 	once, refused []string
 	answered      int
 }
 
 func newSoak(t *testing.T, hosts int) *soak {
-	s := &soak{t: t, fleet: standin.NewFleet(t), version: 1}
+	return startSoak(t, hosts, &soak{t: t, fleet: standin.NewFleet(t), version: 1})
+}
+
+// startSoak starts hosts of each kind in the data centres of s, one after the other.
+func startSoak(t *testing.T, hosts int, s *soak) *soak {
 	dir := t.TempDir()
 	s.fleet.Through = s.through
 	s.fleet.Name(1)
 	s.allow(secondKey, true)
 	for i := range hosts {
+		if len(s.places) > 0 {
+			s.fleet.Place = s.places[i%len(s.places)]
+		}
 		s.upstreams = append(s.upstreams, s.fleet.AddService(fmt.Sprintf("i-desk-%d", i)))
 		s.before = append(s.before, s.last())
 		ip := standin.NextIP()
@@ -136,6 +149,9 @@
 func (s *soak) call(c *standin.Caller, q standin.Request) standin.Reply {
 	path, entry := q.Path, s.entryAt(c.Address)
 	q.Header = marked(entry, time.Now())
+	if path == homePath {
+		q.Header.Set(homeHeader, "1")
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	if slices.Contains(s.fronts, c.Address) {
 		ctx, cancel = context.WithTimeout(ctx, callerPatience)
--- a/internal/soak/strikes_test.go
+++ b/internal/soak/strikes_test.go
@@ -115,9 +115,13 @@
 
 // loseStore has the store out of reach in some way for a while.
 func (s *striker) loseStore(set func(bool), d time.Duration) {
+	from := time.Now()
 	set(true)
 	time.Sleep(d)
 	set(false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.storeAway = append(s.storeAway, span{from: from, to: time.Now()})
 }
 
 func (s *striker) shortly() time.Duration {
@@ -173,6 +177,6 @@
 		keys = append(keys, key)
 	}
 	s.allowed = allowed
-	s.fleet.Tenants = []map[string]any{{"name": "karrakin", "apiKeys": keys}}
+	s.fleet.Tenants = append([]map[string]any{{"name": "karrakin", "apiKeys": keys}}, s.tenants...)
 	s.fleet.Configure()
 }
