What a stream waited for shows: pauses at its upstream and in writes to its caller

Change: the end of a request tells the longest pause between two events as they were read and the longest write to the caller; losses name both.

--- a/internal/core/catalog/manifest.go
+++ b/internal/core/catalog/manifest.go
@@ -44,6 +44,8 @@
 	Timeout time.Duration
 	// Objective is the latency within which an answer counts in full.
 	Objective time.Duration
+	// GapObjective is the longest pause between two events of a stream that is in time; 0 when it is not known.
+	GapObjective time.Duration
 	// CallerPatience is how long callers of a stream wait for its first event, and for each next one, before they leave; 0 when it is not
 	// known.
 	CallerPatience time.Duration
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -17,6 +18,8 @@
 	raw []byte
 	// id is empty for an event without one.
 	id string
+	// at is when it was read.
+	at time.Time
 }
 
 // eventReader cuts a stream into whole events.
@@ -44,6 +47,7 @@
 			ev.id = string(bytes.TrimSpace(id))
 		}
 		if len(text) == 0 {
+			ev.at = time.Now()
 			return ev, nil
 		}
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -64,6 +64,7 @@
 	version int64
 	// lastEvent is the id of the last event that was passed on.
 	lastEvent string
+	pauses    pauses
 	// failure is the upstream's own failure, kept in case it is to be passed on.
 	failure *answer
 }
@@ -247,7 +248,9 @@
 // ended logs and counts the end of a request; why may be empty.
 func (x *exchange) ended(how, why string) {
 	logevent.Info(x.gateway.log, logevent.RequestEnded).Str("request", x.call.ID).Str("route", x.routeName()).Str("outcome", how).
-		Str("why", why).Dur("objective_ms", x.objective()).Dur("first_ms", x.firstAfter()).Int64("version", x.version).Dur("took_ms", time.Since(x.arrived)).Msg("request ended")
+		Str("why", why).Dur("objective_ms", x.objective()).Dur("first_ms", x.firstAfter()).
+		Int("events", x.pauses.events).Dur("gap_objective_ms", x.gapObjective()).Dur("upstream_pause_ms", x.pauses.upstream).Dur("caller_pause_ms", x.pauses.caller).
+		Int64("version", x.version).Dur("took_ms", time.Since(x.arrived)).Msg("request ended")
 	x.count(how)
 	x.gateway.metrics.Total.Observe(time.Since(x.arrived), x.routeName(), "")
 }
@@ -260,6 +263,14 @@
 	return x.terms.Route.Objective
 }
 
+// gapObjective is the longest pause between two events of a stream that is in time; 0 when the route does not say.
+func (x *exchange) gapObjective() time.Duration {
+	if x.terms.Route == nil {
+		return 0
+	}
+	return x.terms.Route.GapObjective
+}
+
 // firstAfter is how long the caller waited for the first byte of an upstream's answer; 0 when none came.
 func (x *exchange) firstAfter() time.Duration {
 	if !x.begun {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -226,8 +226,10 @@
 		if err := a.x.follows(e); err != nil {
 			return err
 		}
+		a.x.pauses.read(e.at)
 		header.Del("Content-Length") // The rest of the stream may come from another upstream.
 		a.x.head(resp.StatusCode, header)
+		writing := time.Now()
 		if _, err := a.x.w.Write(e.raw); err != nil {
 			return errors.Wrap(err, "write to the caller")
 		}
@@ -236,6 +238,7 @@
 		}
 		a.x.holder.Shrink(len(e.raw))
 		a.x.passedAt = time.Now()
+		a.x.pauses.wrote(a.x.passedAt.Sub(writing))
 		if e.id != "" {
 			a.x.lastEvent = e.id
 		}
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -105,7 +105,7 @@
 	{ClaimFailed, "claim failed", "A claim could not be recorded in the object API."},
 	{RequestSuspect, "request suspect", "A request was in flight when an upstream died and is now a suspect."},
 	{RequestSent, "request sent", "A request was sent to an upstream; sends counts the sends, and resume says that an answer goes on."},
-	{RequestEnded, "request ended", "A request ended with an upstream's answer, or because its caller left."},
+	{RequestEnded, "request ended", "A request ended with an upstream's answer, or because its caller left. Of a stream, upstream_pause_ms is the longest time between two events as they were read, and caller_pause_ms the longest that a write to its caller took."},
 	{BegunLate, "begun late", "An upstream began a request on a version of weights whose time was over: late_ms says by how much, waited_ms how long it had been there."},
 	{RequestHeldBack, "request held back", "Upstreams went down under a request; from now on copies of it are refused for left_ms. told is set when another process said so; else upstream went down last. The same fingerprint stands in 4001 (why) and 4002."},
 	{CrashesDropped, "crashes dropped", "Crashes under requests were not noted, since too many requests are remembered as having been at upstreams that went down."},
--- a/internal/story/losses.go
+++ b/internal/story/losses.go
@@ -36,6 +36,9 @@
 	lateWait       = "late: it waited for room for over a tenth of its objective"
 	lateAgain      = "late: it was sent more than once"
 	lateUpstream   = "late: at its upstream"
+	latePause      = "late: its upstream paused between two events"
+	lateCaller     = "late: its caller took an event slowly"
+	cutPause       = "cut midway: its upstream went silent"
 	failedUpstream = "failed by the upstream"
 	cutMidway      = "cut midway"
 	callerGone     = "its caller left"
@@ -95,8 +98,14 @@
 		return callerGone
 	case line.Outcome == "failed by the upstream":
 		return failedUpstream
+	case line.Outcome != "answered" && line.paused():
+		return cutPause
 	case line.Outcome != "answered":
 		return cutMidway
+	case line.GapObjectiveMS > 0 && line.CallerPauseMS > line.GapObjectiveMS:
+		return lateCaller
+	case line.paused():
+		return latePause
 	case line.ObjectiveMS <= 0 || line.FirstMS <= line.ObjectiveMS && !sent.CameBack:
 		return ""
 	case sent.CameBack:
@@ -109,6 +118,9 @@
 	return lateUpstream
 }
 
+// paused tells whether the request's upstream paused for longer than a stream that is in time may.
+func (l Line) paused() bool { return l.GapObjectiveMS > 0 && l.UpstreamPauseMS > l.GapObjectiveMS }
+
 // Print writes the losses as a table.
 func (l Losses) Print(w io.Writer) error {
 	var out strings.Builder
--- a/internal/story/read.go
+++ b/internal/story/read.go
@@ -53,7 +53,12 @@
 	// ObjectiveMS, FirstMS and WaitedMS are a request's latency objective, the time to its first byte and its wait for room.
 	ObjectiveMS float64 `json:"objective_ms"`
 	FirstMS     float64 `json:"first_ms"`
-	WaitedMS    float64 `json:"waited_ms"`
+	// GapObjectiveMS bounds the pauses of a stream that is in time; UpstreamPauseMS and CallerPauseMS are the longest at its upstream and in a write to
+	// its caller.
+	GapObjectiveMS  float64 `json:"gap_objective_ms"`
+	UpstreamPauseMS float64 `json:"upstream_pause_ms"`
+	CallerPauseMS   float64 `json:"caller_pause_ms"`
+	WaitedMS        float64 `json:"waited_ms"`
 	// Kind is a kind of object in the store.
 	Kind string `json:"kind"`
 	// Raw is the line as it was written.
