Engines that say they are slow are used after the others, and read less at once

Change: an entry orders engines of a pace of 1.5 or more after all others, near or far, and reckons with the rate at which they read now.

--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -116,11 +116,14 @@
 	return silence > usual || t.load.overdue > 0 && silence > overdueQuiet
 }
 
-// nearer tells whether c is to be used before o whatever their loads.
+// nearer tells whether c is to be used before o whatever their loads: engines that are late or slow come after those that are neither.
 func (c candidate) nearer(o candidate) bool {
 	if late, otherLate := c.load.overdue > 0, o.load.overdue > 0; late != otherLate {
 		return otherLate
 	}
+	if slow, otherSlow := c.slow(), o.slow(); slow != otherSlow {
+		return otherSlow
+	}
 	return c.distance < o.distance
 }
 
--- a/internal/core/forward/room.go
+++ b/internal/core/forward/room.go
@@ -56,14 +56,29 @@
 	return t.readRate() * t.readAhead.Seconds() / float64(max(1, readers))
 }
 
-// readRate is how many tokens of prompts the engine reads in a second.
+// readRate is how many tokens of prompts the engine reads in a second at its present pace.
 func (t *target) readRate() float64 {
 	if t.engine != nil && t.engine.ReadRate > 0 {
-		return t.engine.ReadRate
+		return t.engine.ReadRate / t.pace()
 	}
-	return usualReadRate
+	return usualReadRate / t.pace()
 }
 
+// slowPace is from which pace on an engine counts as slow: about what lets a request of the usual length miss its objective at an engine with some
+// work.
+const slowPace = 1.5
+
+// pace is how many times as long as its service says the engine takes, 1 at least.
+func (t *target) pace() float64 {
+	if pace := t.load.told.Pace; pace > 1 && !math.IsInf(pace, 0) {
+		return pace
+	}
+	return 1
+}
+
+// slow tells whether the engine's requests are likely to be late.
+func (t *target) slow() bool { return t.pace() >= slowPace }
+
 // limit is how many requests the upstream may have.
 func (t *target) limit(r *request) int {
 	switch {
