Entries of a large data centre read through a tree, not all from one

Change: above nine entries the square root of them, eight at least, read from the first and the rest from these; whoever an entry reads from comes before it in the data centre's order, so that no circle forms whatever each knows. Agents are told of other entries than other agents.

--- a/internal/core/source/source.go
+++ b/internal/core/source/source.go
@@ -1,13 +1,15 @@
 // Package source is the reducer that decides from where a process reads what the platform's store holds: from the store
 // itself, or from an entry of its data centre that does. In a large data centre one entry reads the store and the
-// others read from it, since the same bytes would otherwise cross the link between regions once for each process. It is
-// pure: see package step.
+// others read from it, since the same bytes would otherwise cross the link between regions once for each process. Where there are more than
+// one entry can send to, they form a tree of two levels: some read from the first entry and the rest from these. It is pure: see package step.
 //
 // A process that reads from an entry is never worse off for long: an entry that does not answer in time, or has not heard
 // from the store itself, is avoided, and the store is read instead.
 package source
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/step"
@@ -17,8 +19,13 @@
 	// LeastEntries is how many entries a data centre must have for one of them to read for the others. The reader asks the store up to
 	// three times as often as it would for itself alone, so that fewer save no calls.
 	LeastEntries = 4
-	// Candidates is how many entries of a data centre are told to those who ask: the reader, and two to take its place.
+	// Candidates is how many entries of a small data centre are told to those who ask: the reader, and two to take its place.
 	Candidates = 3
+	// fanOut is how many entries may read from one before a second level is made. An answer to a first question is some hundred kilobytes, of
+	// which the narrowest host sends so many in a second.
+	fanOut = 8
+	// spare is how many entries more than are read from are told to those who ask, to take the place of some.
+	spare = 2
 	// toldFor is how long an entry counts after somebody told of it; the rarest word comes each three seconds.
 	toldFor = 7 * time.Second
 	// avoidFor is how long an entry that failed as a source is avoided.
@@ -56,7 +63,7 @@
 type State struct {
 	self       string
 	dataCentre string
-	// spread is set for agents, which spread over the entries; entries all read from the first.
+	// spread is set for agents, which spread over the entries; entries form a tree.
 	spread  bool
 	told    map[string]time.Time
 	failed  map[string]time.Time
@@ -123,30 +130,59 @@
 	if s.count < LeastEntries {
 		return ""
 	}
-	entries := make([]string, 0, len(s.told))
-	for e := range s.told {
-		entries = append(entries, e)
+	sound := s.sound(now)
+	if s.spread {
+		return first(step.Rank(s.self, sound))
 	}
-	for _, e := range step.Rank(s.order(), entries) {
-		if e == s.self {
-			return "" // Those before it failed: it reads for those after it.
-		}
-		if at, failed := s.failed[e]; !failed || now.Sub(at) > avoidFor {
-			return e
+	ranked := step.Rank(s.dataCentre, append(sound, s.self))
+	position := slices.Index(ranked, s.self)
+	switch middle := breadth(s.count); {
+	case position == 0:
+		return "" // It reads the store for those after it.
+	case position <= middle:
+		return ranked[0]
+	default:
+		// Whatever others know, an entry reads from one that comes before it, so that nobody reads from itself over others.
+		return first(step.Rank(s.self, ranked[1:middle+1]))
+	}
+}
+
+// sound are the other entries that this process knows and that have not failed of late.
+func (s *State) sound(now time.Time) []string {
+	entries := make([]string, 0, len(s.told)+1)
+	for e := range s.told {
+		if at, failed := s.failed[e]; e != s.self && (!failed || now.Sub(at) > avoidFor) {
+			entries = append(entries, e)
 		}
 	}
-	return ""
+	return entries
 }
 
-func (s *State) order() string {
-	if s.spread {
-		return s.self
+func first(ranked []string) string {
+	if len(ranked) == 0 {
+		return ""
 	}
-	return s.dataCentre
+	return ranked[0]
+}
+
+// breadth is how many entries of a data centre read from the first one: the square root of all of them, so that neither it nor those that the rest
+// reads from send to more than about that.
+func breadth(entries int) int {
+	return max(fanOut, int(math.Ceil(math.Sqrt(float64(entries)))))
 }
 
-// First returns the entries that a data centre's processes are told of, of all its entries.
+// First returns the entries that the entries of a data centre are told of, of all that it has: those that are read from.
 func First(dataCentre string, entries []string) []string {
+	told := Candidates
+	if middle := breadth(len(entries)); len(entries) > middle+1 {
+		told = 1 + middle + spare
+	}
 	ranked := step.Rank(dataCentre, entries)
+	return ranked[:min(told, len(ranked))]
+}
+
+// For returns the entries that an agent is told of, of all entries of its data centre: others than other agents are.
+func For(agent string, entries []string) []string {
+	ranked := step.Rank(agent, entries)
 	return ranked[:min(Candidates, len(ranked))]
 }
