Entries that start wait to hear from whom to read, and agents are spread over all entries

Cause: each of 303 entries listed the store at its start, at 988 hosts 76 MB over links of 27 Mbit/s between regions; agents waited a second for entries that were not ready by then and listed it too. All agents that a seed told read from the same three entries. A count of entries that was not reached again within 7 s counted as none, and sent whole data centres to the store for a moment. Change: where the platform allows as many reads as for a hundred hosts, entries wait up to a second and agents three for the seeds' word, which they have after a quarter of a second; who comes first in its data centre lists. Agents are told of entries by an order of their own. The count falls back to the next highest. The busiest process's bytes grow as the list does. At twice the size the same, by construction: one reader a data centre.

--- a/internal/core/source/source.go
+++ b/internal/core/source/source.go
@@ -64,10 +64,12 @@
 	self       string
 	dataCentre string
 	// spread is set for agents, which spread over the entries; entries form a tree.
-	spread  bool
-	told    map[string]time.Time
-	failed  map[string]time.Time
+	spread bool
+	told   map[string]time.Time
+	failed map[string]time.Time
+	// count is how many entries there are: the highest count of the last times, where recent is the highest since countAt.
 	count   int
+	recent  int
 	countAt time.Time
 	address string
 }
@@ -104,8 +106,9 @@
 	for _, e := range ev.Entries {
 		s.told[e] = now
 	}
-	// Who counts has not met all entries for a while after its start: the highest count of the last seconds is nearest.
-	if ev.Count >= s.count || now.Sub(s.countAt) > toldFor {
+	// Who counts has not met all entries for a while after its start, or never meets all: the highest count of the last seconds is nearest.
+	s.recent = max(s.recent, ev.Count)
+	if ev.Count >= s.count {
 		s.count, s.countAt = ev.Count, now
 	}
 }
@@ -122,7 +125,7 @@
 		}
 	}
 	if now.Sub(s.countAt) > toldFor {
-		s.count = 0
+		s.count, s.recent, s.countAt = s.recent, 0, now
 	}
 }
 
--- a/internal/core/source/source_test.go
+++ b/internal/core/source/source_test.go
@@ -150,3 +150,18 @@
 	c.after(time.Second, source.Told{Entries: entries(2), Count: 2})
 	require.NotEmpty(t, c.Address())
 }
+
+// TestAHighCountThatIsNotHeardAgainGivesWayToTheNextHighest guards against a process that turns to the store for a moment, with all others of its data
+// centre, each time that the highest count grows old: agents count fewer entries than a seed does.
+func TestAHighCountThatIsNotHeardAgainGivesWayToTheNextHighest(t *testing.T) {
+	c := newClock("10.0.0.99:7700", true)
+	c.after(0, source.Told{Entries: entries(20), Count: 60})
+	for range 300 {
+		c.after(100*time.Millisecond, source.Told{Entries: entries(20), Count: 28})
+		c.after(0, step.Tick{})
+		require.NotEmpty(t, c.Address())
+	}
+	c.after(15*time.Second, step.Tick{})
+	c.after(15*time.Second, step.Tick{})
+	require.Empty(t, c.Address(), "nobody tells of entries any more")
+}
--- a/internal/storefeed/choice.go
+++ b/internal/storefeed/choice.go
@@ -69,7 +69,6 @@
 		return
 	}
 	c.address = address
-	c.releaseLocked()
 	if c.cancel != nil {
 		c.cancel()
 		c.moved, c.cancel = nil, nil
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -91,12 +91,17 @@
 	Watch(ctx context.Context, kind string, revision int64, wait time.Duration) ([]platform.Object, int64, error)
 }
 
+// Caller makes calls to other processes; see control.Pool.
+type Caller interface {
+	Call(ctx context.Context, address, method string, params, answer any) error
+}
+
 // Reader reads the store itself or through another process, and keeps what it read. It is a Store.
 type Reader struct {
 	// Direct is the store itself.
 	Direct Store
-	// Pool holds the connections to other processes.
-	Pool *control.Pool
+	// Peers asks other processes.
+	Peers Caller
 	// Cache keeps what is read; nil for a process that nobody reads from.
 	Cache *Cache
 	// Choice is where to read from.
@@ -201,7 +206,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	var a Answer
-	if err := r.Pool.Call(ctx, address, Method, q, &a); err != nil {
+	if err := r.Peers.Call(ctx, address, Method, q, &a); err != nil {
 		return nil, 0, 0, err
 	}
 	switch {
--- a/internal/storefeed/feed_test.go
+++ b/internal/storefeed/feed_test.go
@@ -87,7 +87,7 @@
 	pool := control.NewPool(l.Addr().String(), "", (&net.Dialer{}).DialContext)
 	t.Cleanup(pool.Close)
 	p := &process{address: l.Addr().String()}
-	p.Reader = &storefeed.Reader{Direct: s, Pool: pool, Cache: cache, Choice: &storefeed.Choice{}, Failed: func(address string, _ error) {
+	p.Reader = &storefeed.Reader{Direct: s, Peers: pool, Cache: cache, Choice: &storefeed.Choice{}, Failed: func(address string, _ error) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.failed = append(p.failed, address)
--- /dev/null
+++ b/internal/storefeed/fleet_test.go
@@ -0,0 +1,337 @@
+package storefeed
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/hostconfig"
+	"samphireweir.example/samphireweir/internal/loadreport"
+	"samphireweir.example/samphireweir/platform"
+)
+
+const (
+	// virtualDataCentres, virtualSeeds: what the virtual fleet has of each; two thirds of its hosts are agents.
+	virtualDataCentres = 5
+	virtualSeeds       = 3
+	// datagramTime is how long a datagram is under way, and listTimeOfStore how long the store takes to a list.
+	datagramTime    = 2 * time.Millisecond
+	listTimeOfStore = 200 * time.Millisecond
+	// greetedAgents is how many agents of its data centre an entry greets.
+	greetedAgents = 64
+	// virtualKind is the kind that all of them read.
+	virtualKind = "servers"
+)
+
+// virtualFleet plays many processes that start at once, without a network, and counts what they send and ask.
+type virtualFleet struct {
+	mu        sync.Mutex
+	processes map[string]*virtualProcess
+	objects   []platform.Object
+	// lists and watches count the calls to the store.
+	lists, watches int
+	revision       int64
+	changed        chan struct{}
+}
+
+type virtualProcess struct {
+	fleet      *virtualFleet
+	address    netip.AddrPort
+	neighbours *Neighbours
+	reader     *Reader
+	cache      *Cache
+	// sent counts the bytes of its answers and messages sent, datagrams those that it was sent, both guarded by the fleet's lock; known is the
+	// highest revision that it knows.
+	sent, datagrams int
+	known           int64
+}
+
+// List lists the store.
+func (f *virtualFleet) List(context.Context, string, bool) ([]platform.Object, int64, error) {
+	f.mu.Lock()
+	f.lists++
+	objects, revision := f.objects, f.revision
+	f.mu.Unlock()
+	time.Sleep(listTimeOfStore)
+	return objects, revision, nil
+}
+
+// Watch waits for changes in the store.
+func (f *virtualFleet) Watch(ctx context.Context, _ string, since int64, wait time.Duration) ([]platform.Object, int64, error) {
+	f.mu.Lock()
+	f.watches++
+	changed := f.changed
+	f.mu.Unlock()
+	if news, at := f.since(since); len(news) > 0 {
+		return news, at, nil
+	}
+	select {
+	case <-changed:
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+	news, at := f.since(since)
+	return news, at, nil
+}
+
+func (f *virtualFleet) since(revision int64) ([]platform.Object, int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var news []platform.Object
+	for _, o := range f.objects {
+		if o.Revision > revision {
+			news = append(news, o)
+		}
+	}
+	return news, max(f.revision, revision)
+}
+
+// change writes an object.
+func (f *virtualFleet) change(i int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision++
+	objects := append([]platform.Object(nil), f.objects...)
+	objects[i].Revision = f.revision
+	f.objects = objects
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Send carries a datagram.
+func (p *virtualProcess) Send(to netip.AddrPort, m loadreport.Message) error {
+	raw, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	f := p.fleet
+	f.mu.Lock()
+	target := f.processes[to.String()]
+	p.sent += len(raw)
+	if target != nil {
+		target.datagrams++
+	}
+	f.mu.Unlock()
+	if target == nil {
+		return nil
+	}
+	time.AfterFunc(datagramTime, func() {
+		target.neighbours.Heard(p.address, m)
+		if target.cache != nil {
+			target.neighbours.Answer(target, p.address, m)
+		} else if m.DataCentre != "" {
+			target.report(p.address, m.DataCentre)
+		}
+	})
+	return nil
+}
+
+// report tells an entry that has greeted this agent what a report on its engine tells of the entries of its data centre.
+func (p *virtualProcess) report(to netip.AddrPort, dataCentre string) {
+	var m loadreport.Message
+	p.neighbours.Tell(dataCentre, &m)
+	if m.EntryCount > 0 {
+		_ = p.Send(to, m) // A datagram may get lost.
+	}
+}
+
+// greetAgents has an entry that knows the list greet some agents of its data centre each second, by an order of its own.
+func (p *virtualProcess) greetAgents(ctx context.Context) {
+	var agents []string
+	for address, other := range p.fleet.processes {
+		if other.cache == nil && other.neighbours.dataCentre == p.neighbours.dataCentre {
+			agents = append(agents, address)
+		}
+	}
+	agents = step.Rank(p.address.String(), agents)[:min(greetedAgents, len(agents))]
+	for ; ctx.Err() == nil; time.Sleep(time.Second) {
+		for _, a := range agents {
+			_ = p.Send(netip.MustParseAddrPort(a), loadreport.Message{DataCentre: p.neighbours.dataCentre}) // As above.
+		}
+	}
+}
+
+// Call asks another process.
+func (p *virtualProcess) Call(ctx context.Context, address, _ string, params, answer any) error {
+	p.fleet.mu.Lock()
+	target := p.fleet.processes[address]
+	p.fleet.mu.Unlock()
+	if target == nil || target.cache == nil {
+		return errors.New("nobody is there")
+	}
+	raw, err := json.Marshal(target.cache.wait(ctx, params.(Question)))
+	if err != nil {
+		return err
+	}
+	p.fleet.mu.Lock()
+	target.sent += len(raw)
+	p.fleet.mu.Unlock()
+	time.Sleep(datagramTime)
+	return json.Unmarshal(raw, answer)
+}
+
+// run reads the store, or another process, from the start on.
+func (p *virtualProcess) run(ctx context.Context) {
+	go p.neighbours.GreetSeeds(ctx, p, func() bool { return p.at() > 0 })
+	go func() {
+		for ; ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
+			p.neighbours.Tick()
+		}
+	}()
+	for ctx.Err() == nil && p.at() == 0 {
+		if _, at, err := p.reader.List(ctx, virtualKind, p.cache == nil); err == nil {
+			p.note(at)
+		}
+	}
+	if p.cache != nil {
+		go p.greetAgents(ctx)
+	}
+	for ctx.Err() == nil {
+		if _, at, err := p.reader.Watch(ctx, virtualKind, p.at(), 2*time.Second); err == nil {
+			p.note(at)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (p *virtualProcess) at() int64 {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	return p.known
+}
+
+func (p *virtualProcess) note(at int64) {
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	p.known = max(p.known, at)
+}
+
+// newVirtualFleet returns a fleet of n processes, a third of them entries, none of which runs.
+func newVirtualFleet(n int) *virtualFleet {
+	f := &virtualFleet{processes: map[string]*virtualProcess{}, revision: 1, changed: make(chan struct{})}
+	for i := range n {
+		f.objects = append(f.objects, platform.Object{
+			Name: fmt.Sprintf("i-%08x", i), Revision: 1, Spec: json.RawMessage(fmt.Sprintf(`{"service":"model","address":"10.0.%d.%d:8080","zone":"a","slots":8,"state":"ready"}`, i/200, i%200)),
+		})
+	}
+	var seeds []string
+	for i := range n {
+		place := i % virtualDataCentres
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(place), byte(i / 250), byte(i % 250)}), 7700)
+		host := hostconfig.Host{DataCentre: "dc-" + strconv.Itoa(place), StoreReads: crowdReads, ManifestTime: 5 * time.Second, DrainTime: 5 * time.Second}
+		p := &virtualProcess{fleet: f, address: address}
+		agent := i >= n/3
+		if !agent {
+			p.cache = NewCache(host.ChangeTime())
+		}
+		if len(seeds) < virtualSeeds {
+			seeds = append(seeds, address.String())
+		}
+		host.Seeds = seeds
+		p.neighbours = NewNeighbours(host, address.String(), agent, zerolog.Nop())
+		p.reader = p.neighbours.Reader(f, p, p.cache)
+		f.processes[address.String()] = p
+	}
+	// The first processes were made before all seeds were known.
+	for _, p := range f.processes {
+		p.neighbours.seeds = nil
+		for _, s := range seeds {
+			if s != p.address.String() {
+				p.neighbours.seeds = append(p.neighbours.seeds, netip.MustParseAddrPort(s))
+			}
+		}
+	}
+	return f
+}
+
+// counts are what a virtual fleet sent and asked.
+type counts struct {
+	lists, watches, busiestBytes, busiestDatagrams int
+	// ready is how long it took until all knew the list.
+	ready time.Duration
+}
+
+// startAll starts all processes at once and lets some changes come.
+func startAll(t *testing.T, n int) counts {
+	t.Helper()
+	var c counts
+	synctest.Test(t, func(t *testing.T) {
+		f := newVirtualFleet(n)
+		ctx, cancel := context.WithCancel(t.Context())
+		began := time.Now()
+		var running sync.WaitGroup
+		for _, p := range f.processes {
+			running.Go(func() { p.run(ctx) })
+		}
+		for f.behind(1) > 0 {
+			require.Less(t, time.Since(began), time.Minute)
+			time.Sleep(50 * time.Millisecond)
+		}
+		c.ready = time.Since(began)
+		for i := range 5 {
+			f.change(i)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(5 * time.Second)
+		require.Zero(t, f.behind(f.revision), "each process knows the last change")
+		c.count(f)
+		cancel()
+		running.Wait()
+		time.Sleep(2 * seedInterval) // What runs beside them ends as well.
+	})
+	return c
+}
+
+func (c *counts) count(f *virtualFleet) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.lists, c.watches = f.lists, f.watches
+	for _, p := range f.processes {
+		c.busiestBytes, c.busiestDatagrams = max(c.busiestBytes, p.sent), max(c.busiestDatagrams, p.datagrams)
+	}
+}
+
+// behind counts the processes that do not know a revision.
+func (f *virtualFleet) behind(revision int64) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, p := range f.processes {
+		if p.known < revision {
+			n++
+		}
+	}
+	return n
+}
+
+// exponent is the power with which something grew with the fleet.
+func exponent(small, large int, before, after float64) float64 {
+	return math.Log(after/before) / math.Log(float64(large)/float64(small))
+}
+
+// TestAFleetThatStartsAtOnceAsksTheStoreForFewLists guards against a start in which each process asks the store for the same lists: their bytes grow
+// with the square of the fleet and fill the links between regions, so that calls end for their time and are made again. At 988 hosts 7,565 calls cost a
+// seventh of a day's worth, eight times as many as at 300.
+func TestAFleetThatStartsAtOnceAsksTheStoreForFewLists(t *testing.T) {
+	const small, large = 150, 900
+	before, after := startAll(t, small), startAll(t, large)
+	t.Logf("%d processes: %+v", small, before)
+	t.Logf("%d processes: %+v", large, after)
+	require.LessOrEqual(t, after.lists, 4*virtualDataCentres, "about one a data centre")
+	require.LessOrEqual(t, exponent(small, large, float64(before.watches), float64(after.watches)), 0.3, "only one entry of a data centre watches")
+	require.LessOrEqual(t, exponent(small, large, float64(before.busiestBytes), float64(after.busiestBytes)), 1.2, "the list grows as the fleet; who sends it, hardly")
+	require.LessOrEqual(t, exponent(small, large, float64(before.ready), float64(after.ready)), 0.3)
+}
--- a/internal/storefeed/neighbours.go
+++ b/internal/storefeed/neighbours.go
@@ -8,7 +8,6 @@
 
 	"github.com/rs/zerolog"
 
-	"samphireweir.example/samphireweir/internal/control"
 	"samphireweir.example/samphireweir/internal/core/source"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/hostconfig"
@@ -17,17 +16,23 @@
 )
 
 const (
-	// seedFirst is the time between two greetings of the seeds while this process knows too little to work. All hosts may start within
-	// a few tenths of a second of each other.
+	// seedFirst is the time between the first two greetings of the seeds while this process knows too little to work; it doubles up to seedLast. All
+	// hosts may start within a few tenths of a second of each other, and a seed must answer them all.
 	seedFirst = 100 * time.Millisecond
+	seedLast  = 800 * time.Millisecond
 	// seedInterval is the same later on, so that the seeds know the entries that run.
 	seedInterval = 3 * time.Second
-	// tellingFor is how long what a data centre's processes are told is used again.
+	// tellingFor is how long what a data centre's processes are told is used again, by a process that has met its neighbours.
 	tellingFor = 500 * time.Millisecond
-	// sourceWait is how long an agent of a large fleet that starts waits to hear from which entry to read, before it reads the store itself:
-	// if all hosts start at once they fill the links between regions with the same lists. Entries greet agents once they have read
-	// theirs.
-	sourceWait = time.Second
+	// entryWait and agentWait are how long a process of a large fleet that starts waits to hear from which entry to read, before it reads the store
+	// itself: if all hosts start at once they fill the links between regions with the same lists, whose bytes grow with the square of the fleet.
+	// Entries hear it from the seeds, which know of all within two greetings; agents hear it from the seeds too, and then from the entries that
+	// have read theirs.
+	entryWait = time.Second
+	// settleTime is how long after its start a process takes it that those who told it had not met all entries yet: it may be told that it
+	// comes first, and read the store, when it does not.
+	settleTime = 250 * time.Millisecond
+	agentWait  = 3 * time.Second
 	// runningLonger is how much longer than a process its seeds must have run for it to have joined a fleet that runs.
 	runningLonger = 5 * time.Second
 	// crowdReads is from which rate of reads a second, which the platform allows all processes together, a fleet counts as large in this:
@@ -74,15 +79,23 @@
 			n.seeds = append(n.seeds, a)
 		}
 	}
-	if agent && host.StoreReads >= crowdReads {
-		n.choice.hold(sourceWait)
+	if host.StoreReads >= crowdReads {
+		n.choice.hold(n.startWait())
 	}
 	return n
 }
 
+// startWait is how long this process waits at its start to hear from whom to read.
+func (n *Neighbours) startWait() time.Duration {
+	if n.agent {
+		return agentWait
+	}
+	return entryWait
+}
+
 // Reader returns a reader of a store that reads through neighbours where they are many. cache is nil for a process that nobody reads from.
-func (n *Neighbours) Reader(direct Store, pool *control.Pool, cache *Cache) *Reader {
-	return &Reader{Direct: direct, Pool: pool, Cache: cache, Choice: &n.choice, Failed: n.failed, Patient: n.agent}
+func (n *Neighbours) Reader(direct Store, peers Caller, cache *Cache) *Reader {
+	return &Reader{Direct: direct, Peers: peers, Cache: cache, Choice: &n.choice, Failed: n.failed, Patient: n.agent}
 }
 
 func (n *Neighbours) failed(address string, err error) {
@@ -142,7 +155,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	t, known := n.told[dataCentre]
-	if !known || now.Sub(t.at) > tellingFor {
+	if young := now.Sub(n.started) < time.Second; !known || young || now.Sub(t.at) > tellingFor {
 		entries := n.entries(now, dataCentre)
 		t = telling{at: now, first: source.First(dataCentre, entries), count: len(entries)}
 		if t.count >= source.LeastEntries { // Fewer are soon more, after a start.
@@ -154,13 +167,31 @@
 	}
 }
 
+// TellAgent puts into a message to an agent of which entries of its data centre it may read.
+func (n *Neighbours) TellAgent(agent, dataCentre string, m *loadreport.Message) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if entries := n.entries(time.Now(), dataCentre); len(entries) >= source.LeastEntries {
+		m.Entries, m.EntryCount = source.For(agent, entries), len(entries)
+	}
+}
+
+// Sender sends messages; see loadreport.Socket.
+type Sender interface {
+	Send(to netip.AddrPort, m loadreport.Message) error
+}
+
 // Answer answers the greeting of a process that takes this one for a seed.
-func (n *Neighbours) Answer(socket *loadreport.Socket, from netip.AddrPort, m loadreport.Message) {
+func (n *Neighbours) Answer(socket Sender, from netip.AddrPort, m loadreport.Message) {
 	if m.DataCentre == "" {
 		return
 	}
 	var answer loadreport.Message
-	n.Tell(m.DataCentre, &answer)
+	if m.Agent {
+		n.TellAgent(from.String(), m.DataCentre, &answer)
+	} else {
+		n.Tell(m.DataCentre, &answer)
+	}
 	if answer.EntryCount > 0 {
 		answer.RunningMS = time.Since(n.started).Milliseconds()
 		n.send(socket, from, answer)
@@ -169,13 +200,13 @@
 
 // GreetSeeds greets the seeds until ctx ends: often while this process is not ready, now and then later. An agent that is ready has no
 // need of them, since entries greet it.
-func (n *Neighbours) GreetSeeds(ctx context.Context, socket *loadreport.Socket, ready func() bool) {
+func (n *Neighbours) GreetSeeds(ctx context.Context, socket Sender, ready func() bool) {
 	m := loadreport.Message{DataCentre: n.dataCentre, Agent: n.agent}
-	for ctx.Err() == nil {
+	for wait := seedFirst; ctx.Err() == nil; wait = min(2*wait, seedLast) {
 		for _, seed := range n.seeds {
 			n.send(socket, seed, m)
 		}
-		interval := seedFirst
+		interval := wait
 		if ready() {
 			interval = seedInterval
 		}
@@ -189,18 +220,28 @@
 	}
 }
 
-func (n *Neighbours) send(socket *loadreport.Socket, to netip.AddrPort, m loadreport.Message) {
+func (n *Neighbours) send(socket Sender, to netip.AddrPort, m loadreport.Message) {
 	if err := socket.Send(to, m); err != nil {
 		logevent.Info(n.log, logevent.PeerFailed).Str("peer", to.String()).Err(err).Msg("peer failed")
 	}
 }
 
+// releaseIfKnown lets lists begin once it is known from whom to read. It is called with the lock held.
+func (n *Neighbours) releaseIfKnown() {
+	if n.state.Address() != "" || time.Since(n.started) > settleTime {
+		n.choice.release()
+	}
+}
+
 // Tick forgets what was told long ago.
 func (n *Neighbours) Tick() { n.step(step.Tick{}) }
 
 func (n *Neighbours) step(ev step.Event) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if told, ok := ev.(source.Told); ok && told.Count >= source.LeastEntries {
+		defer n.releaseIfKnown()
+	}
 	for _, e := range n.state.Reduce(step.Input{Now: time.Now(), Event: ev}) {
 		if c, changed := e.(source.Changed); changed {
 			logevent.Info(n.log, logevent.BeliefChanged).Str("what", "source").Str("value", c.Address).Int("entries", c.Entries).Msg("belief changed")
--- a/internal/storefeed/start_test.go
+++ b/internal/storefeed/start_test.go
@@ -56,10 +56,12 @@
 		after time.Duration
 		lists int
 	}{
-		"an agent waits":                        {agent: true, reads: crowdReads, after: sourceWait - time.Millisecond},
-		"and reads the store then":              {agent: true, reads: crowdReads, after: sourceWait + time.Millisecond, lists: 1},
-		"one of a small fleet reads":            {agent: true, reads: crowdReads - 1, after: time.Millisecond, lists: 1},
-		"an entry, from which others read, too": {reads: crowdReads, after: time.Millisecond, lists: 1},
+		"an agent waits":               {agent: true, reads: crowdReads, after: agentWait - time.Millisecond},
+		"and reads the store then":     {agent: true, reads: crowdReads, after: agentWait + time.Millisecond, lists: 1},
+		"one of a small fleet reads":   {agent: true, reads: crowdReads - 1, after: time.Millisecond, lists: 1},
+		"an entry waits, too":          {reads: crowdReads, after: entryWait - time.Millisecond},
+		"and reads the store then too": {reads: crowdReads, after: entryWait + time.Millisecond, lists: 1},
+		"an entry of a small fleet":    {reads: crowdReads - 1, after: time.Millisecond, lists: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -70,7 +72,7 @@
 				time.Sleep(c.after)
 				synctest.Wait()
 				require.Equal(t, c.lists, s.lists)
-				time.Sleep(2 * sourceWait)
+				time.Sleep(2 * agentWait)
 			})
 		})
 	}
@@ -90,9 +92,9 @@
 			n.Heard(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(10 + i)}), 7700), loadreport.Message{DataCentre: "perth-a"})
 		}
 		require.NotEmpty(t, n.choice.Address())
-		time.Sleep(sourceWait / 2)
+		time.Sleep(agentWait / 2)
 		synctest.Wait()
 		require.Equal(t, 1, s.lists)
-		time.Sleep(2 * sourceWait)
+		time.Sleep(2 * agentWait)
 	})
 }
