Lists between processes are packed, once for all who ask

Cause: a list of 721 upstreams is some 250 kB, sent to each of those that read from an entry over links of 40 Mbit/s, and a manifest of 333 accounts likewise. Change: answers of eight objects or more are packed (deflate), and kept for those who ask for the same. A list of 700 takes under a fifth of its bytes. It moves where the tree's bytes end, and is no mend by itself: they still grow as the list.

--- a/internal/storefeed/cache.go
+++ b/internal/storefeed/cache.go
@@ -43,6 +43,8 @@
 	listed bool
 	// changed is closed and replaced when something is new.
 	changed chan struct{}
+	// packed are answers as of last.
+	packed packed
 }
 
 // Cache keeps the objects of some kinds. It is safe for concurrent use.
@@ -71,7 +73,7 @@
 func (c *Cache) kind(name string) *kindCache {
 	k := c.kinds[name]
 	if k == nil {
-		k = &kindCache{objects: map[string]held{}, changed: make(chan struct{})}
+		k = &kindCache{objects: map[string]held{}, changed: make(chan struct{}), packed: packed{}}
 		c.kinds[name] = k
 	}
 	return k
@@ -87,6 +89,7 @@
 		return // An older list than what is known.
 	}
 	k.objects = make(map[string]held, len(objects))
+	clear(k.packed)
 	for _, o := range objects {
 		k.put(held{object: o, mark: revision, at: now})
 	}
@@ -111,6 +114,7 @@
 func (k *kindCache) put(h held) {
 	k.objects[h.object.Name] = h
 	k.last = max(k.last, h.mark)
+	clear(k.packed)
 }
 
 // heardAt notes when the store was heard, and wakes who waits. It is called with the lock held.
@@ -143,7 +147,7 @@
 		a.State = Gone
 	case since == 0 || since < k.last:
 		a.State = Told
-		a.Objects = k.after(since)
+		a.Objects, a.Packed = k.packed.answer(since, k.after(since))
 	default:
 		a.State = Same
 	}
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -67,6 +67,8 @@
 	State    State    `json:"state"`
 	Revision int64    `json:"revision"`
 	Objects  []Object `json:"objects,omitempty"`
+	// Packed holds the objects in place of Objects where they are many; see pack.
+	Packed []byte `json:"packed,omitempty"`
 	// AgeMS is how long ago the store was heard, in milliseconds.
 	AgeMS int64 `json:"age_ms"`
 }
@@ -216,6 +218,13 @@
 		return nil, 0, 0, errBehind
 	}
 	r.caughtUp()
+	if len(a.Packed) > 0 {
+		told, err := unpack(a.Packed)
+		if err != nil {
+			return nil, 0, 0, err
+		}
+		a.Objects = told
+	}
 	objects := make([]platform.Object, 0, len(a.Objects))
 	for _, o := range a.Objects {
 		objects = append(objects, platform.Object(o))
--- /dev/null
+++ b/internal/storefeed/pack_test.go
@@ -0,0 +1,40 @@
+package storefeed
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestAListIsPackedOnceForAllWhoAsk guards against a reader that packs the same list for each of those that read from it, and against one that goes on
+// telling what it packed before a change.
+func TestAListIsPackedOnceForAllWhoAsk(t *testing.T) {
+	var objects []Object
+	for i := range 700 {
+		objects = append(objects, Object{
+			Name: fmt.Sprintf("i-%08x", i*7919), Revision: int64(i + 2), Spec: json.RawMessage(fmt.Sprintf(
+				`{"service":"m1","address":"10.1.%d.%d:8080","zone":"perth-a","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"models":[{"name":"daka510000","version":1,"adapters":[]}],"sequence":4}`,
+				i/250, i%250)),
+		})
+	}
+	raw, err := json.Marshal(objects)
+	require.NoError(t, err)
+	p := packed{}
+	_, small := p.answer(0, objects)
+	_, again := p.answer(0, objects)
+	require.Same(t, &small[0], &again[0])
+	require.Less(t, 5*len(small), len(raw), "%d of %d bytes", len(small), len(raw))
+	back, err := unpack(small)
+	require.NoError(t, err)
+	require.Equal(t, objects, back)
+	plain, none := p.answer(0, objects[:2])
+	require.Len(t, plain, 2)
+	require.Nil(t, none)
+	_, err = unpack([]byte("no list"))
+	require.Error(t, err)
+	_, err = unpack([]byte(strings.Repeat("x", 10)))
+	require.Error(t, err)
+}
