What is done each tick does not grow with the fleet, and reports tell of entries once a second only

Change: only lapsing entries are looked at, only upstreams with overdue requests are reset, those that are gone are looked for once a second; reports tell of entries each 0.9 s.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -382,9 +383,9 @@
 
 func (s *State) expire(now time.Time) []step.Effect {
 	var effects []step.Effect
-	for _, id := range sortedIDs(s.Upstreams) {
-		if by, lapsing := s.lapsing[id]; lapsing && !now.Before(by) {
-			effects = append(effects, s.drop(id, s.Upstreams[id].Revision)...)
+	for _, id := range slices.Sorted(maps.Keys(s.lapsing)) {
+		if u := s.Upstreams[id]; u != nil && !now.Before(s.lapsing[id]) {
+			effects = append(effects, s.drop(id, u.Revision)...)
 		}
 	}
 	return effects
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -308,6 +308,9 @@
 	entries   int
 	entryPeak peak
 	stopping  bool
+	// overdue are the loads with overdue requests as of the last tick, and forgot is when forget last looked.
+	overdue []*load
+	forgot  time.Time
 }
 
 // NewState returns a state without requests.
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -142,12 +142,15 @@
 
 // countOverdue counts the requests that wait for their first event longer than their objective, by upstream.
 func (s *State) countOverdue(now time.Time) {
-	for _, l := range s.loads {
+	for _, l := range s.overdue {
 		l.overdue = 0
 	}
+	s.overdue = s.overdue[:0]
 	for _, r := range s.requests {
 		if r.reading && r.route.Objective > 0 && now.Sub(r.sentAt) > r.route.Objective {
-			s.load(r.at).overdue++
+			l := s.load(r.at)
+			l.overdue++
+			s.overdue = append(s.overdue, l)
 		}
 	}
 }
@@ -161,8 +164,15 @@
 	return now.Sub(l.pace.heard) < wordKept || now.Sub(l.leftAt) < wordKept || l.backoff.on(now)
 }
 
+// forgetInterval is the time between two looks at all upstreams for those that are gone: a tick comes many times a second.
+const forgetInterval = time.Second
+
 // forget drops what is known of upstreams that are gone.
 func (s *State) forget(now time.Time) {
+	if now.Sub(s.forgot) < forgetInterval {
+		return
+	}
+	s.forgot = now
 	for life, l := range s.loads {
 		u := s.Catalog.Upstreams[life.ID]
 		if (u == nil || u.Born != life.Born) && l.inFlight == 0 && now.Sub(l.toldAt) > toldFor && !l.remembered(now) {
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -37,6 +37,8 @@
 	// crashes is the count of quarantine.Table.Changes at which it was last told of crashes, and crashesTold is when.
 	crashes     uint64
 	crashesTold time.Time
+	// entriesTold is when it was last told of the entries of its data centre.
+	entriesTold time.Time
 }
 
 // reports are the entries that listen.
@@ -163,7 +165,10 @@
 			l.crashes, l.crashesTold = changes, now
 			m.Crashes = crashes
 		}
-		a.neighbours.Tell(l.dataCentre, &m)
+		if now.Sub(l.entriesTold) >= calmInterval { // Told with each report they would be a good part of it.
+			l.entriesTold = now
+			a.neighbours.Tell(l.dataCentre, &m)
+		}
 		if err := a.socket.Send(address, m); err != nil {
 			logevent.Info(a.log, logevent.PeerFailed).Str("peer", address.String()).Err(err).Msg("peer failed")
 		}
