--- a/internal/storefeed/pack.go
+++ b/internal/storefeed/pack.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// packFrom is from how many objects on an answer is packed: entries of upstreams are much alike, and a list of them shrinks to a tenth.
-	packFrom = 8
+	// packFrom is from how many bytes of content on an answer is packed: entries of upstreams are much alike, and a list of them shrinks to a tenth.
+	packFrom = 2 << 10
 	// maxUnpacked bounds an unpacked answer in bytes.
 	maxUnpacked = 32 << 20
 )
@@ -48,14 +48,23 @@
 // maxPacked bounds the packed answers that are kept of a kind.
 const maxPacked = 8
 
+// contentOf is how many bytes the content of some objects has.
+func contentOf(objects []Object) int {
+	n := 0
+	for _, o := range objects {
+		n += len(o.Spec)
+	}
+	return n
+}
+
 // answer returns the objects since a revision, packed where they are many.
 func (p packed) answer(since int64, objects []Object) (plain []Object, small []byte) {
-	if len(objects) < packFrom {
-		return objects, nil
-	}
 	if small := p[since]; small != nil {
 		return nil, small
 	}
+	if contentOf(objects) < packFrom {
+		return objects, nil
+	}
 	small, err := pack(objects)
 	if err != nil {
 		return objects, nil // What the store wrote is JSON; if not, it is the reader's to say.
--- a/internal/storefeed/pack_test.go
+++ b/internal/storefeed/pack_test.go
@@ -30,7 +30,7 @@
 	back, err := unpack(small)
 	require.NoError(t, err)
 	require.Equal(t, objects, back)
-	plain, none := p.answer(0, objects[:2])
+	plain, none := packed{}.answer(0, objects[:2])
 	require.Len(t, plain, 2)
 	require.Nil(t, none)
 	_, err = unpack([]byte("no list"))
