--- a/internal/storefeed/pack_test.go
+++ b/internal/storefeed/pack_test.go
@@ -16,7 +16,7 @@
 	for i := range 700 {
 		objects = append(objects, Object{
 			Name: fmt.Sprintf("i-%08x", i*7919), Revision: int64(i + 2), Spec: json.RawMessage(fmt.Sprintf(
-				`{"service":"m1","address":"10.1.%d.%d:8080","zone":"perth-a","version":"v1","slots":8,"state":"ready","coldLeftMs":0,"models":[{"name":"daka510000","version":1,"adapters":[]}],"sequence":4}`,
+				`{"service":"m1","address":"10.1.%d.%d:8080","place":"perth-a","software":"v1","room":8,"condition":"taking work","holds":[{"name":"daka510000","number":1,"more":[]}],"count":4}`,
 				i/250, i%250)),
 		})
 	}
