--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -134,14 +134,17 @@
 			return objects, revision, nil
 		case moved:
 			continue
-		case address == "", ctx.Err() != nil, r.waits(err):
+		case address == "", ctx.Err() != nil:
 			return nil, 0, err
 		}
-		r.Failed(address, err)
+		r.failed(address, err)
 	}
 }
 
 func (r *Reader) list(ctx context.Context, address, kind string, stale bool) ([]platform.Object, int64, time.Duration, error) {
+	if address == "" && r.waits() {
+		return nil, 0, 0, errBehind
+	}
 	if address == "" {
 		objects, revision, err := r.Direct.List(ctx, kind, stale)
 		return objects, revision, 0, err
@@ -158,12 +161,18 @@
 		if err == nil {
 			r.keep(func(c *Cache) { c.changedSince(kind, objects, at, age) })
 		}
-		if err == nil || errors.Is(err, platform.ErrHistoryGone) || ctx.Err() != nil || r.waits(err) {
+		if err == nil || errors.Is(err, platform.ErrHistoryGone) || ctx.Err() != nil {
 			return objects, at, err
 		}
-		r.Failed(address, err)
+		r.failed(address, err)
+		if r.Patient && errors.Is(err, errBehind) && r.Choice.Address() != "" {
+			return nil, 0, err // Another process is asked next, and may have heard.
+		}
 		wait = 0 // What the other process did not tell may have been there for a while.
 	}
+	if r.waits() {
+		return nil, 0, errBehind
+	}
 	if r.Cache != nil && r.Cache.serving() {
 		wait = min(wait, r.Cache.storeWait)
 	}
@@ -174,17 +183,28 @@
 	return objects, at, err
 }
 
-// waits tells whether a question to another process that ended with err is better asked again than put to the store.
-func (r *Reader) waits(err error) bool {
-	if !r.Patient || !errors.Is(err, errBehind) {
-		return false
+// failed notes that a question to another process ended with err, so that another one is read from.
+func (r *Reader) failed(address string, err error) {
+	if errors.Is(err, errBehind) {
+		r.fellBehind()
 	}
+	r.Failed(address, err)
+}
+
+// fellBehind notes that a process that is read from has not heard from the store of late.
+func (r *Reader) fellBehind() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.behindSince.IsZero() {
 		r.behindSince = time.Now()
 	}
-	return time.Since(r.behindSince) < behindFor
+}
+
+// waits tells whether the store is better not asked: this process is patient, and those that it reads from have lost the store a moment ago.
+func (r *Reader) waits() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Patient && !r.behindSince.IsZero() && time.Since(r.behindSince) < behindFor
 }
 
 // caughtUp notes that a process that is read from has heard from the store.
