A request looks no farther than the nearest upstreams with room

Cause: each decision looked at all upstreams of its service, also once a nearer one had room that no farther one could replace; 185 us at 1,000. Change: upstreams are kept nearest first, and the search ends at the first distance that has one with room, neither late nor slow. What is chosen is the same.

--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -61,16 +61,19 @@
 	known, quiet, strangers choice
 	// ending are those with a version that the request may begin on for a moment more; see lastVersion.
 	ending choice
-	// heard counts the upstreams whose agents are heard, whatever these say.
+	// heard counts the upstreams whose agents are heard, whatever these say, of those that were looked at.
 	heard int
 }
 
-// pools looks at every upstream that a request may go to.
+// pools looks at the upstreams that a request may go to, the nearest first, as far as farther ones could change what is chosen.
 func (s *State) pools(in step.Input, r *request) pools {
 	p := pools{known: s.noChoice(), quiet: s.noChoice(), strangers: s.noChoice(), ending: s.noChoice()}
 	required, last := s.requiredVersion(in.Now, r.model), s.lastVersion(in.Now, r)
 	wait := s.waitFor(r)
 	for _, t := range s.targetsFor(in.Now, r) {
+		if p.known.settled(t.distance) {
+			break
+		}
 		if t.load.heard(in.Now) {
 			p.heard++
 		}
@@ -180,6 +183,11 @@
 	}
 }
 
+// settled tells whether no upstream at a distance or farther can be chosen any more: a nearer one has room that is neither late nor slow.
+func (h *choice) settled(distance int) bool {
+	return h.found == room && h.drawn[0].distance < distance && h.drawn[0].load.overdue == 0 && !h.drawn[0].slow()
+}
+
 // best is the one of those drawn that will answer soonest.
 func (h *choice) best(now time.Time, r *request) (*catalog.Upstream, found) {
 	if h.found != room {
--- a/internal/core/forward/target.go
+++ b/internal/core/forward/target.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
@@ -42,7 +44,7 @@
 	entries   int
 }
 
-// targetsOf returns the upstreams of a service.
+// targetsOf returns the upstreams of a service, the nearest first.
 func (s *State) targetsOf(now time.Time, service string) []*target {
 	t := &s.targets
 	if t.byService == nil || t.changes != s.Catalog.Changes || t.manifest != s.Catalog.Manifest || t.entries != s.entries {
@@ -52,11 +54,14 @@
 			s.paceCold(now, made)
 			t.byService[u.Service] = append(t.byService[u.Service], made)
 		}
+		for _, list := range t.byService {
+			slices.SortFunc(list, func(a, b *target) int { return cmp.Or(a.distance-b.distance, cmp.Compare(a.ID, b.ID)) })
+		}
 	}
 	return t.byService[service]
 }
 
-// targetsFor returns the upstreams of a request's service in the regions in which the request may be. Every search for an upstream starts here.
+// targetsFor returns the upstreams of a request's service in the regions in which the request may be, the nearest first. Every search for an upstream starts here.
 func (s *State) targetsFor(now time.Time, r *request) []*target {
 	all := s.targetsOf(now, r.service)
 	if r.bound.Free() {
