--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -165,8 +165,8 @@
 			return objects, at, err
 		}
 		r.failed(address, err)
-		if r.Patient && errors.Is(err, errBehind) && r.Choice.Address() != "" {
-			return nil, 0, err // Another process is asked next, and may have heard.
+		if errors.Is(err, errBehind) && r.Choice.Address() != "" {
+			return nil, 0, err // Another process is asked next, and may have heard: the store may turn this one away, too.
 		}
 		wait = 0 // What the other process did not tell may have been there for a while.
 	}
