--- a/internal/storefeed/fleet_test.go
+++ b/internal/storefeed/fleet_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -44,6 +45,8 @@
 	lists, watches, refused int
 	revision                int64
 	changed                 chan struct{}
+	// link is how many bytes a second a process sends of answers; 0 for no bound.
+	link float64
 }
 
 type virtualProcess struct {
@@ -58,6 +61,8 @@
 	known           int64
 	// lost is what is wrong with it.
 	lost loss
+	// linkFree is when its link has sent all that it was given.
+	linkFree time.Time
 }
 
 // loss is what may be wrong with a process of a virtual fleet.
@@ -202,11 +207,28 @@
 	if err != nil {
 		return err
 	}
+	select {
+	case <-time.After(target.sends(len(raw)) + datagramTime):
+		return json.Unmarshal(raw, answer)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// sends takes bytes of an answer and returns how long they are under way: a link sends one answer after the other.
+func (p *virtualProcess) sends(bytes int) time.Duration {
 	p.fleet.mu.Lock()
-	target.sent += len(raw)
-	p.fleet.mu.Unlock()
-	time.Sleep(datagramTime)
-	return json.Unmarshal(raw, answer)
+	defer p.fleet.mu.Unlock()
+	p.sent += bytes
+	if p.fleet.link <= 0 {
+		return 0
+	}
+	now := time.Now()
+	if p.linkFree.Before(now) {
+		p.linkFree = now
+	}
+	p.linkFree = p.linkFree.Add(time.Duration(float64(bytes) / p.fleet.link * float64(time.Second)))
+	return p.linkFree.Sub(now)
 }
 
 // run reads the store, or another process, from the start on.
@@ -486,6 +508,47 @@
 	return list
 }
 
+// callsInAnOutage are the calls to the store in nine seconds in which it serves nobody, and the time after its return until all know what came meanwhile.
+func callsInAnOutage(t *testing.T, n int) (calls int, after time.Duration) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newVirtualFleet(n)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		var all []*virtualProcess
+		for _, p := range f.processes {
+			all = append(all, p)
+			running.Go(func() { p.run(ctx) })
+		}
+		time.Sleep(8 * time.Second)
+		before := f.calls()
+		f.lose(behind, all...)
+		time.Sleep(9 * time.Second)
+		calls = f.calls() - before
+		f.change(0)
+		f.lose(sound, all...)
+		back := time.Now()
+		for f.behind(f.revision) > 0 && time.Since(back) < time.Minute {
+			time.Sleep(20 * time.Millisecond)
+		}
+		after = time.Since(back)
+		cancel()
+		running.Wait()
+		time.Sleep(2 * seedInterval)
+	})
+	return calls, after
+}
+
+// TestAStoreThatIsAwayIsNotAskedByAll guards against a fleet that asks a store which is away, or comes back, from each of its processes at once.
+func TestAStoreThatIsAwayIsNotAskedByAll(t *testing.T) {
+	const small, large, allowed = 150, 600, 5 * time.Second
+	before, _ := callsInAnOutage(t, small)
+	after, back := callsInAnOutage(t, large)
+	t.Logf("%d calls at %d processes, %d at %d: power %.2f; all know %v after its return", before, small, after, large, exponent(small, large, float64(before), float64(after)), back)
+	require.LessOrEqual(t, exponent(small, large, float64(before), float64(after)), 0.5)
+	require.LessOrEqual(t, back, allowed)
+}
+
 // callsWhileAThirdIsTurnedAway are the calls to the store in nine seconds in which it turns a third of the entries away and serves the others, with
 // a change each second. All must hear of each change in time, whoever reads for them.
 func callsWhileAThirdIsTurnedAway(t *testing.T, n int, allowed time.Duration) int {
@@ -542,3 +605,48 @@
 	t.Logf("%d calls at %d processes, %d at %d: power %.2f", before, small, after, large, exponent(small, large, float64(before), float64(after)))
 	require.LessOrEqual(t, exponent(small, large, float64(before), float64(after)), 0.5)
 }
+
+// TestAStormOfLargeManifestsReachesAllInTime guards against a reader whose link is full of manifests: at 988 hosts, seven of them in two seconds were
+// not in force at some entries six seconds later, and callers with keys that had been taken away were served.
+func TestAStormOfLargeManifestsReachesAllInTime(t *testing.T) {
+	const (
+		processes = 900
+		manifests = 7
+		pause     = 300 * time.Millisecond
+		allowed   = 5 * time.Second
+		// linkRate is that of the narrowest hosts, 40 Mbit/s, and manifestBytes about what 333 accounts with their keys take, which does not pack.
+		linkRate      = 5e6
+		manifestBytes = 70 << 10
+	)
+	synctest.Test(t, func(t *testing.T) {
+		f := newVirtualFleet(processes)
+		random := rand.New(rand.NewPCG(1, 1))
+		content := make([]byte, manifestBytes*3/4)
+		for i := range content {
+			content[i] = byte(random.Uint32())
+		}
+		spec, err := json.Marshal(content)
+		require.NoError(t, err)
+		f.link, f.objects = linkRate, []platform.Object{{Name: "main", Revision: 1, Spec: spec}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		for _, p := range f.processes {
+			running.Go(func() { p.run(ctx) })
+		}
+		time.Sleep(8 * time.Second)
+		require.Zero(t, f.behind(1))
+		for range manifests {
+			f.change(0)
+			time.Sleep(pause)
+		}
+		last := time.Now()
+		for f.behind(f.revision) > 0 && time.Since(last) < 2*allowed {
+			time.Sleep(20 * time.Millisecond)
+		}
+		t.Logf("all know the last one %v after it", time.Since(last))
+		require.LessOrEqual(t, time.Since(last), allowed)
+		cancel()
+		running.Wait()
+		time.Sleep(2 * seedInterval)
+	})
+}
