--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -11,7 +11,6 @@
 	"samphireweir.example/samphireweir/internal/demo/burst"
 	"samphireweir.example/samphireweir/internal/emulator"
 	"samphireweir.example/samphireweir/internal/experiment"
-	"samphireweir.example/samphireweir/internal/experiment/claimload"
 	"samphireweir.example/samphireweir/internal/experiment/faults"
 )
 
@@ -19,7 +18,6 @@
 	subcommands.Register(experiment.NewCommand(), "")
 	subcommands.Register(experiment.NewSettingsCommand(), "")
 	subcommands.Register(burst.NewCommand(), "")
-	subcommands.Register(claimload.NewCommand(), "")
 	subcommands.Register(faults.NewCommand(), "")
 	subcommands.Register(emulator.NewCommand(), "")
 	flag.Parse()
