--- a/internal/storefeed/fleet_test.go
+++ b/internal/storefeed/fleet_test.go
@@ -52,6 +52,8 @@
 type virtualProcess struct {
 	fleet      *virtualFleet
 	address    netip.AddrPort
+	host       hostconfig.Host
+	agent      bool
 	neighbours *Neighbours
 	reader     *Reader
 	cache      *Cache
@@ -157,7 +159,7 @@
 			return
 		}
 		target.neighbours.Heard(p.address, m)
-		if target.cache != nil {
+		if !target.agent {
 			target.neighbours.Answer(target, p.address, m)
 		} else if m.DataCentre != "" {
 			target.report(p.address, m.DataCentre)
@@ -179,7 +181,7 @@
 func (p *virtualProcess) greetAgents(ctx context.Context) {
 	var agents []string
 	for address, other := range p.fleet.processes {
-		if other.cache == nil && other.neighbours.dataCentre == p.neighbours.dataCentre {
+		if other.agent && other.neighbours.dataCentre == p.neighbours.dataCentre {
 			agents = append(agents, address)
 		}
 	}
@@ -197,7 +199,7 @@
 	target := p.fleet.processes[address]
 	p.fleet.mu.Unlock()
 	switch {
-	case target == nil || target.cache == nil || target.is(killed):
+	case target == nil || target.agent || target.is(killed):
 		return errors.New("nobody is there")
 	case target.is(silent) || p.is(silent):
 		<-ctx.Done()
@@ -240,11 +242,11 @@
 		}
 	}()
 	for ctx.Err() == nil && p.at() == 0 {
-		if _, at, err := p.reader.List(ctx, virtualKind, p.cache == nil); err == nil {
+		if _, at, err := p.reader.List(ctx, virtualKind, p.agent); err == nil {
 			p.note(at)
 		}
 	}
-	if p.cache != nil {
+	if !p.agent {
 		go p.greetAgents(ctx)
 	}
 	for ctx.Err() == nil {
@@ -325,29 +327,32 @@
 		host := hostconfig.Host{DataCentre: "dc-" + strconv.Itoa(place), StoreReads: crowdReads, ManifestTime: 5 * time.Second, DrainTime: 5 * time.Second}
 		p := &virtualProcess{fleet: f, address: address}
 		agent := i >= n/3
-		if !agent {
-			p.cache = NewCache(host.ChangeTime())
-		}
 		if len(seeds) < virtualSeeds {
 			seeds = append(seeds, address.String())
 		}
-		host.Seeds = seeds
-		p.neighbours = NewNeighbours(host, address.String(), agent, zerolog.Nop())
-		p.reader = p.neighbours.Reader(directly{virtualFleet: f, process: p}, p, p.cache)
+		p.host, p.agent = host, agent
 		f.processes[address.String()] = p
 	}
-	// The first processes were made before all seeds were known.
 	for _, p := range f.processes {
-		p.neighbours.seeds = nil
-		for _, s := range seeds {
-			if s != p.address.String() {
-				p.neighbours.seeds = append(p.neighbours.seeds, netip.MustParseAddrPort(s))
-			}
-		}
+		p.host.Seeds = seeds
+		p.begin()
 	}
 	return f
 }
 
+// begin gives a process a new life, which knows nothing.
+func (p *virtualProcess) begin() {
+	var cache *Cache
+	if !p.agent {
+		cache = NewCache(p.host.ChangeTime())
+	}
+	neighbours := NewNeighbours(p.host, p.address.String(), p.agent, zerolog.Nop())
+	p.fleet.mu.Lock()
+	defer p.fleet.mu.Unlock()
+	p.known, p.cache, p.neighbours = 0, cache, neighbours
+	p.reader = neighbours.Reader(directly{virtualFleet: p.fleet, process: p}, p, cache)
+}
+
 // counts are what a virtual fleet sent and asked.
 type counts struct {
 	lists, watches, busiestBytes, busiestDatagrams int
@@ -431,7 +436,7 @@
 func (f *virtualFleet) readersOf(dataCentre string) []*virtualProcess {
 	var entries []string
 	for address, p := range f.processes {
-		if p.cache != nil && p.neighbours.dataCentre == dataCentre {
+		if !p.agent && p.neighbours.dataCentre == dataCentre {
 			entries = append(entries, address)
 		}
 	}
@@ -650,3 +655,60 @@
 		time.Sleep(2 * seedInterval)
 	})
 }
+
+// listsAfterAHerdRestarts are the lists that the store is asked for as more than half of all processes, two of the seeds and readers among them, start
+// again at once in a fleet that runs, and how long it takes until all know the list again.
+func listsAfterAHerdRestarts(t *testing.T, n int) (lists int, after time.Duration) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newVirtualFleet(n)
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		ends := map[*virtualProcess]context.CancelFunc{}
+		for _, p := range f.processes {
+			life, end := context.WithCancel(ctx)
+			ends[p] = end
+			running.Go(func() { p.run(life) })
+		}
+		time.Sleep(8 * time.Second)
+		before := f.lists
+		var herd []*virtualProcess
+		for _, p := range f.processes {
+			if step.Score("herd", p.address.String())%100 < 55 {
+				ends[p]()
+				herd = append(herd, p)
+			}
+		}
+		f.lose(killed, herd...)
+		time.Sleep(time.Second)
+		for _, p := range herd {
+			p.begin()
+			running.Go(func() { p.run(ctx) })
+		}
+		f.lose(sound, herd...)
+		back := time.Now()
+		for f.behind(1) > 0 && time.Since(back) < time.Minute {
+			time.Sleep(50 * time.Millisecond)
+		}
+		after = time.Since(back)
+		time.Sleep(5 * time.Second)
+		lists = f.lists - before
+		cancel()
+		for _, end := range ends {
+			end()
+		}
+		running.Wait()
+		time.Sleep(2 * seedInterval)
+	})
+	return lists, after
+}
+
+// TestAHerdThatRestartsReadsFromTheRest guards against more than half of a fleet that starts again at once and asks the store for as many lists.
+func TestAHerdThatRestartsReadsFromTheRest(t *testing.T) {
+	const small, large = 150, 600
+	before, _ := listsAfterAHerdRestarts(t, small)
+	after, ready := listsAfterAHerdRestarts(t, large)
+	t.Logf("%d lists at %d processes, %d at %d; all know it again after %v", before, small, after, large, ready)
+	require.LessOrEqual(t, after, 4*virtualDataCentres, "about one a data centre")
+	require.LessOrEqual(t, ready, 3*time.Second, "half of the time in which a fleet serves again")
+}
