--- a/internal/storefeed/fleet_test.go
+++ b/internal/storefeed/fleet_test.go
@@ -382,7 +382,7 @@
 			time.Sleep(time.Second)
 		}
 		time.Sleep(5 * time.Second)
-		require.Zero(t, f.behind(f.revision), "each process knows the last change")
+		require.Zero(t, f.behindNewest(), "each process knows the last change")
 		c.count(f)
 		cancel()
 		running.Wait()
@@ -400,6 +400,14 @@
 	}
 }
 
+// behindNewest counts the sound processes that do not know the newest change.
+func (f *virtualFleet) behindNewest() int {
+	f.mu.Lock()
+	newest := f.revision
+	f.mu.Unlock()
+	return f.behind(newest)
+}
+
 // behind counts the sound processes that do not know a revision.
 func (f *virtualFleet) behind(revision int64) int {
 	f.mu.Lock()
@@ -490,10 +498,10 @@
 					f.lose(how, lost(f)...)
 					f.change(0)
 					changed := time.Now()
-					for f.behind(f.revision) > 0 && time.Since(changed) < 2*allowed {
+					for f.behindNewest() > 0 && time.Since(changed) < 2*allowed {
 						time.Sleep(20 * time.Millisecond)
 					}
-					require.LessOrEqual(t, time.Since(changed), allowed, "%d did not hear of it", f.behind(f.revision))
+					require.LessOrEqual(t, time.Since(changed), allowed, "%d did not hear of it", f.behindNewest())
 					t.Logf("%s: all knew after %v", name, time.Since(changed))
 					cancel()
 					running.Wait()
@@ -533,7 +541,7 @@
 		f.change(0)
 		f.lose(sound, all...)
 		back := time.Now()
-		for f.behind(f.revision) > 0 && time.Since(back) < time.Minute {
+		for f.behindNewest() > 0 && time.Since(back) < time.Minute {
 			time.Sleep(20 * time.Millisecond)
 		}
 		after = time.Since(back)
@@ -579,7 +587,7 @@
 		f.lose(behind, third...)
 		for i := range 9 {
 			f.change(i)
-			revision := f.revision
+			_, revision := f.since(0)
 			time.Sleep(time.Second)
 			if i >= int(allowed/time.Second) {
 				require.Zero(t, f.behind(revision-int64(allowed/time.Second)), "second %d", i)
@@ -588,7 +596,7 @@
 		calls = f.calls() - before
 		f.lose(sound, third...)
 		time.Sleep(allowed)
-		require.Zero(t, f.behind(f.revision))
+		require.Zero(t, f.behindNewest())
 		cancel()
 		running.Wait()
 		time.Sleep(2 * seedInterval)
@@ -596,6 +604,12 @@
 	return calls
 }
 
+func (f *virtualFleet) listed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lists
+}
+
 func (f *virtualFleet) calls() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -645,7 +659,7 @@
 			time.Sleep(pause)
 		}
 		last := time.Now()
-		for f.behind(f.revision) > 0 && time.Since(last) < 2*allowed {
+		for f.behindNewest() > 0 && time.Since(last) < 2*allowed {
 			time.Sleep(20 * time.Millisecond)
 		}
 		t.Logf("all know the last one %v after it", time.Since(last))
@@ -671,7 +685,7 @@
 			running.Go(func() { p.run(life) })
 		}
 		time.Sleep(8 * time.Second)
-		before := f.lists
+		before := f.listed()
 		var herd []*virtualProcess
 		for _, p := range f.processes {
 			if step.Score("herd", p.address.String())%100 < 55 {
@@ -692,7 +706,7 @@
 		}
 		after = time.Since(back)
 		time.Sleep(5 * time.Second)
-		lists = f.lists - before
+		lists = f.listed() - before
 		cancel()
 		for _, end := range ends {
 			end()
--- a/internal/storefeed/start_test.go
+++ b/internal/storefeed/start_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,11 +21,11 @@
 )
 
 // countedStore counts the lists that it is asked for.
-type countedStore struct{ lists int }
+type countedStore struct{ lists atomic.Int64 }
 
 // List returns nothing.
 func (s *countedStore) List(context.Context, string, bool) ([]platform.Object, int64, error) {
-	s.lists++
+	s.lists.Add(1)
 	return nil, 1, nil
 }
 
@@ -71,7 +72,7 @@
 				_, s := starting(ctx, c.agent, c.reads)
 				time.Sleep(c.after)
 				synctest.Wait()
-				require.Equal(t, c.lists, s.lists)
+				require.Equal(t, int64(c.lists), s.lists.Load())
 				time.Sleep(2 * agentWait)
 			})
 		})
@@ -88,13 +89,13 @@
 		n, s := starting(ctx, true, crowdReads)
 		time.Sleep(time.Millisecond)
 		for i := range source.LeastEntries {
-			require.Zero(t, s.lists)
+			require.Zero(t, s.lists.Load())
 			n.Heard(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(10 + i)}), 7700), loadreport.Message{DataCentre: "perth-a"})
 		}
 		require.NotEmpty(t, n.choice.Address())
 		time.Sleep(agentWait / 2)
 		synctest.Wait()
-		require.Equal(t, 1, s.lists)
+		require.Equal(t, int64(1), s.lists.Load())
 		time.Sleep(2 * agentWait)
 	})
 }
