--- a/internal/capacity/sweep_page.go
+++ b/internal/capacity/sweep_page.go
@@ -13,8 +13,8 @@
 	b.WriteString(`# Capacity
 
 What each role spends as the fleet grows, and where that leads at the size of the users' first letter. Printed by ` + "`go run ./cmd/capacity`" + ` from
-docs/data/sweep; a test keeps this page and the command alike. Each sweep plays one day of a deployment at three sizes, one run each, on
-a machine on which other work ran. Slopes are those of a straight line through the three sizes, a host; the last columns carry line and
+docs/data/sweep; a test keeps this page and the command alike. Each sweep plays one day of a deployment at three or four sizes, one run each, on
+a machine on which other work ran. Slopes are those of a straight line through the sizes, a host; the last columns carry line and
 power on to the users' size, about five times beyond what was measured: they are no measurement.
 
 The figures are of the path that the users' platform runs. Those of the first version's path stand on [a page of their own](CAPACITY-FIRST.md).
@@ -135,9 +135,9 @@
 
 // mechanisms name what carries each figure.
 var mechanisms = map[string]string{
-	"entry, processor":                "requests, each of which looks at all upstreams of its service; lists and changes passed on as its data centre's reader",
+	"entry, processor":                "requests, each of which looks at the upstreams of the nearest data centre that has room; reports of the agents that it greets; lists and changes passed on",
 	"entry, memory":                   "requests in flight, the list of upstreams, what is kept for those that read from it",
-	"entry, bytes":                    "the reader of a data centre sends each list and change to its entries and to agents; greetings to a bounded number of agents",
+	"entry, bytes":                    "reports of a bounded number of agents; lists and changes, packed, to the square root of its data centre's entries and to some agents",
 	"entry, wake-ups":                 "requests, ticks of 20 ms, reports of the agents that it greets",
 	"entry, connections":              "a connection for each request in flight, kept ones of callers",
 	"entry, new connections":          "a connection for each request",
@@ -148,10 +148,10 @@
 	"agent, connections":              "neighbours in the mesh, hosts that fetch chunks, the engine",
 	"agent, new connections":          "the origin, and peers whose connections were idle",
 	"fleet, served":                   "admission and choice at each entry by itself",
-	"fleet, manifest in force":        "the reader of each data centre waits for changes, the others at it",
+	"fleet, manifest in force":        "the reader of each data centre waits for changes, the others at it or at one that does",
 	"fleet, a leaving upstream known": "the same",
 	"fleet, next change in force after a process was killed": "others notice a reader that is silent after 0.8 s",
-	"fleet, serving after all ended":                         "entries list the store and find one another by seeds; what lies at the engines is used",
+	"fleet, serving after all ended":                         "processes find one another by seeds, one entry of a data centre lists the store, the others read from it; what lies at the engines is used",
 }
 
 func mechanismOf(role, what string) string {
