--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -132,8 +132,8 @@
 	Leaving bool
 	// ColdLeft is how much longer the engine is cold, as it tells its agent; 0 when it does not say.
 	ColdLeft time.Duration
-	// Pace is how many times as long as its service says the engine takes; 0 when it does not say.
-	Pace float64
+	// Slowdown is how many times as long as its service says the engine takes; 0 when it does not say.
+	Slowdown float64
 	// Entries is how many entries listen to this agent, and Near how many of them are in its data centre.
 	Entries int
 	Near    int
--- a/internal/core/forward/room.go
+++ b/internal/core/forward/room.go
@@ -59,25 +59,24 @@
 // readRate is how many tokens of prompts the engine reads in a second at its present pace.
 func (t *target) readRate() float64 {
 	if t.engine != nil && t.engine.ReadRate > 0 {
-		return t.engine.ReadRate / t.pace()
+		return t.engine.ReadRate / t.slowdown()
 	}
-	return usualReadRate / t.pace()
+	return usualReadRate / t.slowdown()
 }
 
-// slowPace is from which pace on an engine counts as slow: about what lets a request of the usual length miss its objective at an engine with some
-// work.
-const slowPace = 1.5
+// slowFrom is from which slowdown on an engine comes after the others.
+const slowFrom = 1.5
 
-// pace is how many times as long as its service says the engine takes, 1 at least.
-func (t *target) pace() float64 {
-	if pace := t.load.told.Pace; pace > 1 && !math.IsInf(pace, 0) {
-		return pace
+// slowdown is how many times as long as its service says the engine takes, 1 at least.
+func (t *target) slowdown() float64 {
+	if told := t.load.told.Slowdown; told > 1 && !math.IsInf(told, 0) {
+		return told
 	}
 	return 1
 }
 
 // slow tells whether the engine's requests are likely to be late.
-func (t *target) slow() bool { return t.pace() >= slowPace }
+func (t *target) slow() bool { return t.slowdown() >= slowFrom }
 
 // limit is how many requests the upstream may have.
 func (t *target) limit(r *request) int {
--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -95,8 +95,8 @@
 	Sequence int64
 	// Occupied counts the requests that it works on or has queued.
 	Occupied int
-	// Pace is how many times as long as its service says it takes; 0 when it does not say.
-	Pace float64
+	// Slowdown is how many times as long as its service says it takes; 0 when it does not say.
+	Slowdown float64
 	// Notice is what it says of itself beside that.
 	Notice catalog.Notice
 }
@@ -288,12 +288,12 @@
 // ColdLeft is how much longer the engine says that it is cold; 0 when it does not say.
 func (s *State) ColdLeft() time.Duration { return s.engine.Notice.ColdLeft }
 
-// Pace is how many times as long as its service says the engine takes; 0 for no longer, or when it does not say.
-func (s *State) Pace() float64 {
-	if s.engine.Pace <= 1 {
+// Slowdown is how many times as long as its service says the engine takes; 0 for no longer, or when it does not say.
+func (s *State) Slowdown() float64 {
+	if s.engine.Slowdown <= 1 {
 		return 0
 	}
-	return s.engine.Pace
+	return s.engine.Slowdown
 }
 
 // RateLimit is the limit that the engine names, in requests a second from all entries together; nil for none.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -62,7 +62,7 @@
 		g.step(forward.LoadTold{
 			Address: m.Load.Address, Born: m.Load.Born, Occupied: m.Load.Occupied, Closing: m.Load.Closing,
 			Versions: m.Load.Versions, RateLimit: m.Load.RateLimit, Leaving: m.Load.Leaving, Entries: m.Load.Entries, Near: m.Load.Near,
-			ColdLeft: time.Duration(m.Load.ColdMS) * time.Millisecond, Pace: m.Load.Pace,
+			ColdLeft: time.Duration(m.Load.ColdMS) * time.Millisecond, Slowdown: m.Load.Slowdown,
 		})
 	}
 }
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -217,7 +217,7 @@
 	defer a.mu.Unlock()
 	load := loadreport.Load{
 		Address: a.host.Engine, Born: a.install.Born(), Occupied: a.install.Occupied(), Closing: a.install.Closing(), Versions: a.install.Loaded(),
-		RateLimit: a.install.RateLimit(), Leaving: a.install.Leaving(), ColdMS: a.install.ColdLeft().Milliseconds(), Pace: a.install.Pace(),
+		RateLimit: a.install.RateLimit(), Leaving: a.install.Leaving(), ColdMS: a.install.ColdLeft().Milliseconds(), Slowdown: a.install.Slowdown(),
 	}
 	return load, loadreport.Namings(now, a.catalog.Told(now, a.host.VersionTime))
 }
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -62,8 +62,8 @@
 	Leaving bool `json:"z,omitempty"`
 	// ColdMS is how much longer the engine says that it is cold, in milliseconds; 0 when it does not say.
 	ColdMS int64 `json:"h,omitempty"`
-	// Pace is how many times as long as usual the engine says it takes; absent for the usual pace.
-	Pace float64 `json:"y,omitempty"`
+	// Slowdown is how many times as long as usual the engine says it takes; absent when it takes no longer.
+	Slowdown float64 `json:"y,omitempty"`
 	// Entries counts the entries that greeted the agent of late, and Near those of them in its data centre.
 	Entries int `json:"n"`
 	Near    int `json:"i"`
--- a/internal/storefeed/feed.go
+++ b/internal/storefeed/feed.go
@@ -147,6 +147,9 @@
 	}
 	if address == "" {
 		objects, revision, err := r.Direct.List(ctx, kind, stale)
+		if err == nil {
+			r.caughtUp()
+		}
 		return objects, revision, 0, err
 	}
 	return r.ask(ctx, address, Question{Kind: kind, WaitMS: maxWait.Milliseconds()}, listTime)
@@ -178,6 +181,7 @@
 	}
 	objects, at, err := r.Direct.Watch(ctx, kind, revision, wait)
 	if err == nil {
+		r.caughtUp()
 		r.keep(func(c *Cache) { c.changedSince(kind, objects, at, 0) })
 	}
 	return objects, at, err
@@ -207,7 +211,7 @@
 	return r.Patient && !r.behindSince.IsZero() && time.Since(r.behindSince) < behindFor
 }
 
-// caughtUp notes that a process that is read from has heard from the store.
+// caughtUp notes that the store was heard, by this process or by one that it reads from.
 func (r *Reader) caughtUp() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/storefeed/neighbours.go
+++ b/internal/storefeed/neighbours.go
@@ -29,10 +29,12 @@
 	// Entries hear it from the seeds, which know of all within two greetings; agents hear it from the seeds too, and then from the entries that
 	// have read theirs.
 	entryWait = time.Second
+	agentWait = 3 * time.Second
 	// settleTime is how long after its start a process takes it that those who told it had not met all entries yet: it may be told that it
 	// comes first, and read the store, when it does not.
 	settleTime = 250 * time.Millisecond
-	agentWait  = 3 * time.Second
+	// meetTime is how long after its start a process goes on meeting its neighbours.
+	meetTime = time.Second
 	// runningLonger is how much longer than a process its seeds must have run for it to have joined a fleet that runs.
 	runningLonger = 5 * time.Second
 	// crowdReads is from which rate of reads a second, which the platform allows all processes together, a fleet counts as large in this:
@@ -155,7 +157,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	t, known := n.told[dataCentre]
-	if young := now.Sub(n.started) < time.Second; !known || young || now.Sub(t.at) > tellingFor {
+	if meeting := now.Sub(n.started) < meetTime; !known || meeting || now.Sub(t.at) > tellingFor {
 		entries := n.entries(now, dataCentre)
 		t = telling{at: now, first: source.First(dataCentre, entries), count: len(entries)}
 		if t.count >= source.LeastEntries { // Fewer are soon more, after a start.
