--- a/internal/house/house_test.go
+++ b/internal/house/house_test.go
@@ -211,8 +211,8 @@
 	"registry." + "npmjs", "pypi" + ".org", "crates" + ".io", "docker" + ".io", "ghcr" + ".io",
 }
 
-// sourcesInJournal are copies of sources that were measured once and have left the tree, which the journal keeps as they were: a route of a test that
-// began with /home/, and the record of a property test's failure.
+// sourcesInJournal are copies of sources that were measured once and have left the tree, which the journal keeps as they were: a route of a
+// test that looked like a path, and the record of a property test's failure.
 var sourcesInJournal = []string{"443d4471ffdfc85b.txt", "95f5e5ac71841068.txt"}
 
 // TestNoMachinePaths finds paths of one machine and names of registries in any text.
