--- a/internal/soak/places_test.go
+++ b/internal/soak/places_test.go
@@ -14,7 +14,7 @@
 // The users' rules on places: how long after the store's word an evacuation holds, and what a cold upstream may get in a second.
 const (
 	evacuationTime = 5 * time.Second
-	coldPerS       = 12
+	coldRate       = 12
 	coldOvershoot  = 1.5
 	coldExtra      = 5
 	// coldHeard is how long after an upstream told the store that it is cold the bound is checked: a change is read within half a second, or by
@@ -50,7 +50,7 @@
 
 func newPlacesSoak(t *testing.T) *placesSoak {
 	s := &soak{t: t, fleet: standin.NewFleet(t), version: 1, places: []string{"perth-a", "karratha-a", "bunbury-a"}}
-	s.fleet.EvacuationTime, s.fleet.ColdPerS = evacuationTime, coldPerS
+	s.fleet.EvacuationTime, s.fleet.ColdPerS = evacuationTime, coldRate
 	s.fleet.AddHomeRoute("/bound/", homeRegion)
 	s.tenants = []map[string]any{{"name": homeAccount, "apiKeys": []string{homeKey}, "homeRegions": []string{accountRegion}}}
 	return &placesSoak{soak: startSoak(t, placesHosts, s), evacuated: map[string][]span{}, cold: map[string][]span{}}
@@ -138,7 +138,7 @@
 			for coldArrivals[first].Before(at.Add(-time.Second)) {
 				first++
 			}
-			require.LessOrEqual(s.t, float64(k-first+1), coldOvershoot*coldPerS+coldExtra, "FAILBACK: %s", u.ID)
+			require.LessOrEqual(s.t, float64(k-first+1), coldOvershoot*coldRate+coldExtra, "FAILBACK: %s", u.ID)
 		}
 	}
 	s.t.Logf("%d requests with homes, %d looked at for evacuations, %d at cold upstreams", homes, evacuated, cold)
