--- a/internal/soak/places_test.go
+++ b/internal/soak/places_test.go
@@ -52,7 +52,7 @@
 	s := &soak{t: t, fleet: standin.NewFleet(t), version: 1, places: []string{"perth-a", "karratha-a", "bunbury-a"}}
 	s.fleet.EvacuationTime, s.fleet.ColdPerS = evacuationTime, coldRate
 	s.fleet.AddHomeRoute("/bound/", homeRegion)
-	s.tenants = []map[string]any{{"name": homeAccount, "apiKeys": []string{homeKey}, "homeRegions": []string{accountRegion}}}
+	s.tenants = []map[string]any{standin.BoundTenant(homeAccount, homeKey, accountRegion)}
 	return &placesSoak{soak: startSoak(t, placesHosts, s), evacuated: map[string][]span{}, cold: map[string][]span{}}
 }
 
@@ -113,7 +113,7 @@
 		place := s.places[(i/2)%len(s.places)] // A plain upstream and an engine stand in each, one after the other.
 		var coldArrivals []time.Time
 		for _, a := range arrivalsAt(u) {
-			account, bound := a.Header.Get("Tenant") == homeAccount, a.Header.Get(homeHeader) != ""
+			account, bound := a.Account() == homeAccount, a.Header.Get(homeHeader) != ""
 			if account || bound {
 				homes++
 			}
--- a/internal/storefeed/growth_test.go
+++ b/internal/storefeed/growth_test.go
@@ -222,8 +222,8 @@
 	require.LessOrEqual(t, exponent(small, large, float64(before), float64(after)), 0.5)
 }
 
-// TestAStormOfLargeManifestsReachesAllInTime guards against a reader whose link is full of manifests: at 988 hosts, seven of them in two seconds were
-// not in force at some entries six seconds later, and callers with keys that had been taken away were served.
+// TestAStormOfLargeManifestsReachesAllInTime guards against manifests that come late to a part of a large fleet when many come at once, so that
+// callers with keys that have been taken away are served.
 func TestAStormOfLargeManifestsReachesAllInTime(t *testing.T) {
 	const (
 		processes = 600
