--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -45,8 +45,10 @@
 	// reportedStarts maps each address to the start time of its upstream, as reported by the agent on the same host.
 	reportedStarts   map[string]reportedStart
 	manifestRevision int64
-	listRevision     int64
-	listed           map[Topic]bool
+	// ignoredManifest is the revision of the last manifest that was reported as ignored.
+	ignoredManifest int64
+	listRevision    int64
+	listed          map[Topic]bool
 	// removed maps each removed upstream to the store revision of its removal, so that an older list can't restore it.
 	removed map[string]int64
 	// lapsing maps the ID of each upstream whose registration was found missing after an outage to the time at which it counts as
@@ -142,9 +144,22 @@
 	Revision int64
 }
 
+// ManifestIgnored has the shell log that a manifest was read but not put in force, because it is older than the one in force.
+type ManifestIgnored struct {
+	// Version and Revision are those of the manifest that was read.
+	Version  int64
+	Revision int64
+	// InForce and InForceRevision are those of the manifest in force.
+	InForce         int64
+	InForceRevision int64
+}
+
 // Effect marks the type as an effect.
 func (StateChanged) Effect() {}
 
+// Effect marks the type as an effect.
+func (ManifestIgnored) Effect() {}
+
 // NewState returns an empty state.
 func NewState() *State {
 	return &State{
@@ -206,14 +221,28 @@
 }
 
 func (s *State) manifestRead(ev ManifestRead) []step.Effect {
-	if ev.Revision <= s.manifestRevision {
+	if ev.Revision == s.manifestRevision {
 		return nil
 	}
+	if ev.Revision < s.manifestRevision {
+		return s.ignoreManifest(ev)
+	}
 	s.manifestRevision = ev.Revision
 	s.Manifest = ev.Manifest
 	return []step.Effect{StateChanged{Topic: ManifestTopic, Value: "in force", Revision: ev.Revision}}
 }
 
+// ignoreManifest reports, once for each manifest, that it was read but is not put in force.
+func (s *State) ignoreManifest(ev ManifestRead) []step.Effect {
+	if ev.Revision == s.ignoredManifest {
+		return nil
+	}
+	s.ignoredManifest = ev.Revision
+	return []step.Effect{ManifestIgnored{
+		Version: ev.Manifest.Version, Revision: ev.Revision, InForce: s.Manifest.Version, InForceRevision: s.manifestRevision,
+	}}
+}
+
 func (s *State) upstreamsListed(now time.Time, ev UpstreamsListed) []step.Effect {
 	if ev.Revision < s.listRevision {
 		return nil
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -38,8 +38,11 @@
 	s := catalog.NewState()
 	newer := catalog.NewManifest(9, nil, nil)
 	s.Reduce(at(0, catalog.ManifestRead{Revision: 7, Manifest: newer}))
-	s.Reduce(at(0, catalog.ManifestRead{Revision: 6, Manifest: catalog.NewManifest(8, nil, nil)}))
+	older := catalog.ManifestRead{Revision: 6, Manifest: catalog.NewManifest(8, nil, nil)}
+	ignored := []step.Effect{catalog.ManifestIgnored{Version: 8, Revision: 6, InForce: 9, InForceRevision: 7}}
+	require.Equal(t, ignored, s.Reduce(at(0, older)))
 	require.Same(t, newer, s.Manifest)
+	require.Empty(t, s.Reduce(at(0, older)), "one log line for each manifest")
 }
 
 // TestRemovedUpstreamIsNotRestoredByAnOlderList guards against a list that was read before a removal but arrives after it.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"samphireweir.example/samphireweir/internal/membudget"
 	"samphireweir.example/samphireweir/internal/periodic"
 	"samphireweir.example/samphireweir/internal/storefeed"
+	"samphireweir.example/samphireweir/internal/storewatch"
 	"samphireweir.example/samphireweir/internal/telemetry"
 	"samphireweir.example/samphireweir/platform"
 )
@@ -152,6 +153,8 @@
 	case catalog.StateChanged:
 		logevent.Info(g.log, logevent.StateChanged).Str("what", string(e.Topic)).Str("of", e.Name).Str("value", e.Value).
 			Int64("revision", e.Revision).Msg("known state changed")
+	case catalog.ManifestIgnored:
+		storewatch.LogManifestIgnored(g.log, e)
 	case forward.QuarantineStarted:
 		g.logQuarantine(e.Fingerprint, quarantine.QuarantineDuration, e.Upstream)
 		go g.sendHeartbeats()
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -178,6 +178,8 @@
 	switch e := e.(type) {
 	case catalog.StateChanged:
 		a.logCatalogChange(e)
+	case catalog.ManifestIgnored:
+		storewatch.LogManifestIgnored(a.log, e)
 	case catalog.ActivationChanged:
 		a.reduce(install.VersionActivated{Model: e.Activation.Model, Version: e.Activation.Version, Age: in.Now.Sub(e.Activation.ActivatedAt)})
 	case install.PhaseChanged:
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -28,6 +28,7 @@
 	MalformedObject        ID = 2009
 	SettingsFileChanged    ID = 2010
 	UpstreamNotice         ID = 2011
+	ManifestIgnored        ID = 2012
 	BurstStarted           ID = 3001
 	BurstComplete          ID = 3002
 	ChunkRefused           ID = 3003
@@ -86,6 +87,7 @@
 	{MalformedObject, "malformed object", "An object of the platform's store, a datagram or the settings file could not be read or is malformed; what was in force before stays in force."},
 	{SettingsFileChanged, "settings file changed", "The platform's settings file changed and is valid; the change takes effect at the next start of the process."},
 	{UpstreamNotice, "upstream notice changed", "The notice in an upstream's answer head differs from the previous one. limited: it accepts rate_limit requests per second from all entries together; garbled: its limit is malformed; leaving: it is shutting down; retry_after_ms: the backoff in milliseconds that it requests from this entry."},
+	{ManifestIgnored, "manifest ignored", "A manifest was read and not put in force because it is older than the one in force: version and revision are its own, in_force and in_force_revision those of the one in force. Expected after a slow read; repeated lines mean that the store's revisions went back."},
 	{BurstStarted, "burst started", "The host started to fetch a version of weights."},
 	{BurstComplete, "burst complete", "The host holds every chunk of a version, each verified against its digest."},
 	{ChunkRefused, "chunk refused", "A chunk did not match its digest or could not be fetched; the field from names the sender."},
--- a/internal/storewatch/events.go
+++ b/internal/storewatch/events.go
@@ -152,3 +152,9 @@
 	d.loggedRevisions[o.Name] = o.Revision
 	logevent.Warn(d.Log, logevent.MalformedObject).Str("entry", o.Name).Int64("revision", o.Revision).Err(err).Msg("malformed object")
 }
+
+// LogManifestIgnored logs that a manifest was read and not put in force.
+func LogManifestIgnored(log zerolog.Logger, e catalog.ManifestIgnored) {
+	logevent.Warn(log, logevent.ManifestIgnored).Int64("version", e.Version).Int64("revision", e.Revision).
+		Int64("in_force", e.InForce).Int64("in_force_revision", e.InForceRevision).Msg("manifest ignored")
+}
