--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -1,12 +1,11 @@
 package catalog
 
 import (
-	"maps"
-	"slices"
 	"sort"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 const (
@@ -44,13 +43,13 @@
 	byAddress map[string][]string
 	// reportedStarts maps each address to the start time of its upstream, as reported by the agent on the same host.
 	reportedStarts   map[string]reportedStart
-	manifestRevision int64
+	manifestRevision storerev.Revision
 	// ignoredManifest is the revision of the last manifest that was reported as ignored.
-	ignoredManifest int64
-	listRevision    int64
+	ignoredManifest storerev.Revision
+	listRevision    storerev.Revision
 	listed          map[Topic]bool
-	// removed maps each removed upstream to the store revision of its removal, so that an older list can't restore it.
-	removed map[string]int64
+	// removed maps each removed upstream to its removal, so that an older list can't restore it.
+	removed map[string]removal
 	// lapsing maps the ID of each upstream whose registration was found missing after an outage to the time at which it counts as
 	// removed.
 	lapsing map[string]time.Time
@@ -58,6 +57,8 @@
 	// that is missing before graceUntil may have expired merely because of the outage.
 	failingSince time.Time
 	graceUntil   time.Time
+	// eras holds what is to be settled after the store was restored.
+	eras eras
 }
 
 // Topic is a kind of object that is followed in the store.
@@ -74,31 +75,10 @@
 
 // ManifestRead reports the manifest that the store holds at a revision.
 type ManifestRead struct {
-	Revision int64
+	Revision storerev.Revision
 	Manifest *Manifest
 }
 
-// UpstreamsListed reports all upstreams that are registered at a revision.
-type UpstreamsListed struct {
-	Revision  int64
-	Upstreams []*Upstream
-}
-
-// UpstreamChanged reports that a registration was written.
-type UpstreamChanged struct{ Upstream *Upstream }
-
-// UpstreamRemoved reports that a registration was removed at a revision.
-type UpstreamRemoved struct {
-	ID       string
-	Revision int64
-}
-
-// UpstreamUnreadable reports that a registration was written that doesn't describe a usable upstream.
-type UpstreamUnreadable struct {
-	ID       string
-	Revision int64
-}
-
 // TopicListed reports that all objects of a topic were read.
 type TopicListed struct{ Topic Topic }
 
@@ -111,18 +91,6 @@
 // Event marks the type as an event.
 func (ManifestRead) Event() {}
 
-// Event marks the type as an event.
-func (UpstreamsListed) Event() {}
-
-// Event marks the type as an event.
-func (UpstreamChanged) Event() {}
-
-// Event marks the type as an event.
-func (UpstreamRemoved) Event() {}
-
-// Event marks the type as an event.
-func (UpstreamUnreadable) Event() {}
-
 // Event marks the type as an event.
 func (TopicListed) Event() {}
 
@@ -141,17 +109,17 @@
 	// Value describes the new state.
 	Value string
 	// Revision is the store revision of the new state.
-	Revision int64
+	Revision storerev.Revision
 }
 
 // ManifestIgnored has the shell log that a manifest was read but not put in force, because it is older than the one in force.
 type ManifestIgnored struct {
 	// Version and Revision are those of the manifest that was read.
 	Version  int64
-	Revision int64
+	Revision storerev.Revision
 	// InForce and InForceRevision are those of the manifest in force.
 	InForce         int64
-	InForceRevision int64
+	InForceRevision storerev.Revision
 }
 
 // Effect marks the type as an effect.
@@ -164,8 +132,8 @@
 func NewState() *State {
 	return &State{
 		Upstreams: map[string]*Upstream{}, Versions: map[string]Activation{}, history: map[string][]Activation{}, listed: map[Topic]bool{},
-		byAddress: map[string][]string{}, reportedStarts: map[string]reportedStart{}, removed: map[string]int64{}, lapsing: map[string]time.Time{},
-		evacuations: map[string]evacuation{},
+		byAddress: map[string][]string{}, reportedStarts: map[string]reportedStart{}, removed: map[string]removal{}, lapsing: map[string]time.Time{},
+		evacuations: map[string]evacuation{}, eras: newEras(),
 	}
 }
 
@@ -180,6 +148,11 @@
 
 // Reduce handles one input and returns the effects to carry out.
 func (s *State) Reduce(in step.Input) []step.Effect {
+	effects := s.noticeEra(in.Now, in.Event)
+	return append(effects, s.handle(in)...)
+}
+
+func (s *State) handle(in step.Input) []step.Effect {
 	switch ev := in.Event.(type) {
 	case StoreAnswered:
 		s.storeAnswered(in.Now)
@@ -204,7 +177,7 @@
 	case EvacuationEnded:
 		return s.evacuate(ev.DataCentre, evacuation{revision: ev.Revision})
 	case EvacuationsListed:
-		return s.evacuationsListed(ev)
+		return s.evacuationsListed(in.Now, ev)
 	case VersionActivated:
 		return s.versionActivated(in.Now, ev)
 	case step.Tick:
@@ -213,6 +186,10 @@
 	return nil
 }
 
+func (s *State) expire(now time.Time) []step.Effect {
+	return append(s.dropLapsed(now), s.settleEra(now)...)
+}
+
 func (s *State) storeAnswered(now time.Time) {
 	if !s.failingSince.IsZero() && now.Sub(s.failingSince) > minOutage {
 		s.graceUntil = now.Add(outageGrace)
@@ -224,7 +201,7 @@
 	if ev.Revision == s.manifestRevision {
 		return nil
 	}
-	if ev.Revision < s.manifestRevision {
+	if !s.replacesManifest(ev) {
 		return s.ignoreManifest(ev)
 	}
 	s.manifestRevision = ev.Revision
@@ -232,6 +209,15 @@
 	return []step.Effect{StateChanged{Topic: ManifestTopic, Value: "in force", Revision: ev.Revision}}
 }
 
+// replacesManifest reports whether a manifest that was read replaces the one in force. Within an era of the store, the later one is in
+// force. After a restore, the store has an older manifest until the operator's is written again; the operator's version number tells.
+func (s *State) replacesManifest(ev ManifestRead) bool {
+	if s.Manifest == nil || ev.Revision.SameEra(s.manifestRevision) {
+		return ev.Revision.After(s.manifestRevision)
+	}
+	return ev.Revision.After(s.manifestRevision) && ev.Manifest.Version >= s.Manifest.Version
+}
+
 // ignoreManifest reports, once for each manifest, that it was read but is not put in force.
 func (s *State) ignoreManifest(ev ManifestRead) []step.Effect {
 	if ev.Revision == s.ignoredManifest {
@@ -243,122 +229,6 @@
 	}}
 }
 
-func (s *State) upstreamsListed(now time.Time, ev UpstreamsListed) []step.Effect {
-	if ev.Revision < s.listRevision {
-		return nil
-	}
-	s.listRevision = ev.Revision
-	var effects []step.Effect
-	present := map[string]bool{}
-	for _, u := range ev.Upstreams {
-		present[u.ID] = true
-		effects = append(effects, s.upstreamChanged(now, u)...)
-	}
-	for _, id := range sortedIDs(s.Upstreams) {
-		if !present[id] && s.Upstreams[id].Revision <= ev.Revision {
-			effects = append(effects, s.upstreamRemoved(now, UpstreamRemoved{ID: id, Revision: ev.Revision})...)
-		}
-	}
-	return effects
-}
-
-func (s *State) upstreamChanged(now time.Time, u *Upstream) []step.Effect {
-	if u.Revision <= s.removed[u.ID] {
-		return nil
-	}
-	old := s.Upstreams[u.ID]
-	if old != nil && u.Revision < old.Revision {
-		return nil
-	}
-	if old != nil && u.StartedAt == 0 && old.StartedAt > 0 {
-		// The upstream itself would have given its start time, so another process wrote this registration.
-		return s.upstreamUnreadable(UpstreamUnreadable{ID: u.ID, Revision: u.Revision})
-	}
-	if old != nil && u.StartedAt < old.StartedAt {
-		return nil // A delayed write of an earlier instance.
-	}
-	delete(s.lapsing, u.ID)
-	delete(s.removed, u.ID)
-	s.put(old, u.withColdUntil(now, old))
-	if old != nil && old.Draining == u.Draining && old.StartedAt == u.StartedAt {
-		return nil
-	}
-	value := "ready"
-	if u.Draining {
-		value = "draining"
-	}
-	return []step.Effect{StateChanged{Topic: UpstreamTopic, Name: u.ID, Value: value, Revision: u.Revision}}
-}
-
-// put replaces old, which is nil for a new upstream, with u.
-func (s *State) put(old, u *Upstream) {
-	s.Upstreams[u.ID] = u
-	s.ChangeCount++
-	if old != nil && old.Address == u.Address {
-		return
-	}
-	if old != nil {
-		s.unlink(old)
-	}
-	s.byAddress[u.Address] = append(s.byAddress[u.Address], u.ID)
-}
-
-// unlink removes the upstream from the index by address.
-func (s *State) unlink(u *Upstream) {
-	remaining := slices.DeleteFunc(s.byAddress[u.Address], func(id string) bool { return id == u.ID })
-	if len(remaining) == 0 {
-		delete(s.byAddress, u.Address)
-		delete(s.reportedStarts, u.Address)
-		return
-	}
-	s.byAddress[u.Address] = remaining
-}
-
-// upstreamUnreadable drops an upstream at once, also within the grace period after an outage: its registration exists but doesn't
-// describe a usable upstream.
-func (s *State) upstreamUnreadable(ev UpstreamUnreadable) []step.Effect {
-	u := s.Upstreams[ev.ID]
-	if u == nil || ev.Revision < u.Revision {
-		return nil
-	}
-	return s.drop(ev.ID, ev.Revision)
-}
-
-func (s *State) upstreamRemoved(now time.Time, ev UpstreamRemoved) []step.Effect {
-	u := s.Upstreams[ev.ID]
-	if u == nil || ev.Revision < u.Revision {
-		return nil
-	}
-	if now.Before(s.graceUntil) && !u.Draining {
-		if _, known := s.lapsing[ev.ID]; !known {
-			s.lapsing[ev.ID] = s.graceUntil
-		}
-		return nil
-	}
-	return s.drop(ev.ID, ev.Revision)
-}
-
-func (s *State) drop(id string, revision int64) []step.Effect {
-	if u := s.Upstreams[id]; u != nil {
-		s.unlink(u)
-	}
-	delete(s.Upstreams, id)
-	s.ChangeCount++
-	delete(s.lapsing, id)
-	s.removed[id] = revision
-	return []step.Effect{StateChanged{Topic: UpstreamTopic, Name: id, Value: "gone", Revision: revision}}
-}
-
-func (s *State) expire(now time.Time) []step.Effect {
-	var effects []step.Effect
-	for _, id := range slices.Sorted(maps.Keys(s.lapsing)) {
-		if u := s.Upstreams[id]; u != nil && !now.Before(s.lapsing[id]) {
-			effects = append(effects, s.drop(id, u.Revision)...)
-		}
-	}
-	return effects
-}
-
 // Origin returns the address of the weights origin, or an empty string when the manifest has none.
 func (s *State) Origin() string {
 	if s.Manifest == nil {
@@ -372,15 +242,6 @@
 	return ""
 }
 
-func sortedIDs(m map[string]*Upstream) []string {
-	ids := make([]string, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	return ids
-}
-
 func sortByPrefix(list []*Route) {
 	sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
 }
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -9,6 +9,7 @@
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // begin is the start of the tests' clock.
@@ -19,13 +20,13 @@
 }
 
 func upstream(id string, revision int64) *catalog.Upstream {
-	return &catalog.Upstream{ID: id, Service: "model", Address: "10.0.0.1:80", Revision: revision}
+	return &catalog.Upstream{ID: id, Service: "model", Address: "10.0.0.1:80", Revision: storerev.Revision{Number: revision}}
 }
 
 // TestReadyNeedsAllTopics guards against a process that accepts requests before it has read the manifest, the upstreams and the versions.
 func TestReadyNeedsAllTopics(t *testing.T) {
 	s := catalog.NewState()
-	s.Reduce(at(0, catalog.ManifestRead{Revision: 1, Manifest: catalog.NewManifest(1, nil, nil)}))
+	s.Reduce(at(0, catalog.ManifestRead{Revision: storerev.Revision{Number: 1}, Manifest: catalog.NewManifest(1, nil, nil)}))
 	require.False(t, s.Ready())
 	s.Reduce(at(0, catalog.TopicListed{Topic: catalog.UpstreamTopic}))
 	require.False(t, s.Ready())
@@ -37,9 +38,9 @@
 func TestOlderManifestIsIgnored(t *testing.T) {
 	s := catalog.NewState()
 	newer := catalog.NewManifest(9, nil, nil)
-	s.Reduce(at(0, catalog.ManifestRead{Revision: 7, Manifest: newer}))
-	older := catalog.ManifestRead{Revision: 6, Manifest: catalog.NewManifest(8, nil, nil)}
-	ignored := []step.Effect{catalog.ManifestIgnored{Version: 8, Revision: 6, InForce: 9, InForceRevision: 7}}
+	s.Reduce(at(0, catalog.ManifestRead{Revision: storerev.Revision{Number: 7}, Manifest: newer}))
+	older := catalog.ManifestRead{Revision: storerev.Revision{Number: 6}, Manifest: catalog.NewManifest(8, nil, nil)}
+	ignored := []step.Effect{catalog.ManifestIgnored{Version: 8, Revision: storerev.Revision{Number: 6}, InForce: 9, InForceRevision: storerev.Revision{Number: 7}}}
 	require.Equal(t, ignored, s.Reduce(at(0, older)))
 	require.Same(t, newer, s.Manifest)
 	require.Empty(t, s.Reduce(at(0, older)), "one log line for each manifest")
@@ -48,11 +49,11 @@
 // TestRemovedUpstreamIsNotRestoredByAnOlderList guards against a list that was read before a removal but arrives after it.
 func TestRemovedUpstreamIsNotRestoredByAnOlderList(t *testing.T) {
 	s := catalog.NewState()
-	s.Reduce(at(0, catalog.UpstreamsListed{Revision: 10, Upstreams: []*catalog.Upstream{upstream("a", 4)}}))
-	s.Reduce(at(0, catalog.UpstreamRemoved{ID: "a", Revision: 12}))
-	s.Reduce(at(0, catalog.UpstreamsListed{Revision: 11, Upstreams: []*catalog.Upstream{upstream("a", 4)}}))
+	s.Reduce(at(0, catalog.UpstreamsListed{Revision: storerev.Revision{Number: 10}, Upstreams: []*catalog.Upstream{upstream("a", 4)}}))
+	s.Reduce(at(0, catalog.UpstreamRemoved{ID: "a", Revision: storerev.Revision{Number: 12}}))
+	s.Reduce(at(0, catalog.UpstreamsListed{Revision: storerev.Revision{Number: 11}, Upstreams: []*catalog.Upstream{upstream("a", 4)}}))
 	require.Empty(t, s.Upstreams)
-	s.Reduce(at(0, catalog.UpstreamsListed{Revision: 9, Upstreams: []*catalog.Upstream{upstream("a", 4)}}))
+	s.Reduce(at(0, catalog.UpstreamsListed{Revision: storerev.Revision{Number: 9}, Upstreams: []*catalog.Upstream{upstream("a", 4)}}))
 	require.Empty(t, s.Upstreams)
 }
 
@@ -60,9 +61,9 @@
 // one that registered after the list was read and must stay.
 func TestListRemovesMissingUpstreamsUnlessNewer(t *testing.T) {
 	s := catalog.NewState()
-	s.Reduce(at(0, catalog.UpstreamsListed{Revision: 10, Upstreams: []*catalog.Upstream{upstream("a", 4)}}))
+	s.Reduce(at(0, catalog.UpstreamsListed{Revision: storerev.Revision{Number: 10}, Upstreams: []*catalog.Upstream{upstream("a", 4)}}))
 	s.Reduce(at(0, catalog.UpstreamChanged{Upstream: upstream("b", 20)}))
-	s.Reduce(at(0, catalog.UpstreamsListed{Revision: 15}))
+	s.Reduce(at(0, catalog.UpstreamsListed{Revision: storerev.Revision{Number: 15}}))
 	require.Nil(t, s.Upstreams["a"])
 	require.NotNil(t, s.Upstreams["b"])
 }
@@ -72,9 +73,9 @@
 func TestIdleStoreIsNotAnOutage(t *testing.T) {
 	s := catalog.NewState()
 	s.Reduce(at(0, catalog.StoreAnswered{}))
-	s.Reduce(at(0, catalog.UpstreamsListed{Revision: 10, Upstreams: []*catalog.Upstream{upstream("a", 4)}}))
+	s.Reduce(at(0, catalog.UpstreamsListed{Revision: storerev.Revision{Number: 10}, Upstreams: []*catalog.Upstream{upstream("a", 4)}}))
 	s.Reduce(at(4*time.Second, catalog.StoreAnswered{}))
-	s.Reduce(at(4*time.Second, catalog.UpstreamRemoved{ID: "a", Revision: 12}))
+	s.Reduce(at(4*time.Second, catalog.UpstreamRemoved{ID: "a", Revision: storerev.Revision{Number: 12}}))
 	require.Empty(t, s.Upstreams)
 }
 
@@ -82,10 +83,10 @@
 // registrations expired because nobody could renew them.
 func TestRegistrationsExpiredInAnOutageHaveAGracePeriod(t *testing.T) {
 	s := catalog.NewState()
-	s.Reduce(at(0, catalog.UpstreamsListed{Revision: 10, Upstreams: []*catalog.Upstream{upstream("a", 4), upstream("b", 5)}}))
+	s.Reduce(at(0, catalog.UpstreamsListed{Revision: storerev.Revision{Number: 10}, Upstreams: []*catalog.Upstream{upstream("a", 4), upstream("b", 5)}}))
 	s.Reduce(at(time.Second, catalog.StoreFailed{}))
 	s.Reduce(at(5*time.Second, catalog.StoreAnswered{}))
-	s.Reduce(at(5*time.Second, catalog.UpstreamsListed{Revision: 30}))
+	s.Reduce(at(5*time.Second, catalog.UpstreamsListed{Revision: storerev.Revision{Number: 30}}))
 	require.Len(t, s.Upstreams, 2)
 	s.Reduce(at(6*time.Second, catalog.UpstreamChanged{Upstream: upstream("a", 33)}))
 	s.Reduce(at(7*time.Second, step.Tick{}))
@@ -102,7 +103,7 @@
 	s.Reduce(at(0, catalog.UpstreamChanged{Upstream: draining}))
 	s.Reduce(at(0, catalog.StoreFailed{}))
 	s.Reduce(at(5*time.Second, catalog.StoreAnswered{}))
-	s.Reduce(at(5*time.Second, catalog.UpstreamRemoved{ID: "a", Revision: 12}))
+	s.Reduce(at(5*time.Second, catalog.UpstreamRemoved{ID: "a", Revision: storerev.Revision{Number: 12}}))
 	require.Empty(t, s.Upstreams)
 }
 
@@ -111,8 +112,8 @@
 func TestEachVersionIsRequiredAtItsOwnTime(t *testing.T) {
 	s := catalog.NewState()
 	within := 6 * time.Second
-	s.Reduce(at(0, catalog.VersionActivated{Model: "m", Version: 2, Revision: 5}))
-	s.Reduce(at(2*time.Second, catalog.VersionActivated{Model: "m", Version: 3, Revision: 6}))
+	s.Reduce(at(0, catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 5}}))
+	s.Reduce(at(2*time.Second, catalog.VersionActivated{Model: "m", Version: 3, Revision: storerev.Revision{Number: 6}}))
 	require.Equal(t, int64(0), s.RequiredVersion("m", begin.Add(5*time.Second), within))
 	require.Equal(t, int64(2), s.RequiredVersion("m", begin.Add(7*time.Second), within))
 	require.Equal(t, int64(3), s.RequiredVersion("m", begin.Add(8*time.Second), within))
@@ -123,10 +124,10 @@
 // The earlier time must determine when the version is required.
 func TestEarliestKnownActivationTimeOfAVersionWins(t *testing.T) {
 	s := catalog.NewState()
-	s.Reduce(at(9*time.Second, catalog.VersionActivated{Model: "m", Version: 2, Revision: 5}))
-	s.Reduce(at(9*time.Second, catalog.VersionActivated{Model: "m", Version: 2, Revision: 5, Age: 9 * time.Second}))
+	s.Reduce(at(9*time.Second, catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 5}}))
+	s.Reduce(at(9*time.Second, catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 5}, Age: 9 * time.Second}))
 	require.Equal(t, int64(2), s.RequiredVersion("m", begin.Add(9*time.Second), 6*time.Second))
-	s.Reduce(at(10*time.Second, catalog.VersionActivated{Model: "m", Version: 1, Revision: 2}))
+	s.Reduce(at(10*time.Second, catalog.VersionActivated{Model: "m", Version: 1, Revision: storerev.Revision{Number: 2}}))
 	require.Equal(t, int64(2), s.Versions["m"].Version, "an older version is never restored")
 }
 
@@ -135,9 +136,9 @@
 	s := catalog.NewState()
 	s.Reduce(at(0, catalog.UpstreamChanged{Upstream: upstream("old", 4)}))
 	s.Reduce(at(0, catalog.UpstreamChanged{Upstream: upstream("new", 6)}))
-	s.Reduce(at(0, catalog.UpstreamRemoved{ID: "old", Revision: 8}))
+	s.Reduce(at(0, catalog.UpstreamRemoved{ID: "old", Revision: storerev.Revision{Number: 8}}))
 	require.Equal(t, "new", s.UpstreamAt("10.0.0.1:80", 0).ID)
-	s.Reduce(at(0, catalog.UpstreamRemoved{ID: "new", Revision: 9}))
+	s.Reduce(at(0, catalog.UpstreamRemoved{ID: "new", Revision: storerev.Revision{Number: 9}}))
 	require.Nil(t, s.UpstreamAt("10.0.0.1:80", 0))
 }
 
@@ -171,7 +172,7 @@
 			events = append(events, catalog.UpstreamChanged{Upstream: upstream("a", int64(revision))})
 		}
 		if removedLast {
-			events = append(events, catalog.UpstreamRemoved{ID: "a", Revision: int64(n + 1)})
+			events = append(events, catalog.UpstreamRemoved{ID: "a", Revision: storerev.Revision{Number: int64(n + 1)}})
 		}
 		s := catalog.NewState()
 		s.Reduce(at(0, events[0]))
@@ -182,7 +183,7 @@
 		if removedLast {
 			require.Nil(t, s.Upstreams["a"])
 		} else {
-			require.Equal(t, int64(n), s.Upstreams["a"].Revision)
+			require.Equal(t, storerev.Revision{Number: int64(n)}, s.Upstreams["a"].Revision)
 		}
 	})
 }
@@ -193,8 +194,8 @@
 	s := catalog.NewState()
 	_, ok := s.Successor("m", 1)
 	require.False(t, ok)
-	s.Reduce(step.Input{Now: begin.Add(time.Second), Event: catalog.VersionActivated{Model: "m", Version: 3, Revision: 2}})
-	s.Reduce(step.Input{Now: begin.Add(2 * time.Second), Event: catalog.VersionActivated{Model: "m", Version: 2, Revision: 1, Age: 2 * time.Second}})
+	s.Reduce(step.Input{Now: begin.Add(time.Second), Event: catalog.VersionActivated{Model: "m", Version: 3, Revision: storerev.Revision{Number: 2}}})
+	s.Reduce(step.Input{Now: begin.Add(2 * time.Second), Event: catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 1}, Age: 2 * time.Second}})
 	first, ok := s.Successor("m", 1)
 	require.True(t, ok)
 	require.Equal(t, int64(2), first.Version)
@@ -207,7 +208,7 @@
 
 // activated returns a report of the activation of version 2 with its age.
 func activated(age time.Duration, assumed bool) catalog.VersionActivated {
-	return catalog.VersionActivated{Model: "m", Version: 2, Revision: 9, Age: age, Assumed: assumed}
+	return catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 9}, Age: age, Assumed: assumed}
 }
 
 // TestKnownAgeReplacesAnAssumedOne has a process find a version when it starts and then receive reports of its age. A known age
@@ -215,7 +216,7 @@
 func TestKnownAgeReplacesAnAssumedOne(t *testing.T) {
 	s := catalog.NewState()
 	s.ListedActivatedAt = begin.Add(-5 * time.Second)
-	found := catalog.VersionActivated{Model: "m", Version: 2, Revision: 9, Listed: true}
+	found := catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 9}, Listed: true}
 	age := func() time.Duration { return begin.Sub(s.Versions["m"].ActivatedAt) }
 	discovered := s.Reduce(at(0, found))
 	require.Len(t, discovered, 2)
@@ -247,9 +248,9 @@
 func TestVersionFirstSeenInALaterListIsAssumedNew(t *testing.T) {
 	s := catalog.NewState()
 	s.ListedActivatedAt = begin.Add(-5 * time.Second)
-	s.Reduce(at(0, catalog.VersionActivated{Model: "m", Version: 1, Revision: 3, Listed: true}))
+	s.Reduce(at(0, catalog.VersionActivated{Model: "m", Version: 1, Revision: storerev.Revision{Number: 3}, Listed: true}))
 	s.Reduce(at(0, catalog.TopicListed{Topic: catalog.VersionTopic}))
-	s.Reduce(at(2*time.Second, catalog.VersionActivated{Model: "m", Version: 2, Revision: 9, Listed: true}))
+	s.Reduce(at(2*time.Second, catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 9}, Listed: true}))
 	require.Equal(t, begin.Add(2*time.Second), s.Versions["m"].ActivatedAt)
 	s.Reduce(at(3*time.Second, activated(6*time.Second, true)))
 	require.Equal(t, begin.Add(-3*time.Second), s.Versions["m"].ActivatedAt, "the older assumed age, which others reported, wins")
@@ -260,7 +261,7 @@
 func TestReportedActivationsMayStillBeRequired(t *testing.T) {
 	s := catalog.NewState()
 	for version := int64(1); version <= 3; version++ {
-		s.Reduce(at(time.Duration(version)*time.Second, catalog.VersionActivated{Model: "m", Version: version, Revision: version}))
+		s.Reduce(at(time.Duration(version)*time.Second, catalog.VersionActivated{Model: "m", Version: version, Revision: storerev.Revision{Number: version}}))
 	}
 	reported := func(now time.Duration) []int64 {
 		var versions []int64
--- a/internal/core/catalog/evacuation_test.go
+++ b/internal/core/catalog/evacuation_test.go
@@ -6,26 +6,27 @@
 	"github.com/stretchr/testify/require"
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // TestEvacuationsFollowTheRevision guards against a delayed answer of the store that ends or restores an evacuation although a later
 // revision is known.
 func TestEvacuationsFollowTheRevision(t *testing.T) {
 	s := catalog.NewState()
-	require.NotEmpty(t, s.Reduce(at(0, catalog.EvacuationStarted{DataCentre: "a", Revision: 5})))
+	require.NotEmpty(t, s.Reduce(at(0, catalog.EvacuationStarted{DataCentre: "a", Revision: storerev.Revision{Number: 5}})))
 	require.True(t, s.Evacuated("a"))
-	s.Reduce(at(0, catalog.EvacuationsListed{Revision: 4}))
+	s.Reduce(at(0, catalog.EvacuationsListed{Revision: storerev.Revision{Number: 4}}))
 	require.True(t, s.Evacuated("a"), "the list is older")
-	require.NotEmpty(t, s.Reduce(at(0, catalog.EvacuationEnded{DataCentre: "a", Revision: 7})))
+	require.NotEmpty(t, s.Reduce(at(0, catalog.EvacuationEnded{DataCentre: "a", Revision: storerev.Revision{Number: 7}})))
 	require.False(t, s.Evacuated("a"))
-	s.Reduce(at(0, catalog.EvacuationStarted{DataCentre: "a", Revision: 5}))
+	s.Reduce(at(0, catalog.EvacuationStarted{DataCentre: "a", Revision: storerev.Revision{Number: 5}}))
 	require.False(t, s.Evacuated("a"), "the event is older than the end of the evacuation")
-	s.Reduce(at(0, catalog.EvacuationsListed{Revision: 6, DataCentres: []string{"a"}}))
+	s.Reduce(at(0, catalog.EvacuationsListed{Revision: storerev.Revision{Number: 6}, DataCentres: []string{"a"}}))
 	require.False(t, s.Evacuated("a"), "the list is older than the end of the evacuation")
-	s.Reduce(at(0, catalog.EvacuationsListed{Revision: 9, DataCentres: []string{"a", "b"}}))
+	s.Reduce(at(0, catalog.EvacuationsListed{Revision: storerev.Revision{Number: 9}, DataCentres: []string{"a", "b"}}))
 	require.True(t, s.Evacuated("a"))
 	require.True(t, s.Evacuated("b"))
-	s.Reduce(at(0, catalog.EvacuationsListed{Revision: 10, DataCentres: []string{"b"}}))
+	s.Reduce(at(0, catalog.EvacuationsListed{Revision: storerev.Revision{Number: 10}, DataCentres: []string{"b"}}))
 	require.False(t, s.Evacuated("a"), "the event that ended it was lost")
 }
 
@@ -34,7 +35,7 @@
 func TestNotReadyBeforeEvacuationsAreKnown(t *testing.T) {
 	s := catalog.NewState()
 	s.FollowsEvacuations = true
-	s.Reduce(at(0, catalog.ManifestRead{Revision: 1, Manifest: catalog.NewManifest(1, nil, nil)}))
+	s.Reduce(at(0, catalog.ManifestRead{Revision: storerev.Revision{Number: 1}, Manifest: catalog.NewManifest(1, nil, nil)}))
 	s.Reduce(at(0, catalog.TopicListed{Topic: catalog.UpstreamTopic}))
 	s.Reduce(at(0, catalog.TopicListed{Topic: catalog.VersionTopic}))
 	require.False(t, s.Ready())
--- a/internal/core/catalog/instances.go
+++ b/internal/core/catalog/instances.go
@@ -79,7 +79,7 @@
 		return true
 	}
 	for _, id := range s.byAddress[u.Address] {
-		if other := s.Upstreams[id]; other.StartedAt == u.StartedAt && other.Revision > u.Revision {
+		if other := s.Upstreams[id]; other.StartedAt == u.StartedAt && other.Revision.After(u.Revision) {
 			return true
 		}
 	}
--- a/internal/core/catalog/instances_test.go
+++ b/internal/core/catalog/instances_test.go
@@ -10,6 +10,7 @@
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 func instance(startedAt, revision int64) *catalog.Upstream {
@@ -59,7 +60,7 @@
 	s.Reduce(at(0, catalog.UpstreamChanged{Upstream: other}))
 	require.Equal(t, "a", s.UpstreamAt("10.0.0.1:80", 100).ID)
 	require.Equal(t, "b", s.UpstreamAt("10.0.0.1:80", 0).ID)
-	s.Reduce(at(0, catalog.UpstreamRemoved{ID: "b", Revision: 10}))
+	s.Reduce(at(0, catalog.UpstreamRemoved{ID: "b", Revision: storerev.Revision{Number: 10}}))
 	require.Equal(t, "a", s.UpstreamAt("10.0.0.1:80", 0).ID)
 }
 
@@ -76,7 +77,7 @@
 			clock += rapid.Int64Range(-2_400_000, 2_400_000).Draw(t, "jump")
 			revision++
 			previous, current = current, &catalog.Upstream{
-				ID: fmt.Sprint("life-", i), StartedAt: clock + now.Sub(begin).Milliseconds(), Service: "model", Address: "10.0.0.9:8080", Revision: revision,
+				ID: fmt.Sprint("life-", i), StartedAt: clock + now.Sub(begin).Milliseconds(), Service: "model", Address: "10.0.0.9:8080", Revision: storerev.Revision{Number: revision},
 			}
 			s.Reduce(step.Input{Now: now, Event: catalog.UpstreamChanged{Upstream: current}})
 			for range 12 {
--- a/internal/core/catalog/upstream.go
+++ b/internal/core/catalog/upstream.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "time"
+import (
+	"time"
+
+	"samphireweir.example/samphireweir/internal/core/storerev"
+)
 
 // Upstream is the registration of an upstream of a service, as read from the store.
 type Upstream struct {
@@ -22,7 +26,9 @@
 	ColdRemaining time.Duration
 	ColdUntil     time.Time
 	// Revision is the store revision of the registration.
-	Revision int64
+	Revision storerev.Revision
+	// drainingSince is the revision at which the instance was first known to drain; it is set by the reducer.
+	drainingSince storerev.Revision
 }
 
 // Instance identifies one instance of an upstream, from its start to its end. Observations of one instance don't apply to the next.
@@ -47,10 +53,27 @@
 	return &next
 }
 
+// withDraining returns a copy of u that drains if the instance was known to drain in an earlier era of the store. An instance that drains
+// never becomes ready again, so a registration that says so is an older one from the copy of which the store was restored.
+func (u *Upstream) withDraining(old *Upstream) *Upstream {
+	next := *u
+	known := old != nil && old.Draining && old.StartedAt == u.StartedAt
+	if known {
+		next.drainingSince = old.drainingSince
+	}
+	if known && !old.drainingSince.SameEra(u.Revision) {
+		next.Draining = true
+	}
+	if next.Draining && !known {
+		next.drainingSince = u.Revision
+	}
+	return &next
+}
+
 // preferredOver reports whether u is the better match than other for an instance that started at startedAt.
 func (u *Upstream) preferredOver(other *Upstream, startedAt int64) bool {
 	if matches, otherMatches := u.StartedAt == startedAt, other.StartedAt == startedAt; startedAt > 0 && matches != otherMatches {
 		return matches
 	}
-	return u.Revision > other.Revision
+	return u.Revision.After(other.Revision)
 }
--- a/internal/core/catalog/version.go
+++ b/internal/core/catalog/version.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // RequireVersionMargin is how long before the deadline for a new version entries start to require that version. An engine starts a
@@ -18,7 +19,7 @@
 type Activation struct {
 	Model    string
 	Version  int64
-	Revision int64
+	Revision storerev.Revision
 	// ActivatedAt is the earliest time at which any process is known to have received the activation.
 	ActivatedAt time.Time
 	// Assumed is set while ActivatedAt is an assumption: the version was found in a list, and no process that received the
@@ -30,7 +31,7 @@
 type VersionActivated struct {
 	Model    string
 	Version  int64
-	Revision int64
+	Revision storerev.Revision
 	// Age is the minimum time since the activation, as reported by another process. Assumed is set when that
 	// process only assumes the age.
 	Age     time.Duration
--- a/internal/core/forward/backoff_test.go
+++ b/internal/core/forward/backoff_test.go
@@ -9,6 +9,7 @@
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // The platform's users require that at most backoffProbes requests reach an upstream during its backoff. Requests that reach it within
@@ -92,12 +93,12 @@
 // backoff.
 func TestBackoffEndsWithTheInstance(t *testing.T) {
 	r := newRig()
-	u := catalog.Upstream{ID: "d1", StartedAt: 1000, Service: "desk", Address: "a", DataCentre: "perth-a", Slots: 6, Revision: 1}
+	u := catalog.Upstream{ID: "d1", StartedAt: 1000, Service: "desk", Address: "a", DataCentre: "perth-a", Slots: 6, Revision: storerev.Revision{Number: 1}}
 	r.applyCatalog(catalog.UpstreamChanged{Upstream: &u})
 	r.requestBackoff("d1", time.Minute)
 	require.Empty(t, sentIDs(r.arrive(1, idempotentCall)))
 	again := u
-	again.StartedAt, again.Revision = 2000, 2
+	again.StartedAt, again.Revision = 2000, storerev.Revision{Number: 2}
 	r.applyCatalog(catalog.UpstreamChanged{Upstream: &again})
 	require.Len(t, sentIDs(r.arrive(2, idempotentCall)), 1)
 }
--- a/internal/core/forward/bench_test.go
+++ b/internal/core/forward/bench_test.go
@@ -8,6 +8,7 @@
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // BenchmarkDispatch measures all decisions on one request, from its arrival to the end of its answer, with engines that are half
@@ -39,7 +40,7 @@
 		b.Run(fmt.Sprintf("%d requests", n), func(b *testing.B) {
 			r := newRig()
 			r.add("m1", "model", "perth-a", 10*n)
-			r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 1, Revision: 50})
+			r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 1, Revision: storerev.Revision{Number: 50}})
 			r.now = 20 * time.Second
 			for id := range uint64(n) {
 				r.arrive(id+1, resumableStream)
--- a/internal/core/forward/cold_test.go
+++ b/internal/core/forward/cold_test.go
@@ -10,6 +10,7 @@
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // The limits for a cold engine, in any second and from all entries together: its rate times coldTolerance, plus coldExtra requests.
@@ -38,7 +39,7 @@
 func (r *rig) registerCold(id, dataCentre string, left time.Duration, startedAt int64) {
 	r.next++
 	r.applyCatalog(catalog.UpstreamChanged{Upstream: &catalog.Upstream{
-		ID: id, StartedAt: startedAt, Service: "model", Address: id, DataCentre: dataCentre, Slots: 500, Revision: int64(r.next),
+		ID: id, StartedAt: startedAt, Service: "model", Address: id, DataCentre: dataCentre, Slots: 500, Revision: storerev.Revision{Number: int64(r.next)},
 		Versions: map[string]int64{"m": 1}, ColdRemaining: left,
 	}})
 }
--- a/internal/core/forward/evacuation_test.go
+++ b/internal/core/forward/evacuation_test.go
@@ -12,12 +12,13 @@
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/residency"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // evacuate has the operator evacuate the given data centres, and no others.
 func (r *rig) evacuate(dataCentres ...string) {
 	r.next++
-	r.applyCatalog(catalog.EvacuationsListed{Revision: int64(r.next), DataCentres: dataCentres})
+	r.applyCatalog(catalog.EvacuationsListed{Revision: storerev.Revision{Number: int64(r.next)}, DataCentres: dataCentres})
 }
 
 // TestReducerSendsNothingToAnEvacuatedDataCentre guards against a request that is sent to an upstream in a data centre under
@@ -66,8 +67,8 @@
 	r.evacuate("perth-a", "bunbury-a")
 	require.Equal(t, "karratha-a", only[forward.Send](t, r.arrive(1, idempotentCall)).Upstream.ID)
 	r.next++
-	r.applyCatalog(catalog.EvacuationEnded{DataCentre: "bunbury-a", Revision: int64(r.next)})
-	r.state.Catalog.Reduce(step.Input{Now: begin, Event: catalog.EvacuationStarted{DataCentre: "karratha-a", Revision: int64(r.next) + 1}})
+	r.applyCatalog(catalog.EvacuationEnded{DataCentre: "bunbury-a", Revision: storerev.Revision{Number: int64(r.next)}})
+	r.state.Catalog.Reduce(step.Input{Now: begin, Event: catalog.EvacuationStarted{DataCentre: "karratha-a", Revision: storerev.Revision{Number: int64(r.next) + 1}}})
 	require.Equal(t, "bunbury-a", only[forward.Send](t, r.arrive(2, idempotentCall)).Upstream.ID)
 }
 
--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -12,6 +12,7 @@
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/hostconfig"
 )
 
@@ -49,7 +50,7 @@
 		Retries: hostconfig.RetryBudget{Ratio: 0.2, Base: 100, Window: 10 * time.Second}, VersionLifetime: 8 * time.Second,
 	}
 	r := &rig{state: forward.NewState(self, c)}
-	r.applyCatalog(catalog.ManifestRead{Revision: 1, Manifest: m})
+	r.applyCatalog(catalog.ManifestRead{Revision: storerev.Revision{Number: 1}, Manifest: m})
 	r.applyCatalog(catalog.TopicListed{Topic: catalog.UpstreamTopic})
 	r.applyCatalog(catalog.TopicListed{Topic: catalog.VersionTopic})
 	return r
@@ -64,7 +65,7 @@
 // add registers an upstream. One of the model service holds version 1.
 func (r *rig) add(id, service, dataCentre string, slots int) {
 	r.next++
-	u := &catalog.Upstream{ID: id, Service: service, Address: id, DataCentre: dataCentre, Slots: slots, Revision: int64(r.next)}
+	u := &catalog.Upstream{ID: id, Service: service, Address: id, DataCentre: dataCentre, Slots: slots, Revision: storerev.Revision{Number: int64(r.next)}}
 	if service == "model" {
 		u.Versions = map[string]int64{"m": 1}
 	}
@@ -293,7 +294,7 @@
 	require.Equal(t, "m2", only[forward.Send](t, r.arrive(1, resumableStream)).Upstream.ID)
 	require.Empty(t, sentIDs(r.arrive(2, resumableStream)), "waiting for a slot at the other engine is better")
 	require.Equal(t, "m2", only[forward.Send](t, r.step(forward.AttemptEnded{ID: 1, Outcome: forward.Answered})).Upstream.ID)
-	r.applyCatalog(catalog.UpstreamRemoved{ID: "m2", Revision: 9})
+	r.applyCatalog(catalog.UpstreamRemoved{ID: "m2", Revision: storerev.Revision{Number: 9}})
 	require.Equal(t, "m1", only[forward.Send](t, r.arrive(3, resumableStream)).Upstream.ID, "no other engine is usable")
 }
 
@@ -318,7 +319,7 @@
 func TestDrainingUpstreamGetsNoRequests(t *testing.T) {
 	r := newRig()
 	r.add("d1", "desk", "perth-a", 6)
-	r.applyCatalog(catalog.UpstreamChanged{Upstream: &catalog.Upstream{ID: "d1", Service: "desk", Address: "d1", Draining: true, Revision: 99}})
+	r.applyCatalog(catalog.UpstreamChanged{Upstream: &catalog.Upstream{ID: "d1", Service: "desk", Address: "d1", Draining: true, Revision: storerev.Revision{Number: 99}}})
 	require.Equal(t, code.NoUpstream, only[forward.Refuse](t, r.arrive(1, nonIdempotentCall)).Code)
 }
 
--- a/internal/core/forward/homes_test.go
+++ b/internal/core/forward/homes_test.go
@@ -14,6 +14,7 @@
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/residency"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // setHomes activates a manifest that sets the homes of all routes and of the account of key-1.
@@ -28,7 +29,7 @@
 	}
 	m := catalog.NewManifest(int64(r.next), routes, map[string]*catalog.ClientAccount{"key-1": {Name: "karrakin", HomeRegions: account}})
 	m.HasAccounts, m.Services = true, previous.Services
-	r.applyCatalog(catalog.ManifestRead{Revision: int64(r.next), Manifest: m})
+	r.applyCatalog(catalog.ManifestRead{Revision: storerev.Revision{Number: int64(r.next)}, Manifest: m})
 }
 
 // allowedIn reports whether the active manifest allows a request of key-1 in a region. It does not use the code under test.
--- a/internal/core/forward/instance_test.go
+++ b/internal/core/forward/instance_test.go
@@ -8,13 +8,14 @@
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // register registers an engine, or a new instance of it, under an ID.
 func (r *rig) register(id string, startedAt int64) {
 	r.next++
 	r.applyCatalog(catalog.UpstreamChanged{Upstream: &catalog.Upstream{
-		ID: id, StartedAt: startedAt, Service: "model", Address: id, DataCentre: "perth-a", Slots: 4, Revision: int64(r.next), Versions: map[string]int64{"m": 1},
+		ID: id, StartedAt: startedAt, Service: "model", Address: id, DataCentre: "perth-a", Slots: 4, Revision: storerev.Revision{Number: int64(r.next)}, Versions: map[string]int64{"m": 1},
 	}})
 }
 
@@ -80,7 +81,7 @@
 	register := func(r *rig, id string, startedAt int64, versions map[string]int64) {
 		r.next++
 		r.applyCatalog(catalog.UpstreamChanged{Upstream: &catalog.Upstream{
-			ID: id, StartedAt: startedAt, Service: "model", Address: "10.0.0.9:8080", DataCentre: "perth-a", Slots: 4, Revision: int64(r.next), Versions: versions,
+			ID: id, StartedAt: startedAt, Service: "model", Address: "10.0.0.9:8080", DataCentre: "perth-a", Slots: 4, Revision: storerev.Revision{Number: int64(r.next)}, Versions: versions,
 		}})
 	}
 	report := func(r *rig, versions map[string]int64) {
@@ -116,7 +117,7 @@
 	register := func(id string, startedAt int64) {
 		r.next++
 		r.applyCatalog(catalog.UpstreamChanged{Upstream: &catalog.Upstream{
-			ID: id, StartedAt: startedAt, Service: "model", Address: "10.0.0.9:8080", DataCentre: "perth-a", Slots: 4, Revision: int64(r.next), Versions: map[string]int64{"m": 1},
+			ID: id, StartedAt: startedAt, Service: "model", Address: "10.0.0.9:8080", DataCentre: "perth-a", Slots: 4, Revision: storerev.Revision{Number: int64(r.next)}, Versions: map[string]int64{"m": 1},
 		}})
 	}
 	report := func(startedAt int64) {
@@ -125,7 +126,7 @@
 	register("ahead", 2_400_000)
 	report(2_400_000)
 	register("back", 1_000)
-	r.applyCatalog(catalog.UpstreamRemoved{ID: "ahead", Revision: 100})
+	r.applyCatalog(catalog.UpstreamRemoved{ID: "ahead", Revision: storerev.Revision{Number: 100}})
 	for range 10 {
 		r.now += 300 * time.Millisecond
 		report(1_000)
--- a/internal/core/forward/leaving_test.go
+++ b/internal/core/forward/leaving_test.go
@@ -10,6 +10,7 @@
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // reportLeaving has an upstream report in an answer that it is leaving.
@@ -57,7 +58,7 @@
 	r := newRig()
 	upstream := func(id string, startedAt int64) *catalog.Upstream {
 		r.next++
-		return &catalog.Upstream{ID: id, StartedAt: startedAt, Service: "desk", Address: "a", DataCentre: "perth-a", Slots: 6, Revision: int64(r.next)}
+		return &catalog.Upstream{ID: id, StartedAt: startedAt, Service: "desk", Address: "a", DataCentre: "perth-a", Slots: 6, Revision: storerev.Revision{Number: int64(r.next)}}
 	}
 	r.applyCatalog(catalog.UpstreamChanged{Upstream: upstream("d1", 1000)})
 	first := r.state.Catalog.Upstreams["d1"].Instance()
@@ -80,7 +81,7 @@
 	r.add("d1", "desk", "perth-a", 6)
 	r.reportLeaving("d1", forward.Answered)
 	r.next++
-	r.applyCatalog(catalog.UpstreamRemoved{ID: "d1", Revision: int64(r.next)})
+	r.applyCatalog(catalog.UpstreamRemoved{ID: "d1", Revision: storerev.Revision{Number: int64(r.next)}})
 	r.now = 30 * time.Second
 	r.step(step.Tick{})
 	r.add("d1", "desk", "perth-a", 6)
--- a/internal/core/forward/quarantine_test.go
+++ b/internal/core/forward/quarantine_test.go
@@ -12,6 +12,7 @@
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/quarantine"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // The tests in this file check that a quarantine applies to each attempt of each copy of a request until it ends, not only to
@@ -214,7 +215,7 @@
 			only[forward.Send](t, r.arrive(1, idempotentCall))
 			m := catalog.NewManifest(2, c.routes, c.accounts)
 			m.HasAccounts = true
-			r.applyCatalog(catalog.ManifestRead{Revision: 500, Manifest: m})
+			r.applyCatalog(catalog.ManifestRead{Revision: storerev.Revision{Number: 500}, Manifest: m})
 			effects := r.step(forward.AttemptEnded{ID: 1, Outcome: forward.Broken})
 			if c.to == "" {
 				require.Empty(t, sentIDs(effects))
@@ -238,7 +239,7 @@
 		require.Empty(t, sentIDs(r.arriveCopy(1, 1)))
 		m := catalog.NewManifest(2, routes, nil)
 		m.HasAccounts = true
-		r.applyCatalog(catalog.ManifestRead{Revision: 500, Manifest: m})
+		r.applyCatalog(catalog.ManifestRead{Revision: storerev.Revision{Number: 500}, Manifest: m})
 		var refused bool
 		for _, e := range r.step(step.Tick{}) {
 			if refuse, ok := e.(forward.Refuse); ok && refuse.ID == 1 {
--- a/internal/core/forward/rate_limit_test.go
+++ b/internal/core/forward/rate_limit_test.go
@@ -12,6 +12,7 @@
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // The limits for an upstream with a rate limit: within limitWindow it gets limitFactor times the limit plus limitExtra requests,
@@ -298,7 +299,7 @@
 // against a late answer of the earlier instance that sets a limit.
 func TestRateLimitEndsWithTheInstance(t *testing.T) {
 	r := newRig()
-	first := &catalog.Upstream{ID: "m1", StartedAt: 1000, Service: "model", Address: "m1", DataCentre: "perth-a", Slots: 4, Versions: map[string]int64{"m": 1}, Revision: 1}
+	first := &catalog.Upstream{ID: "m1", StartedAt: 1000, Service: "model", Address: "m1", DataCentre: "perth-a", Slots: 4, Versions: map[string]int64{"m": 1}, Revision: storerev.Revision{Number: 1}}
 	r.applyCatalog(catalog.UpstreamChanged{Upstream: first})
 	report := forward.LoadReported{Address: "m1", StartedAt: 1000, Versions: map[string]int64{"m": 1}, Entries: 30, NearEntries: 1}
 	r.step(report)
@@ -346,7 +347,7 @@
 	instance := r.state.Catalog.Upstreams["d1"].Instance()
 	r.step(forward.AnswerHeadReceived{Upstream: instance, Outcome: forward.Answered, Notice: catalog.Notice{Limited: true, RateLimit: 1}})
 	r.next++
-	r.applyCatalog(catalog.UpstreamRemoved{ID: "d1", Revision: int64(r.next)})
+	r.applyCatalog(catalog.UpstreamRemoved{ID: "d1", Revision: storerev.Revision{Number: int64(r.next)}})
 	r.now = 5 * time.Second
 	r.step(step.Tick{})
 	r.add("d1", "desk", "perth-a", 6)
@@ -362,7 +363,7 @@
 	r.step(forward.LoadReported{Address: "d1", Entries: 10, NearEntries: 10})
 	instance := r.state.Catalog.Upstreams["d1"].Instance()
 	r.next++
-	r.applyCatalog(catalog.UpstreamRemoved{ID: "d1", Revision: int64(r.next)})
+	r.applyCatalog(catalog.UpstreamRemoved{ID: "d1", Revision: storerev.Revision{Number: int64(r.next)}})
 	r.step(forward.AnswerHeadReceived{Upstream: instance, Outcome: forward.Answered, Notice: catalog.Notice{Limited: true, RateLimit: 1}})
 	r.add("d1", "desk", "perth-a", 6)
 	sent := len(sentIDs(r.arrive(1, idempotentCall))) + len(sentIDs(r.arrive(2, idempotentCall)))
--- a/internal/core/forward/refill_test.go
+++ b/internal/core/forward/refill_test.go
@@ -10,6 +10,7 @@
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // newEngineRig returns a rig whose manifest declares the engines' prefill: usual prompts of 1000 tokens, which take 50 ms each.
@@ -17,7 +18,7 @@
 	r := newRig()
 	m := *r.state.Catalog.Manifest
 	m.Services = map[string]*catalog.Service{"model": {Name: "model", Engine: &catalog.Engine{Slots: 8, PromptTokensPerSecond: 20000, MeanPromptTokens: 1000, Models: []string{"m"}}}}
-	r.applyCatalog(catalog.ManifestRead{Revision: 2, Manifest: &m})
+	r.applyCatalog(catalog.ManifestRead{Revision: storerev.Revision{Number: 2}, Manifest: &m})
 	return r
 }
 
--- a/internal/core/forward/version_test.go
+++ b/internal/core/forward/version_test.go
@@ -10,6 +10,7 @@
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // TestStartOnAnExpiredVersionIsReported guards against requests that start on an expired version without a log entry. One request
@@ -17,7 +18,7 @@
 func TestStartOnAnExpiredVersionIsReported(t *testing.T) {
 	r := newRig()
 	r.add("m1", "model", "perth-a", 6)
-	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: 50})
+	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 50}})
 	r.now = 6 * time.Second
 	only[forward.Send](t, r.arrive(1, resumableStream))
 	only[forward.Send](t, r.arrive(2, resumableStream))
@@ -37,7 +38,7 @@
 	t.Helper()
 	r := newRig()
 	r.add("m1", "model", "perth-a", 6)
-	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: 50})
+	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 50}})
 	r.now = 5700 * time.Millisecond
 	require.Equal(t, "m1", only[forward.Send](t, r.arrive(1, path)).Upstream.ID)
 	r.now = 7300 * time.Millisecond
@@ -90,9 +91,9 @@
 func TestRequiredVersionExpiresWithTheNextOne(t *testing.T) {
 	r := newRig()
 	r.add("m1", "model", "perth-a", 6)
-	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: 50})
+	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 50}})
 	r.now = time.Second
-	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 3, Revision: 51})
+	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 3, Revision: storerev.Revision{Number: 51}})
 	r.now = 7500 * time.Millisecond
 	r.step(forward.LoadReported{Address: "m1", Versions: map[string]int64{"m": 2}})
 	require.Equal(t, int64(2), only[forward.Send](t, r.arrive(1, resumableStream)).Version)
@@ -107,7 +108,7 @@
 func TestWithdrawalsDoNotCountAsFailures(t *testing.T) {
 	r := newRig()
 	r.add("m1", "model", "perth-a", 6)
-	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: 50})
+	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 50}})
 	r.now = 5700 * time.Millisecond
 	const failures = 3
 	for id := uint64(1); id <= failures; id++ {
@@ -127,7 +128,7 @@
 	r := newRig()
 	r.state.Self.Retries.Base = 0
 	r.add("m1", "model", "perth-a", 40)
-	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: 50})
+	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 50}})
 	r.now = 5700 * time.Millisecond
 	r.step(forward.LoadReported{Address: "m1", Entries: 1, NearEntries: 1, Versions: map[string]int64{"m": 1}})
 	const requests = 20
@@ -155,7 +156,7 @@
 	arrive := func(id uint64) []step.Effect {
 		return r.step(forward.Arrived{ID: id, Host: "h", Path: resumableStream + "x", Key: "key-1"})
 	}
-	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: 50})
+	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 50}})
 	r.now = 7200 * time.Millisecond
 	require.Equal(t, code.NoUpstream, only[forward.Refuse](t, arrive(1)).Code, "the engine has version 1")
 	r.step(forward.LoadReported{Address: "m1", Versions: map[string]int64{"m": 2}})
@@ -170,7 +171,7 @@
 	newFleet := func() *rig {
 		r := newRig()
 		r.add("m1", "model", "perth-a", 6)
-		r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: 50})
+		r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 50}})
 		r.now = 6900 * time.Millisecond // 1.1 s before version 1 expires.
 		return r
 	}
@@ -198,7 +199,7 @@
 func TestRequiredVersionIsEnforced(t *testing.T) {
 	r := newRig()
 	r.add("m1", "model", "perth-a", 6)
-	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: 50})
+	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 50}})
 	r.now = 6 * time.Second
 	require.Zero(t, only[forward.Send](t, r.arrive(1, resumableStream)).Version)
 	r.now = 7200 * time.Millisecond
@@ -212,9 +213,9 @@
 func TestNewerHeldVersionIsRequestedExactly(t *testing.T) {
 	r := newRig()
 	r.add("m1", "model", "perth-a", 6)
-	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: 50})
+	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 50}})
 	r.now = 4 * time.Second
-	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 3, Revision: 51})
+	r.applyCatalog(catalog.VersionActivated{Model: "m", Version: 3, Revision: storerev.Revision{Number: 51}})
 	r.now = 7 * time.Second
 	r.step(forward.LoadReported{Address: "m1", Versions: map[string]int64{"m": 3}})
 	require.Equal(t, int64(3), only[forward.Send](t, r.arrive(1, resumableStream)).Version)
--- a/internal/core/install/restart_test.go
+++ b/internal/core/install/restart_test.go
@@ -13,6 +13,7 @@
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/install"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/storewatch"
@@ -143,16 +144,16 @@
 		Name: "reports", Host: "h", Prefix: "/reports/", Kind: catalog.Streaming, Resumable: true, MaxUpstreams: 2,
 		Shares: []catalog.Share{{Service: "model", Weight: 1}}, Timeout: 6 * time.Second, Objective: 500 * time.Millisecond,
 	}
-	events := []step.Event{catalog.StoreAnswered{}, catalog.ManifestRead{Revision: 1, Manifest: catalog.NewManifest(1, []*catalog.Route{route}, nil)}}
+	events := []step.Event{catalog.StoreAnswered{}, catalog.ManifestRead{Revision: storerev.Revision{Number: 1}, Manifest: catalog.NewManifest(1, []*catalog.Route{route}, nil)}}
 	var upstreams []*catalog.Upstream
 	for i, a := range f.agents {
 		upstreams = append(upstreams, &catalog.Upstream{
 			ID: a.host, StartedAt: begin.Add(-time.Hour).UnixMilli(), Service: "model", Address: a.host, DataCentre: "perth-a", Slots: 16,
-			Versions: map[string]int64{fleetModel: a.engine.Loaded[fleetModel]}, Revision: int64(2 + i),
+			Versions: map[string]int64{fleetModel: a.engine.Loaded[fleetModel]}, Revision: storerev.Revision{Number: int64(2 + i)},
 		})
 	}
 	return append(events,
-		catalog.UpstreamsListed{Revision: 100 + f.version, Upstreams: upstreams}, catalog.TopicListed{Topic: catalog.UpstreamTopic})
+		catalog.UpstreamsListed{Revision: storerev.Revision{Number: 100 + f.version}, Upstreams: upstreams}, catalog.TopicListed{Topic: catalog.UpstreamTopic})
 }
 
 // versions returns a follower that converts the store's version objects to events, as in a real process.
@@ -161,8 +162,8 @@
 }
 
 // object returns the store's object of the activated version, with the store revision.
-func (f *fleet) object() (revision int64, objects []platform.Object) {
-	revision = 100 + f.version
+func (f *fleet) object() (revision storerev.Revision, objects []platform.Object) {
+	revision = storerev.Revision{Number: 100 + f.version}
 	spec := json.RawMessage(fmt.Sprintf(`{"model":%q,"version":%d}`, fleetModel, f.version))
 	return revision, []platform.Object{{Name: fleetModel, Revision: revision, Spec: spec}}
 }
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -6,6 +6,7 @@
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/hostconfig"
 )
 
@@ -84,7 +85,7 @@
 			Retries: hostconfig.RetryBudget{Ratio: 0.2, Base: 136, Window: 10 * time.Second}, VersionLifetime: 10300 * time.Millisecond, Policy: f.setup.Policy,
 		}, state),
 	}
-	e.step(catalog.ManifestRead{Revision: 1, Manifest: f.manifest()})
+	e.step(catalog.ManifestRead{Revision: storerev.Revision{Number: 1}, Manifest: f.manifest()})
 	e.step(catalog.TopicListed{Topic: catalog.UpstreamTopic})
 	e.step(catalog.TopicListed{Topic: catalog.VersionTopic})
 	f.entries = append(f.entries, e)
@@ -112,7 +113,7 @@
 func (f *fleet) addEngine(centre int, id string) *engine {
 	u := &catalog.Upstream{
 		ID: id, StartedAt: 1, Service: service, Address: id, DataCentre: centreName(centre), Slots: f.setup.EngineModel.Slots, Versions: map[string]int64{modelName: 1},
-		Revision: int64(len(f.engines) + 1),
+		Revision: storerev.Revision{Number: int64(len(f.engines) + 1)},
 	}
 	e := &engine{simulation: f.simulation, model: f.setup.EngineModel, upstream: u, slowdown: 1}
 	f.engines = append(f.engines, e)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,7 +58,7 @@
 	// The log field entry_revision is the store revision of the upstream's registration, sends is Send.Attempt, and came_back is
 	// Send.Returning.
 	logevent.Info(x.gateway.log, logevent.RequestSent).Str("request", x.call.CallerAttemptID).Str("route", x.routeName()).Str("upstream", e.Upstream.ID).
-		Int64("entry_revision", e.Upstream.Revision).Int("sends", e.Attempt).Bool("resume", e.Resume).
+		Int64("entry_revision", e.Upstream.Revision.Number).Int("sends", e.Attempt).Bool("resume", e.Resume).
 		Int64("version", e.Version).Stringer("homes", e.Homes).Bool("came_back", e.Returning).Dur("waited_ms", time.Since(x.arrivedAt)).Msg("request sent")
 	x.gateway.metrics.Attempts.Add(1, x.routeName(), "", strconv.Itoa(e.Attempt))
 	ctx, cancel := context.WithCancelCause(x.ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,12 +149,10 @@
 
 // execute logs a change of the known state, or passes an effect to the request that it concerns. The caller holds the lock.
 func (g *Gateway) execute(e step.Effect) {
+	if storewatch.Report(g.log, g.metrics, e) {
+		return
+	}
 	switch e := e.(type) {
-	case catalog.StateChanged:
-		logevent.Info(g.log, logevent.StateChanged).Str("what", string(e.Topic)).Str("of", e.Name).Str("value", e.Value).
-			Int64("revision", e.Revision).Msg("known state changed")
-	case catalog.ManifestIgnored:
-		storewatch.LogManifestIgnored(g.log, e)
 	case forward.QuarantineStarted:
 		g.logQuarantine(e.Fingerprint, quarantine.QuarantineDuration, e.Upstream)
 		go g.sendHeartbeats()
--- a/internal/gateway/superseded_test.go
+++ b/internal/gateway/superseded_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/gateway"
 	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
@@ -23,11 +24,11 @@
 	host := hostconfig.Host{Name: "a", IP: "127.0.0.1", PeerPort: 7700, DataCentre: "perth-a", VersionLifetime: 8 * time.Second}
 	newEntry := func() *gateway.Gateway { return gateway.New(host, zerolog.Nop(), telemetry.NewMetrics(), nil) }
 	running, starting := newEntry(), newEntry()
-	running.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: 50, Age: 5 * time.Second})
-	running.Step(catalog.VersionActivated{Model: "m", Version: 3, Revision: 60, Age: 2 * time.Second})
+	running.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 50}, Age: 5 * time.Second})
+	running.Step(catalog.VersionActivated{Model: "m", Version: 3, Revision: storerev.Revision{Number: 60}, Age: 2 * time.Second})
 	require.Equal(t, int64(2), running.RequiredVersion("m", 4*time.Second, host.VersionLifetime), "the other entries require version 2 by then")
 
-	starting.Step(catalog.VersionActivated{Model: "m", Version: 3, Revision: 60})
+	starting.Step(catalog.VersionActivated{Model: "m", Version: 3, Revision: storerev.Revision{Number: 60}})
 	// Agents report the versions that entries send them in the same form.
 	starting.Receive(netip.MustParseAddrPort("127.0.0.2:7700"), loadreport.Message{Activations: running.Heartbeat().Activations})
 	require.Equal(t, int64(2), starting.RequiredVersion("m", 4*time.Second, host.VersionLifetime), "four seconds on, version 2 is 9 s old and version 3 is 6 s old")
@@ -38,7 +39,7 @@
 func TestStartingEntryAssumesAgeOfListedVersion(t *testing.T) {
 	host := hostconfig.Host{Name: "a", IP: "127.0.0.1", PeerPort: 7700, DataCentre: "perth-a", VersionLifetime: 8 * time.Hour, SettleTime: 3 * time.Hour}
 	starting := gateway.New(host, zerolog.Nop(), telemetry.NewMetrics(), nil)
-	starting.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: 60, Listed: true})
+	starting.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 60}, Listed: true})
 	require.Zero(t, starting.RequiredVersion("m", 2*time.Hour, host.VersionLifetime))
 	require.Equal(t, int64(2), starting.RequiredVersion("m", 3*time.Hour, host.VersionLifetime))
 	reported := starting.Heartbeat().Activations
--- a/internal/hostagent/age_test.go
+++ b/internal/hostagent/age_test.go
@@ -12,6 +12,7 @@
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/install"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/hostagent"
 	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
@@ -69,7 +70,7 @@
 	var log standin.Log
 	a := newIdleAgent(zerolog.New(&log))
 	a.Step(install.PeersChanged{Peers: []string{agentSelf, earlierPeer(t)}})
-	a.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: 52})
+	a.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 52}})
 	a.Step(install.Resolved{Model: "m", Version: 2, Digest: "d2"})
 	a.Step(install.ContentComplete{Digest: "d2"})
 	a.Step(step.Tick{})
@@ -100,7 +101,7 @@
 	a := hostagent.New(hostconfig.Host{
 		Name: "a", IP: "127.0.0.1", PeerPort: 7700, VersionLifetime: 8 * time.Hour, SettleTime: 3 * time.Hour, MemoryBytes: 64 << 20, LinkBytesPerSecond: 1 << 20,
 	}, zerolog.Nop(), telemetry.NewMetrics(), nil)
-	a.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: 60, Listed: true})
+	a.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 60}, Listed: true})
 	versions := a.ActiveVersions()
 	require.Len(t, versions, 1)
 	require.True(t, versions[0].Assumed)
--- a/internal/hostagent/growth_test.go
+++ b/internal/hostagent/growth_test.go
@@ -12,6 +12,7 @@
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/install"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/hostagent"
 	"samphireweir.example/samphireweir/internal/manifest"
 	"samphireweir.example/samphireweir/platform/standin"
@@ -37,7 +38,7 @@
 	var upstreams []*catalog.Upstream
 	for i := range n {
 		upstreams = append(upstreams, &catalog.Upstream{
-			ID: fmt.Sprintf("i-%d", i), Service: "model", Address: fmt.Sprintf("10.%d.%d.%d:8080", i%5, i/200, i%200+1), DataCentre: fmt.Sprintf("dc-%d", i%5), Revision: 1,
+			ID: fmt.Sprintf("i-%d", i), Service: "model", Address: fmt.Sprintf("10.%d.%d.%d:8080", i%5, i/200, i%200+1), DataCentre: fmt.Sprintf("dc-%d", i%5), Revision: storerev.Revision{Number: 1},
 		})
 	}
 	minAllocated := math.Inf(1)
@@ -48,7 +49,7 @@
 		var before, after runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		a.Step(catalog.UpstreamsListed{Revision: 1, Upstreams: upstreams})
+		a.Step(catalog.UpstreamsListed{Revision: storerev.Revision{Number: 1}, Upstreams: upstreams})
 		a.Tick()
 		runtime.ReadMemStats(&after)
 		minAllocated = min(minAllocated, float64(after.TotalAlloc-before.TotalAlloc))
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -175,11 +175,14 @@
 
 // execute carries out one effect. The caller holds the lock; slow effects run in their own goroutine.
 func (a *Agent) execute(in step.Input, e step.Effect) {
+	if changed, ok := e.(catalog.StateChanged); ok && changed.Topic == catalog.UpstreamTopic {
+		a.peersChanged = true // Not logged: the entries log it.
+		return
+	}
+	if storewatch.Report(a.log, a.metrics, e) {
+		return
+	}
 	switch e := e.(type) {
-	case catalog.StateChanged:
-		a.logCatalogChange(e)
-	case catalog.ManifestIgnored:
-		storewatch.LogManifestIgnored(a.log, e)
 	case catalog.ActivationChanged:
 		a.reduce(install.VersionActivated{Model: e.Activation.Model, Version: e.Activation.Version, Age: in.Now.Sub(e.Activation.ActivatedAt)})
 	case install.PhaseChanged:
@@ -203,16 +206,6 @@
 	}
 }
 
-// logCatalogChange logs a change of the known state. A change of an upstream isn't logged, but recorded for updatePeers.
-func (a *Agent) logCatalogChange(c catalog.StateChanged) {
-	if c.Topic == catalog.UpstreamTopic {
-		a.peersChanged = true
-		return
-	}
-	logevent.Info(a.log, logevent.StateChanged).Str("what", string(c.Topic)).Str("of", c.Name).Str("value", c.Value).
-		Int64("revision", c.Revision).Msg("known state changed")
-}
-
 // updatePeers informs the reducers of the hosts in the fleet. It does so once for all changes since the last tick or list, because the
 // reducers recompute each time which hosts share chunks with each other.
 func (a *Agent) updatePeers() {
--- a/internal/hostagent/joining_test.go
+++ b/internal/hostagent/joining_test.go
@@ -10,6 +10,7 @@
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/install"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/hostagent"
 	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
@@ -31,7 +32,7 @@
 		m := catalog.NewManifest(1, nil, nil)
 		m.Services["model"] = &catalog.Service{Name: "model", Engine: &catalog.Engine{Models: []string{"m"}}}
 		a.Receive(entryAddress, loadreport.Message{EntryCount: 7, UptimeMS: running.Milliseconds()})
-		a.Step(catalog.ManifestRead{Revision: 1, Manifest: m})
+		a.Step(catalog.ManifestRead{Revision: storerev.Revision{Number: 1}, Manifest: m})
 		a.Step(catalog.TopicListed{Topic: catalog.UpstreamTopic})
 		a.Tick()
 		require.Zero(t, log.Count(`"resolving"`), "the operator may have activated a version")
--- a/internal/hostagent/manifest_request_test.go
+++ b/internal/hostagent/manifest_request_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/hostagent"
 	"samphireweir.example/samphireweir/internal/manifest"
 )
@@ -22,7 +23,7 @@
 func TestManifestRequestWaitsUntilPeerHasManifest(t *testing.T) {
 	t.Parallel()
 	a := newIdleAgent(zerolog.Nop())
-	a.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: 52})
+	a.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 52}})
 	sha := strings.Repeat("ab", 32)
 	m := &manifest.Manifest{Model: "m", Version: "2", Size: 4, ChunkSize: 4, SHA256: sha, Chunks: []manifest.Chunk{{SHA256: sha, Size: 4}}}
 	raw, err := json.Marshal(m)
--- a/internal/hostagent/starting_test.go
+++ b/internal/hostagent/starting_test.go
@@ -15,6 +15,7 @@
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/hostagent"
 	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/telemetry"
@@ -39,13 +40,13 @@
 	a := newStartingAgent(&log, "127.0.0.1", 7700, origin.URL)
 	a.SetTimeouts(testTimeout)
 	require.GreaterOrEqual(t, hostagent.DiscoveryTimeout, 10*peersKnownAfter, "the default timeout is longer than discovery needs")
-	a.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: 52})
+	a.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 52}})
 	time.Sleep(peersKnownAfter)
 	var upstreams []*catalog.Upstream
 	for _, p := range append(earlierPeers(t, 9), agentSelf) {
-		upstreams = append(upstreams, &catalog.Upstream{ID: p, Service: "model", Address: p, DataCentre: "perth-a", Revision: 1})
+		upstreams = append(upstreams, &catalog.Upstream{ID: p, Service: "model", Address: p, DataCentre: "perth-a", Revision: storerev.Revision{Number: 1}})
 	}
-	a.Step(catalog.UpstreamsListed{Revision: 1, Upstreams: upstreams})
+	a.Step(catalog.UpstreamsListed{Revision: storerev.Revision{Number: 1}, Upstreams: upstreams})
 	require.Eventually(t, func() bool { return log.Contains("no queried peer knows the version yet") }, testTimeout, 10*time.Millisecond)
 	require.Zero(t, originRequests.Load())
 }
@@ -94,11 +95,11 @@
 	ip := laterIP(t, fmt.Sprintf("127.0.0.1:%d", port), port)
 	a := newStartingAgent(&log, ip, port, origin.URL)
 	a.SetTimeouts(2 * testTimeout)
-	a.Step(catalog.UpstreamsListed{Revision: 1, Upstreams: []*catalog.Upstream{
-		{ID: "peer", Service: "model", Address: "127.0.0.1:1", DataCentre: "perth-a", Revision: 1},
-		{ID: "self", Service: "model", Address: ip + ":1", DataCentre: "perth-a", Revision: 1},
+	a.Step(catalog.UpstreamsListed{Revision: storerev.Revision{Number: 1}, Upstreams: []*catalog.Upstream{
+		{ID: "peer", Service: "model", Address: "127.0.0.1:1", DataCentre: "perth-a", Revision: storerev.Revision{Number: 1}},
+		{ID: "self", Service: "model", Address: ip + ":1", DataCentre: "perth-a", Revision: storerev.Revision{Number: 1}},
 	}})
-	a.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: 52})
+	a.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 52}})
 	<-originAsked
 	hasManifest.Store(true)
 	require.Eventually(t, func() bool { return log.Contains(`"fetching"`) }, testTimeout, 10*time.Millisecond)
@@ -128,6 +129,6 @@
 	m := catalog.NewManifest(1, nil, nil)
 	m.Services["model"] = &catalog.Service{Name: "model", Engine: &catalog.Engine{Models: []string{"m"}}}
 	m.Services["weights"] = &catalog.Service{Name: "weights", Origin: strings.TrimPrefix(origin, "http://")}
-	a.Step(catalog.ManifestRead{Revision: 1, Manifest: m})
+	a.Step(catalog.ManifestRead{Revision: storerev.Revision{Number: 1}, Manifest: m})
 	return a
 }
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -16,6 +16,7 @@
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/quarantine"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/logevent"
 )
 
@@ -24,9 +25,11 @@
 
 // Activation is the activation of a version of weights, as the sender knows it.
 type Activation struct {
-	Model    string `json:"m"`
-	Version  int64  `json:"v"`
-	Revision int64  `json:"r"`
+	Model   string `json:"m"`
+	Version int64  `json:"v"`
+	// Revision is the number of the store's revision at which the sender read the version, and Era the era; see package storerev.
+	Revision int64 `json:"r"`
+	Era      int64 `json:"t,omitempty"`
 	// AgeMS is the time since the activation as the sender knows it, in milliseconds. Assumed is set when the sender only
 	// assumes this age.
 	AgeMS   int64 `json:"a"`
@@ -37,7 +40,7 @@
 func Activations(now time.Time, list []catalog.Activation) []Activation {
 	var encoded []Activation
 	for _, a := range list {
-		encoded = append(encoded, Activation{Model: a.Model, Version: a.Version, Revision: a.Revision, AgeMS: now.Sub(a.ActivatedAt).Milliseconds(), Assumed: a.Assumed})
+		encoded = append(encoded, Activation{Model: a.Model, Version: a.Version, Revision: a.Revision.Number, Era: a.Revision.Era, AgeMS: now.Sub(a.ActivatedAt).Milliseconds(), Assumed: a.Assumed})
 	}
 	return encoded
 }
@@ -45,7 +48,7 @@
 // Event returns the activation as an event for package catalog.
 func (a Activation) Event() catalog.VersionActivated {
 	return catalog.VersionActivated{
-		Model: a.Model, Version: a.Version, Revision: a.Revision, Age: time.Duration(a.AgeMS) * time.Millisecond, Assumed: a.Assumed,
+		Model: a.Model, Version: a.Version, Revision: storerev.Revision{Era: a.Era, Number: a.Revision}, Age: time.Duration(a.AgeMS) * time.Millisecond, Assumed: a.Assumed,
 	}
 }
 
--- a/internal/loadreport/loadreport_test.go
+++ b/internal/loadreport/loadreport_test.go
@@ -13,6 +13,7 @@
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/quarantine"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/loadreport"
 )
 
@@ -78,12 +79,12 @@
 func TestActivationKeepsAgeAndAssumedFlag(t *testing.T) {
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	for _, assumed := range []bool{false, true} {
-		n := catalog.Activation{Model: "m", Version: 2, Revision: 9, ActivatedAt: now.Add(-3 * time.Second), Assumed: assumed}
+		n := catalog.Activation{Model: "m", Version: 2, Revision: storerev.Revision{Number: 9}, ActivatedAt: now.Add(-3 * time.Second), Assumed: assumed}
 		text, err := json.Marshal(loadreport.Activations(now, []catalog.Activation{n}))
 		require.NoError(t, err)
 		var decoded []loadreport.Activation
 		require.NoError(t, json.Unmarshal(text, &decoded))
 		require.Len(t, decoded, 1)
-		require.Equal(t, catalog.VersionActivated{Model: "m", Version: 2, Revision: 9, Age: 3 * time.Second, Assumed: assumed}, decoded[0].Event())
+		require.Equal(t, catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 9}, Age: 3 * time.Second, Assumed: assumed}, decoded[0].Event())
 	}
 }
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -29,6 +29,7 @@
 	SettingsFileChanged    ID = 2010
 	UpstreamNotice         ID = 2011
 	ManifestIgnored        ID = 2012
+	StoreRestored          ID = 2013
 	BurstStarted           ID = 3001
 	BurstComplete          ID = 3002
 	ChunkRefused           ID = 3003
@@ -83,11 +84,12 @@
 	{MalformedRecord, "malformed record", "A record or setting is malformed and was ignored."},
 	{HostListLost, "host list lost", "The platform's host list does not answer; the process keeps the hosts of the last list that it read."},
 	{HostListRecovered, "host list recovered", "The platform's host list answers again."},
-	{StateChanged, "known state changed", "What the process knows about the manifest, an upstream or a version changed; the field revision is the store's revision."},
+	{StateChanged, "known state changed", "What the process knows about the manifest, an upstream or a version changed; the fields era and revision are the store's."},
 	{MalformedObject, "malformed object", "An object of the platform's store, a datagram or the settings file could not be read or is malformed; what was in force before stays in force."},
 	{SettingsFileChanged, "settings file changed", "The platform's settings file changed and is valid; the change takes effect at the next start of the process."},
 	{UpstreamNotice, "upstream notice changed", "The notice in an upstream's answer head differs from the previous one. limited: it accepts rate_limit requests per second from all entries together; garbled: its limit is malformed; leaving: it is shutting down; retry_after_ms: the backoff in milliseconds that it requests from this entry."},
-	{ManifestIgnored, "manifest ignored", "A manifest was read and not put in force because it is older than the one in force: version and revision are its own, in_force and in_force_revision those of the one in force. Expected after a slow read; repeated lines mean that the store's revisions went back."},
+	{ManifestIgnored, "manifest ignored", "A manifest was read and not put in force, because it is older than the one in force: version and revision are its own, in_force and in_force_revision those of the one in force. Revisions are written as era/number. Expected for a slow read, and after a restore of the store until the operator's manifest is written again. If it is not, write a manifest with a version above in_force."},
+	{StoreRestored, "store restored", "The platform's store came back from a copy, in a new era: era is its number, before the last revision (era/number) known until then. What was written last may be missing until operators and upstreams write it again."},
 	{BurstStarted, "burst started", "The host started to fetch a version of weights."},
 	{BurstComplete, "burst complete", "The host holds every chunk of a version, each verified against its digest."},
 	{ChunkRefused, "chunk refused", "A chunk did not match its digest or could not be fetched; the field from names the sender."},
--- a/internal/storefeed/cache.go
+++ b/internal/storefeed/cache.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/platform"
 )
 
@@ -31,7 +32,7 @@
 	object platform.Object
 	// asOf is the revision of the store as of which the object was read. A reader that has read up to this revision
 	// knows the object.
-	asOf int64
+	asOf storerev.Revision
 	// readAt is when the object was read; it is used for removals only.
 	readAt time.Time
 }
@@ -40,11 +41,11 @@
 type kindCache struct {
 	objects map[string]cachedObject
 	// revision is the store's revision as of its last response.
-	revision int64
+	revision storerev.Revision
 	// oldest is the oldest revision after which all changes are known.
-	oldest int64
-	// lastChange is the highest asOf of all objects.
-	lastChange int64
+	oldest storerev.Revision
+	// lastChange is the latest asOf of all objects.
+	lastChange storerev.Revision
 	// storeReadAt is when the store last sent a response that reached this process, directly or through a peer.
 	storeReadAt time.Time
 	// listed is set once a complete list was read.
@@ -91,11 +92,11 @@
 // putList replaces all objects of a kind by a list as of a revision. age is the time since the store responded. Readers
 // that know only an earlier revision must list again: an object may have been created and removed between this list and
 // the one before, and such a reader may have seen it elsewhere.
-func (c *Cache) putList(kind string, objects []platform.Object, revision int64, age time.Duration) {
+func (c *Cache) putList(kind string, objects []platform.Object, revision storerev.Revision, age time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k, now := c.kind(kind), time.Now()
-	if revision < k.revision {
+	if revision.Before(k.revision) {
 		return // The cache already holds a newer state.
 	}
 	k.objects = make(map[string]cachedObject, len(objects))
@@ -107,14 +108,18 @@
 	k.recordResponse(now.Add(-age), revision)
 }
 
-// putChanges adds the objects of a kind that changed up to a revision. age is the time since the store responded.
-func (c *Cache) putChanges(kind string, objects []platform.Object, revision int64, age time.Duration) {
+// putChanges adds the objects of a kind that changed up to a revision. age is the time since the store responded. Changes of
+// another era of the store than the list are ignored: a list of that era comes first.
+func (c *Cache) putChanges(kind string, objects []platform.Object, revision storerev.Revision, age time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k, now := c.kind(kind), time.Now()
+	if k.listed && !revision.SameEra(k.revision) {
+		return
+	}
 	for _, o := range objects {
-		if old, known := k.objects[o.Name]; !known || old.object.Revision <= o.Revision {
-			k.put(cachedObject{object: o, asOf: max(revision, k.revision), readAt: now})
+		if old, known := k.objects[o.Name]; !known || !old.object.Revision.After(o.Revision) {
+			k.put(cachedObject{object: o, asOf: storerev.Max(revision, k.revision), readAt: now})
 		}
 	}
 	k.recordResponse(now.Add(-age), revision)
@@ -123,41 +128,44 @@
 // put stores an object. The caller must hold the cache's lock.
 func (k *kindCache) put(o cachedObject) {
 	k.objects[o.object.Name] = o
-	k.lastChange = max(k.lastChange, o.asOf)
+	k.lastChange = storerev.Max(k.lastChange, o.asOf)
 	clear(k.packed)
 }
 
 // recordResponse records a response of the store, drops expired removals and wakes all waiting requests. The caller must
 // hold the cache's lock.
-func (k *kindCache) recordResponse(at time.Time, revision int64) {
-	k.revision = max(k.revision, revision)
+func (k *kindCache) recordResponse(at time.Time, revision storerev.Revision) {
+	k.revision = storerev.Max(k.revision, revision)
 	if at.After(k.storeReadAt) {
 		k.storeReadAt = at
 	}
 	for name, o := range k.objects {
 		if o.object.Deleted && time.Since(o.readAt) > tombstoneTTL {
 			delete(k.objects, name)
-			k.oldest = max(k.oldest, o.asOf)
+			k.oldest = storerev.Max(k.oldest, o.asOf)
 		}
 	}
 	close(k.changed)
 	k.changed = make(chan struct{})
 }
 
-// read returns the changes of a kind since a revision, or all its objects if since is 0. The channel is closed after the
-// next response of the store.
-func (c *Cache) read(kind string, since int64) (resp ReadResponse, changed <-chan struct{}) {
+// read returns the changes of a kind since a revision, or all its objects if since is the start of an era. The channel is closed after
+// the next response of the store.
+func (c *Cache) read(kind string, since storerev.Revision) (resp ReadResponse, changed <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastRequest = time.Now()
 	k := c.kind(kind)
-	resp = ReadResponse{Revision: max(k.revision, since), AgeMS: time.Since(k.storeReadAt).Milliseconds()}
+	at := storerev.Max(k.revision, since)
+	resp = ReadResponse{Revision: at.Number, Era: &at.Era, AgeMS: time.Since(k.storeReadAt).Milliseconds()}
 	switch {
+	case k.listed && since.Era > k.revision.Era:
+		resp.State = StateEarlierEra
 	case !k.listed || time.Since(k.storeReadAt) > c.maxAge():
 		resp.State = StateStale
-	case since > 0 && since < k.oldest:
+	case !since.IsStart() && since.Before(k.oldest):
 		resp.State = StateHistoryGone
-	case since == 0 || since < k.lastChange:
+	case since.IsStart() || since.Before(k.lastChange):
 		resp.State = StateUpdated
 		resp.Objects, resp.Packed = k.packed.encode(since, k.objectsSince(since))
 	default:
@@ -167,13 +175,13 @@
 }
 
 // objectsSince returns the objects that changed after a revision. The caller must hold the cache's lock.
-func (k *kindCache) objectsSince(since int64) []Object {
+func (k *kindCache) objectsSince(since storerev.Revision) []Object {
 	var list []Object
 	for _, o := range k.objects {
-		if since == 0 && o.object.Deleted || o.asOf <= since {
+		if since.IsStart() && o.object.Deleted || !since.IsStart() && !o.asOf.After(since) {
 			continue
 		}
-		list = append(list, Object(o.object))
+		list = append(list, encodeObject(o.object))
 	}
 	return list
 }
@@ -185,16 +193,28 @@
 	return time.Since(c.lastRequest) < readerTTL
 }
 
+// since returns the revision up to which the sender of a request knows the kind. A sender that tells no era does not know of eras; it is
+// taken to be in that of the cache.
+func (c *Cache) since(req ReadRequest) storerev.Revision {
+	if req.Era != nil {
+		return storerev.Revision{Era: *req.Era, Number: req.Since}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return storerev.Revision{Era: c.kind(req.Kind).revision.Era, Number: req.Since}
+}
+
 // waitForChanges returns the response to a read request: as soon as there are changes or the cache is stale, and at the
 // latest after the requested wait, which maxWait limits.
 func (c *Cache) waitForChanges(ctx context.Context, req ReadRequest) ReadResponse {
 	ctx, cancel := context.WithTimeout(ctx, min(time.Duration(req.WaitMS)*time.Millisecond, maxWait))
 	defer cancel()
 	for {
-		resp, changed := c.read(req.Kind, req.Since)
+		resp, changed := c.read(req.Kind, c.since(req))
 		// A request for a first list waits while the cache is stale, because this process is about to read its own list. A
 		// peer that already has a list is sent StateStale at once, so that it can read from another source.
-		if resp.State == StateUpdated || resp.State == StateHistoryGone || resp.State == StateStale && req.Since > 0 {
+		switch {
+		case resp.State == StateUpdated, resp.State == StateHistoryGone, resp.State == StateEarlierEra, resp.State == StateStale && req.Since > 0:
 			return resp
 		}
 		untilStale := c.maxAge() - time.Duration(resp.AgeMS)*time.Millisecond
--- a/internal/storefeed/cache_test.go
+++ b/internal/storefeed/cache_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/platform"
 )
 
@@ -18,15 +21,16 @@
 	changeTime = 2 * time.Second
 )
 
-// modelStore is a store that keeps its complete history.
+// modelStore is a store that keeps its complete history and can be restored from a copy.
 type modelStore struct {
-	revision int64
+	revision storerev.Revision
 	objects  map[string]platform.Object
 	changes  []platform.Object
+	backup   *modelStore
 }
 
 func (m *modelStore) put(name string) {
-	m.revision++
+	m.revision.Number++
 	m.objects[name] = platform.Object{Name: name, Revision: m.revision}
 	m.changes = append(m.changes, m.objects[name])
 }
@@ -35,11 +39,33 @@
 	if _, known := m.objects[name]; !known {
 		return
 	}
-	m.revision++
+	m.revision.Number++
 	delete(m.objects, name)
 	m.changes = append(m.changes, platform.Object{Name: name, Revision: m.revision, Deleted: true})
 }
 
+// copyContent copies the store's content to keep it as a backup.
+func (m *modelStore) copyContent() {
+	m.backup = &modelStore{revision: m.revision, objects: maps.Clone(m.objects), changes: slices.Clone(m.changes)}
+}
+
+// restore replaces the content by that of the last backup. All objects are read in a new era from now on.
+func (m *modelStore) restore() {
+	if m.backup == nil {
+		return
+	}
+	era := m.revision.Era + 1
+	m.revision, m.objects, m.changes = m.backup.revision, maps.Clone(m.backup.objects), slices.Clone(m.backup.changes)
+	m.revision.Era = era
+	for name, o := range m.objects {
+		o.Revision.Era = era
+		m.objects[name] = o
+	}
+	for i := range m.changes {
+		m.changes[i].Revision.Era = era
+	}
+}
+
 func (m *modelStore) list() []platform.Object {
 	var list []platform.Object
 	for _, o := range m.objects {
@@ -48,28 +74,33 @@
 	return list
 }
 
-func (m *modelStore) since(revision int64) []platform.Object {
+func (m *modelStore) since(revision storerev.Revision) []platform.Object {
 	var list []platform.Object
 	for _, o := range m.changes {
-		if o.Revision > revision {
+		if o.Revision.After(revision) {
 			list = append(list, o)
 		}
 	}
 	return list
 }
 
+// has reports whether the store can tell the changes since a revision.
+func (m *modelStore) has(revision storerev.Revision) bool {
+	return !revision.IsStart() && revision.SameEra(m.revision)
+}
+
 // modelReader holds what a process has read.
 type modelReader struct {
-	revision int64
-	objects  map[string]int64
+	revision storerev.Revision
+	objects  map[string]storerev.Revision
 }
 
-func (r *modelReader) putList(revision int64, objects []platform.Object) {
-	r.revision, r.objects = revision, map[string]int64{}
+func (r *modelReader) putList(revision storerev.Revision, objects []platform.Object) {
+	r.revision, r.objects = revision, map[string]storerev.Revision{}
 	r.putChanges(revision, objects)
 }
 
-func (r *modelReader) putChanges(revision int64, objects []platform.Object) {
+func (r *modelReader) putChanges(revision storerev.Revision, objects []platform.Object) {
 	for _, o := range objects {
 		if o.Deleted {
 			delete(r.objects, o.Name)
@@ -77,7 +108,16 @@
 			r.objects[o.Name] = o.Revision
 		}
 	}
-	r.revision = max(r.revision, revision)
+	r.revision = storerev.Max(r.revision, revision)
+}
+
+// readStore reads once from the store.
+func (r *modelReader) readStore(m *modelStore) {
+	if !m.has(r.revision) {
+		r.putList(m.revision, m.list())
+		return
+	}
+	r.putChanges(m.revision, m.since(r.revision))
 }
 
 // readCache reads once from a cache, as Reader does.
@@ -85,22 +125,23 @@
 	resp, _ := c.read(kind, r.revision)
 	var objects []platform.Object
 	for _, o := range resp.Objects {
-		objects = append(objects, platform.Object(o))
+		objects = append(objects, o.decode(*resp.Era))
 	}
+	at := storerev.Revision{Era: *resp.Era, Number: resp.Revision}
 	switch {
 	case resp.State == StateHistoryGone:
-		r.revision = 0
-	case resp.State == StateUpdated && r.revision == 0:
-		r.putList(resp.Revision, objects)
+		r.revision = r.revision.Start()
+	case resp.State == StateUpdated && r.revision.IsStart():
+		r.putList(at, objects)
 	case resp.State == StateUpdated, resp.State == StateUnchanged:
-		r.putChanges(resp.Revision, objects)
+		r.putChanges(at, objects)
 	}
 	return resp.State
 }
 
 // revisions returns the revision of each object, by name.
-func (m *modelStore) revisions() map[string]int64 {
-	revisions := map[string]int64{}
+func (m *modelStore) revisions() map[string]storerev.Revision {
+	revisions := map[string]storerev.Revision{}
 	for name, o := range m.objects {
 		revisions[name] = o.Revision
 	}
@@ -108,15 +149,16 @@
 }
 
 // TestReaderThatSwitchesSourcesConvergesOnStore guards against a reader that misses a write or a removal when it switches
-// between the store and a peer. One process reads the store in lists and changes, and a second one reads from the first or
-// from the store, in random order.
+// between the store and a peer, or when the store is restored from a copy and gives its revisions out again. One process reads
+// the store in lists and changes, and a second one reads from the first or from the store, in random order, so that each may be
+// the first to notice a restore.
 func TestReaderThatSwitchesSourcesConvergesOnStore(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
-		m := &modelStore{revision: 1, objects: map[string]platform.Object{}}
-		first, second, cache := &modelReader{objects: map[string]int64{}}, &modelReader{objects: map[string]int64{}}, NewCache(changeTime)
+		m := &modelStore{revision: storerev.Revision{Number: 1}, objects: map[string]platform.Object{}}
+		first, second, cache := &modelReader{objects: map[string]storerev.Revision{}}, &modelReader{objects: map[string]storerev.Revision{}}, NewCache(changeTime)
 		readFirst := func(list bool) {
-			if list || first.revision == 0 {
+			if list || !m.has(first.revision) {
 				first.putList(m.revision, m.list())
 				cache.putList(kind, m.list(), m.revision, 0)
 				return
@@ -127,7 +169,8 @@
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			name := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "name"))
-			switch rapid.SampledFrom([]string{"put", "remove", "first", "relist", "second", "second from the store"}).Draw(t, "step") {
+			steps := []string{"put", "put", "remove", "first", "relist", "second", "second from the store", "backup", "restore"}
+			switch rapid.SampledFrom(steps).Draw(t, "step") {
 			case "put":
 				m.put(name)
 			case "remove":
@@ -139,31 +182,62 @@
 			case "second":
 				second.readCache(cache)
 			case "second from the store":
-				if second.revision == 0 {
-					second.putList(m.revision, m.list())
-				} else {
-					second.putChanges(m.revision, m.since(second.revision))
-				}
+				second.readStore(m)
+			case "backup":
+				m.copyContent()
+			case "restore":
+				m.restore()
 			}
 		}
 		readFirst(false)
 		second.readCache(cache)
-		if second.revision == 0 { // The cache required a new list.
+		if second.revision.IsStart() { // The cache required a new list.
 			second.readCache(cache)
 		}
 		require.Equal(t, m.revisions(), second.objects)
+		require.Equal(t, m.revision, second.revision)
 	})
 }
 
+// TestCacheOfEarlierEraIsNotRead guards against a peer that has not noticed that the store was restored and passes its old state on, with
+// a fresh age, to a reader that has.
+func TestCacheOfEarlierEraIsNotRead(t *testing.T) {
+	t.Parallel()
+	c := NewCache(changeTime)
+	c.putList(kind, []platform.Object{{Name: "a", Revision: storerev.Revision{Era: 1, Number: 3}}}, storerev.Revision{Era: 1, Number: 44}, 0)
+	for _, since := range []storerev.Revision{{Era: 2}, {Era: 2, Number: 5}} {
+		resp := c.waitForChanges(t.Context(), ReadRequest{Kind: kind, Since: since.Number, Era: &since.Era, WaitMS: maxWait.Milliseconds()})
+		require.Equal(t, StateEarlierEra, resp.State, "%s", since)
+	}
+	c.putList(kind, nil, storerev.Revision{Era: 2, Number: 5}, 0)
+	c.putChanges(kind, []platform.Object{{Name: "a", Revision: storerev.Revision{Era: 1, Number: 45}}}, storerev.Revision{Era: 1, Number: 45}, 0)
+	resp, _ := c.read(kind, storerev.Revision{Era: 2})
+	require.Equal(t, StateUpdated, resp.State)
+	require.Empty(t, resp.Objects, "changes of the earlier era are ignored")
+	resp, _ = c.read(kind, storerev.Revision{Era: 1, Number: 44})
+	require.Equal(t, StateHistoryGone, resp.State)
+}
+
+// TestPeerWithoutErasIsServedAsBefore guards against a rolling update in which the processes of the earlier release, which do not know of
+// eras, list all objects with each read.
+func TestPeerWithoutErasIsServedAsBefore(t *testing.T) {
+	t.Parallel()
+	c := NewCache(changeTime)
+	c.putList(kind, []platform.Object{{Name: "a", Revision: storerev.Revision{Era: 1, Number: 3}}}, storerev.Revision{Era: 1, Number: 5}, 0)
+	resp := c.waitForChanges(t.Context(), ReadRequest{Kind: kind, Since: 5})
+	require.Equal(t, StateUnchanged, resp.State)
+	require.Equal(t, int64(5), resp.Revision)
+}
+
 // TestObjectMissedBetweenListsIsRemovedFromReader guards against a reader that keeps a removed object forever. The object
 // exists only between two lists of the peer, which never sees it; the reader saw it in the store before it switched to the
 // peer.
 func TestObjectMissedBetweenListsIsRemovedFromReader(t *testing.T) {
 	t.Parallel()
 	c, r := NewCache(changeTime), &modelReader{}
-	c.putList(kind, nil, 5, 0)
-	r.putList(7, []platform.Object{{Name: "a", Revision: 6}})
-	c.putList(kind, nil, 9, 0)
+	c.putList(kind, nil, storerev.Revision{Number: 5}, 0)
+	r.putList(storerev.Revision{Number: 7}, []platform.Object{{Name: "a", Revision: storerev.Revision{Number: 6}}})
+	c.putList(kind, nil, storerev.Revision{Number: 9}, 0)
 	require.Equal(t, StateHistoryGone, r.readCache(c))
 	require.Equal(t, StateUpdated, r.readCache(c))
 	require.Empty(t, r.objects)
@@ -174,14 +248,14 @@
 func TestCacheWithoutRecentStoreResponseIsStale(t *testing.T) {
 	t.Parallel()
 	c := NewCache(changeTime)
-	resp, _ := c.read(kind, 0)
+	resp, _ := c.read(kind, storerev.Revision{})
 	require.Equal(t, StateStale, resp.State, "nothing was read")
-	c.putList(kind, []platform.Object{{Name: "a", Revision: 3}}, 5, 0)
-	resp, _ = c.read(kind, 0)
+	c.putList(kind, []platform.Object{{Name: "a", Revision: storerev.Revision{Number: 3}}}, storerev.Revision{Number: 5}, 0)
+	resp, _ = c.read(kind, storerev.Revision{})
 	require.Equal(t, StateUpdated, resp.State)
 	c = NewCache(changeTime)
-	c.putList(kind, []platform.Object{{Name: "a", Revision: 3}}, 5, c.maxAge()+time.Millisecond)
-	resp, _ = c.read(kind, 0)
+	c.putList(kind, []platform.Object{{Name: "a", Revision: storerev.Revision{Number: 3}}}, storerev.Revision{Number: 5}, c.maxAge()+time.Millisecond)
+	resp, _ = c.read(kind, storerev.Revision{})
 	require.Equal(t, StateStale, resp.State, "the data of the peer was too old")
 }
 
@@ -191,7 +265,7 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		c := NewCache(changeTime)
-		c.putList(kind, []platform.Object{{Name: "a", Revision: 3}}, 5, 0)
+		c.putList(kind, []platform.Object{{Name: "a", Revision: storerev.Revision{Number: 3}}}, storerev.Revision{Number: 5}, 0)
 		startedAt := time.Now()
 		time.Sleep(c.maxAge() - 100*time.Millisecond)
 		resp := c.waitForChanges(t.Context(), ReadRequest{Kind: kind, Since: 5, WaitMS: maxPeerWait.Milliseconds()})
@@ -205,15 +279,15 @@
 func TestReadFromBeforeForgottenRemovalRequiresNewList(t *testing.T) {
 	t.Parallel()
 	c := NewCache(changeTime)
-	c.putList(kind, []platform.Object{{Name: "a", Revision: 3}}, 5, 0)
-	c.putChanges(kind, []platform.Object{{Name: "a", Revision: 7, Deleted: true}}, 8, 0)
+	c.putList(kind, []platform.Object{{Name: "a", Revision: storerev.Revision{Number: 3}}}, storerev.Revision{Number: 5}, 0)
+	c.putChanges(kind, []platform.Object{{Name: "a", Revision: storerev.Revision{Number: 7}, Deleted: true}}, storerev.Revision{Number: 8}, 0)
 	k := c.kind(kind)
 	o := k.objects["a"]
 	o.readAt = time.Now().Add(-2 * tombstoneTTL)
 	k.objects["a"] = o
-	c.putChanges(kind, nil, 9, 0)
-	resp, _ := c.read(kind, 6)
+	c.putChanges(kind, nil, storerev.Revision{Number: 9}, 0)
+	resp, _ := c.read(kind, storerev.Revision{Number: 6})
 	require.Equal(t, StateHistoryGone, resp.State)
-	resp, _ = c.read(kind, 8)
+	resp, _ = c.read(kind, storerev.Revision{Number: 8})
 	require.Equal(t, StateUnchanged, resp.State)
 }
--- a/internal/storefeed/pack.go
+++ b/internal/storefeed/pack.go
@@ -7,6 +7,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 const (
@@ -45,7 +47,7 @@
 
 // packedResponses holds compressed objects by the revision since which they were requested. They are kept until the next
 // change, because most peers that read from a process request the same objects.
-type packedResponses map[int64][]byte
+type packedResponses map[storerev.Revision][]byte
 
 // maxPackedResponses is the maximum number of compressed responses that are kept for a kind.
 const maxPackedResponses = 8
@@ -60,7 +62,7 @@
 }
 
 // encode returns the objects since a revision, either as they are or, if their content is large, compressed.
-func (p packedResponses) encode(since int64, objects []Object) (plain []Object, compressed []byte) {
+func (p packedResponses) encode(since storerev.Revision, objects []Object) (plain []Object, compressed []byte) {
 	if compressed := p[since]; compressed != nil {
 		return nil, compressed
 	}
--- a/internal/storefeed/pack_test.go
+++ b/internal/storefeed/pack_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // TestListIsCompressedOnceForAllReaders guards against a process that compresses the same list for each of its readers, and
@@ -23,14 +25,14 @@
 	raw, err := json.Marshal(objects)
 	require.NoError(t, err)
 	p := packedResponses{}
-	_, compressed := p.encode(0, objects)
-	_, again := p.encode(0, objects)
+	_, compressed := p.encode(storerev.Revision{}, objects)
+	_, again := p.encode(storerev.Revision{}, objects)
 	require.Same(t, &compressed[0], &again[0])
 	require.Less(t, 5*len(compressed), len(raw), "%d of %d bytes", len(compressed), len(raw))
 	unpacked, err := unpack(compressed)
 	require.NoError(t, err)
 	require.Equal(t, objects, unpacked)
-	plain, none := packedResponses{}.encode(0, objects[:2])
+	plain, none := packedResponses{}.encode(storerev.Revision{}, objects[:2])
 	require.Len(t, plain, 2)
 	require.Nil(t, none)
 	_, err = unpack([]byte("no list"))
--- a/internal/storefeed/reader.go
+++ b/internal/storefeed/reader.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"samphireweir.example/samphireweir/internal/control"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/platform"
 )
 
@@ -32,7 +33,7 @@
 	directReadDelay = 8 * time.Second
 )
 
-// Object is an object of the store as processes exchange it; see platform.Object.
+// Object is an object of the store as processes exchange it; see platform.Object. Its era is that of the response.
 type Object struct {
 	Name     string          `json:"name"`
 	Revision int64           `json:"revision"`
@@ -40,11 +41,23 @@
 	Spec     json.RawMessage `json:"spec,omitempty"`
 }
 
+// encodeObject returns an object as processes exchange it.
+func encodeObject(o platform.Object) Object {
+	return Object{Name: o.Name, Revision: o.Revision.Number, Deleted: o.Deleted, Spec: o.Spec}
+}
+
+// decode returns an object that was read in an era.
+func (o Object) decode(era int64) platform.Object {
+	return platform.Object{Name: o.Name, Revision: storerev.Revision{Era: era, Number: o.Revision}, Deleted: o.Deleted, Spec: o.Spec}
+}
+
 // ReadRequest requests the changes of a kind.
 type ReadRequest struct {
 	Kind string `json:"kind"`
-	// Since is the revision up to which the reader knows the kind; 0 requests all objects.
+	// Since is the revision number up to which the reader knows the kind; 0 requests all objects.
 	Since int64 `json:"since"`
+	// Era is the latest era of the store that the reader knows; nil from a process that does not know of eras.
+	Era *int64 `json:"era"`
 	// WaitMS is how long to wait for changes, in milliseconds.
 	WaitMS int64 `json:"wait_ms"`
 }
@@ -63,13 +76,17 @@
 	StateHistoryGone State = "gone"
 	// StateStale means that the responding process has had no recent response from the store.
 	StateStale State = "behind"
+	// StateEarlierEra means that the responding process knows only an earlier era of the store than the reader.
+	StateEarlierEra State = "earlier"
 )
 
 // ReadResponse is the response to a ReadRequest.
 type ReadResponse struct {
-	State    State    `json:"state"`
-	Revision int64    `json:"revision"`
-	Objects  []Object `json:"objects,omitempty"`
+	State    State `json:"state"`
+	Revision int64 `json:"revision"`
+	// Era is the era of the store in which Revision and the objects were read; nil from a process that does not know of eras.
+	Era     *int64   `json:"era"`
+	Objects []Object `json:"objects,omitempty"`
 	// Packed holds the objects in compressed form, instead of Objects, if they are large; see pack.
 	Packed []byte `json:"packed,omitempty"`
 	// AgeMS is the time since the store last responded, in milliseconds.
@@ -93,8 +110,8 @@
 // Store is the platform's store.
 type Store interface {
 	// List reads all objects of a kind. With allowStale, the store may return data that is seconds old.
-	List(ctx context.Context, kind string, allowStale bool) ([]platform.Object, int64, error)
-	Watch(ctx context.Context, kind string, revision int64, wait time.Duration) ([]platform.Object, int64, error)
+	List(ctx context.Context, kind string, allowStale bool) ([]platform.Object, storerev.Revision, error)
+	Watch(ctx context.Context, kind string, since storerev.Revision, wait time.Duration) ([]platform.Object, storerev.Revision, error)
 }
 
 // Caller makes control calls to peers; see control.Pool.
@@ -122,11 +139,13 @@
 	mu sync.Mutex
 	// staleSince is since when the peers have been stale; zero when they are not.
 	staleSince time.Time
+	// latest is the start of the latest era of which a list told.
+	latest storerev.Revision
 }
 
 // List reads all objects of a kind. If the source changes while a list is in progress, the list is started again from the
 // new source. allowStale applies only if the store itself is read.
-func (r *Reader) List(ctx context.Context, kind string, allowStale bool) ([]platform.Object, int64, error) {
+func (r *Reader) List(ctx context.Context, kind string, allowStale bool) ([]platform.Object, storerev.Revision, error) {
 	r.Source.waitUntilReleased(ctx)
 	for {
 		address, listCtx, done := r.Source.beginList(ctx)
@@ -135,20 +154,21 @@
 		done()
 		switch {
 		case err == nil:
+			r.recordEra(revision)
 			r.updateCache(func(c *Cache) { c.putList(kind, objects, revision, age) })
 			return objects, revision, nil
 		case sourceChanged:
 			continue
 		case address == "", ctx.Err() != nil:
-			return nil, 0, err
+			return nil, storerev.Revision{}, err
 		}
 		r.peerFailed(address, err)
 	}
 }
 
-func (r *Reader) list(ctx context.Context, address, kind string, allowStale bool) ([]platform.Object, int64, time.Duration, error) {
+func (r *Reader) list(ctx context.Context, address, kind string, allowStale bool) ([]platform.Object, storerev.Revision, time.Duration, error) {
 	if address == "" && r.mustWait() {
-		return nil, 0, 0, errStale
+		return nil, storerev.Revision{}, 0, errStale
 	}
 	if address == "" {
 		objects, revision, err := r.Direct.List(ctx, kind, allowStale)
@@ -157,16 +177,15 @@
 		}
 		return objects, revision, 0, err
 	}
-	return r.readPeer(ctx, address, ReadRequest{Kind: kind, WaitMS: maxWait.Milliseconds()}, peerListTimeout)
+	return r.readPeer(ctx, address, kind, r.latestEra(), maxWait, peerListTimeout)
 }
 
 // Watch waits for changes of a kind. If the peer does not respond, Watch reads the store at once. If the peer is stale and
 // another peer is available, Watch returns an error, so that the caller tries again with that one.
-func (r *Reader) Watch(ctx context.Context, kind string, revision int64, wait time.Duration) ([]platform.Object, int64, error) {
+func (r *Reader) Watch(ctx context.Context, kind string, since storerev.Revision, wait time.Duration) ([]platform.Object, storerev.Revision, error) {
 	if address := r.Source.Address(); address != "" {
 		peerWait := min(wait, maxPeerWait)
-		req := ReadRequest{Kind: kind, Since: revision, WaitMS: peerWait.Milliseconds()}
-		objects, at, age, err := r.readPeer(ctx, address, req, peerWait+peerSlack)
+		objects, at, age, err := r.readPeer(ctx, address, kind, since, peerWait, peerWait+peerSlack)
 		if err == nil {
 			r.updateCache(func(c *Cache) { c.putChanges(kind, objects, at, age) })
 		}
@@ -175,17 +194,17 @@
 		}
 		r.peerFailed(address, err)
 		if errors.Is(err, errStale) && r.Source.Address() != "" {
-			return nil, 0, err // The next peer may have recent data, and the store may refuse this process as it refuses the peer.
+			return nil, storerev.Revision{}, err // The next peer may have recent data, and the store may refuse this process as it refuses the peer.
 		}
 		wait = 0 // A change that the peer did not report may have been waiting in the store for a while.
 	}
 	if r.mustWait() {
-		return nil, 0, errStale
+		return nil, storerev.Revision{}, errStale
 	}
 	if r.Cache != nil && r.Cache.hasReaders() {
 		wait = min(wait, r.Cache.storeWait)
 	}
-	objects, at, err := r.Direct.Watch(ctx, kind, revision, wait)
+	objects, at, err := r.Direct.Watch(ctx, kind, since, wait)
 	if err == nil {
 		r.clearStale()
 		r.updateCache(func(c *Cache) { c.putChanges(kind, objects, at, 0) })
@@ -235,31 +254,77 @@
 	}
 }
 
-// readPeer sends a read request to a peer. It returns the objects, their revision and the age of the peer's data.
-func (r *Reader) readPeer(ctx context.Context, address string, req ReadRequest, timeout time.Duration) ([]platform.Object, int64, time.Duration, error) {
+// recordEra records the era of a list, so that later lists are not taken from peers that know only earlier ones.
+func (r *Reader) recordEra(revision storerev.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.latest = storerev.Max(r.latest, revision.Start())
+}
+
+// latestEra returns the start of the latest known era.
+func (r *Reader) latestEra() storerev.Revision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.latest
+}
+
+// readPeer requests the changes of a kind since a revision from a peer, or all objects if since is the start of an era. It returns the
+// objects, their revision and the age of the peer's data.
+func (r *Reader) readPeer(ctx context.Context, address, kind string, since storerev.Revision, wait, timeout time.Duration) ([]platform.Object, storerev.Revision, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var resp ReadResponse
+	req := ReadRequest{Kind: kind, Since: since.Number, Era: &since.Era, WaitMS: wait.Milliseconds()}
 	if err := r.Caller.Call(ctx, address, Method, req, &resp); err != nil {
-		return nil, 0, 0, err
+		return nil, storerev.Revision{}, 0, err
 	}
 	switch {
 	case resp.State == StateHistoryGone:
-		return nil, 0, 0, platform.ErrCompacted
-	case resp.State == StateStale, resp.State == StateUnchanged && req.Since == 0:
-		return nil, 0, 0, errStale
+		return nil, storerev.Revision{}, 0, platform.ErrCompacted
+	case resp.State == StateStale, resp.State == StateEarlierEra, resp.State == StateUnchanged && since.IsStart():
+		return nil, storerev.Revision{}, 0, errStale
+	}
+	at, err := resp.revision(since)
+	if err != nil {
+		return nil, storerev.Revision{}, 0, err
+	}
+	objects, err := resp.objects(at.Era)
+	if err != nil {
+		return nil, storerev.Revision{}, 0, err
 	}
 	r.clearStale()
+	return objects, at, time.Duration(resp.AgeMS) * time.Millisecond, nil
+}
+
+// revision returns the revision of a response to a request for the changes since a revision. The response of a peer that does not know of
+// eras can be used as long as the store has none.
+func (resp ReadResponse) revision(since storerev.Revision) (storerev.Revision, error) {
+	at := storerev.Revision{Number: resp.Revision}
+	if resp.Era != nil {
+		at.Era = *resp.Era
+	}
+	if at.Era < since.Era {
+		return storerev.Revision{}, errStale
+	}
+	if !since.IsStart() && !at.SameEra(since) {
+		return storerev.Revision{}, platform.ErrCompacted
+	}
+	return at, nil
+}
+
+// objects returns the objects of a response, which were read in an era.
+func (resp ReadResponse) objects(era int64) ([]platform.Object, error) {
+	list := resp.Objects
 	if len(resp.Packed) > 0 {
 		unpacked, err := unpack(resp.Packed)
 		if err != nil {
-			return nil, 0, 0, err
+			return nil, err
 		}
-		resp.Objects = unpacked
+		list = unpacked
 	}
-	objects := make([]platform.Object, 0, len(resp.Objects))
-	for _, o := range resp.Objects {
-		objects = append(objects, platform.Object(o))
+	objects := make([]platform.Object, 0, len(list))
+	for _, o := range list {
+		objects = append(objects, o.decode(era))
 	}
-	return objects, resp.Revision, time.Duration(resp.AgeMS) * time.Millisecond, nil
+	return objects, nil
 }
--- a/internal/storefeed/reader_test.go
+++ b/internal/storefeed/reader_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"samphireweir.example/samphireweir/internal/control"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/storefeed"
 	"samphireweir.example/samphireweir/platform"
 )
@@ -31,7 +32,7 @@
 	down       bool
 	// changes are returned by each watch.
 	changes  []platform.Object
-	revision int64
+	revision storerev.Revision
 }
 
 // recordCall counts a call and returns what is wrong with the store.
@@ -49,24 +50,24 @@
 }
 
 // List returns one object.
-func (s *store) List(ctx context.Context, _ string, _ bool) ([]platform.Object, int64, error) {
+func (s *store) List(ctx context.Context, _ string, _ bool) ([]platform.Object, storerev.Revision, error) {
 	blockLists, down := s.recordCall()
 	if blockLists {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, storerev.Revision{}, ctx.Err()
 	}
 	if down {
-		return nil, 0, errors.New("the store is down")
+		return nil, storerev.Revision{}, errors.New("the store is down")
 	}
-	return []platform.Object{{Name: "a", Revision: 3, Spec: []byte(`{"x":1}`)}}, s.revision, nil
+	return []platform.Object{{Name: "a", Revision: storerev.Revision{Number: 3}, Spec: []byte(`{"x":1}`)}}, s.revision, nil
 }
 
 // Watch returns the changes.
-func (s *store) Watch(_ context.Context, _ string, revision int64, _ time.Duration) ([]platform.Object, int64, error) {
+func (s *store) Watch(_ context.Context, _ string, since storerev.Revision, _ time.Duration) ([]platform.Object, storerev.Revision, error) {
 	if _, down := s.recordCall(); down {
-		return nil, 0, errors.New("the store is down")
+		return nil, storerev.Revision{}, errors.New("the store is down")
 	}
-	return s.changes, max(revision, s.revision), nil
+	return s.changes, storerev.Max(since, s.revision), nil
 }
 
 // process is a process that reads the store and serves what it read to its peers.
@@ -103,7 +104,7 @@
 // from the store, and against a reader that calls the store although a peer responds.
 func TestReadThroughPeerReturnsStoreObjects(t *testing.T) {
 	t.Parallel()
-	s := &store{revision: 5}
+	s := &store{revision: storerev.Revision{Number: 5}}
 	first, second := startProcess(t, s), startProcess(t, s)
 	second.Source.Set(first.address)
 	listed := make(chan struct{})
@@ -111,20 +112,20 @@
 		defer close(listed)
 		objects, revision, err := second.List(context.Background(), kind, false)
 		require.NoError(t, err)
-		require.Equal(t, int64(5), revision)
-		require.Equal(t, []platform.Object{{Name: "a", Revision: 3, Spec: []byte(`{"x":1}`)}}, objects)
+		require.Equal(t, storerev.Revision{Number: 5}, revision)
+		require.Equal(t, []platform.Object{{Name: "a", Revision: storerev.Revision{Number: 3}, Spec: []byte(`{"x":1}`)}}, objects)
 	}()
 	_, _, err := first.List(context.Background(), kind, false)
 	require.NoError(t, err)
 	<-listed
 	require.Equal(t, 1, s.callCount(), "only the first process called the store")
-	s.changes, s.revision = []platform.Object{{Name: "a", Revision: 7, Deleted: true}}, 8
-	_, _, err = first.Watch(context.Background(), kind, 5, 0)
+	s.changes, s.revision = []platform.Object{{Name: "a", Revision: storerev.Revision{Number: 7}, Deleted: true}}, storerev.Revision{Number: 8}
+	_, _, err = first.Watch(context.Background(), kind, storerev.Revision{Number: 5}, 0)
 	require.NoError(t, err)
-	objects, revision, err := second.Watch(context.Background(), kind, 5, time.Second)
+	objects, revision, err := second.Watch(context.Background(), kind, storerev.Revision{Number: 5}, time.Second)
 	require.NoError(t, err)
-	require.Equal(t, int64(8), revision)
-	require.Equal(t, []platform.Object{{Name: "a", Revision: 7, Deleted: true}}, objects)
+	require.Equal(t, storerev.Revision{Number: 8}, revision)
+	require.Equal(t, []platform.Object{{Name: "a", Revision: storerev.Revision{Number: 7}, Deleted: true}}, objects)
 	require.Equal(t, 2, s.callCount())
 }
 
@@ -132,12 +133,12 @@
 // not read anything, so that the reader reports its failure and reads the store.
 func TestReaderReadsStoreWhenPeerIsStale(t *testing.T) {
 	t.Parallel()
-	s := &store{revision: 9, changes: []platform.Object{{Name: "b", Revision: 9}}}
+	s := &store{revision: storerev.Revision{Number: 9}, changes: []platform.Object{{Name: "b", Revision: storerev.Revision{Number: 9}}}}
 	first, second := startProcess(t, s), startProcess(t, s)
 	second.Source.Set(first.address)
-	objects, revision, err := second.Watch(context.Background(), kind, 5, time.Second)
+	objects, revision, err := second.Watch(context.Background(), kind, storerev.Revision{Number: 5}, time.Second)
 	require.NoError(t, err)
-	require.Equal(t, int64(9), revision)
+	require.Equal(t, storerev.Revision{Number: 9}, revision)
 	require.Len(t, objects, 1)
 	require.Equal(t, []string{first.address}, second.failedPeers)
 }
@@ -149,12 +150,12 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
-	s := &store{revision: 9}
+	s := &store{revision: storerev.Revision{Number: 9}}
 	p := startProcess(t, s)
 	p.Source.Set(l.Addr().String())
-	_, revision, err := p.Watch(context.Background(), kind, 5, time.Second)
+	_, revision, err := p.Watch(context.Background(), kind, storerev.Revision{Number: 5}, time.Second)
 	require.NoError(t, err)
-	require.Equal(t, int64(9), revision)
+	require.Equal(t, storerev.Revision{Number: 9}, revision)
 	p.Source.Set(l.Addr().String())
 	_, _, err = p.List(context.Background(), kind, false)
 	require.NoError(t, err)
@@ -164,8 +165,8 @@
 // saturated link, although a peer could serve the list by now.
 func TestListIsRestartedWhenSourceChanges(t *testing.T) {
 	t.Parallel()
-	slow := &store{revision: 5, blockLists: true}
-	first, second := startProcess(t, &store{revision: 5}), startProcess(t, slow)
+	slow := &store{revision: storerev.Revision{Number: 5}, blockLists: true}
+	first, second := startProcess(t, &store{revision: storerev.Revision{Number: 5}}), startProcess(t, slow)
 	_, _, err := first.List(context.Background(), kind, false)
 	require.NoError(t, err)
 	listed := make(chan error, 1)
@@ -185,7 +186,7 @@
 	s := &store{down: true}
 	first, second := startProcess(t, s), startProcess(t, s)
 	second.Source.Set(first.address)
-	_, _, err := second.Watch(context.Background(), kind, 5, 0)
+	_, _, err := second.Watch(context.Background(), kind, storerev.Revision{Number: 5}, 0)
 	require.Error(t, err)
 	second.Source.Set(first.address)
 	_, _, err = second.List(context.Background(), kind, false)
@@ -196,14 +197,14 @@
 // when it recovers: entries must read it first, and agents from the entries.
 func TestAgentDoesNotReadStoreWhenItsEntriesAreStale(t *testing.T) {
 	t.Parallel()
-	s := &store{revision: 5}
+	s := &store{revision: storerev.Revision{Number: 5}}
 	first, agent := startProcess(t, s), startProcess(t, s)
 	agent.DelayDirectReads = true
 	agent.Source.Set(first.address)
-	_, _, err := agent.Watch(context.Background(), kind, 5, 0)
+	_, _, err := agent.Watch(context.Background(), kind, storerev.Revision{Number: 5}, 0)
 	require.Error(t, err, "the entry has read nothing")
 	require.Equal(t, []string{first.address}, agent.failedPeers, "another entry may have recent data")
-	_, _, err = agent.Watch(context.Background(), kind, 5, 0)
+	_, _, err = agent.Watch(context.Background(), kind, storerev.Revision{Number: 5}, 0)
 	require.Error(t, err, "there is no other entry")
 	_, _, err = agent.List(context.Background(), kind, false)
 	require.Error(t, err)
--- a/internal/storefeed/scaling_test.go
+++ b/internal/storefeed/scaling_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/platform"
 )
 
@@ -93,7 +94,7 @@
 						running.Go(func() { p.run(ctx) })
 					}
 					time.Sleep(8 * time.Second)
-					require.Zero(t, f.countBehind(1))
+					require.Zero(t, f.countBehind(firstRevision))
 					f.setFailure(how, failing(f)...)
 					f.writeObject(0)
 					changedAt := time.Now()
@@ -188,10 +189,11 @@
 		f.setFailure(cutOff, third...)
 		for i := range 9 {
 			f.writeObject(i)
-			_, revision := f.changesSince(0)
+			_, revision, err := f.changesSince(firstRevision)
+			require.NoError(t, err)
 			time.Sleep(time.Second)
 			if i >= int(allowed/time.Second) {
-				require.Zero(t, f.countBehind(revision-int64(allowed/time.Second)), "second %d", i)
+				require.Zero(t, f.countBehind(storerev.Revision{Era: revision.Era, Number: revision.Number - int64(allowed/time.Second)}), "second %d", i)
 			}
 		}
 		calls = f.callCount() - before
@@ -249,14 +251,14 @@
 		}
 		spec, err := json.Marshal(content)
 		require.NoError(t, err)
-		f.linkRate, f.objects = linkRate, []platform.Object{{Name: "main", Revision: 1, Spec: spec}}
+		f.linkRate, f.objects = linkRate, []platform.Object{{Name: "main", Revision: firstRevision, Spec: spec}}
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		for _, p := range f.processes {
 			running.Go(func() { p.run(ctx) })
 		}
 		time.Sleep(8 * time.Second)
-		require.Zero(t, f.countBehind(1))
+		require.Zero(t, f.countBehind(firstRevision))
 		for range manifests {
 			f.writeObject(0)
 			time.Sleep(pause)
@@ -304,7 +306,7 @@
 		}
 		f.setFailure(healthy, restarted...)
 		restartedAt := time.Now()
-		for f.countBehind(1) > 0 && time.Since(restartedAt) < time.Minute {
+		for f.countBehind(firstRevision) > 0 && time.Since(restartedAt) < time.Minute {
 			time.Sleep(50 * time.Millisecond)
 		}
 		recovery = time.Since(restartedAt)
--- a/internal/storefeed/start_test.go
+++ b/internal/storefeed/start_test.go
@@ -15,6 +15,7 @@
 
 	"samphireweir.example/samphireweir/internal/control"
 	"samphireweir.example/samphireweir/internal/core/source"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/platform"
@@ -24,14 +25,14 @@
 type countingStore struct{ lists atomic.Int64 }
 
 // List returns nothing.
-func (s *countingStore) List(context.Context, string, bool) ([]platform.Object, int64, error) {
+func (s *countingStore) List(context.Context, string, bool) ([]platform.Object, storerev.Revision, error) {
 	s.lists.Add(1)
-	return nil, 1, nil
+	return nil, storerev.Revision{Number: 1}, nil
 }
 
 // Watch returns nothing.
-func (s *countingStore) Watch(context.Context, string, int64, time.Duration) ([]platform.Object, int64, error) {
-	return nil, 1, nil
+func (s *countingStore) Watch(context.Context, string, storerev.Revision, time.Duration) ([]platform.Object, storerev.Revision, error) {
+	return nil, storerev.Revision{Number: 1}, nil
 }
 
 // startProcess starts a process that lists the store at once. storeReads is the platform's limit of reads per second.
--- a/internal/storefeed/virtualfleet_test.go
+++ b/internal/storefeed/virtualfleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/platform"
@@ -35,6 +36,9 @@
 	virtualKind = "servers"
 )
 
+// firstRevision is the revision of a virtual fleet's store when the processes start.
+var firstRevision = storerev.Revision{Era: 1, Number: 1}
+
 // virtualFleet simulates many processes and their store without a network. It counts datagrams, bytes and calls.
 type virtualFleet struct {
 	mu        sync.Mutex
@@ -42,8 +46,15 @@
 	objects   []platform.Object
 	// lists and watches count the calls that the store accepted, refused those that it refused.
 	lists, watches, refused int
-	revision                int64
+	revision                storerev.Revision
 	changed                 chan struct{}
+	// down is set while the store refuses all calls.
+	down bool
+	// tracksContents makes the processes keep what they read, so that it can be compared with the store.
+	tracksContents bool
+	// backup holds the objects and the revision from which the store is restored.
+	backup         []platform.Object
+	backupRevision storerev.Revision
 	// linkRate is the rate at which a process sends responses, in bytes per second; 0 for no limit.
 	linkRate float64
 }
@@ -59,7 +70,9 @@
 	// bytesSent counts the bytes of the responses and datagrams that it sent, and datagramsReceived the datagrams sent to
 	// it. revision is the highest revision that it knows. The fleet's lock guards them.
 	bytesSent, datagramsReceived int
-	revision                     int64
+	revision                     storerev.Revision
+	// known holds the revision of each object that it knows, by name, if the fleet tracks contents. The fleet's lock guards it.
+	known map[string]storerev.Revision
 	// failure is what is wrong with it.
 	failure failure
 	// linkFreeAt is when its link will have sent all queued responses.
@@ -81,7 +94,7 @@
 )
 
 // List lists the store.
-func (f *virtualFleet) List(context.Context, string, bool) ([]platform.Object, int64, error) {
+func (f *virtualFleet) List(context.Context, string, bool) ([]platform.Object, storerev.Revision, error) {
 	f.mu.Lock()
 	f.lists++
 	objects, revision := f.objects, f.revision
@@ -91,41 +104,44 @@
 }
 
 // Watch waits for changes in the store.
-func (f *virtualFleet) Watch(ctx context.Context, _ string, since int64, wait time.Duration) ([]platform.Object, int64, error) {
+func (f *virtualFleet) Watch(ctx context.Context, _ string, since storerev.Revision, wait time.Duration) ([]platform.Object, storerev.Revision, error) {
 	f.mu.Lock()
 	f.watches++
 	changed := f.changed
 	f.mu.Unlock()
-	if changes, at := f.changesSince(since); len(changes) > 0 {
-		return changes, at, nil
+	if changes, at, err := f.changesSince(since); err != nil || len(changes) > 0 {
+		return changes, at, err
 	}
 	select {
 	case <-changed:
 	case <-time.After(wait):
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return nil, storerev.Revision{}, ctx.Err()
 	}
-	changes, at := f.changesSince(since)
-	return changes, at, nil
+	return f.changesSince(since)
 }
 
-func (f *virtualFleet) changesSince(revision int64) ([]platform.Object, int64) {
+// changesSince returns the objects that changed since a revision, or ErrCompacted if the store was restored since.
+func (f *virtualFleet) changesSince(revision storerev.Revision) ([]platform.Object, storerev.Revision, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !revision.SameEra(f.revision) {
+		return nil, storerev.Revision{}, platform.ErrCompacted
+	}
 	var changes []platform.Object
 	for _, o := range f.objects {
-		if o.Revision > revision {
+		if o.Revision.After(revision) {
 			changes = append(changes, o)
 		}
 	}
-	return changes, max(f.revision, revision)
+	return changes, storerev.Max(f.revision, revision), nil
 }
 
 // writeObject writes the object with index i.
 func (f *virtualFleet) writeObject(i int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision++
+	f.revision.Number++
 	objects := append([]platform.Object(nil), f.objects...)
 	objects[i].Revision = f.revision
 	f.objects = objects
@@ -236,31 +252,41 @@
 
 // run runs the process until ctx is cancelled: it lists the objects and then watches for changes.
 func (p *virtualProcess) run(ctx context.Context) {
-	go p.peers.SendSeedHeartbeats(ctx, p, func() bool { return p.knownRevision() > 0 })
+	go p.peers.SendSeedHeartbeats(ctx, p, func() bool { return !p.knownRevision().IsStart() })
 	go func() {
 		for ; ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
 			p.peers.Tick()
 		}
 	}()
-	for ctx.Err() == nil && p.knownRevision() == 0 {
-		if _, at, err := p.reader.List(ctx, virtualKind, p.agent); err == nil {
-			p.recordRevision(at)
-		}
-	}
+	p.list(ctx)
 	if !p.agent {
 		go p.sendHeartbeatsToAgents(ctx)
 	}
 	for ctx.Err() == nil {
 		pause := 50 * time.Millisecond
-		if _, at, err := p.reader.Watch(ctx, virtualKind, p.knownRevision(), 2*time.Second); err == nil {
-			p.recordRevision(at)
-		} else {
+		objects, at, err := p.reader.Watch(ctx, virtualKind, p.knownRevision(), 2*time.Second)
+		switch {
+		case err == nil:
+			p.recordChanges(at, objects)
+		case errors.Is(err, platform.ErrCompacted):
+			p.list(ctx)
+		default:
 			pause = 200 * time.Millisecond
 		}
 		time.Sleep(pause)
 	}
 }
 
+// list lists the objects until that succeeds.
+func (p *virtualProcess) list(ctx context.Context) {
+	for ctx.Err() == nil {
+		if objects, at, err := p.reader.List(ctx, virtualKind, p.agent); err == nil {
+			p.recordList(at, objects)
+			return
+		}
+	}
+}
+
 func (p *virtualProcess) has(f failure) bool {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
@@ -274,13 +300,20 @@
 }
 
 // List lists the store.
-func (d directStore) List(ctx context.Context, kind string, allowStale bool) ([]platform.Object, int64, error) {
-	if !d.process.has(healthy) {
-		return nil, 0, d.refuse()
+func (d directStore) List(ctx context.Context, kind string, allowStale bool) ([]platform.Object, storerev.Revision, error) {
+	if !d.reachable() {
+		return nil, storerev.Revision{}, d.refuse()
 	}
 	return d.virtualFleet.List(ctx, kind, allowStale)
 }
 
+// reachable reports whether the process reaches the store and the store serves.
+func (d directStore) reachable() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.process.failure == healthy && !d.down
+}
+
 // refuse counts a refused call and returns its error.
 func (d directStore) refuse() error {
 	d.mu.Lock()
@@ -290,35 +323,50 @@
 }
 
 // Watch waits for changes in the store. It fails if the process loses the store meanwhile.
-func (d directStore) Watch(ctx context.Context, kind string, since int64, wait time.Duration) ([]platform.Object, int64, error) {
-	if !d.process.has(healthy) {
-		return nil, 0, d.refuse()
+func (d directStore) Watch(ctx context.Context, kind string, since storerev.Revision, wait time.Duration) ([]platform.Object, storerev.Revision, error) {
+	if !d.reachable() {
+		return nil, storerev.Revision{}, d.refuse()
 	}
 	objects, at, err := d.virtualFleet.Watch(ctx, kind, since, wait)
-	if !d.process.has(healthy) {
-		return nil, 0, errors.New("the store is unreachable")
+	if !d.reachable() {
+		return nil, storerev.Revision{}, errors.New("the store is unreachable")
 	}
 	return objects, at, err
 }
 
-func (p *virtualProcess) knownRevision() int64 {
+func (p *virtualProcess) knownRevision() storerev.Revision {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
 	return p.revision
 }
 
-func (p *virtualProcess) recordRevision(at int64) {
+// recordList records a list, which replaces what the process knows.
+func (p *virtualProcess) recordList(at storerev.Revision, objects []platform.Object) {
+	p.fleet.mu.Lock()
+	p.known = map[string]storerev.Revision{}
+	p.fleet.mu.Unlock()
+	p.recordChanges(at, objects)
+}
+
+// recordChanges records changes up to a revision.
+func (p *virtualProcess) recordChanges(at storerev.Revision, objects []platform.Object) {
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	p.revision = max(p.revision, at)
+	p.revision = storerev.Max(p.revision, at)
+	if !p.fleet.tracksContents {
+		return
+	}
+	for _, o := range objects {
+		p.known[o.Name] = o.Revision
+	}
 }
 
 // newVirtualFleet returns a fleet of n processes, a third of them entries. The processes are not running yet.
 func newVirtualFleet(n int) *virtualFleet {
-	f := &virtualFleet{processes: map[string]*virtualProcess{}, revision: 1, changed: make(chan struct{})}
+	f := &virtualFleet{processes: map[string]*virtualProcess{}, revision: firstRevision, changed: make(chan struct{})}
 	for i := range n {
 		f.objects = append(f.objects, platform.Object{
-			Name: fmt.Sprintf("i-%08x", i), Revision: 1, Spec: json.RawMessage(fmt.Sprintf(`{"service":"model","address":"10.0.%d.%d:8080","zone":"a","slots":8,"state":"ready"}`, i/200, i%200)),
+			Name: fmt.Sprintf("i-%08x", i), Revision: f.revision, Spec: json.RawMessage(fmt.Sprintf(`{"service":"model","address":"10.0.%d.%d:8080","zone":"a","slots":8,"state":"ready"}`, i/200, i%200)),
 		})
 	}
 	var seeds []string
@@ -350,7 +398,7 @@
 	peers := NewPeers(p.host, p.address.String(), p.agent, zerolog.Nop())
 	p.fleet.mu.Lock()
 	defer p.fleet.mu.Unlock()
-	p.revision, p.cache, p.peers = 0, cache, peers
+	p.revision, p.cache, p.peers = storerev.Revision{}, cache, peers
 	p.reader = peers.Reader(directStore{virtualFleet: p.fleet, process: p}, p, cache)
 }
 
@@ -375,7 +423,7 @@
 		for _, p := range f.processes {
 			running.Go(func() { p.run(ctx) })
 		}
-		for f.countBehind(1) > 0 {
+		for f.countBehind(firstRevision) > 0 {
 			require.Less(t, time.Since(startedAt), time.Minute)
 			time.Sleep(50 * time.Millisecond)
 		}
@@ -412,12 +460,12 @@
 }
 
 // countBehind counts the healthy processes that do not know a revision.
-func (f *virtualFleet) countBehind(revision int64) int {
+func (f *virtualFleet) countBehind(revision storerev.Revision) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := 0
 	for _, p := range f.processes {
-		if p.revision < revision && p.failure == healthy {
+		if p.revision.Before(revision) && p.failure == healthy {
 			n++
 		}
 	}
--- a/internal/storewatch/events.go
+++ b/internal/storewatch/events.go
@@ -5,6 +5,7 @@
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/platform"
 )
@@ -21,16 +22,16 @@
 
 	// loggedRevisions holds the revision at which an object was last logged as malformed, by its name. Every list contains
 	// the object again, which must not be logged again.
-	loggedRevisions map[string]int64
+	loggedRevisions map[string]storerev.Revision
 }
 
 // Follower returns a follower of a kind that passes the kind's events to Step.
 func (d Decoder) Follower(store Store, kind string) *Follower {
-	d.loggedRevisions = map[string]int64{}
+	d.loggedRevisions = map[string]storerev.Revision{}
 	f := &Follower{Store: store, Kind: kind, Wait: shortWait, Log: d.Log, OnResponse: func() { d.Step(catalog.StoreAnswered{}) }, OnFailure: func() { d.Step(catalog.StoreFailed{}) }}
 	switch kind {
 	case platform.ConfigKind:
-		f.OnList, f.OnChanges = func(_ int64, o []platform.Object) { d.manifestsChanged(o) }, d.manifestsChanged
+		f.OnList, f.OnChanges = func(_ storerev.Revision, o []platform.Object) { d.manifestsChanged(o) }, d.manifestsChanged
 	case platform.ServerKind:
 		f.OnList, f.OnChanges = d.upstreamsListed, d.upstreamsChanged
 	case platform.VersionKind:
@@ -56,7 +57,7 @@
 	}
 }
 
-func (d Decoder) upstreamsListed(revision int64, objects []platform.Object) {
+func (d Decoder) upstreamsListed(revision storerev.Revision, objects []platform.Object) {
 	var list []*catalog.Upstream
 	var malformed []platform.Object
 	for _, o := range objects {
@@ -91,7 +92,7 @@
 	}
 }
 
-func (d Decoder) versionsListed(_ int64, objects []platform.Object) {
+func (d Decoder) versionsListed(_ storerev.Revision, objects []platform.Object) {
 	d.stepVersions(objects, true)
 	d.Step(catalog.TopicListed{Topic: catalog.VersionTopic})
 }
@@ -115,7 +116,7 @@
 
 // evacuationsListed reports the data centres that are being evacuated. Each object is named after a data centre; its
 // content is not used.
-func (d Decoder) evacuationsListed(revision int64, objects []platform.Object) {
+func (d Decoder) evacuationsListed(revision storerev.Revision, objects []platform.Object) {
 	ev := catalog.EvacuationsListed{Revision: revision}
 	for _, o := range objects {
 		if o.Name != "" {
@@ -150,11 +151,5 @@
 		clear(d.loggedRevisions)
 	}
 	d.loggedRevisions[o.Name] = o.Revision
-	logevent.Warn(d.Log, logevent.MalformedObject).Str("entry", o.Name).Int64("revision", o.Revision).Err(err).Msg("malformed object")
-}
-
-// LogManifestIgnored logs that a manifest was read and not put in force.
-func LogManifestIgnored(log zerolog.Logger, e catalog.ManifestIgnored) {
-	logevent.Warn(log, logevent.ManifestIgnored).Int64("version", e.Version).Int64("revision", e.Revision).
-		Int64("in_force", e.InForce).Int64("in_force_revision", e.InForceRevision).Msg("manifest ignored")
+	logevent.Warn(d.Log, logevent.MalformedObject).Str("entry", o.Name).Int64("era", o.Revision.Era).Int64("revision", o.Revision.Number).Err(err).Msg("malformed object")
 }
--- a/internal/storewatch/events_test.go
+++ b/internal/storewatch/events_test.go
@@ -12,12 +12,13 @@
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/storewatch"
 	"samphireweir.example/samphireweir/platform"
 )
 
 func object(name string, revision int64, spec string) platform.Object {
-	return platform.Object{Name: name, Revision: revision, Spec: json.RawMessage(spec)}
+	return platform.Object{Name: name, Revision: storerev.Revision{Number: revision}, Spec: json.RawMessage(spec)}
 }
 
 const validUpstream = `{"service":"model","address":"10.0.0.9:8080","zone":"perth-a","slots":16,"state":"ready"}`
@@ -32,7 +33,7 @@
 		var log bytes.Buffer
 		events := storewatch.Decoder{Log: zerolog.New(&log), Step: func(ev step.Event) { state.Reduce(step.Input{Now: now, Event: ev}) }}
 		f := events.Follower(nil, platform.ServerKind)
-		f.OnList(5, []platform.Object{object("i-1", 3, validUpstream), object("i-2", 4, validUpstream)})
+		f.OnList(storerev.Revision{Number: 5}, []platform.Object{object("i-1", 3, validUpstream), object("i-2", 4, validUpstream)})
 		require.Len(t, state.Upstreams, 2)
 		f.OnFailure()
 		now = now.Add(4 * time.Second)
@@ -40,7 +41,7 @@
 		malformed := object("i-1", 6, `{"service":7}`)
 		for range 3 {
 			if byList {
-				f.OnList(7, []platform.Object{malformed, object("i-2", 4, validUpstream)})
+				f.OnList(storerev.Revision{Number: 7}, []platform.Object{malformed, object("i-2", 4, validUpstream)})
 			} else {
 				f.OnChanges([]platform.Object{malformed})
 			}
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/periodic"
 	"samphireweir.example/samphireweir/platform"
@@ -36,8 +37,8 @@
 
 // Store is the store that a follower reads, directly or through a peer.
 type Store interface {
-	List(ctx context.Context, kind string, stale bool) ([]platform.Object, int64, error)
-	Watch(ctx context.Context, kind string, revision int64, wait time.Duration) ([]platform.Object, int64, error)
+	List(ctx context.Context, kind string, stale bool) ([]platform.Object, storerev.Revision, error)
+	Watch(ctx context.Context, kind string, since storerev.Revision, wait time.Duration) ([]platform.Object, storerev.Revision, error)
 }
 
 // Follower follows one kind of object.
@@ -45,7 +46,7 @@
 	Store Store
 	Kind  string
 	// OnList receives all objects as of a revision. OnChanges receives the objects that changed since the last call of either.
-	OnList    func(revision int64, objects []platform.Object)
+	OnList    func(revision storerev.Revision, objects []platform.Object)
 	OnChanges func(objects []platform.Object)
 	// Wait is how long one call waits for a change.
 	Wait time.Duration
@@ -59,13 +60,13 @@
 	// lost is set while calls fail.
 	lost bool
 	// polledRevision is the revision of the last successful poll.
-	polledRevision int64
+	polledRevision storerev.Revision
 }
 
 // Run lists the kind and watches it for changes until ctx is cancelled.
 func (f *Follower) Run(ctx context.Context) {
 	retryDelay := initialRetryDelay
-	revision := int64(0)
+	var revision storerev.Revision
 	for ctx.Err() == nil {
 		startedAt := time.Now()
 		next, err := f.read(ctx, revision)
@@ -80,7 +81,7 @@
 		}
 		if errors.Is(err, platform.ErrCompacted) {
 			f.recordSuccess()
-			revision = 0
+			revision = storerev.Revision{}
 			continue
 		}
 		f.recordFailure(err)
@@ -107,7 +108,7 @@
 // poll reads the kind once. From the store it reads a list that may be stale, because that is the cheapest call. From a peer
 // it reads the changes since the last poll, because that is the shortest response.
 func (f *Follower) poll(ctx context.Context) error {
-	if f.polledRevision > 0 && f.shared() {
+	if !f.polledRevision.IsStart() && f.shared() {
 		objects, at, err := f.Store.Watch(ctx, f.Kind, f.polledRevision, 0)
 		if err == nil {
 			f.recordSuccess()
@@ -142,12 +143,12 @@
 	return minCallInterval
 }
 
-// read makes one call and returns the revision for the next one. Revision 0 lists the kind.
-func (f *Follower) read(ctx context.Context, revision int64) (int64, error) {
-	if revision == 0 {
+// read makes one call and returns the revision for the next one. The zero revision lists the kind.
+func (f *Follower) read(ctx context.Context, revision storerev.Revision) (storerev.Revision, error) {
+	if revision.IsStart() {
 		objects, at, err := f.Store.List(ctx, f.Kind, false)
 		if err != nil {
-			return 0, err
+			return storerev.Revision{}, err
 		}
 		f.OnResponse()
 		f.OnList(at, objects)
@@ -155,7 +156,7 @@
 	}
 	objects, at, err := f.Store.Watch(ctx, f.Kind, revision, f.Wait)
 	if err != nil {
-		return 0, err
+		return storerev.Revision{}, err
 	}
 	f.OnResponse()
 	if len(objects) > 0 {
--- a/internal/storewatch/storewatch_test.go
+++ b/internal/storewatch/storewatch_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/storewatch"
 	"samphireweir.example/samphireweir/platform"
 )
@@ -19,7 +20,7 @@
 type store struct {
 	mu             sync.Mutex
 	lists, watches int
-	revision       int64
+	revision       storerev.Revision
 	// failing makes each call fail, and historyGone the next watch.
 	failing, historyGone bool
 	// busy makes each watch return a change at once.
@@ -27,36 +28,37 @@
 }
 
 // List returns one object.
-func (s *store) List(context.Context, string, bool) ([]platform.Object, int64, error) {
+func (s *store) List(context.Context, string, bool) ([]platform.Object, storerev.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
-	s.revision++
+	s.revision.Number++
 	if s.failing {
-		return nil, 0, errors.New("the store does not respond")
+		return nil, storerev.Revision{}, errors.New("the store does not respond")
 	}
 	return []platform.Object{{Name: "a", Revision: s.revision}}, s.revision, nil
 }
 
 // Watch waits for the requested time, or not at all in a busy store.
-func (s *store) Watch(ctx context.Context, _ string, revision int64, wait time.Duration) ([]platform.Object, int64, error) {
+func (s *store) Watch(ctx context.Context, _ string, since storerev.Revision, wait time.Duration) ([]platform.Object, storerev.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watches++
 	switch {
 	case s.failing:
-		return nil, 0, errors.New("the store does not respond")
+		return nil, storerev.Revision{}, errors.New("the store does not respond")
 	case s.historyGone:
 		s.historyGone = false
-		return nil, 0, platform.ErrCompacted
+		return nil, storerev.Revision{}, platform.ErrCompacted
 	case s.busy:
-		return []platform.Object{{Name: "a", Revision: revision + 1}}, revision + 1, nil
+		next := storerev.Revision{Era: since.Era, Number: since.Number + 1}
+		return []platform.Object{{Name: "a", Revision: next}}, next, nil
 	}
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	return nil, revision, nil
+	return nil, since, nil
 }
 
 // calls counts the calls of a follower's functions.
@@ -68,7 +70,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &storewatch.Follower{
 			Store: s, Kind: "things", Wait: 2 * time.Second, ReadsFromPeer: func() bool { return shared }, Log: zerolog.Nop(),
-			OnList: func(int64, []platform.Object) { c.lists++ }, OnChanges: func([]platform.Object) { c.changes++ },
+			OnList: func(storerev.Revision, []platform.Object) { c.lists++ }, OnChanges: func([]platform.Object) { c.changes++ },
 			OnResponse: func() { c.responses++ }, OnFailure: func() { c.failures++ },
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), span)
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -49,6 +49,8 @@
 		"Requests that an upstream started on an expired version of weights."}
 	upstreamNoticesDefinition = Definition{"samphireweir_upstream_notices_total", CounterKind, nil,
 		"Changed notices in the heads of upstreams' answers: a rate limit, a shutdown, a requested backoff."}
+	storeRestoresDefinition = Definition{"samphireweir_store_restores_total", CounterKind, nil,
+		"Restores of the platform's store from a copy, as this process noticed them."}
 	runsRefusedDefinition = Definition{"samphireweir_runs_refused_total", CounterKind, []string{"cause"},
 		"Runs that this agent refused to start, by result code."}
 	recordsDefinition = Definition{"samphireweir_records_total", CounterKind, []string{"way"},
@@ -84,5 +86,5 @@
 	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, settingsDefinition,
-	panicsDefinition, goroutinesDefinition, memoryDefinition,
+	panicsDefinition, storeRestoresDefinition, goroutinesDefinition, memoryDefinition,
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -22,6 +22,7 @@
 	ControlCalls, ControlBytes, PlatformCalls Counter
 	Chunks, ChunkBytes, ChunksRefused         Counter
 	Loads, Settings, Panics                   Counter
+	StoreRestores                             Counter
 
 	// exposed lists the metrics in the order in which Write writes them.
 	exposed []exposedMetric
@@ -53,6 +54,7 @@
 	m.Loads = m.counter(loadsDefinition)
 	m.Settings = m.counter(settingsDefinition)
 	m.Panics = m.counter(panicsDefinition)
+	m.StoreRestores = m.counter(storeRestoresDefinition)
 	m.exposed = append(m.exposed, polledGauge{goroutinesDefinition, readGoroutines}, polledGauge{memoryDefinition, readMemory})
 	return m
 }
