catalog: an upstream that became cold stays cold after a restore of the store

Callers would see a cold engine crash under the full load: a copy from before it became cold says that it is warm, until the engine writes again. The reducer's test failed before (cold until 0) and passes now. Within an era the upstream's last word counts, as before.

--- a/internal/core/catalog/era_test.go
+++ b/internal/core/catalog/era_test.go
@@ -96,6 +96,20 @@
 	require.True(t, s.Upstreams["drains"].Draining, "an instance that drains never becomes ready again")
 }
 
+// TestColdUpstreamStaysColdAfterARestore guards against the full load on an upstream that has become cold, because the copy from which the
+// store was restored is from before.
+func TestColdUpstreamStaysColdAfterARestore(t *testing.T) {
+	s := catalog.NewState()
+	cold := registered("a", inEra(1, 40))
+	cold.ColdRemaining = 5 * time.Second
+	s.Reduce(at(0, listed(inEra(1, 20), registered("a", inEra(1, 4)))))
+	s.Reduce(at(0, catalog.UpstreamChanged{Upstream: cold}))
+	s.Reduce(at(time.Second, listed(inEra(2, 6), registered("a", inEra(2, 4)))))
+	require.Equal(t, begin.Add(5*time.Second), s.Upstreams["a"].ColdUntil)
+	s.Reduce(at(2*time.Second, catalog.UpstreamChanged{Upstream: registered("a", inEra(2, 7))}))
+	require.Zero(t, s.Upstreams["a"].ColdUntil, "the upstream itself says that it is warm")
+}
+
 // TestUpstreamThatStillRunsReturnsAfterARestore guards against an upstream that stays out for good because its registration was once
 // removed: its registration is still there when all lost ones have expired. A later instance is used at once.
 func TestUpstreamThatStillRunsReturnsAfterARestore(t *testing.T) {
--- a/internal/core/catalog/upstream.go
+++ b/internal/core/catalog/upstream.go
@@ -41,15 +41,19 @@
 func (u *Upstream) Instance() Instance { return Instance{ID: u.ID, StartedAt: u.StartedAt} }
 
 // withColdUntil returns a copy of u with ColdUntil set. A revision that was read before, as in a repeated list, doesn't
-// restart the cold time.
+// restart the cold time. A registration of another era of the store than old may be an older one of the same instance and doesn't end it.
 func (u *Upstream) withColdUntil(now time.Time, old *Upstream) *Upstream {
 	next := *u
+	sameInstance := old != nil && old.StartedAt == u.StartedAt
 	switch {
-	case old != nil && old.Revision == u.Revision && old.StartedAt == u.StartedAt:
+	case sameInstance && old.Revision == u.Revision:
 		next.ColdUntil = old.ColdUntil
 	case u.ColdRemaining > 0:
 		next.ColdUntil = now.Add(u.ColdRemaining)
 	}
+	if sameInstance && !old.Revision.SameEra(u.Revision) && old.ColdUntil.After(next.ColdUntil) {
+		next.ColdUntil = old.ColdUntil
+	}
 	return &next
 }
 
