soak: the store is restored from copies, all hosts lose power at once

TestSoakUpstreamNotices restores the store all the while; TestSoakPlaces during each evacuation from a copy without it, and after some from a copy that still has it.

--- a/internal/soak/places_test.go
+++ b/internal/soak/places_test.go
@@ -23,6 +23,8 @@
 	// change within half a second, or with a read request that takes up to two seconds.
 	coldEffectDelay = 2500 * time.Millisecond
 	coldDuration    = standin.ColdTime
+	// evacuationDuration is how long an evacuation lasts.
+	evacuationDuration = 7 * time.Second
 )
 
 const (
@@ -80,24 +82,44 @@
 // operateUntil evacuates data centres, as an operator does, and turns upstreams cold, in turn, until a time.
 func (s *placesSoak) operateUntil(injector *injector, end time.Time) {
 	for round := injector.random.IntN(2); time.Now().Before(end); round++ {
-		from := time.Now()
 		if round%2 == 0 {
-			place := pick(injector, s.places)
-			s.fleet.Evacuate(place)
-			time.Sleep(min(time.Until(end), 7*time.Second))
-			s.fleet.EndEvacuation(place)
-			s.evacuated[place] = append(s.evacuated[place], span{from: from, to: time.Now()})
+			s.evacuate(injector, pick(injector, s.places), end)
 		} else {
 			service := fmt.Sprintf("i-desk-%d", injector.random.IntN(placesHosts))
-			s.fleet.SetCold(service)
+			from := time.Now()
+			s.write(func() { s.fleet.SetCold(service) })
 			time.Sleep(coldDuration)
-			s.fleet.SetWarm(service)
+			s.write(func() { s.fleet.SetWarm(service) })
 			s.cold[service] = append(s.cold[service], span{from: from, to: from.Add(coldDuration)})
 		}
 		injector.pause()
 	}
 }
 
+// write has an operator or an upstream write to the store, which is not being restored meanwhile.
+func (s *soak) write(write func()) {
+	s.operator.Lock()
+	defer s.operator.Unlock()
+	write()
+}
+
+// evacuate evacuates a data centre for evacuationDuration, but at most until a time. During the evacuation the store is restored from a copy
+// from before it, and in some cases after its end from a copy that still has it.
+func (s *placesSoak) evacuate(injector *injector, place string, end time.Time) {
+	before := s.fleet.Store.Backup()
+	from := time.Now()
+	s.write(func() { s.fleet.Evacuate(place) })
+	injector.pause()
+	injector.restoreFrom(before)
+	time.Sleep(max(0, min(time.Until(end), evacuationDuration-time.Since(from))))
+	during := s.fleet.Store.Backup()
+	s.write(func() { s.fleet.EndEvacuation(place) })
+	s.evacuated[place] = append(s.evacuated[place], span{from: from, to: time.Now()})
+	if injector.random.IntN(2) == 0 {
+		injector.restoreFrom(during)
+	}
+}
+
 // storeReachableSince returns the end of the last store outage between two times, or from if there was none.
 func (s *placesSoak) storeReachableSince(from, by time.Time) time.Time {
 	for _, away := range s.storeOutages {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -334,7 +334,8 @@
 
 // TestSoak guards against broken promises to callers and upstreams while faults of processes, connections, the store and upstreams
 // overlap: a run-once request that runs twice, a truncated stream that looks complete, a revoked key that is accepted, corrupted weights
-// that are loaded, or too many engines crashed by one request.
+// that are loaded, or too many engines crashed by one request. Beside these faults the store is restored from a copy, and all hosts lose
+// power at once.
 func TestSoak(t *testing.T) {
 	seconds, hosts := intFromEnv(t, secondsVariable, ciSeconds), intFromEnv(t, hostsVariable, defaultHosts)
 	for _, seed := range seedsToRun(t, ciSeeds) {
@@ -348,6 +349,7 @@
 			injectors.Go(func() { s.newInjector(seed, seed, 0, 16).injectUntil(end) })
 			injectors.Go(func() { s.newInjector(seed, seed+1, 0, 21).injectUntil(end) })
 			injectors.Go(func() { s.newInjector(seed, seed+2, 0, 0).announceUntil(end, 0, 1) })
+			injectors.Go(func() { s.newInjector(seed, seed+3, 0, 0).disruptPlatformUntil(end) })
 			injectors.Wait()
 			close(stop)
 			done.Wait()
--- a/internal/soak/upstream_notices_test.go
+++ b/internal/soak/upstream_notices_test.go
@@ -38,6 +38,7 @@
 					sparing.injectFaultSparingEntries()
 				}
 			})
+			injectors.Go(func() { s.newInjector(seed, seed, 0, 0).restoreUntil(end) })
 			announcers := max(2, len(s.upstreams)/4)
 			for i := range announcers {
 				injectors.Go(func() { s.newInjector(seed, seed+1+uint64(i), 0, 0).announceUntil(end, i, announcers) })
