--- a/internal/soak/platform_faults_test.go
+++ b/internal/soak/platform_faults_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -14,6 +15,12 @@
 	// platformFaultPause is the mean pause between two faults of the platform. In the pause, processes come to rest, so that faults of
 	// other kinds do not always meet a store that was restored just before.
 	platformFaultPause = 2 * time.Second
+	// maxLostManifests is the maximum number of manifests that are written, and lost, between the copy and the restore.
+	maxLostManifests = 10
+	// manifestDelay is the time after the confirmation of a manifest from which requests are handled as it says.
+	manifestDelay = 2 * time.Second
+	// revocationDuration is how long the second key is revoked: until entries are held to it after a restore, and as long again.
+	revocationDuration = 2 * contactGrace
 )
 
 // disruptPlatformUntil injects faults of the platform as a whole until a time: restores of the store, alone and in series, and losses of
@@ -34,23 +41,41 @@
 	}
 }
 
-// restoreUntil restores the store again and again until a time.
-func (s *injector) restoreUntil(end time.Time) {
+// restoreAndRevokeUntil restores the store and then revokes the second key for a while, again and again until a time.
+func (s *injector) restoreAndRevokeUntil(end time.Time) {
 	for time.Now().Before(end) {
 		s.restoreStore()
-		s.pauseUntil(end)
+		s.pause()
+		revokedAt := s.setKeyAllowed(false)
+		time.Sleep(revocationDuration)
+		s.setKeyAllowed(true)
+		s.mu.Lock()
+		s.revocations = append(s.revocations, span{from: revokedAt, to: time.Now()})
+		s.mu.Unlock()
 	}
 }
 
+// setKeyAllowed writes a manifest with or without the second key. It returns when the store had confirmed it.
+func (s *injector) setKeyAllowed(allowed bool) time.Time {
+	s.operator.Lock()
+	defer s.operator.Unlock()
+	s.setSecondKey(secondKey, allowed)
+	return time.Now()
+}
+
 // pauseUntil pauses between two faults of the platform, but at most until a time.
 func (s *injector) pauseUntil(end time.Time) {
 	pause := time.Duration(s.random.Int64N(int64(2 * platformFaultPause)))
 	time.Sleep(max(0, min(pause, time.Until(end))))
 }
 
-// restoreStore has the store come back from a copy that is up to maxBackupAge old.
+// restoreStore has the store come back from a copy that is up to maxBackupAge old. Manifests are written in quick succession meanwhile, so that
+// the revisions go back far.
 func (s *injector) restoreStore() {
 	backup := s.fleet.Store.Backup()
+	for range s.random.IntN(maxLostManifests + 1) {
+		s.configure()
+	}
 	time.Sleep(time.Duration(s.random.Int64N(int64(maxBackupAge))))
 	s.restoreFrom(backup)
 }
@@ -78,3 +103,36 @@
 	s.forAllProcesses(func(p *process) { p.terminateAndRestart(syscall.SIGKILL) })
 	done.Wait()
 }
+
+// checkRevocations reports an error for each request with the revoked key that was sent later than manifestDelay after the revocation and
+// was answered. The only excuse is that the entry was restarted or stopped, or that no process could reach the store, up to contactGrace
+// before.
+func (s *soak) checkRevocations() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	checked := 0
+	for _, c := range s.keyCalls {
+		inTouchSince := c.sent.Add(-contactGrace)
+		if overlaps(s.storeOutages, inTouchSince, c.sent) || overlaps(s.entries[c.entry].disruptions, inTouchSince, c.sent) {
+			continue
+		}
+		for _, r := range s.revocations {
+			if c.sent.Before(r.from.Add(manifestDelay)) || c.sent.After(r.to) {
+				continue
+			}
+			checked++
+			if c.status == http.StatusOK {
+				s.t.Errorf("CONFIG: %s: the revoked key was accepted by entry %d, %v after its revocation", c.id, c.entry, c.sent.Sub(r.from))
+			}
+		}
+	}
+	s.t.Logf("%d requests checked against %d revocations of their key", checked, len(s.revocations))
+}
+
+// keyCall is a request with the second key.
+type keyCall struct {
+	id     string
+	entry  int
+	sent   time.Time
+	status int
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -102,7 +102,10 @@
 	storeOutages []span
 	// onceIDs are the ids of the requests that may run at most once; refusedIDs are those of them that were answered as not executed.
 	onceIDs, refusedIDs []string
-	answered            int
+	// revocations are the times in which secondKey was revoked and entries are held to it; keyCalls are the requests with it.
+	revocations []span
+	keyCalls    []keyCall
+	answered    int
 }
 
 func newSoak(t *testing.T, hosts int) *soak {
@@ -152,8 +155,8 @@
 
 // call sends one request, checks the response as far as possible, and records what verify checks at the end of the run.
 func (s *soak) call(c *standin.Caller, q standin.Request) standin.Reply {
-	path, entry := q.Path, s.entryIndex(c.Address)
-	q.Header = requestHeader(entry, time.Now())
+	path, entry, sent := q.Path, s.entryIndex(c.Address), time.Now()
+	q.Header = requestHeader(entry, sent)
 	if path == homePath {
 		q.Header.Set(homeHeader, "1")
 	}
@@ -171,6 +174,9 @@
 			s.refusedIDs = append(s.refusedIDs, r.ID)
 		}
 	}
+	if q.APIKey == secondKey && r.Err == nil {
+		s.keyCalls = append(s.keyCalls, keyCall{id: r.ID, entry: entry, sent: sent, status: r.Status})
+	}
 	if r.Err != nil || r.Status != 200 {
 		return r
 	}
--- a/internal/soak/upstream_notices_test.go
+++ b/internal/soak/upstream_notices_test.go
@@ -21,7 +21,7 @@
 var noticeSeeds = []uint64{1, 2, 700024}
 
 // TestSoakUpstreamNotices guards against entries that ignore what upstreams report in response headers (a rate limit, draining, a
-// requested backoff) while faults occur elsewhere. The faults spare all entries but the last and their connections to upstreams, so that
+// requested backoff) or a revoked key while faults occur elsewhere and the store is restored from copies. The faults spare all entries but the last and their connections to upstreams, so that
 // no fault excuses a violation.
 func TestSoakUpstreamNotices(t *testing.T) {
 	seconds, hosts := intFromEnv(t, secondsVariable, noticeSeconds), intFromEnv(t, hostsVariable, noticeHosts)
@@ -38,7 +38,7 @@
 					sparing.injectFaultSparingEntries()
 				}
 			})
-			injectors.Go(func() { s.newInjector(seed, seed, 0, 0).restoreUntil(end) })
+			injectors.Go(func() { s.newInjector(seed, seed, 0, 0).restoreAndRevokeUntil(end) })
 			announcers := max(2, len(s.upstreams)/4)
 			for i := range announcers {
 				injectors.Go(func() { s.newInjector(seed, seed+1+uint64(i), 0, 0).announceUntil(end, i, announcers) })
@@ -47,6 +47,7 @@
 			close(stop)
 			done.Wait()
 			s.verify()
+			s.checkRevocations()
 		})
 	}
 }
