gateway: an entry that starts after a restore asks the seeds for a newer manifest

Callers of an entry that started between the restore of the store and the operator's write of the manifest were served as an older manifest allows, and by others as the newest. Cause: the store has the older one, and nobody tells.

Change: entries keep the manifest in force as it was written; one that has read its first manifest asks one seed after the other until one answers, without delaying its readiness. Of manifests of two eras the one with the higher version is in force, whichever came first; of one era the later. If no seed answers, the store's manifest stays in force until a newer one is read. One small call at each start of an entry.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -210,12 +210,13 @@
 }
 
 // replacesManifest reports whether a manifest that was read replaces the one in force. Within an era of the store, the later one is in
-// force. After a restore, the store has an older manifest until the operator's is written again; the operator's version number tells.
+// force. Between eras the operator's version numbers tell: a restored store has an older manifest until the newest is written again, and a
+// process that starts then hears of the newest from one that read it before.
 func (s *State) replacesManifest(ev ManifestRead) bool {
-	if s.Manifest == nil || ev.Revision.SameEra(s.manifestRevision) {
+	if s.Manifest == nil || ev.Revision.SameEra(s.manifestRevision) || ev.Manifest.Version == s.Manifest.Version {
 		return ev.Revision.After(s.manifestRevision)
 	}
-	return ev.Revision.After(s.manifestRevision) && ev.Manifest.Version >= s.Manifest.Version
+	return ev.Manifest.Version > s.Manifest.Version
 }
 
 // ignoreManifest reports, once for each manifest, that it was read but is not put in force.
@@ -229,6 +230,9 @@
 	}}
 }
 
+// ManifestRevision returns the store revision at which the manifest in force was read.
+func (s *State) ManifestRevision() storerev.Revision { return s.manifestRevision }
+
 // Origin returns the address of the weights origin, or an empty string when the manifest has none.
 func (s *State) Origin() string {
 	if s.Manifest == nil {
--- a/internal/core/catalog/era_test.go
+++ b/internal/core/catalog/era_test.go
@@ -58,6 +58,19 @@
 	require.Equal(t, int64(32), s.Manifest.Version)
 }
 
+// TestManifestThatOnlyAPeerKnowsTakesEffect guards against a process that starts after a restore and serves the older manifest that the store
+// has, although another process has told it the one in force.
+func TestManifestThatOnlyAPeerKnowsTakesEffect(t *testing.T) {
+	s := catalog.NewState()
+	s.Reduce(at(0, manifestRead(inEra(2, 3), 27)))
+	s.Reduce(at(0, manifestRead(inEra(1, 44), 30)))
+	require.Equal(t, int64(30), s.Manifest.Version)
+	s.Reduce(at(0, manifestRead(inEra(2, 4), 27)))
+	require.Equal(t, int64(30), s.Manifest.Version)
+	s.Reduce(at(0, manifestRead(inEra(2, 5), 30)))
+	require.Equal(t, inEra(2, 5), s.ManifestRevision())
+}
+
 // TestRestoreIsReportedOnce guards against a restore of which operators see nothing, or one line for each object that is read afterwards.
 func TestRestoreIsReportedOnce(t *testing.T) {
 	s := catalog.NewState()
--- a/internal/core/catalog/manifest.go
+++ b/internal/core/catalog/manifest.go
@@ -118,6 +118,8 @@
 	// Version is the number that the operator gave this manifest.
 	Version  int64
 	Services map[string]*Service
+	// Encoded is the manifest as the operator wrote it, to be passed on to other processes; empty for one that was not decoded.
+	Encoded []byte
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int64
 	// HasAccounts is set when callers must present an API key.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -11,7 +11,7 @@
 
 // followStore watches the manifest, the upstreams, the versions and the evacuations in the store.
 func (g *Gateway) followStore(ctx context.Context) {
-	watch := storewatch.Decoder{Step: g.handleStoreEvent, Log: g.log}
+	watch := storewatch.Decoder{Step: func(ev step.Event) { g.handleStoreEvent(ctx, ev) }, Log: g.log}
 	kinds := []string{platform.ConfigKind, platform.ServerKind, platform.VersionKind}
 	if g.catalog.FollowsEvacuations {
 		kinds = append(kinds, platform.EvacuationKind)
@@ -23,10 +23,14 @@
 	}
 }
 
-// handleStoreEvent applies a change in the store. An activation is passed on to the agents at once, with heartbeats.
-func (g *Gateway) handleStoreEvent(ev step.Event) {
+// handleStoreEvent applies a change in the store. An activation is passed on to the agents at once, with heartbeats. After the first manifest
+// that this process reads, the seeds are asked for a newer one.
+func (g *Gateway) handleStoreEvent(ctx context.Context, ev step.Event) {
 	g.step(ev)
-	if _, activated := ev.(catalog.VersionActivated); activated {
+	switch ev := ev.(type) {
+	case catalog.VersionActivated:
 		g.sendHeartbeats()
+	case catalog.ManifestRead:
+		g.askOnce.Do(func() { go g.askForNewerManifest(ctx, ev.Manifest.Version) })
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,10 +57,14 @@
 	// storePeers are the entries of the data centre. In a large data centre, the others read the store through one of them.
 	storePeers *storefeed.Peers
 	// cache holds what was read from the store, for the processes that read the store through this one. store also reads through it.
-	cache  *storefeed.Cache
-	store  *storefeed.Reader
-	self   string
-	socket *loadreport.Socket
+	cache *storefeed.Cache
+	store *storefeed.Reader
+	// peerCalls makes the control calls to other entries.
+	peerCalls *control.Pool
+	self      string
+	// askOnce guards the one time at which the seeds are asked for a newer manifest.
+	askOnce sync.Once
+	socket  *loadreport.Socket
 	// memory limits the bytes held for callers.
 	memory *membudget.Budget
 
@@ -81,6 +85,7 @@
 	catalogState.ListedActivatedAt, catalogState.FollowsEvacuations = time.Now().Add(-host.AssumedVersionAge()), host.EvacuationTime > 0
 	storePeers, cache := storefeed.NewPeers(host, self, false, log), storefeed.NewCache(host.ChangeTime())
 	storeTransport := newStoreTransport()
+	peerCalls := control.NewPool(self, "", storeTransport.DialContext)
 	upstreamClient := &http.Client{Transport: newUpstreamTransport()}
 	traces.Client(upstreamClient, telemetry.AttemptSpanName)
 	return &Gateway{
@@ -91,8 +96,7 @@
 		}, catalogState),
 		exchanges: map[uint64]*exchange{}, memory: membudget.New(callerMemoryLimit(host), time.Now),
 		upstreamTransport: upstreamClient.Transport, traces: traces,
-		store: storePeers.Reader(
-			platform.NewStore(host.Store, &http.Client{Transport: storeTransport}), control.NewPool(self, "", storeTransport.DialContext), cache),
+		store: storePeers.Reader(platform.NewStore(host.Store, &http.Client{Transport: storeTransport}), peerCalls, cache), peerCalls: peerCalls,
 	}
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -67,10 +68,12 @@
 	}
 }
 
-// newPeerServer returns the server for processes that read the store through this one.
+// newPeerServer returns the server for processes that read the store through this one, or ask it for the manifest in force.
 func (g *Gateway) newPeerServer() *http.Server {
+	handlers := g.cache.Handlers()
+	maps.Copy(handlers, g.manifestHandlers())
 	mux := http.NewServeMux()
-	mux.Handle(control.Path, control.NewServer(g.cache.Handlers()))
+	mux.Handle(control.Path, control.NewServer(handlers))
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headTimeout}
 }
 
--- a/internal/gateway/store_restored_test.go
+++ b/internal/gateway/store_restored_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -39,6 +41,18 @@
 	require.Eventually(t, func() bool { return e.Post("/added/1").Status == http.StatusNotFound }, testTimeout, pollInterval)
 }
 
+// TestEntryThatStartsAfterARestoreLearnsTheManifestInForce guards against an entry that serves an older manifest than the other entries: it
+// starts after the store came back from a backup and before the operator's manifest is written again.
+func TestEntryThatStartsAfterARestoreLearnsTheManifestInForce(t *testing.T) {
+	t.Parallel()
+	fleet, running := startBeforeRestore(t)
+	fleet.Store.Restore(fleet.backup)
+	host := fleet.Host(standin.NextIP(), false)
+	host.Seeds = []string{net.JoinHostPort(standin.NextIP(), strconv.Itoa(standin.PeerPort)), net.JoinHostPort(running.host.IP, strconv.Itoa(standin.PeerPort))}
+	starting := startHost(t, fleet.Fleet, host)
+	require.Eventually(t, func() bool { return starting.Post("/added/1").Status == http.StatusOK }, testTimeout, pollInterval)
+}
+
 // startBeforeRestore starts an entry that serves a route whose manifest is ten revisions later than the store's backup.
 func startBeforeRestore(t *testing.T) (*restoredFleet, *entry) {
 	t.Helper()
