explain: restores of the store and ignored manifests are part of an explanation

Events 2012 and 2013 write era and revision as numbers of their own, as 2008 does, since explain reads them; with text in the field revision it counted the line as malformed.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strings"
 
+	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/logevent"
 )
 
@@ -52,7 +53,7 @@
 
 // StateChanges describes how a part of the known state changed at the processes.
 type StateChanges struct {
-	// Lines are the lines that report a change.
+	// Lines are the lines that report a change, that the store was restored, or that a manifest was ignored.
 	Lines []Line
 	// Unreported are the processes of the logs that reported no change, as role and host.
 	Unreported []string
@@ -69,9 +70,12 @@
 		}
 	}
 	for _, line := range l.Lines {
-		if line.Event == logevent.StateChanged && line.Topic == topic && (of == "" || line.Subject == of) {
+		switch {
+		case line.Event == logevent.StateChanged && line.Topic == topic && (of == "" || line.Subject == of):
 			b.Lines = append(b.Lines, line)
 			delete(silent, line.Process+" "+line.Name)
+		case line.Event == logevent.StoreRestored, line.Event == logevent.ManifestIgnored && topic == string(catalog.ManifestTopic):
+			b.Lines = append(b.Lines, line)
 		}
 	}
 	b.Unreported = sortedKeys(silent)
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -72,6 +72,23 @@
 	require.Equal(t, "manifest", v.Related[0].Topic)
 }
 
+// TestRestoreOfTheStoreIsPartOfTheExplanation guards against a refusal that was due to a manifest which a restored store lost, and an
+// explanation that shows neither the restore nor the manifest that was ignored.
+func TestRestoreOfTheStoreIsPartOfTheExplanation(t *testing.T) {
+	entry := line(20, "entry", "edge-1", `"event":2013,"era":2,"known_era":1,"known_revision":44`) +
+		line(21, "entry", "edge-1", `"event":2012,"version":24,"era":2,"revision":3,"in_force":30,"in_force_era":1,"in_force_revision":44`) +
+		line(22, "entry", "edge-1", `"event":2008,"what":"manifest","value":"in force","era":2,"revision":5`) +
+		line(23, "entry", "edge-1", `"event":4001,"request":"abc","code":2009,"ran":"not run","why":"no route for a/b in manifest 30"`)
+	l := read(t, entry, "")
+	v, _ := l.Explain("abc")
+	require.Len(t, v.Related, 3)
+	require.Len(t, l.StateChanges("manifest", "").Lines, 3)
+	require.Len(t, l.StateChanges("versions", "").Lines, 1, "the restore concerns all topics")
+	var out strings.Builder
+	require.NoError(t, v.Print(&out))
+	require.Contains(t, out.String(), "era=2")
+}
+
 // TestFailureAtTheUpstreamIsTheCause checks that the last failed attempt is the cause if the end of the request gives none.
 func TestFailureAtTheUpstreamIsTheCause(t *testing.T) {
 	entry := line(28, "entry", "edge-1", sent) +
--- a/internal/explain/request.go
+++ b/internal/explain/request.go
@@ -121,7 +121,7 @@
 			continue
 		}
 		switch line.Event {
-		case logevent.PlatformLost, logevent.PlatformRecovered, logevent.ShutdownStarted, logevent.Ready:
+		case logevent.PlatformLost, logevent.PlatformRecovered, logevent.StoreRestored, logevent.ManifestIgnored, logevent.ShutdownStarted, logevent.Ready:
 			if line.Name == v.Entry {
 				v.Related = append(v.Related, line)
 			}
--- a/internal/storewatch/log.go
+++ b/internal/storewatch/log.go
@@ -16,11 +16,13 @@
 		logevent.Info(log, logevent.StateChanged).Str("what", string(e.Topic)).Str("of", e.Name).Str("value", e.Value).
 			Int64("era", e.Revision.Era).Int64("revision", e.Revision.Number).Msg("known state changed")
 	case catalog.ManifestIgnored:
-		logevent.Warn(log, logevent.ManifestIgnored).Int64("version", e.Version).Str("revision", e.Revision.String()).
-			Int64("in_force", e.InForce).Str("in_force_revision", e.InForceRevision.String()).Msg("manifest ignored")
+		logevent.Warn(log, logevent.ManifestIgnored).Int64("version", e.Version).
+			Int64("era", e.Revision.Era).Int64("revision", e.Revision.Number).Int64("in_force", e.InForce).
+			Int64("in_force_era", e.InForceRevision.Era).Int64("in_force_revision", e.InForceRevision.Number).Msg("manifest ignored")
 	case catalog.StoreRestored:
 		metrics.StoreRestores.Add(1)
-		logevent.Warn(log, logevent.StoreRestored).Int64("era", e.Era).Str("before", e.Before.String()).Msg("store restored")
+		logevent.Warn(log, logevent.StoreRestored).Int64("era", e.Era).Int64("known_era", e.Before.Era).
+			Int64("known_revision", e.Before.Number).Msg("store restored")
 	default:
 		return false
 	}
