objectapi: era and revision are one number at the boundary of the first version's path

Operators saw a setting that never came into force after the object API came back from a backup, because its revision was below the known one. Fencing numbers, which are the numbers of conditional writes, could be given twice, and a conditional write could meet another object's number by chance.

Cause: the same as on the users' platform, an order that holds within one era of the store used across eras. Found by looking for it elsewhere.

Change: the client reads Store-Era by the tracker that platform/ uses too, and packs era and number into one number with the same order. All that compares, waits for or counts revisions stays as it is, messages too; without eras the number is the revision. A watch or a condition of an earlier era is found without the number.

--- a/internal/core/storerev/storerev_test.go
+++ b/internal/core/storerev/storerev_test.go
@@ -25,3 +25,15 @@
 	require.Equal(t, "1/44", ordered[4].String())
 	require.False(t, ordered[4].SameEra(ordered[6]))
 }
+
+// TestPackedRevisionsKeepTheOrder guards against packed revisions that compare otherwise than the revisions themselves.
+func TestPackedRevisionsKeepTheOrder(t *testing.T) {
+	ordered := []storerev.Revision{{}, {Number: 44}, {Number: 1<<40 - 1}, {Era: 1}, {Era: 1, Number: 3}, {Era: 200, Number: 2}}
+	for i, r := range ordered {
+		require.Equal(t, r, storerev.Unpack(r.Packed()))
+		if i > 0 {
+			require.Greater(t, r.Packed(), ordered[i-1].Packed())
+		}
+	}
+	require.Equal(t, uint64(44), storerev.Revision{Number: 44}.Packed(), "without eras the number itself")
+}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -34,17 +34,20 @@
 type site struct {
 	t       *testing.T
 	objects *httptest.Server
-	hosts   *httptest.Server
-	procs   []*node.Process
-	stops   []context.CancelFunc
+	// objectAPI is the handler of objects.
+	objectAPI *standin.Server
+	hosts     *httptest.Server
+	procs     []*node.Process
+	stops     []context.CancelFunc
 	// secret is unique to this fleet. The kernel may reuse a port for a process of another test's fleet, and with a common
 	// secret the two fleets would merge.
 	secret string
 }
 
 func newSite(t *testing.T, n int) *site {
+	objectAPI := standin.NewServer(standin.Config{History: 1000})
 	s := &site{
-		t: t, secret: rand.Text(), objects: httptest.NewServer(standin.NewServer(standin.Config{History: 1000})),
+		t: t, secret: rand.Text(), objectAPI: objectAPI, objects: httptest.NewServer(objectAPI),
 		hosts: httptest.NewServer(hostlist.NewServer(0)),
 	}
 	t.Cleanup(func() {
--- a/internal/proof/settings.go
+++ b/internal/proof/settings.go
@@ -39,6 +39,7 @@
 	{Concern: Settings, Fault: "a listed host does not answer", Step: stepMember, Tests: []string{"TestChangeIsInForceAndCountedOnRealProcesses"}},
 	{Concern: Settings, Fault: "clocks differ", Step: stepSpread, Tests: []string{"TestChangesReachAllProcessesDespiteMessageLoss"}},
 	{Concern: Settings, Fault: "wall clock steps in a running process", Step: stepSpread, NotApplicable: "the reducers take differences of monotonic readings only; ages travel as durations, and the wall clock is written for people"},
-	{Concern: Settings, Fault: "platform restored from an old backup", Step: stepSpread, Open: "revisions that go back are not followed; the Floor keeps what was in force, and operators must write the settings again"},
+	{Concern: Settings, Fault: "platform restored from an old backup", Step: stepSpread, Tests: []string{"TestSettingAppliedAfterRestoreOfTheObjectAPITakesEffect", "TestVersionsNeverGoBackAfterARestore"}},
+	{Concern: Settings, Fault: "platform restored from an old backup", Step: "until operators write the settings again", Open: "the settings of the backup are in force meanwhile: a setting has no number of its operator's by which an older one could be told"},
 	{Concern: Settings, Fault: "region without the platform gets changes for it", Step: stepSpread, NotApplicable: "a change is accepted only by the platform, so none is made on the side that can't reach it"},
 }
--- a/internal/standin/objectapi/server.go
+++ b/internal/standin/objectapi/server.go
@@ -73,6 +73,8 @@
 	store                     *store
 	faults                    *serve.Faults[Faults]
 	readLimiter, writeLimiter *rate.Limiter
+	// era counts the restores of the store; see Restore.
+	era atomic.Int64
 
 	readCount, writeCount, watchCount, conflictCount, refusedCount atomic.Int64
 }
@@ -105,6 +107,7 @@
 
 // ServeHTTP handles one call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.setEra(w)
 	s.mux.ServeHTTP(w, r)
 }
 
@@ -237,6 +240,7 @@
 	if !s.waitForChange(w, r, prefix, after, serve.Milliseconds(waitMS)) {
 		return
 	}
+	s.setEra(w) // The store may have been restored while the call waited.
 	found := s.store.changesAfter(prefix, after)
 	if found.gone {
 		serve.Fail(w, http.StatusGone, "no longer kept: list again")
