claim: keys whose record may be lost by a restore of the store are not granted

A call that ran could run again: its claim was recorded last, the object API came back from a backup without it, and the key's next owner found nothing.

Change: a partition's head says in which era it was written. Who reads it in a later one answers "outcome unknown" for keys without a record that were made before it noticed, or up to 5 s after, and for untimed keys for the minute in which callers resend. The next head carries the time on.

--- a/internal/claims/cluster_test.go
+++ b/internal/claims/cluster_test.go
@@ -28,17 +28,21 @@
 type cluster struct {
 	t        *testing.T
 	platform *httptest.Server
-	plain    *httptest.Server
+	// objectAPI is the handler of platform.
+	objectAPI *objectapi.Server
+	plain     *httptest.Server
 
 	mu    sync.Mutex
 	nodes []*node
 }
 
 func newCluster(t *testing.T, entries int) *cluster {
+	objectAPI := objectapi.NewServer(objectapi.Config{History: 1000})
 	cl := &cluster{
-		t:        t,
-		platform: httptest.NewServer(objectapi.NewServer(objectapi.Config{History: 1000})),
-		plain:    httptest.NewServer(plain.NewServer([]string{"p1"}, time.Millisecond)),
+		t:         t,
+		objectAPI: objectAPI,
+		platform:  httptest.NewServer(objectAPI),
+		plain:     httptest.NewServer(plain.NewServer([]string{"p1"}, time.Millisecond)),
 	}
 	t.Cleanup(cl.platform.Close)
 	t.Cleanup(cl.plain.Close)
--- a/internal/claims/load.go
+++ b/internal/claims/load.go
@@ -64,6 +64,7 @@
 func (p *partition) readHead(ctx context.Context) (claim.Loaded, error) {
 	ev := claim.Loaded{Segments: map[string][]claim.Record{}}
 	item, err := p.get(ctx, claim.HeadKey(p.number))
+	ev.Era = p.objects.Era()
 	if errors.Is(err, objectapi.ErrNotFound) {
 		return ev, nil
 	}
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -147,6 +147,9 @@
 	MinRetention = time.Minute
 	// MaxKeyAhead is how far in the future a key's time may be. It is more than the clock skew.
 	MaxKeyAhead = 10 * time.Minute
+	// MaxRestoreSkew is how far the clock of a caller that made a key may be ahead of that of the process that noticed a restore of the
+	// store. Keys that are made so soon after a restore are refused.
+	MaxRestoreSkew = 5 * time.Second
 	// MaxResponseBodyBytes is the max body size of a stored response, in bytes. With headers and encoding, a stored response
 	// takes at most twice that.
 	MaxResponseBodyBytes = 16 << 10
--- a/internal/core/claim/commit.go
+++ b/internal/core/claim/commit.go
@@ -220,6 +220,7 @@
 		s.putRecord(record.Key, record)
 	}
 	swept := ev.Head.Horizon != s.head.Horizon
+	s.noteEra(ev, r.now)
 	s.head, s.version = ev.Head, ev.Version
 	s.syncedAt = s.callStartedAt
 	s.phase = ready
@@ -227,3 +228,12 @@
 		s.dropExpired(r.now)
 	}
 }
+
+// noteEra records whether the store was restored from a copy since the head that was read was written.
+func (s *State) noteEra(ev Loaded, now time.Time) {
+	s.restoredAt = max(s.restoredAt, ev.Head.RestoredAt)
+	if ev.Era > s.era && ev.Era > ev.Head.Era {
+		s.restoredAt = max(s.restoredAt, now.UnixMilli())
+	}
+	s.era = max(s.era, ev.Era)
+}
--- a/internal/core/claim/decide.go
+++ b/internal/core/claim/decide.go
@@ -19,6 +19,8 @@
 	horizon int64
 	// current is the record of the key; nil if there is none.
 	current *Record
+	// restoredAt is when the store was last restored from a copy, in Unix milliseconds; 0 if it never was.
+	restoredAt int64
 	// untimedFull is set if there are already Config.MaxUntimed records of untimed keys.
 	untimedFull bool
 }
@@ -37,6 +39,8 @@
 	}
 	r := f.current
 	switch {
+	case r == nil && mayHaveLostRecord(c, f):
+		return decision{verdict: OutcomeUnknown, final: true}
 	case r == nil:
 		return grant(c, f)
 	case r.RequestID == c.RequestID:
@@ -49,6 +53,18 @@
 	return decideRepeat(r, f.now)
 }
 
+// mayHaveLostRecord reports whether a key without a record may have been claimed before the store was restored from a copy that lacks the
+// claim. Callers resend a call for less than MinRetention, so an untimed key that comes later is a new one.
+func mayHaveLostRecord(c Claim, f decisionInput) bool {
+	if f.restoredAt == 0 {
+		return false
+	}
+	if c.KeyTime == 0 {
+		return f.now < f.restoredAt+MinRetention.Milliseconds()
+	}
+	return c.KeyTime < f.restoredAt+MaxRestoreSkew.Milliseconds()
+}
+
 // grant decides a claim of a free key.
 func grant(c Claim, f decisionInput) decision {
 	if c.KeyTime == 0 && f.untimedFull && f.current == nil {
--- a/internal/core/claim/event.go
+++ b/internal/core/claim/event.go
@@ -21,7 +21,9 @@
 // Loaded is the event that the head was read, with those of its segments that Load did not list as known.
 type Loaded struct {
 	// Version is 0 when there is no head yet.
-	Version  uint64
+	Version uint64
+	// Era is the era of the platform's store in which the head was read; see package storerev.
+	Era      int64
 	Head     Head
 	Segments map[string][]Record
 }
--- a/internal/core/claim/head.go
+++ b/internal/core/claim/head.go
@@ -7,6 +7,11 @@
 	// Horizon is a time in Unix milliseconds. Records of keys with an earlier timestamp may have been swept, so claims
 	// of such keys are refused.
 	Horizon int64 `json:"horizon"`
+	// Era is the era of the platform's store in which this head was written; see package storerev.
+	Era int64 `json:"era,omitempty"`
+	// RestoredAt is when a process first noticed that the store was restored from a copy, in Unix milliseconds; 0 if it never was. Claims
+	// that were recorded shortly before may be lost.
+	RestoredAt int64 `json:"restored_at,omitempty"`
 	// Segments hold the older records, the oldest segment first; a later record of a key replaces an earlier one.
 	Segments []Segment `json:"segments,omitempty"`
 	// Records are the newest records, one for each key.
--- a/internal/core/claim/partition.go
+++ b/internal/core/claim/partition.go
@@ -57,6 +57,9 @@
 	version uint64
 	head    Head
 	durable map[Key]Record
+	// era is the latest known era of the platform's store, and restoredAt is Head.RestoredAt as this process knows it.
+	era        int64
+	restoredAt int64
 	// untimedCount is the number of records of untimed keys in durable.
 	untimedCount int
 	// sentChanges are the changes in the commit in flight, nextChanges those of the commit after it. nextChangeBytes is the
@@ -257,7 +260,7 @@
 // decide decides o on the durable records and the changes that are not durable yet.
 func (r *reduction) decide(o *op) decision {
 	s := r.s
-	f := decisionInput{now: r.now.UnixMilli(), horizon: r.horizon(), untimedFull: s.untimedCount >= s.config.MaxUntimed}
+	f := decisionInput{now: r.now.UnixMilli(), horizon: r.horizon(), untimedFull: s.untimedCount >= s.config.MaxUntimed, restoredAt: s.restoredAt}
 	if o.claim == nil {
 		f.current = s.lookup(o.settlement.Key)
 		return decideSettlement(o.settlement, f)
--- a/internal/core/claim/seal.go
+++ b/internal/core/claim/seal.go
@@ -8,7 +8,9 @@
 // buildHead sets the next head, with the changes of the commit, and returns the new segments that it names.
 func (r *reduction) buildHead() []NewSegment {
 	s := r.s
-	s.nextHead = Head{Writer: s.writer, Horizon: s.head.Horizon, Segments: slices.Clone(s.head.Segments)}
+	s.nextHead = Head{
+		Writer: s.writer, Horizon: s.head.Horizon, Era: s.era, RestoredAt: s.restoredAt, Segments: slices.Clone(s.head.Segments),
+	}
 	r.sweep()
 	kept, size := s.unchangedRecords()
 	var segments []NewSegment
