gateway: entries that start together spread their question for a newer manifest over the seeds

Each asked the first seed and kept the connection, 300 of them in the largest fleet. They ask in an order of their own now and close the connections.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,9 +59,9 @@
 	// cache holds what was read from the store, for the processes that read the store through this one. store also reads through it.
 	cache *storefeed.Cache
 	store *storefeed.Reader
-	// peerCalls makes the control calls to other entries.
-	peerCalls *control.Pool
-	self      string
+	// dialPeer opens a connection to another entry.
+	dialPeer control.DialFunc
+	self     string
 	// askOnce guards the one time at which the seeds are asked for a newer manifest.
 	askOnce sync.Once
 	socket  *loadreport.Socket
@@ -85,7 +85,7 @@
 	catalogState.ListedActivatedAt, catalogState.FollowsEvacuations = time.Now().Add(-host.AssumedVersionAge()), host.EvacuationTime > 0
 	storePeers, cache := storefeed.NewPeers(host, self, false, log), storefeed.NewCache(host.ChangeTime())
 	storeTransport := newStoreTransport()
-	peerCalls := control.NewPool(self, "", storeTransport.DialContext)
+	dialPeer := storeTransport.DialContext
 	upstreamClient := &http.Client{Transport: newUpstreamTransport()}
 	traces.Client(upstreamClient, telemetry.AttemptSpanName)
 	return &Gateway{
@@ -96,7 +96,8 @@
 		}, catalogState),
 		exchanges: map[uint64]*exchange{}, memory: membudget.New(callerMemoryLimit(host), time.Now),
 		upstreamTransport: upstreamClient.Transport, traces: traces,
-		store: storePeers.Reader(platform.NewStore(host.Store, &http.Client{Transport: storeTransport}), peerCalls, cache), peerCalls: peerCalls,
+		store:    storePeers.Reader(platform.NewStore(host.Store, &http.Client{Transport: storeTransport}), control.NewPool(self, "", dialPeer), cache),
+		dialPeer: dialPeer,
 	}
 }
 
--- a/internal/gateway/manifest.go
+++ b/internal/gateway/manifest.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/control"
@@ -56,13 +57,17 @@
 
 // askForNewerManifest asks the seeds, one after the other until one answers, whether they know a newer manifest than the first that this
 // entry read. That is so when the store was restored from a copy and the operator's manifest is not written again yet. If no seed
-// answers, the store's manifest stays in force until a newer one is read.
+// answers, the store's manifest stays in force until a newer one is read. Each entry asks the seeds in an order of its own and closes the
+// connections afterwards, so that many that start together do not fill the connections of one seed.
 func (g *Gateway) askForNewerManifest(ctx context.Context, version int64) {
-	for _, seed := range g.host.Seeds {
+	calls := control.NewPool(g.self, "", g.dialPeer)
+	defer calls.Close()
+	for _, i := range rand.Perm(len(g.host.Seeds)) {
+		seed := g.host.Seeds[i]
 		if seed == g.self || ctx.Err() != nil {
 			continue
 		}
-		err := g.readManifestFrom(ctx, seed, version)
+		err := g.readManifestFrom(ctx, calls, seed, version)
 		if err == nil {
 			return
 		}
@@ -71,11 +76,11 @@
 }
 
 // readManifestFrom asks one entry for its manifest and applies it if it is newer.
-func (g *Gateway) readManifestFrom(ctx context.Context, address string, version int64) error {
+func (g *Gateway) readManifestFrom(ctx context.Context, calls *control.Pool, address string, version int64) error {
 	ctx, cancel := context.WithTimeout(ctx, manifestTimeout)
 	defer cancel()
 	var resp manifestResponse
-	if err := g.peerCalls.Call(ctx, address, manifestMethod, manifestRequest{Version: version}, &resp); err != nil {
+	if err := calls.Call(ctx, address, manifestMethod, manifestRequest{Version: version}, &resp); err != nil {
 		return err
 	}
 	if len(resp.Spec) == 0 {
