--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -120,8 +120,8 @@
 	return c.write(ctx, http.MethodDelete, key, nil, ifVersion)
 }
 
-// write makes a conditional write. A version of an earlier era is not sent as a condition, because the platform may have given its number
-// to another write; the condition does not hold then.
+// write makes a conditional write. A version of another era than the latest known one is compared here, because the platform may have given
+// its number to another write meanwhile.
 func (c *Client) write(ctx context.Context, method, key string, value []byte, ifVersion uint64) (Item, error) {
 	condition := storerev.Unpack(ifVersion)
 	if ifVersion != 0 && condition.Era != c.eras.Latest() {
@@ -129,7 +129,9 @@
 		if err != nil && !errors.Is(err, ErrNotFound) {
 			return Item{}, err
 		}
-		return Item{}, &ConflictError{Current: present}
+		if present.Version != ifVersion {
+			return Item{}, &ConflictError{Current: present}
+		}
 	}
 	var item Item
 	era, err := c.call(ctx, method, "/v1/objects/"+key, versionCondition(condition.Number), value, &item)
