--- a/internal/gateway/store_reader_test.go
+++ b/internal/gateway/store_reader_test.go
@@ -13,6 +13,7 @@
 
 	"samphireweir.example/samphireweir/internal/core/source"
 	"samphireweir.example/samphireweir/internal/gateway"
+	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/telemetry"
 	"samphireweir.example/samphireweir/platform/standin"
 )
@@ -58,3 +59,38 @@
 	delete(entries, reader)
 	requireRouteActive("/added-later/")
 }
+
+// TestRestoredStoreReachesEntriesThatReadThroughOthers guards against entries of a large data centre that keep a manifest from before the
+// store came back from a backup: one entry notices it, and the others read through that one.
+func TestRestoredStoreReachesEntriesThatReadThroughOthers(t *testing.T) {
+	t.Parallel()
+	fleet := &restoredFleet{Fleet: standin.NewFleet(t)}
+	fleet.AddService("i-desk")
+	hosts := make([]hostconfig.Host, source.MinEntries)
+	for i := range hosts {
+		hosts[i] = fleet.Host(standin.NextIP(), false)
+		hosts[i].Seeds = []string{net.JoinHostPort(hosts[0].IP, strconv.Itoa(standin.PeerPort))}
+	}
+	var entries []*entry
+	for _, host := range hosts {
+		entries = append(entries, startHost(t, fleet.Fleet, host))
+	}
+	requireStatus := func(status int) {
+		t.Helper()
+		for _, e := range entries {
+			require.Eventually(t, func() bool { return e.Post("/added/1").Status == status }, testTimeout, pollInterval)
+		}
+	}
+	fleet.backup = fleet.Store.Backup()
+	for range 10 {
+		fleet.WriteManifest()
+	}
+	fleet.AddRoute("/added/")
+	requireStatus(http.StatusOK)
+	restoreStore(fleet)
+	fleet.Store.SetDown(false)
+	time.Sleep(storeDowntime)
+	requireStatus(http.StatusOK)
+	removeLastRoute(fleet)
+	requireStatus(http.StatusNotFound)
+}
