--- a/internal/core/catalog/era.go
+++ b/internal/core/catalog/era.go
@@ -106,6 +106,13 @@
 	maps.DeleteFunc(e.held, func(id string, _ *Upstream) bool { return !present[id] })
 }
 
+// dropHeld drops the held registration of an upstream that was removed since.
+func (e *eras) dropHeld(ev UpstreamRemoved) {
+	if u := e.held[ev.ID]; u != nil && !ev.Revision.Before(u.Revision) {
+		delete(e.held, ev.ID)
+	}
+}
+
 // settleEra takes what was held since the last restore as the store has it, once the hold is over.
 func (s *State) settleEra(now time.Time) []step.Effect {
 	if now.Before(s.eras.holdUntil) {
--- a/internal/core/catalog/era_test.go
+++ b/internal/core/catalog/era_test.go
@@ -135,8 +135,9 @@
 	s.Reduce(at(time.Second, listed(inEra(2, 6), registered("a", inEra(2, 4)), later)))
 	require.Nil(t, s.Upstreams["a"])
 	require.NotNil(t, s.Upstreams["b"])
+	s.Reduce(at(time.Second, catalog.UpstreamRemoved{ID: "a", Revision: inEra(1, 41)}))
 	s.Reduce(at(time.Second+restoreHold, step.Tick{}))
-	require.NotNil(t, s.Upstreams["a"])
+	require.NotNil(t, s.Upstreams["a"], "the removal that arrives again is from before the restore")
 	require.Equal(t, inEra(2, 4), s.Upstreams["a"].Revision)
 }
 
--- a/internal/core/catalog/registrations.go
+++ b/internal/core/catalog/registrations.go
@@ -132,7 +132,7 @@
 }
 
 func (s *State) upstreamRemoved(now time.Time, ev UpstreamRemoved) []step.Effect {
-	delete(s.eras.held, ev.ID)
+	s.eras.dropHeld(ev)
 	u := s.Upstreams[ev.ID]
 	if u == nil || ev.Revision.Before(u.Revision) {
 		return nil
