--- a/internal/storefeed/restored_store_test.go
+++ b/internal/storefeed/restored_store_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,35 +10,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/platform"
 )
 
-// keepBackup makes the current content the backup from which the store is restored.
-func (f *virtualFleet) keepBackup() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.backup, f.backupRevision = slices.Clone(f.objects), f.revision
-}
-
-// restore takes the store down for a while and has it come back from the backup, in a new era.
-func (f *virtualFleet) restore(downtime time.Duration) {
-	f.mu.Lock()
-	f.down = true
-	close(f.changed)
-	f.changed = make(chan struct{})
-	f.mu.Unlock()
-	time.Sleep(downtime)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	era := f.revision.Era + 1
-	f.objects, f.revision = slices.Clone(f.backup), storerev.Revision{Era: era, Number: f.backupRevision.Number}
-	for i := range f.objects {
-		f.objects[i].Revision.Era = era
-	}
-	f.down = false
-}
-
 // countWrongContents counts the healthy processes that know something else than the store has.
 func (f *virtualFleet) countWrongContents() int {
 	f.mu.Lock()
