silence: one notion of silence for both paths, counted only in reads that find nothing

What callers saw: beside load, one request run on two engines (TestOverload), cut answers and "unknown" for requests that nobody ran; without load, an answer of 32 MiB cut after 7 MB for a caller that rested for 4 s.

Cause: limits on "the other side is silent" ran on while this process did something else: connecting, sending, a write to a slow caller, the reducer, no processor time. When they passed, data that had long arrived was thrown away.

Change: package silence. A read waits in slices of a quarter of the limit; a slice counts only if the read found nothing at its end, and a last look is taken before the other side is given up. Connecting is given up only while the kernel has no connection. Whether anything was sent is known from the connection's writes. A timer can't be forgotten, reset late, or run during a write. A request goes to another upstream only after its agent was silent on two connections, 4 s in all, or three times as long as it took of late. The users' path's timer that looked at its own lateness is gone.

Why it works: nothing counts while this process is not waiting in a read, and nothing is thrown away unread.

TestLateTimerWaitsForUnreadData and TestSilenceTimerExpiresOnce tested the removed timer; internal/silence has as strict ones for each rule, in simulated time.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -165,10 +165,10 @@
 		h.Header.Get("Content-Type") == a.header.Get("Content-Type")
 }
 
-// write sends bytes to the caller. It fails if the caller does not accept them within callerIOTimeout.
+// write sends bytes to the caller. It fails if the caller does not accept them within frame.CallerIOTimeout.
 func (c *call) write(p []byte) error {
 	control := http.NewResponseController(c.w)
-	_ = control.SetWriteDeadline(time.Now().Add(callerIOTimeout))
+	_ = control.SetWriteDeadline(time.Now().Add(frame.CallerIOTimeout))
 	if len(p) > 0 {
 		if _, err := c.w.Write(p); err != nil {
 			return err
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -69,6 +69,7 @@
 	env.Target = c.requestTarget
 	env.CachePosition = eff.Cache
 	c.answer.headMatched = false
+	c.agentSilence = 0
 	if eff.Continue {
 		c.answer.startRun()
 		env.ResumeTokens = c.answer.nextToken(c.r)
@@ -79,6 +80,7 @@
 	}
 	s, err := e.openStream(ctx, agentCall{
 		address: eff.Target.Address, path: frame.RunPath, env: env, header: header, body: reader, contentLength: length,
+		headTimeout: e.headTimes.limit(eff.Target.Address, time.Now(), frame.HeadTimeout),
 	})
 	return e.receiveAnswer(ctx, c, eff.Attempt, s, err)
 }
@@ -100,6 +102,7 @@
 			return true
 		}
 		if errors.Is(err, errNotConnected) && reconnects == 0 {
+			e.headTimes.forget(attempt.Target.Address)
 			e.Loop.Step(member.CallFailed{Address: attempt.Target.Address})
 			e.reportFailure(c, attempt, &frame.Fail{Code: code.UpstreamSilent, Ran: code.NotRun})
 			return false
@@ -115,6 +118,7 @@
 			e.reportFailure(c, attempt, &frame.Fail{Code: code.UpstreamSilent, Ran: code.Unknown})
 			return false
 		}
+		c.agentSilence += silenceOf(err)
 		if reconnects == 0 {
 			e.agentClient.CloseIdleConnections()
 		} else {
@@ -137,7 +141,10 @@
 func (e *Entry) reconnect(ctx context.Context, c *call, attempt request.Attempt) (*stream, error) {
 	env := e.envelope(c, attempt)
 	env.Offset = c.answer.receivedBytes
-	return e.openStream(ctx, agentCall{address: attempt.Target.Address, path: frame.ResumePath, env: env, header: http.Header{}, unpooled: true})
+	return e.openStream(ctx, agentCall{
+		address: attempt.Target.Address, path: frame.ResumePath, env: env, header: http.Header{}, unpooled: true,
+		headTimeout: e.reconnectTimeout(c, attempt, time.Now()),
+	})
 }
 
 // envelope returns the envelope that describes an attempt to its agent.
@@ -170,6 +177,7 @@
 	defer cancel()
 	s, err := e.openStream(ctx, agentCall{
 		address: attempt.Target.Address, path: frame.FencePath, env: e.envelope(c, attempt), header: http.Header{}, unpooled: true,
+		headTimeout: fenceTimeout,
 	})
 	if err != nil {
 		return code.Unknown
@@ -229,6 +237,7 @@
 	c.answer.resuming = true
 	s, err := e.reconnect(ctx, c, eff.Attempt)
 	if err != nil {
+		c.agentSilence += silenceOf(err)
 		e.Loop.Step(request.AnswerInterrupted{ID: c.id, Attempt: eff.Number})
 		return false
 	}
--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -13,14 +13,13 @@
 
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core/request"
+	"samphireweir.example/samphireweir/internal/frame"
 )
 
 const (
 	// maxReplayBytes is how much of a body is buffered. A request whose body fits can be sent again. The buffered
 	// part is included in the fingerprint.
 	maxReplayBytes = 256 << 10
-	// callerIOTimeout bounds each read from a caller and each write to it.
-	callerIOTimeout = 30 * time.Second
 	// fingerprintBytes is the length of a fingerprint in bytes, before hex encoding.
 	fingerprintBytes = 16
 )
@@ -81,7 +80,7 @@
 	return io.MultiReader(bytes.NewReader(b.buffered), b.rest), true
 }
 
-// callerReader reads a caller's body up to a limit. A read that takes longer than callerIOTimeout fails.
+// callerReader reads a caller's body up to a limit. A read that takes longer than frame.CallerIOTimeout fails.
 type callerReader struct {
 	call      *call
 	remaining int64
@@ -90,7 +89,7 @@
 // Read reads from the caller's body. It returns errBodyTooLarge beyond the limit.
 func (c *callerReader) Read(p []byte) (int, error) {
 	control := http.NewResponseController(c.call.w)
-	_ = control.SetReadDeadline(time.Now().Add(callerIOTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(frame.CallerIOTimeout))
 	n, err := c.call.r.Body.Read(p)
 	if err != nil {
 		c.clearDeadline()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -35,6 +35,7 @@
 	// agentClient and unpooledAgentClient call agents. The latter opens a new connection for each call.
 	agentClient         *http.Client
 	unpooledAgentClient *http.Client
+	headTimes           headTimes
 	// instance identifies this instance of the entry in calls to agents: its address and its incarnation, which is its
 	// start time.
 	instance string
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -22,12 +22,14 @@
 	"github.com/stretchr/testify/require"
 
 	"samphireweir.example/samphireweir/internal/agent"
+	"samphireweir.example/samphireweir/internal/control"
 	"samphireweir.example/samphireweir/internal/core"
 	"samphireweir.example/samphireweir/internal/core/claim"
 	"samphireweir.example/samphireweir/internal/core/member"
 	"samphireweir.example/samphireweir/internal/core/routing"
 	"samphireweir.example/samphireweir/internal/keys"
 	"samphireweir.example/samphireweir/internal/node"
+	"samphireweir.example/samphireweir/internal/silence"
 	"samphireweir.example/samphireweir/internal/standin/engine"
 	"samphireweir.example/samphireweir/internal/standin/hostlist"
 	"samphireweir.example/samphireweir/internal/standin/objectapi"
@@ -235,8 +237,7 @@
 			address = f.agentProxies[i].address()
 		}
 	}
-	d := net.Dialer{Timeout: time.Second}
-	return d.DialContext(ctx, network, address)
+	return silence.Dialer(&net.Dialer{}, control.DialTimeout)(ctx, network, address)
 }
 
 func (f *testFleet) addToHostList(address, role string) {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -19,6 +19,7 @@
 		if err != nil {
 			return e.handleDisconnect(c, attempt, err)
 		}
+		c.agentSilence = 0
 		if kind == frame.TypeData && !c.answer.headMatched {
 			return e.handleDisconnect(c, attempt, errors.New("reading the answer: data frame before the head frame"))
 		}
@@ -128,6 +129,7 @@
 	if !c.answer.headMatched || c.answer.resuming {
 		return progressDisconnected, cause
 	}
+	c.agentSilence += silenceOf(cause)
 	if c.r.Context().Err() != nil {
 		e.cancelAttempt(c, attempt)
 		return progressDone, nil
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -51,7 +51,9 @@
 	effects       chan step.Effect
 	deadline      time.Time
 	answer        answer
-	setting       *setting.Setting
+	// agentSilence is how long the agent of the current attempt was silent since it last sent a frame, on all connections.
+	agentSilence time.Duration
+	setting      *setting.Setting
 	// fingerprint identifies the request by its content, independent of the caller; see the function fingerprint.
 	fingerprint string
 	// loadReport is the upstream's load report from the end of the answer.
--- a/internal/frame/envelope.go
+++ b/internal/frame/envelope.go
@@ -22,11 +22,17 @@
 	FencePath = "/fence"
 	// HeartbeatInterval is the time between heartbeats on a connection without data.
 	HeartbeatInterval = time.Second
-	// HeadTimeout is how long an entry waits for an agent's first byte before it considers the connection dead and
-	// repeats the request on a new one. The agent answers at once, independently of the upstream.
+	// HeadTimeout is the least time for which an agent may be silent before its first byte. Then the entry considers the
+	// connection dead and asks for the same attempt on a new one. The agent answers at once, independently of the upstream.
+	// What counts as silence is defined in package silence.
 	HeadTimeout = time.Second
-	// FrameTimeout is how long an entry waits for a frame before it considers the connection dead.
+	// FrameTimeout is how long an agent may be silent between two frames before the entry considers the connection dead.
 	FrameTimeout = 3 * HeartbeatInterval
+	// CallerIOTimeout bounds each read of an entry from a caller and each write to it.
+	CallerIOTimeout = 30 * time.Second
+	// ReaderTimeout is how long an agent waits for an entry to accept a frame. An entry that lives may spend
+	// CallerIOTimeout on a write to a slow caller before it reads again. If its process dies, the connection is reset at once.
+	ReaderTimeout = CallerIOTimeout + 5*time.Second
 	// MaxEnvelopeBytes bounds an encoded envelope, in bytes.
 	MaxEnvelopeBytes = 16 << 10
 )
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,13 +14,14 @@
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/logevent"
+	"samphireweir.example/samphireweir/internal/silence"
 	"samphireweir.example/samphireweir/platform"
 )
 
 // maxBufferedResponse is the size limit, in bytes, of a response that is buffered completely before it is passed on.
 const maxBufferedResponse = 16 << 20
 
-// errUpstreamTimeout ends an attempt whose upstream sent nothing within the attempt's timeout.
+// errUpstreamTimeout ends an attempt whose upstream was silent for the attempt's timeout.
 var errUpstreamTimeout = errors.New("timed out waiting for data from the upstream")
 
 // errWithdrawn ends an attempt that its upstream has not started and must not start any more; see forward.Withdraw.
@@ -30,11 +31,11 @@
 type attempt struct {
 	x        *exchange
 	decision forward.Send
-	// connected is set once bytes may have reached the upstream.
-	connected atomic.Bool
-	cancel    context.CancelCauseFunc
-	// timer cancels the attempt when its timeout ends. It does not run for an attempt without a timeout.
-	timer silenceTimer
+	// sent is set if bytes may have reached the upstream. It is known once the response's head has arrived or the attempt has failed.
+	sent   bool
+	cancel context.CancelCauseFunc
+	// silence cancels the attempt when its upstream was silent for the timeout in force.
+	silence *silence.Watch
 	// createdAt is when the attempt was created. version is the version of the weights on which the upstream reports that it started the
 	// request; see markStarted.
 	createdAt time.Time
@@ -63,6 +64,7 @@
 	x.gateway.metrics.Attempts.Add(1, x.routeName(), "", strconv.Itoa(e.Attempt))
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	a := &attempt{x: x, decision: e, cancel: cancel, createdAt: time.Now()}
+	a.silence = silence.NewWatch(e.FirstEventTimeout, func() { cancel(errUpstreamTimeout) })
 	defer cancel(nil)
 	x.current.Store(a)
 	defer x.current.Store(nil)
@@ -72,7 +74,7 @@
 	}
 	if outcome != forward.Answered && x.ctx.Err() != nil {
 		// The caller left or the deadline passed; run reports to the reducer which.
-		x.unsent = !a.connected.Load()
+		x.unsent = !a.sent
 		return false
 	}
 	if err != nil {
@@ -91,17 +93,18 @@
 
 // do sends the request and passes the response on. It returns the attempt's outcome, and an error unless that is forward.Answered.
 func (a *attempt) do(ctx context.Context) (forward.Outcome, error) {
-	a.startTimer()
-	defer a.timer.stop()
-	ctx = platform.WithConnectHook(ctx, func() { a.connected.Store(true) })
+	defer a.silence.Stop()
+	ctx = silence.WithWatch(ctx, a.silence)
 	req, err := platform.NewUpstreamRequest(ctx, a.x.r, a.x.body, a.decision, a.x.lastEventID)
 	if err != nil {
 		return forward.NotSent, err
 	}
 	resp, err := a.x.gateway.upstreamTransport.RoundTrip(req)
 	if err != nil {
+		a.sent = a.silence.Abandon()
 		return a.outcomeOf(ctx, err), err
 	}
+	a.sent = true
 	defer func() { _ = resp.Body.Close() }()
 	head := platform.ReadResponseHead(resp, a.x.call.CallerAttemptID)
 	a.version = head.Version
@@ -126,11 +129,11 @@
 func (a *attempt) outcomeOf(ctx context.Context, err error) forward.Outcome {
 	isWithdrawn := errors.Is(context.Cause(ctx), errWithdrawn) || errors.Is(err, errWithdrawn)
 	switch {
-	case isWithdrawn && !a.connected.Load():
+	case isWithdrawn && !a.sent:
 		return forward.Unsent
 	case isWithdrawn:
 		return forward.Withdrawn
-	case !a.connected.Load():
+	case !a.sent:
 		return forward.NotSent
 	case errors.Is(context.Cause(ctx), errUpstreamTimeout), errors.Is(err, errUpstreamTimeout):
 		return forward.Silent
@@ -157,13 +160,6 @@
 	}
 }
 
-func (a *attempt) startTimer() {
-	if a.decision.FirstEventTimeout > 0 {
-		a.timer.expire = func() { a.cancel(errUpstreamTimeout) }
-		a.timer.start(a.decision.FirstEventTimeout)
-	}
-}
-
 func (a *attempt) isStream(resp *http.Response) bool {
 	return a.x.accepted.Route.Kind == catalog.Streaming && resp.StatusCode == http.StatusOK &&
 		strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
@@ -188,7 +184,7 @@
 	if err != nil {
 		return errors.Wrap(err, "reading the upstream's response")
 	}
-	a.timer.stop()
+	a.silence.Stop()
 	if a.x.r.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
--- a/internal/gateway/buffering.go
+++ b/internal/gateway/buffering.go
@@ -130,11 +130,11 @@
 	for {
 		e, err := events.next()
 		if err != nil {
-			a.timer.stop()
+			a.silence.Stop()
 			q.close(err)
 			return
 		}
-		a.timer.reset(a.decision.GapTimeout)
+		a.silence.Progress(a.decision.GapTimeout)
 		if err := growWhenFree(ctx, a.x.reservation, len(e.raw)); err != nil {
 			q.close(err)
 			return
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -35,8 +35,7 @@
 
 // OutcomeOfWithdrawnResponse returns the outcome of an attempt that is withdrawn at the moment its first event arrives.
 func OutcomeOfWithdrawnResponse() forward.Outcome {
-	a := &attempt{}
-	a.connected.Store(true)
+	a := &attempt{sent: true}
 	a.stage.Store(stageWithdrawn)
 	if a.markStarted() {
 		return forward.Answered
@@ -46,3 +45,6 @@
 
 // MemoryUsed returns the number of bytes held for callers.
 func (g *Gateway) MemoryUsed() int64 { return g.memory.Used() }
+
+// UpstreamTransport returns the transport for requests to upstreams.
+func (g *Gateway) UpstreamTransport() http.RoundTripper { return g.upstreamTransport }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/membudget"
 	"samphireweir.example/samphireweir/internal/periodic"
+	"samphireweir.example/samphireweir/internal/silence"
 	"samphireweir.example/samphireweir/internal/storefeed"
 	"samphireweir.example/samphireweir/internal/storewatch"
 	"samphireweir.example/samphireweir/internal/telemetry"
@@ -122,7 +123,7 @@
 // these cases it would be unknown whether a request ran.
 func newUpstreamTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: upstreamDialTimeout, KeepAlive: -1}).DialContext,
+		DialContext:        silence.Dialer(&net.Dialer{KeepAlive: -1}, upstreamDialTimeout),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -21,6 +21,7 @@
 	"samphireweir.example/samphireweir/internal/keys"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/objectapi"
+	"samphireweir.example/samphireweir/internal/silence"
 	"samphireweir.example/samphireweir/internal/telemetry"
 )
 
@@ -103,7 +104,7 @@
 // setUpPeerTransport creates the clients for other processes. It uses mutual TLS, for the peer listener too, when
 // certificates are configured.
 func (p *Process) setUpPeerTransport() error {
-	dial := dialer().DialContext
+	dial, peerDial := dialer().DialContext, silence.Dialer(&net.Dialer{KeepAlive: keepAlive}, control.DialTimeout)
 	if p.Config.TLS() {
 		pair, err := keys.LoadCertificate(p.Config.Config)
 		if err != nil {
@@ -111,12 +112,31 @@
 		}
 		p.peersListener = tls.NewListener(p.peersListener, pair.ServerConfig())
 		dial = (&tls.Dialer{NetDialer: dialer(), Config: pair.ClientConfig()}).DialContext
+		peerDial = withTLS(peerDial, pair.ClientConfig())
 	}
-	p.PeerClient = newHTTPClient(dial)
+	p.PeerClient = newHTTPClient(peerDial)
 	p.Pool = control.NewPool(p.Address(), p.Config.Secret, dial)
 	return nil
 }
 
+// withTLS returns a function that opens TLS connections over those of dial. The handshake may take control.DialTimeout.
+func withTLS(dial control.DialFunc, config *tls.Config) control.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, control.DialTimeout)
+		defer cancel()
+		conn := tls.Client(raw, config)
+		if err := conn.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, err
+		}
+		return conn, nil
+	}
+}
+
 func dialer() *net.Dialer {
 	return &net.Dialer{Timeout: control.DialTimeout, KeepAlive: keepAlive}
 }
--- /dev/null
+++ b/internal/silence/watch.go
@@ -0,0 +1,164 @@
+package silence
+
+import (
+	"context"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+// Watch limits how long the other side of a connection may be silent during one call. Its methods may be called on nil, which sets no limit.
+type Watch struct {
+	// onSilent is called at most once, before the read that found the other side silent returns.
+	onSilent func()
+	// onLateRead is called for a read that would have been given up, had it not found data that was already there. It may be nil.
+	onLateRead func()
+
+	mu sync.Mutex
+	// limit is how long the other side may be silent; 0 means without a limit.
+	limit time.Duration
+	// silent is the silence counted since the last progress.
+	silent time.Duration
+	// conn is the connection of the call, nil before it is known and after Stop.
+	conn *Conn
+	// sent is set once something may have been sent on the connection.
+	sent bool
+	// stopped is set by Stop and once the other side was found silent; expired only by the latter.
+	stopped, expired bool
+}
+
+// NewWatch returns a Watch with a limit, which may be 0 for none. onSilent is called once if the other side is silent for that long.
+func NewWatch(limit time.Duration, onSilent func()) *Watch {
+	return &Watch{limit: limit, onSilent: onSilent}
+}
+
+// OnLateRead sets a function that is called when data was found that had already arrived when the limit passed: this process was late, not
+// the other side. It is set before the Watch is used.
+func (w *Watch) OnLateRead(f func()) { w.onLateRead = f }
+
+// WithWatch returns a context with which an HTTP call attaches w to the connection that it uses. The call's transport must dial with a
+// function that Dialer returned.
+func WithWatch(ctx context.Context, w *Watch) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		c, ok := find(info.Conn)
+		if !ok {
+			panic("silence: the call's transport does not dial with a function of Dialer, so nothing would limit the call")
+		}
+		w.Attach(c)
+	}})
+}
+
+// Attach lets w limit the reads of c until Stop. It does nothing after Stop.
+func (w *Watch) Attach(c *Conn) {
+	w.mu.Lock()
+	if w.stopped {
+		w.mu.Unlock()
+		return
+	}
+	w.conn = c
+	w.mu.Unlock()
+	c.attach(w)
+}
+
+// Progress records that what was waited for has arrived, and sets the limit for what comes next; 0 means without a limit.
+func (w *Watch) Progress(limit time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = limit
+	w.silent = 0
+}
+
+// Stop ends the Watch for good and detaches it from its connection.
+func (w *Watch) Stop() {
+	w.mu.Lock()
+	c := w.conn
+	w.conn = nil
+	w.stopped = true
+	w.mu.Unlock()
+	if c != nil {
+		c.detach(w)
+	}
+}
+
+// Abandon ends the Watch, closes its connection, and reports whether anything of the call may have been sent before.
+func (w *Watch) Abandon() (sent bool) {
+	w.mu.Lock()
+	c := w.conn
+	w.mu.Unlock()
+	if c != nil {
+		_ = c.Close() // The call has failed, whatever closing it says.
+	}
+	w.Stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sent
+}
+
+// recordSend records that something may have been sent on the connection.
+func (w *Watch) recordSend() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sent = true
+}
+
+// slice returns the length of the next slice of the limit; 0 means without a limit.
+func (w *Watch) slice() time.Duration {
+	if w == nil {
+		return 0
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return 0
+	}
+	return w.limit / slicesPerLimit
+}
+
+// countSlice counts a slice in which a read found nothing, and reports whether the limit is reached.
+func (w *Watch) countSlice() bool {
+	if w == nil {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent += w.limit / slicesPerLimit
+	return w.overLimit()
+}
+
+// overLimit reports whether the silence counted has reached the limit. The caller holds mu.
+func (w *Watch) overLimit() bool {
+	slice := w.limit / slicesPerLimit
+	return !w.stopped && slice > 0 && w.silent >= slice*slicesPerLimit
+}
+
+// expire calls onSilent if the limit is still reached, and reports whether it did so. Progress may have been recorded, or the Watch stopped,
+// since the limit was found reached.
+func (w *Watch) expire() bool {
+	w.mu.Lock()
+	expired := w.overLimit()
+	if expired {
+		w.stopped, w.expired = true, true
+	}
+	w.mu.Unlock()
+	if expired {
+		w.onSilent()
+	}
+	return expired
+}
+
+// Expired reports whether the other side was found silent for the limit.
+func (w *Watch) Expired() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.expired
+}
+
+// recordLateRead records that data was found which had already arrived when the limit passed.
+func (w *Watch) recordLateRead() {
+	if w.onLateRead != nil {
+		w.onLateRead()
+	}
+}
