agent: the failure of a connection that was replaced does not cancel the run that was resumed

What callers saw: an answer cut after it was resumed: the run was cancelled 5 s after the write on the former connection had failed.

Cause: relay started the resume timer for any connection that broke, also for one that another had replaced. And the agent's limit on an entry that accepts nothing (3 s) was never in force: node/guard.go replaced a handler's write deadline by its own, 30 s, at each write, which is as long as an entry may spend on one write to its caller.

Change: a replaced connection ends at once and counts for nothing. A handler's own write deadline holds. A connection's send buffer, which is lost with it, is limited to fit into what is retained for a resume.

--- a/internal/agent/output.go
+++ b/internal/agent/output.go
@@ -11,6 +11,9 @@
 	// maxRetainedBytes is how many bytes of a response are retained so that it can be resumed, before and after the
 	// reader's position together.
 	maxRetainedBytes = 1 << 20
+	// maxSendBufferBytes is the size requested for the send buffer of a connection to the entry. What it holds is lost when the connection
+	// breaks, so it must be within what is retained.
+	maxSendBufferBytes = 128 << 10
 	// maxUnreadBytes is how many bytes the upstream may be ahead of the connection to the entry.
 	maxUnreadBytes = 256 << 10
 )
@@ -122,6 +125,13 @@
 	return o.reader, true
 }
 
+// replaced reports whether another connection has replaced the reader.
+func (o *output) replaced(reader int) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return reader != o.reader
+}
+
 // snapshot is the state of an output as one call of next returns it.
 type snapshot struct {
 	// replaced is set when another connection has replaced the reader.
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core"
 	"samphireweir.example/samphireweir/internal/core/record"
@@ -41,6 +44,8 @@
 	lastActivity atomic.Int64
 
 	mu sync.Mutex
+	// relayConn controls the connection that relays the response, nil while there is none.
+	relayConn *http.ResponseController
 	// resumeTimer cancels the run if its connection broke and no other has replaced it within resumeWindow.
 	resumeTimer *time.Timer
 	// weightsChanged is set when the engine's weights changed during the run.
@@ -276,12 +281,37 @@
 // relay writes the response to one connection, with heartbeats while the upstream sends nothing. If the connection
 // breaks, the run continues for resumeWindow, so that the entry can resume it.
 func (a *Agent) relay(w http.ResponseWriter, r *http.Request, x *execution, reader int, withHead bool) {
+	conn := http.NewResponseController(w)
+	node.LimitSendBuffer(r, maxSendBufferBytes)
 	x.stopResumeTimer()
-	if !a.relayFrames(w, r, x, reader, withHead) {
+	x.startRelay(conn)
+	ended := a.relayFrames(w, r, x, reader, withHead)
+	x.stopRelay(conn)
+	if !ended {
 		x.startResumeTimer()
 	}
 }
 
+// startRelay makes conn the connection that relays the response. It ends a write that blocks on the one that it replaces.
+func (x *execution) startRelay(conn *http.ResponseController) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.relayConn != nil {
+		_ = x.relayConn.SetWriteDeadline(time.Now())
+	}
+	x.relayConn = conn
+}
+
+// stopRelay records that conn no longer relays the response, if no other connection has replaced it. The server may use conn for
+// another call afterwards.
+func (x *execution) stopRelay(conn *http.ResponseController) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.relayConn == conn {
+		x.relayConn = nil
+	}
+}
+
 // startResumeTimer cancels the run after resumeWindow, unless a connection resumes it before.
 func (x *execution) startResumeTimer() {
 	x.mu.Lock()
@@ -311,9 +341,12 @@
 		if s.replaced {
 			return true
 		}
-		_ = control.SetWriteDeadline(time.Now().Add(frame.FrameTimeout))
-		if a.writeSnapshot(w, x, s, &withHead) != nil || control.Flush() != nil {
-			return false
+		_ = control.SetWriteDeadline(time.Now().Add(frame.ReaderTimeout))
+		if err := a.writeSnapshot(w, x, s, &withHead); err != nil {
+			return a.relayBroken(x, reader, err)
+		}
+		if err := control.Flush(); err != nil {
+			return a.relayBroken(x, reader, err)
 		}
 		if s.ended {
 			_ = control.SetWriteDeadline(time.Time{})
@@ -325,15 +358,28 @@
 		select {
 		case <-s.changed:
 		case <-r.Context().Done():
-			return false
+			return x.out.replaced(reader)
 		case <-heartbeats.C:
 			if !writeHeartbeat(w) {
-				return false
+				return x.out.replaced(reader)
 			}
 		}
 	}
 }
 
+// relayBroken reports whether another connection had replaced the one whose write failed with err. It logs an entry that accepted nothing
+// for frame.ReaderTimeout, since the answer ends there unless the entry resumes it.
+func (a *Agent) relayBroken(x *execution, reader int, err error) bool {
+	if x.out.replaced(reader) {
+		return true
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		logevent.Warn(a.Log, logevent.AttemptFailed).Str("request", x.env.Request).Str("upstream", x.start.Upstream).
+			Str("entry", x.env.Entry).Err(err).Msg("the entry accepted nothing of the answer for too long")
+	}
+	return false
+}
+
 // writeSnapshot writes the frames of a snapshot: the head if it was not written yet, the data, and the end.
 func (a *Agent) writeSnapshot(w http.ResponseWriter, x *execution, s snapshot, withHead *bool) error {
 	id := x.start.ID
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"log"
@@ -27,6 +29,22 @@
 	return &http.Server{
 		Handler: p.guard(h), ReadHeaderTimeout: HeaderTimeout, IdleTimeout: IdleTimeout, WriteTimeout: WriteTimeout,
 		MaxHeaderBytes: MaxHeaderBytes, ErrorLog: log.New(httpErrorLog{p.Log}, "", 0),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+	}
+}
+
+// connKey is the key under which the context of a request holds its connection.
+type connKey struct{}
+
+// LimitSendBuffer limits how many bytes of r's response the kernel holds that the peer has not received. The kernel takes about twice the
+// size given. It does nothing for a connection without such a buffer.
+func LimitSendBuffer(r *http.Request, size int) {
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetWriteBuffer(size) // Without the limit, more is sent than can be resumed; the answer itself is the same.
 	}
 }
 
@@ -48,7 +66,7 @@
 			defer g.body.release()
 			r.Body = g.body
 		}
-		defer g.extend()
+		defer g.release()
 		defer p.recoverRequest(g, r)
 		next.ServeHTTP(g, r)
 	})
@@ -83,7 +101,7 @@
 	logevent.Warn(p.Log, logevent.PanicRecovered).Str("where", where).Interface("cause", cause).Str("stack", string(debug.Stack())).Msg("panic recovered")
 }
 
-// guardedWriter sets a new deadline for each write.
+// guardedWriter sets a new deadline for each write, unless the handler sets its own.
 type guardedWriter struct {
 	http.ResponseWriter
 	control *http.ResponseController
@@ -91,9 +109,37 @@
 	wrote   bool
 	// body is the request's body; nil when it has none.
 	body *guardedBody
+
+	mu sync.Mutex
+	// writeDeadline is the handler's own write deadline; zero for none.
+	writeDeadline time.Time
 }
 
-func (g *guardedWriter) extend() { _ = g.control.SetWriteDeadline(time.Now().Add(g.timeout)) }
+// extend sets the deadline of the next write.
+func (g *guardedWriter) extend() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	deadline := g.writeDeadline
+	if deadline.IsZero() {
+		deadline = time.Now().Add(g.timeout)
+	}
+	_ = g.control.SetWriteDeadline(deadline)
+}
+
+// SetWriteDeadline sets the handler's own write deadline, which replaces the one that each write sets. It may be called while a write
+// blocks. The zero time removes it.
+func (g *guardedWriter) SetWriteDeadline(t time.Time) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.writeDeadline = t
+	return g.control.SetWriteDeadline(t)
+}
+
+// release removes the handler's own write deadline when the handler returns.
+func (g *guardedWriter) release() {
+	_ = g.SetWriteDeadline(time.Time{})
+	g.extend()
+}
 
 // WriteHeader records that the answer has started.
 func (g *guardedWriter) WriteHeader(status int) {
--- a/internal/node/guard_test.go
+++ b/internal/node/guard_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -99,6 +100,29 @@
 	}
 }
 
+// TestHandlerWriteDeadlineHolds guards against a handler's own write deadline that the guard replaces with its own at the next write.
+func TestHandlerWriteDeadlineHolds(t *testing.T) {
+	result := make(chan error, 1)
+	address := serveTest(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		g := &guardedWriter{ResponseWriter: w, control: http.NewResponseController(w), timeout: time.Minute}
+		defer g.release()
+		_ = http.NewResponseController(g).SetWriteDeadline(time.Now().Add(guardTimeout))
+		for {
+			if _, err := g.Write(make([]byte, 1<<20)); err != nil {
+				result <- err
+				return
+			}
+		}
+	}))
+	send(t, address, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	select {
+	case err := <-result:
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	case <-time.After(20 * time.Second):
+		t.Fatal("the write still waits")
+	}
+}
+
 // TestStreamWithLongPausesIsNotCut guards against a write timeout that limits a whole answer: the pauses between its parts
 // are longer than the timeout of one write.
 func TestStreamWithLongPausesIsNotCut(t *testing.T) {
