agent: an upstream that waits for the request's body is not silent

What callers saw: 504, 4002, "unknown", for an upload of 600 KiB whose caller paused for 5 s within a deadline of 8 s; nothing had run.

Cause: the agent gives up an upstream that sent nothing for half of the deadline, counted from the start of the run, though the upstream had not received the request.

Change: its silence counts from when it last had to wait for the body.

Test: TestUpstreamIsNotTakenAsSilentWhileCallerUploads/614400 failed before (4002 after 4 s, 0 runs), passes now.

--- a/internal/agent/body.go
+++ b/internal/agent/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,10 @@
 	buffered *bytes.Reader
 	control  *http.ResponseController
 
+	// waiting is set while a read waits for the entry. lastReadAt is when the last one ended, in Unix nanoseconds; 0 before.
+	waiting    atomic.Bool
+	lastReadAt atomic.Int64
+
 	mu       sync.Mutex
 	rest     io.Reader
 	released bool
@@ -55,7 +60,23 @@
 	if b.rest == nil {
 		return 0, io.EOF
 	}
-	return b.rest.Read(p)
+	b.waiting.Store(true)
+	n, err := b.rest.Read(p)
+	b.lastReadAt.Store(time.Now().UnixNano())
+	b.waiting.Store(false)
+	return n, err
+}
+
+// suppliedAt returns until when the upstream had to wait for the body: now while a read waits for the entry. It returns the zero time for a
+// body that was buffered.
+func (b *body) suppliedAt() time.Time {
+	if b.waiting.Load() {
+		return time.Now()
+	}
+	if at := b.lastReadAt.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
 }
 
 // Close does nothing: the handler of the connection owns the body.
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// silence returns how long the upstream has sent nothing to a run that started at startedAt.
+// silence returns how long the upstream has sent nothing to a run that started at startedAt, although it had the request's body so far.
 func (x *execution) silence(startedAt time.Time) time.Duration {
 	if x.out.full() {
 		x.recordActivity() // The reader is slow, not the upstream.
@@ -67,6 +67,9 @@
 	if last := x.lastActivity.Load(); last != 0 {
 		return time.Since(time.Unix(0, last))
 	}
+	if supplied := x.body.suppliedAt(); supplied.After(startedAt) {
+		return time.Since(supplied)
+	}
 	return time.Since(startedAt)
 }
 
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -38,6 +38,7 @@
 	start  run.Start
 	env    frame.Envelope
 	out    *output
+	body   *body
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// lastActivity is when the upstream last sent a byte, in Unix nanoseconds; 0 before the first byte.
@@ -228,20 +229,20 @@
 		limit = time.Duration(env.DeadlineMS) * time.Millisecond
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
-	x := &execution{start: start, env: env, out: newOutput(), ctx: ctx, cancel: cancel}
+	x := &execution{start: start, env: env, out: newOutput(), body: body, ctx: ctx, cancel: cancel}
 	a.executions.Store(start.ID, x)
 	stop := time.AfterFunc(limit, func() { cancel(errDeadline) })
 	go func() {
 		defer stop.Stop()
-		a.runExecution(x, r, body)
+		a.runExecution(x, r)
 	}()
 	return x
 }
 
 // runExecution sends the request to the upstream, reads its response to the end, and reports the outcome to the core.
-func (a *Agent) runExecution(x *execution, r *http.Request, body *body) {
+func (a *Agent) runExecution(x *execution, r *http.Request) {
 	go a.monitor(x)
-	f := a.withPanicRecovery(func() *failure { return a.callUpstream(x, r, body) })
+	f := a.withPanicRecovery(func() *failure { return a.callUpstream(x, r) })
 	x.cancel(nil)
 	if x.weightsChanged.Load() {
 		f = &failure{code: code.WeightsChanged, ran: code.DidRun}
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -71,8 +71,8 @@
 }
 
 // callUpstream sends the request to the upstream and reads its response.
-func (a *Agent) callUpstream(x *execution, r *http.Request, body *body) *failure {
-	req, err := a.upstreamRequest(x, r, body)
+func (a *Agent) callUpstream(x *execution, r *http.Request) *failure {
+	req, err := a.upstreamRequest(x, r)
 	if err != nil {
 		return &failure{code: code.BadMessage, ran: code.NotRun}
 	}
@@ -102,8 +102,8 @@
 }
 
 // upstreamRequest builds the request to the upstream from the call of the entry.
-func (a *Agent) upstreamRequest(x *execution, r *http.Request, body *body) (*http.Request, error) {
-	req, err := http.NewRequestWithContext(x.ctx, r.Header.Get(frame.MethodHeader), x.start.URL+x.env.Target, nonReplayable(body))
+func (a *Agent) upstreamRequest(x *execution, r *http.Request) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(x.ctx, r.Header.Get(frame.MethodHeader), x.start.URL+x.env.Target, nonReplayable(x.body))
 	if err != nil {
 		return nil, errors.Wrapf(err, "building request to upstream %s", x.start.URL)
 	}
