--- a/internal/experiment/failure_test.go
+++ b/internal/experiment/failure_test.go
@@ -110,6 +110,7 @@
 	f := fleet(t, experiment.Config{Entries: 2, Agents: 2, EnginesPerAgent: 1, Engine: engine.Config{Batch: 4}})
 	l := load(3*2*4/(8*0.005), 2*time.Second)
 	results := logFailed(t, f.Run(l), true)
+	logRunTwice(t, f, results)
 	s := experiment.Summarize(results, 0, l.Duration, experiment.All)
 	require.Equal(t, s.Requests, s.Complete+s.Refused, "%+v", s)
 	require.NotZero(t, s.Refused)
--- a/internal/experiment/log_test.go
+++ b/internal/experiment/log_test.go
@@ -5,11 +5,14 @@
 	"sync"
 	"testing"
 
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/experiment"
 )
 
 // maxLoggedRequests limits how many failed requests have their log lines printed.
-const maxLoggedRequests = 5
+const maxLoggedRequests = 8
 
 // processLogs collects the logs of a fleet's processes. If its test fails, it prints the lines about the failed requests and all
 // warnings.
@@ -53,7 +56,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range results {
-		refused := r.RetryAfter != "" && !r.Cut
+		refused := r.RetryAfter != "" && !r.Cut && r.Ran == code.NotRun
 		if !r.Complete && !(refused && refusalsAllowed) && len(l.failed) < maxLoggedRequests {
 			l.failed = append(l.failed, r)
 		}
@@ -61,6 +64,22 @@
 	return results
 }
 
+// logRunTwice has the log lines of requests that ran more than once printed if the test fails.
+func logRunTwice(t *testing.T, f *experiment.Fleet, results []experiment.Result) {
+	t.Helper()
+	runsByID, err := f.EngineRuns()
+	require.NoError(t, err)
+	found, _ := logsByTest.Load(t)
+	l := found.(*processLogs)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range results {
+		if runsByID[r.ID] > 1 && len(l.failed) < maxLoggedRequests {
+			l.failed = append(l.failed, r)
+		}
+	}
+}
+
 // print prints the failed requests with their log lines, and all warnings.
 func (l *processLogs) print() {
 	l.mu.Lock()
