entry tests: the tamperer changes an answer on whichever call it arrives

TestTamperedAnswersAreDetected/data_doubled/book got a complete, right answer where a refusal is wanted. The tamperer changed answers to /run only. An entry that gets no head of the answer within its limit makes a second call, /resume, and the tamperer passed that answer on as it was.

So the product gave the caller a right answer, and the test tested nothing.

The tamperer now changes complete answers on all calls: every one if the tampering corrupts beyond recovery, else the first. It forwards no incomplete answer, so that no part of one escapes the change. For answers that can be recovered the test now also checks that one was changed.

--- a/internal/entry/tamper_test.go
+++ b/internal/entry/tamper_test.go
@@ -21,11 +21,25 @@
 	payload []byte
 }
 
-// frameTamperer is a proxy between entries and one agent. It changes the frames of the first complete answer.
+// frameTamperer is a proxy between entries and one agent. It changes the frames of complete answers, whichever call
+// they arrive on: an entry that got no answer from one call makes another for it. An answer that arrives incomplete is not
+// forwarded, so that no part of it escapes the change.
 type frameTamperer struct {
 	agentAddress string
 	change       func([]rawFrame) []rawFrame
-	done         atomic.Bool
+	// everyAnswer is set if all complete answers are changed. Otherwise only the first one is.
+	everyAnswer bool
+	// cutsFirst is set if the first call of frame.RunPath that the agent accepts is cut before anything of its answer is forwarded.
+	cutsFirst bool
+	cut       atomic.Bool
+	changed   atomic.Bool
+}
+
+// newFrameTamperer routes the calls to the fleet's first agent through a proxy that applies the tampering with this name.
+func (f *testFleet) newFrameTamperer(name, kind string) *frameTamperer {
+	p := &frameTamperer{agentAddress: f.agents[0].Address(), change: tamperings[name], everyAnswer: corruptsAnswer(name, kind)}
+	f.agentProxies[0].target.Store(trimScheme(serve(f.t, p)))
+	return p
 }
 
 // ServeHTTP forwards a call and its answer.
@@ -40,15 +54,17 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	w.WriteHeader(resp.StatusCode)
-	if r.URL.Path != frame.RunPath || p.done.Load() {
-		_, _ = io.Copy(w, resp.Body)
-		return
+	if p.cutsFirst && r.URL.Path == frame.RunPath && p.cut.CompareAndSwap(false, true) {
+		panic(http.ErrAbortHandler)
 	}
+	w.WriteHeader(resp.StatusCode)
 	_ = http.NewResponseController(w).Flush()
 	frames := readFrames(resp.Body, func() { _ = frame.Write(w, frame.TypeHeartbeat, nil); _ = http.NewResponseController(w).Flush() })
-	if indexOfKind(frames, frame.TypeEnd) >= 0 {
-		p.done.Store(true)
+	complete := indexOfKind(frames, frame.TypeEnd) >= 0
+	if !complete && indexOfKind(frames, frame.TypeFail) < 0 {
+		panic(http.ErrAbortHandler)
+	}
+	if complete && (!p.changed.Swap(true) || p.everyAnswer) {
 		frames = p.change(frames)
 	}
 	for _, f := range frames {
@@ -160,24 +176,28 @@
 	return tampering == "data doubled" || tampering == "data garbled" || (tampering == "data left out" && kind == "stream")
 }
 
+// tamperedRequests returns the requests whose answers are tampered with, by kind.
+func tamperedRequests() map[string]testRequest {
+	return map[string]testRequest{"stream": generateRequest("matched", 12, true), "whole": generateRequest("matched", 12, false), "book": bookingRequest("k", "once")}
+}
+
 // TestTamperedAnswersAreDetected changes the frames of an answer between agent and entry. No data of another answer
 // may be forwarded, and no incomplete answer may end cleanly. An answer that can be recovered must arrive complete.
 func TestTamperedAnswersAreDetected(t *testing.T) {
 	t.Parallel()
 	b := newBatch(t)
-	for name, change := range tamperings {
-		for kind, q := range map[string]testRequest{"stream": generateRequest("matched", 12, true), "whole": generateRequest("matched", 12, false), "book": bookingRequest("k", "once")} {
+	for name := range tamperings {
+		for kind, q := range tamperedRequests() {
 			b.run(name+"/"+kind, func(t *testing.T) {
 				fleet := newTestFleet(t, 1, 1)
-				fleet.agentProxies[0].target.Store(trimScheme(serve(t, &frameTamperer{agentAddress: fleet.agents[0].Address(), change: change})))
+				tamperer := fleet.newFrameTamperer(name, kind)
 				o := fleet.send(context.Background(), 0, q)
 				if corruptsAnswer(name, kind) {
-					assert.False(t, o.complete, "%v", o)
-					assert.False(t, o.cleanEnd && o.problem == nil, "%v", o)
-					assert.NotEqual(t, "not run", o.runStatus())
+					assertCorruptionDetected(t, o)
 					return
 				}
 				assert.True(t, o.complete, "%v", o)
+				assert.True(t, tamperer.changed.Load(), "no answer was changed")
 				fleet.checkOutcomes(map[string]outcome{"": o}, map[string]testRequest{"": q})
 			})
 		}
@@ -185,6 +205,37 @@
 	b.wait()
 }
 
+// TestTamperedAnswerOfAnotherCallIsDetected guards against a corrupt answer that is taken for right because it arrived on the call that an
+// entry makes after its first one was cut.
+func TestTamperedAnswerOfAnotherCallIsDetected(t *testing.T) {
+	t.Parallel()
+	b := newBatch(t)
+	for name := range tamperings {
+		for kind, q := range tamperedRequests() {
+			if !corruptsAnswer(name, kind) {
+				continue
+			}
+			b.run(name+"/"+kind, func(t *testing.T) {
+				fleet := newTestFleet(t, 1, 1)
+				tamperer := fleet.newFrameTamperer(name, kind)
+				tamperer.cutsFirst = true
+				o := fleet.send(context.Background(), 0, q)
+				assert.True(t, tamperer.cut.Load() && tamperer.changed.Load(), "no answer of another call was changed: %v", o)
+				assertCorruptionDetected(t, o)
+			})
+		}
+	}
+	b.wait()
+}
+
+// assertCorruptionDetected checks that an answer that was corrupted beyond recovery did not end cleanly.
+func assertCorruptionDetected(t *testing.T, o outcome) {
+	t.Helper()
+	assert.False(t, o.complete, "%v", o)
+	assert.False(t, o.cleanEnd && o.problem == nil, "%v", o)
+	assert.NotEqual(t, "not run", o.runStatus())
+}
+
 // runStatus returns the run status of a refusal, or "" if the request was not refused.
 func (o outcome) runStatus() string {
 	if o.problem == nil {
