claims: a claim whose time limit ended is tried once more within its caller's deadline

What callers saw: 503 with 3001, "not run", after 2 s, for a keyed call whose deadline was 6 to 60 s, though the platform answered again a moment later, or had answered already (TestKeysOutsideRetentionAreRefused, TestNewOwnerReadsTheRecordsOfEarlierOwners and TestUnresponsiveOwnerIsBypassed beside load).

Cause: ClaimTimeout (2 s), OwnerTimeout (1 s) and PlatformTimeout (2 s) count wall time, whoever uses it: one call that is lost, a slow platform, or this process, whose answers then lie unread. At their end the claim was given up, also when its record had been written.

Change: a reply now says whether the claim is not recorded because a time limit ended (TimedOut) or because it was refused. In the first case a second try follows after 1 s if the caller's deadline leaves more time than the try may take (claim.TryAgain). It is of the same request, so it finds what the first one recorded. A record that the first try left as released doesn't refuse it (Claim.Try, Record.Try); a settlement that ends the request closes the record for later tries, so a late copy of one is not granted. A second try waits until the platform may be called again. What the platform refuses (429, 503), a refused connection, and claims that arrive while the platform is unavailable are refused at once as before.

Why it holds: the second try goes through the same conditional write of the head as a resend through another owner did before; the histories of TestNoKeyRunsTwiceInRandomHistories now contain later tries.

What it costs: while the platform hangs, a claim that was already waiting is refused after at most 5 s and not 2 s. Not helped: a claim at another owner whose platform call hangs, since that owner waits 1 s a try and its own call 2 s.

--- a/internal/claims/load.go
+++ b/internal/claims/load.go
@@ -30,7 +30,7 @@
 	loaded, err := p.readPartition(ctx, e.KnownSegments)
 	if err != nil {
 		p.logFailure(err, "read")
-		p.handle(claim.LoadFailed{})
+		p.handle(claim.LoadFailed{TimedOut: timedOut(err)})
 		return
 	}
 	p.handle(loaded)
--- a/internal/claims/partition.go
+++ b/internal/claims/partition.go
@@ -120,7 +120,7 @@
 		if err := p.writeSegment(ctx, segment); err != nil {
 			// The head was not written, whether or not the segment was.
 			p.logFailure(err, "write")
-			return claim.Refused{RetryAfter: retryAfter(err)}
+			return claim.Refused{RetryAfter: retryAfter(err), TimedOut: timedOut(err)}
 		}
 	}
 	value, err := json.Marshal(e.Head)
@@ -162,6 +162,9 @@
 	return false
 }
 
+// timedOut reports whether a call to the platform ended because no answer came in time.
+func timedOut(err error) bool { return errors.Is(err, context.DeadlineExceeded) }
+
 // retryAfter returns the Retry-After delay in the platform's refusal, or 0 if there is none.
 func retryAfter(err error) time.Duration {
 	var refused *objectapi.RejectedError
--- a/internal/claims/service.go
+++ b/internal/claims/service.go
@@ -66,25 +66,59 @@
 	Verdict claim.Verdict `json:"verdict"`
 	// RetryAfterMS is the delay after which the caller may repeat its request, in milliseconds.
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+	// TimedOut is set if the claim is not recorded because a time limit ended, see claim.Reply.
+	TimedOut bool `json:"timed_out,omitempty"`
 	// StoredResponse is the stored response to replay; nil unless the verdict is Replayed.
 	StoredResponse *claim.StoredResponse `json:"kept,omitempty"`
 }
 
 // Claim claims a key. Unless the verdict is Granted, the call must not be sent, neither then nor later.
 func (s *Service) Claim(ctx context.Context, c claim.Claim) Result {
+	deadline := time.Now().Add(time.Duration(c.RunTimeoutMS) * time.Millisecond)
+	a := s.tryClaim(ctx, c)
+	for s.pauseBeforeTry(ctx, c, a, deadline) {
+		c.Try++
+		c.RunTimeoutMS = time.Until(deadline).Milliseconds()
+		earlier := a.Verdict
+		a = s.tryClaim(ctx, c)
+		if earlier == claim.MaybeRecorded && a.Verdict == claim.NotRecorded {
+			a.Verdict = claim.MaybeRecorded
+		}
+	}
+	if a.Verdict == claim.MaybeRecorded {
+		s.Settle(claim.Settlement{Key: c.Key, RequestID: c.RequestID, KeyTime: c.KeyTime, Status: claim.Released})
+	}
+	return a
+}
+
+// tryClaim makes one try to record a claim, which may take Timing.ClaimTimeout.
+func (s *Service) tryClaim(ctx context.Context, c claim.Claim) Result {
 	// A caller that disconnects must not cancel the call to an owner: that would close the connection, which other claims share.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.config.Timing.ClaimTimeout)
 	defer cancel()
 	a := s.claimFromOwners(ctx, c)
 	if a.Verdict == claim.Granted && ctx.Err() != nil {
-		a = Result{Verdict: claim.MaybeRecorded}
-	}
-	if a.Verdict == claim.MaybeRecorded {
-		s.Settle(claim.Settlement{Key: c.Key, RequestID: c.RequestID, KeyTime: c.KeyTime, Status: claim.Released})
+		return givenUp()
 	}
 	return a
 }
 
+// givenUp returns the result of a claim whose time limit has ended.
+func givenUp() Result {
+	return Result{Verdict: claim.MaybeRecorded, RetryAfterMS: claim.MinRetryAfter.Milliseconds(), TimedOut: true}
+}
+
+// pauseBeforeTry waits before another try of a claim whose call must end at deadline. It reports false if no other try is to be made.
+func (s *Service) pauseBeforeTry(ctx context.Context, c claim.Claim, a Result, deadline time.Time) bool {
+	pause := max(claim.MinRetryAfter, time.Duration(a.RetryAfterMS)*time.Millisecond)
+	left := time.Until(deadline) - pause
+	if !claim.TryAgain(claim.Failure{Verdict: a.Verdict, TimedOut: a.TimedOut, Try: c.Try}, left, s.config.Timing.ClaimTimeout) {
+		return false
+	}
+	sleep(ctx, pause)
+	return ctx.Err() == nil
+}
+
 // claimFromOwners sends the claim to the partition's owner and, if that does not answer, to the owners after it. An
 // owner that did not answer may have recorded the claim. The next owner then finds the request's own id in the key's record.
 func (s *Service) claimFromOwners(ctx context.Context, c claim.Claim) Result {
@@ -103,7 +137,7 @@
 		}
 		return a
 	}
-	return Result{Verdict: claim.MaybeRecorded, RetryAfterMS: claim.MinRetryAfter.Milliseconds()}
+	return givenUp()
 }
 
 // dialFailed reports whether no connection was made, so that the call certainly had no effect.
@@ -172,9 +206,9 @@
 	p := s.partitions[c.Key.Partition()]
 	e, ok := p.submit(ctx, func(op uint64) event { return claim.ClaimRequested{Op: op, Claim: c, Deadline: deadline} })
 	if !ok {
-		return Result{Verdict: claim.MaybeRecorded}
+		return givenUp()
 	}
-	a := Result{Verdict: e.Verdict, RetryAfterMS: e.RetryAfter.Milliseconds(), StoredResponse: e.Answer}
+	a := Result{Verdict: e.Verdict, RetryAfterMS: e.RetryAfter.Milliseconds(), TimedOut: e.TimedOut, StoredResponse: e.Answer}
 	if e.Verdict == claim.Replayed && a.StoredResponse == nil {
 		a = s.readStoredAnswer(ctx, c.Key, e.AnswersName)
 	}
--- a/internal/core/claim/claim.go
+++ b/internal/core/claim/claim.go
@@ -47,6 +47,8 @@
 	ClaimedAt int64 `json:"m"`
 	// Deadline is the deadline of the call, in Unix milliseconds.
 	Deadline int64 `json:"u,omitempty"`
+	// Try is the latest try that the record is of, see Claim.Try. It is MaxTries once the request has ended.
+	Try int `json:"y,omitempty"`
 	// Answer is the stored response while the record is in the head.
 	Answer *StoredResponse `json:"a,omitempty"`
 	// AnswersName names the AnswerSegment object that holds the stored response of a sealed record.
@@ -68,6 +70,8 @@
 	KeyTime     int64  `json:"key_time,omitempty"`
 	// RunTimeoutMS is the longest time that the call may take, in milliseconds.
 	RunTimeoutMS int64 `json:"run_for_ms"`
+	// Try is the number of earlier tries of this request to record the claim.
+	Try int `json:"try,omitempty"`
 }
 
 // Settlement reports how the call of a claimed key ended.
--- a/internal/core/claim/commit.go
+++ b/internal/core/claim/commit.go
@@ -66,10 +66,10 @@
 			return 0, false
 		}
 		if c, ok := s.nextChanges[o.claim.Key]; ok && c.RequestID == o.claim.RequestID && c.Status == Claimed {
-			c.Status = Released
+			c.Status, c.Try = Released, o.claim.Try
 			s.nextChanges[o.claim.Key] = c
 		}
-		return o.failureVerdict(), true
+		return o.expiredVerdict(), true
 	})
 }
 
@@ -114,6 +114,7 @@
 			return NotRecorded, true
 		case !r.now.Before(o.deadline):
 			// The claim is recorded, but the asking process no longer waits for it: the grant must not be used.
+			o.timedOut = true
 			return MaybeRecorded, true
 		}
 		return Granted, true
@@ -186,23 +187,26 @@
 func (r *reduction) commitRefused(ev Refused) {
 	r.resetBatch()
 	r.s.phase = ready
-	r.backOff(ev.RetryAfter)
+	r.backOff(ev.RetryAfter, ev.TimedOut)
 }
 
 // loadFailed rejects all pending claims. The head must be read before anything else can be decided.
-func (r *reduction) loadFailed() {
+func (r *reduction) loadFailed(ev LoadFailed) {
 	if r.s.phase != loading {
 		return
 	}
 	r.s.phase = notLoaded
-	r.backOff(0)
+	r.backOff(0, ev.TimedOut)
 }
 
 // backOff makes no calls to the platform for the given time, or MinRetryAfter if that is longer, and rejects all
-// pending claims.
-func (r *reduction) backOff(after time.Duration) {
+// pending claims. timedOut is set if the platform gave no answer in time.
+func (r *reduction) backOff(after time.Duration, timedOut bool) {
 	r.s.platformDownUntil = r.now.Add(max(after, MinRetryAfter))
-	r.finishOps(func(o *op) (Verdict, bool) { return o.failureVerdict(), o.claim != nil })
+	r.finishOps(func(o *op) (Verdict, bool) {
+		o.timedOut = timedOut
+		return o.failureVerdict(), o.claim != nil
+	})
 }
 
 // loaded adds the records of the head and the segments that the platform returned to the durable records.
--- a/internal/core/claim/decide.go
+++ b/internal/core/claim/decide.go
@@ -44,7 +44,7 @@
 	case r == nil:
 		return grant(c, f)
 	case r.RequestID == c.RequestID:
-		return decideOwnClaim(r)
+		return decideOwnClaim(c, f)
 	case r.Status == Released:
 		return grant(c, f)
 	case r.Fingerprint != noFingerprint && r.Fingerprint != c.Fingerprint:
@@ -72,16 +72,20 @@
 	}
 	return decision{verdict: Granted, record: &Record{
 		Key: c.Key, RequestID: c.RequestID, Status: Claimed, Fingerprint: c.Fingerprint,
-		KeyTime: c.KeyTime, ClaimedAt: f.now, Deadline: f.now + c.RunTimeoutMS,
+		KeyTime: c.KeyTime, ClaimedAt: f.now, Deadline: f.now + c.RunTimeoutMS, Try: c.Try,
 	}}
 }
 
 // decideOwnClaim decides a claim of a key that the same request holds, for example because the reply to its first
 // claim was lost.
-func decideOwnClaim(r *Record) decision {
+func decideOwnClaim(c Claim, f decisionInput) decision {
+	r := f.current
 	if r.Status == Claimed {
 		return decision{verdict: Granted, final: true}
 	}
+	if r.Status == Released && c.Try > r.Try {
+		return grant(c, f) // An earlier try was given up before it was written.
+	}
 	// The request has released the claim or has ended. This is a late duplicate, which must not permit a run.
 	return decision{verdict: NotRecorded, final: true}
 }
@@ -116,12 +120,16 @@
 	if r.Status == Claimed || (r.Status == Unknown && t.Status == Ran) {
 		return decision{verdict: Settled, record: applySettlement(*r, t)}
 	}
+	if r.Status == Released && t.Status == Released && r.Try < MaxTries {
+		return decision{verdict: Settled, record: applySettlement(*r, t)} // No later try may be granted.
+	}
 	return done
 }
 
 // applySettlement returns r with the outcome of t.
 func applySettlement(r Record, t Settlement) *Record {
 	r.Status = t.Status
+	r.Try = MaxTries
 	r.Answer = nil
 	if t.Status == Ran {
 		r.Answer = t.Answer
--- a/internal/core/claim/event.go
+++ b/internal/core/claim/event.go
@@ -28,8 +28,9 @@
 	Segments map[string][]Record
 }
 
-// LoadFailed is the event that the head or a segment could not be read.
-type LoadFailed struct{}
+// LoadFailed is the event that the head or a segment could not be read. TimedOut is set if no answer came in time, so that the platform
+// refused nothing.
+type LoadFailed struct{ TimedOut bool }
 
 // Committed is the event that the head was written and now has Version.
 type Committed struct{ Version uint64 }
@@ -37,8 +38,12 @@
 // Conflicted is the event that the head had another version, so that nothing was written.
 type Conflicted struct{}
 
-// Refused is the event that the platform refused the write, so that the head was not written.
-type Refused struct{ RetryAfter time.Duration }
+// Refused is the event that the head was not written: the platform refused it, or a write before it failed. TimedOut is as for
+// LoadFailed.
+type Refused struct {
+	RetryAfter time.Duration
+	TimedOut   bool
+}
 
 // Uncertain is the event that the write may have taken effect, or may still take effect.
 type Uncertain struct{}
@@ -94,6 +99,8 @@
 	Op         uint64
 	Verdict    Verdict
 	RetryAfter time.Duration
+	// TimedOut is set if the claim is not recorded because a time limit ended, and not because the platform or this process refused it.
+	TimedOut bool
 	// Answer is the stored response of a replay, unless AnswersName names the AnswerSegment to read it from.
 	Answer      *StoredResponse
 	AnswersName string
--- a/internal/core/claim/partition.go
+++ b/internal/core/claim/partition.go
@@ -42,6 +42,8 @@
 	stage      stage
 	// maybeRecorded is set if a write with this claim may have taken effect, or may still take effect.
 	maybeRecorded bool
+	// timedOut is set if the claim is given up because a time limit ended.
+	timedOut bool
 }
 
 // State is what one process knows of one partition.
@@ -106,7 +108,7 @@
 	case Loaded:
 		r.loaded(ev)
 	case LoadFailed:
-		r.loadFailed()
+		r.loadFailed(ev)
 	case Committed:
 		r.committed(ev)
 	case Conflicted, Uncertain, Refused:
@@ -127,11 +129,12 @@
 
 func (r *reduction) emit(e step.Effect) { r.effects = append(r.effects, e) }
 
-// accept queues a claim or settlement. It rejects it immediately if the queue is full, and a claim also while the
-// platform is unavailable, since it would most likely pass its deadline in the queue.
+// accept queues a claim or settlement. It rejects it immediately if the queue is full, and the first try of a claim also while the
+// platform is unavailable, since it would most likely pass its deadline in the queue. A further try follows a call that was not
+// answered, so it waits until the platform may be called again.
 func (r *reduction) accept(o *op) {
 	s := r.s
-	if len(s.ops) >= s.config.MaxPending || (o.claim != nil && r.platformUnavailable()) {
+	if len(s.ops) >= s.config.MaxPending || (o.claim != nil && o.claim.Try == 0 && r.platformUnavailable()) {
 		r.emit(Reply{Op: o.id, Verdict: NotRecorded, RetryAfter: r.retryAfter()})
 		return
 	}
@@ -177,7 +180,7 @@
 		if o.stage != waiting || r.now.Before(o.deadline) {
 			return 0, false
 		}
-		return o.failureVerdict(), true
+		return o.expiredVerdict(), true
 	})
 }
 
@@ -189,6 +192,12 @@
 	return NotRecorded
 }
 
+// expiredVerdict returns the verdict on an operation that is given up because its deadline has passed.
+func (o *op) expiredVerdict() Verdict {
+	o.timedOut = true
+	return o.failureVerdict()
+}
+
 // finishOps removes the operations for which f returns true and replies to them with f's verdict.
 func (r *reduction) finishOps(f func(*op) (Verdict, bool)) {
 	kept := r.s.ops[:0]
@@ -205,7 +214,7 @@
 }
 
 func (r *reduction) newReply(o *op, d decision) Reply {
-	a := Reply{Op: o.id, Verdict: d.verdict}
+	a := Reply{Op: o.id, Verdict: d.verdict, TimedOut: o.timedOut}
 	switch d.verdict {
 	case NotRecorded, MaybeRecorded, StillRunning:
 		a.RetryAfter = r.retryAfter()
--- a/internal/core/claim/simulation_test.go
+++ b/internal/core/claim/simulation_test.go
@@ -43,7 +43,9 @@
 	key         int
 	fingerprint uint64
 	attempts    int
-	granted     bool
+	// try is the number of the latest try to record its claim.
+	try     int
+	granted bool
 	// ended is set when the entry no longer uses a grant.
 	ended bool
 	// outcome is the status that the entry settles the claim with; 0 until it is known.
@@ -174,7 +176,7 @@
 	req.attempts++
 	o.ops[sim.opCount] = req
 	k := sim.keys[req.key]
-	c := claim.Claim{Key: k.key, RequestID: req.id, Fingerprint: req.fingerprint, KeyTime: k.time, RunTimeoutMS: 2000}
+	c := claim.Claim{Key: k.key, RequestID: req.id, Fingerprint: req.fingerprint, KeyTime: k.time, RunTimeoutMS: 2000, Try: req.try}
 	sim.step(t, o, claim.ClaimRequested{Op: sim.opCount, Claim: c, Deadline: sim.now.Add(o.skew + within)})
 }
 
@@ -300,6 +302,7 @@
 		"ask elsewhere": func(t *rapid.T) {
 			for _, req := range sim.requests {
 				if !req.granted && !req.ended && req.attempts < 3 && rapid.Bool().Draw(t, "this") {
+					req.try = max(req.try, rapid.IntRange(0, claim.MaxTries-1).Draw(t, "try"))
 					sim.sendClaim(t, pick(t), req, time.Second)
 					return
 				}
--- a/internal/entry/claim_test.go
+++ b/internal/entry/claim_test.go
@@ -17,6 +17,7 @@
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
+	"samphireweir.example/samphireweir/internal/claims"
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core/claim"
 	"samphireweir.example/samphireweir/internal/standin/plain"
@@ -213,6 +214,19 @@
 	}
 }
 
+// TestShortPlatformStallIsWaitedOut guards against a keyed call that is refused because the platform did not answer for a moment, although
+// its caller waits long enough for another try.
+func TestShortPlatformStallIsWaitedOut(t *testing.T) {
+	t.Parallel()
+	fleet := newTestFleet(t, 1, 1)
+	key := newKey()
+	fleet.setFaults(fleet.objectAPI, `{"hang":true}`)
+	fleet.afterDelay(claims.DefaultClaimTimeout+claim.MinRetryAfter/2, func() { fleet.setFaults(fleet.objectAPI, `{"hang":false}`) })
+	got := fleet.sendBooking(0, key, "/book", "panel 7")
+	require.Equal(t, http.StatusOK, got.status, "%+v", got)
+	require.Equal(t, 1, fleet.runsByKey()[key])
+}
+
 // TestUnpreparedEntrySaysWhenToReturn guards against a refusal without a Retry-After header by an entry that has not read the settings yet.
 func TestUnpreparedEntrySaysWhenToReturn(t *testing.T) {
 	t.Parallel()
