core/forward: the only upstream is used while it answers others

Cause: a silent or unsent attempt makes its upstream be avoided, if there is another one or not. The pause of an upstream that answers others is short, but each further silence begins it again, so that silences in a row refuse everybody.

Evidence: the reducer alone, no timing. TestOnlyUpstreamIsUsedWhileItAnswersOthers failed before at its first arrival: "61 2002 not run no upstream of desk is usable: 1 registered, ... 1 avoided after failures", and passes now.

Change: if no other upstream is usable, one that is avoided since it left a request unanswered is used, provided that it has sent the head of an answer within the time for which the request would wait for its own. A dead or hung upstream has been silent for longer, so callers are still refused at once there (TestOnlyUpstreamThatAnswersNothingIsAvoided). One that fails, declines or breaks off its requests is avoided as before (TestOnlyUpstreamThatFailsIsAvoided), and while another upstream is usable nothing changes (TestUnansweredUpstreamIsUsedOnlyWithoutAnother). These three hold before and after.

What remains: why a living upstream counts as silent (the entry's own wait for memory and processor time).

go test ./internal/core/...: 22 packages ok.

--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -44,6 +44,8 @@
 	failures       int
 	avoidUntil     time.Time
 	avoidDuration  time.Duration
+	// unanswered is set if the last attempt that says something about the upstream's health got no answer there; see answersOthers.
+	unanswered bool
 	// headAt is when the upstream last sent the head of an answer.
 	headAt time.Time
 	// foundDownAt is when this entry last found that the upstream is down; see foundDown.
@@ -74,12 +76,14 @@
 
 // recordOutcome updates the health of the upstream at the end of an attempt.
 func (l *loadState) recordOutcome(now time.Time, o Outcome) {
+	if o == Withdrawn || o == Unsent {
+		return // The outcome says nothing about the upstream.
+	}
+	l.unanswered = o == Silent || o == NotSent
 	switch o {
 	case Answered:
 		l.failures, l.avoidDuration = 0, 0
 		return
-	case Withdrawn, Unsent:
-		return // The outcome says nothing about the upstream.
 	case Silent:
 		if now.Sub(l.headAt) < aliveWindow {
 			// The upstream answers other requests: it is slow, and gets a pause that does not grow.
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -46,13 +46,18 @@
 // expected. The other kinds are used only in these cases:
 //
 //   - An engine whose version is about to expire: if no current engine with the required version has capacity; see minVersionIfFull.
+//
 //   - An engine without a load report: if the current ones are full or unusable. While they are full, there is a pause after an
 //     engine without a report declined a request or was slow to its first event: the whole fleet is then likely to be full; see
 //     maySendUnreported.
+//
 //   - An engine whose report is stale: if every current upstream is unusable, and no unreported one is used. If current upstreams are
 //     merely full, the request waits for these: it is answered sooner than at a frozen host. A stale engine that is full itself gets
 //     no request either; the request then waits.
 //
+//   - An upstream that is avoided since it left a request unanswered, but answers others: if no upstream of the kinds above is usable,
+//     except for a stale one. A caller that waits is better off than one that is refused.
+//
 // Unreported and stale engines are not used if at least minReports engines have a valid report and every current upstream is unusable.
 func (s *State) pick(in step.Input, r *request) (*catalog.Upstream, availability) {
 	p := s.samples(in, r)
@@ -60,9 +65,11 @@
 	case p.current.availability < available && p.withExpiringVersion.availability == available:
 		return p.withExpiringVersion.best(in.Now, r)
 	case p.current.availability == unavailable && p.reports >= minReports:
-		return nil, unavailable
+		return p.lastResort.best(in.Now, r)
 	case p.current.availability < available && p.unreported.availability > unavailable && s.maySendUnreported(in.Now, &p.current):
 		return p.unreported.best(in.Now, r)
+	case p.current.availability == unavailable && p.lastResort.availability > unavailable:
+		return p.lastResort.best(in.Now, r)
 	case p.current.availability == unavailable:
 		return p.stale.best(in.Now, r)
 	}
@@ -78,6 +85,8 @@
 	// withExpiringVersion is the sample of the engines whose version the request may start on only for a short time; see
 	// minVersionIfFull.
 	withExpiringVersion sample
+	// lastResort is the sample of the upstreams that are avoided since they left a request unanswered, but answer others.
+	lastResort sample
 	// reports counts the upstreams with a valid load report, whatever it says, among those that were examined.
 	reports int
 }
@@ -85,7 +94,7 @@
 // samples examines the upstreams that a request may go to, the nearest first. It stops at the distance from which on no upstream can
 // change the choice.
 func (s *State) samples(in step.Input, r *request) samples {
-	p := samples{current: s.newSample(), stale: s.newSample(), unreported: s.newSample(), withExpiringVersion: s.newSample()}
+	p := samples{current: s.newSample(), stale: s.newSample(), unreported: s.newSample(), withExpiringVersion: s.newSample(), lastResort: s.newSample()}
 	required, ifFull := s.requiredVersion(in.Now, r.model), s.minVersionIfFull(in.Now, r)
 	wait := s.maxWait(r)
 	for _, v := range s.viewsFor(in.Now, r) {
@@ -100,6 +109,8 @@
 			p.sampleFor(v, in.Now).consider(in, v, r)
 		case ifFull < required && !v.stale(in.Now) && v.usable(in.Now, r, ifFull):
 			p.withExpiringVersion.consider(in, v, r)
+		case v.usableAsLastResort(in.Now, r, required):
+			p.lastResort.consider(in, v, r)
 		case v.reloading(in.Now, r) || v.backoffEndsWithin(in.Now, wait):
 			p.current.availability = max(p.current.availability, full)
 		}
