core/install: one failed reading is no loss of an engine's weights

Callers could see: refusals, since an engine was reported without weights while it held and served them; requests that broke there within 1.5 s before counted as its crash.

Cause: a reading that ran out of time while the agent was frozen, or had no processor time, ends as failed, and the engine's state was cleared as soon as its last good reading was more than 0.8 s ago. That time is the agent's own.

Evidence: the reducer alone. TestOneFailedReadingIsNoLossOfWeights failed before (expected map m:1, actual map empty) and passes now.

Change: two readings in a row must have failed as well. A hung or dead engine counts as down as soon as before, since its readings fail every 0.1 to 0.5 s (TestHungEngineCountsAsDownWithinASecond holds before and after).

go test ./internal/core/install ./internal/hostagent: ok, once each.

--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -38,6 +38,9 @@
 	// engineTimeout is how long an engine may fail to answer before it counts as down. It spans several readings, which are made every
 	// 100 ms.
 	engineTimeout = 800 * time.Millisecond
+	// minFailedReads is the number of readings in a row that must have failed by then. A reading takes at most 400 ms, so two of a hung
+	// engine fail within engineTimeout and one interval.
+	minFailedReads = 2
 )
 
 // Phase is the progress of a version on this host, or the progress of the engine with a model. These have separate sets of constants,
@@ -262,8 +265,9 @@
 	models map[string]*model
 	peers  []string
 	engine EngineRead
-	// readAt is when the engine last answered.
-	readAt time.Time
+	// readAt is when the engine last answered, and failedReads counts the readings that have failed since.
+	readAt      time.Time
+	failedReads int
 	// startedAt is the start time of the engine's present instance as last read; see EngineRead. instanceSince is when that
 	// instance was first read. A check of staged chunks that began before it may have read chunks of an earlier instance.
 	startedAt     int64
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -125,7 +125,7 @@
 // engineRead stores a reading. A restarted engine holds no weights, and any load started on its previous instance is abandoned.
 func (s *State) engineRead(in step.Input, ev EngineRead) []step.Effect {
 	restarted := s.startedAt > 0 && ev.StartedAt > 0 && ev.StartedAt != s.startedAt
-	s.engine, s.readAt = ev, in.Now
+	s.engine, s.readAt, s.failedReads = ev, in.Now, 0
 	if ev.StartedAt > 0 {
 		s.startedAt = ev.StartedAt // It is earlier than the last one if the host's clock was set back.
 	}
@@ -147,9 +147,11 @@
 	return effects
 }
 
-// engineFailed clears the engine's state when it hasn't answered for engineTimeout: it may come back without weights.
+// engineFailed clears the engine's state when it hasn't answered for engineTimeout: it may come back without weights. One failed reading is
+// not enough, since it may have run out of time while this process did not run.
 func (s *State) engineFailed(now time.Time) {
-	if now.Sub(s.readAt) > engineTimeout {
+	s.failedReads++
+	if now.Sub(s.readAt) > engineTimeout && s.failedReads >= minFailedReads {
 		s.engine = EngineRead{}
 	}
 }
