core: fewer requests in flight while an entry is late by its own work

Cause: an entry whose own work takes its processors is late for all its requests, and nothing made it accept fewer. Change: package core/selflimit, used by core/request and core/forward. The event OwnDelay reports each second; late by own work the limit on new requests shrinks by a fifth a second down to 16, every other second it grows by a quarter until it no longer binds. Late by others' work or a suspension never refuses. Retries, resumes and continuations are not limited. A request whose remaining time is below the delay is not refused for it: the delay of the last second does not tell the next one's.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -16,6 +16,7 @@
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/quarantine"
 	"samphireweir.example/samphireweir/internal/core/residency"
+	"samphireweir.example/samphireweir/internal/core/selflimit"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/hostconfig"
 )
@@ -323,6 +324,8 @@
 	// last load report. recentEntries is the maximum of the recent estimates.
 	estimatedEntries int
 	recentEntries    recentMax
+	// ownWork limits the requests in flight while this process is late by its own work.
+	ownWork selflimit.Limit
 	// stopping is set once this process is shutting down.
 	stopping bool
 	// overdue are the states of the upstreams that had overdue requests at the last tick, and forgotAt is when forget last ran.
@@ -363,6 +366,8 @@
 		return s.answerHeadReceived(in, ev)
 	case ShutdownStarted:
 		s.stopping = true
+	case selflimit.OwnDelay:
+		s.ownWork.Measured(ev, len(s.requests))
 	case step.Tick:
 		s.forget(in.Now)
 		s.countOverdue(in.Now)
@@ -375,3 +380,6 @@
 
 // InFlight returns the number of requests in flight.
 func (s *State) InFlight() int { return len(s.requests) }
+
+// MaxInFlight returns the maximum number of requests in flight while this process is late by its own work; 0 for no maximum.
+func (s *State) MaxInFlight() int { return s.ownWork.Max() }
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -55,6 +55,9 @@
 		return refuseArrival(ev.ID, code.Overloaded, fmt.Sprintf("the deadline passed while its body was read, which took %v", ev.BodyReadTime), s.retryAfter(in))
 	}
 	r.returning = s.callerTimeouts.returning(in.Now, r, ev.Budget)
+	if !s.ownWork.Admit(len(s.requests)) {
+		return s.refuseForOwnWork(in, r)
+	}
 	s.requests[r.id] = r
 	s.retryBudget(r.service).addRequest(in.Now)
 	effects := []step.Effect{Accepted{ID: r.id, Route: r.route, Deadline: r.deadline}}
@@ -277,6 +280,12 @@
 	return s.serveQueue(in, r.service)
 }
 
+// refuseForOwnWork refuses a new request because this process is late by its own work; see package selflimit.
+func (s *State) refuseForOwnWork(in step.Input, r *request) []step.Effect {
+	why := fmt.Sprintf("this process is late by its own work: %d requests in flight, at most %d", len(s.requests), s.ownWork.Max())
+	return []step.Effect{Refuse{ID: r.id, Code: code.Overloaded, Ran: code.NotRun, Reason: why, RetryAfter: s.retryAfter(in), Returning: r.returning}}
+}
+
 // refuseArrival refuses a request that was not accepted, so that no state of it exists. Nothing of it was sent.
 func refuseArrival(id uint64, c code.Code, why string, after time.Duration) []step.Effect {
 	return []step.Effect{Refuse{ID: id, Code: c, Ran: code.NotRun, Reason: why, RetryAfter: after}}
--- a/internal/core/request/attempt.go
+++ b/internal/core/request/attempt.go
@@ -215,6 +215,6 @@
 
 // abort settles a request whose answer has started and can't be completed.
 func (s *State) abort(r *Request, c code.Code) []step.Effect {
-	r.Phase = Settled
+	s.settle(r)
 	return []step.Effect{Abort{ID: r.ID, Code: c, Ran: r.Ran}}
 }
--- a/internal/core/request/reduce.go
+++ b/internal/core/request/reduce.go
@@ -7,6 +7,7 @@
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core/member"
 	"samphireweir.example/samphireweir/internal/core/routing"
+	"samphireweir.example/samphireweir/internal/core/selflimit"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/core/suspect"
 )
@@ -32,6 +33,8 @@
 		return s.ended(in, ev, directory, statuses)
 	case StopRequested:
 		s.stopping = true
+	case selflimit.OwnDelay:
+		s.ownWork.Measured(ev, s.inFlight())
 	case step.Tick:
 		return s.tick(in, directory, statuses)
 	}
@@ -43,6 +46,7 @@
 		ID: ev.ID, Team: ev.Team, Service: ev.Service, Deadline: ev.Deadline, Key: ev.Key, AtMostOnce: ev.AtMostOnce,
 		Fingerprint: ev.Fingerprint, Ran: code.NotRun, replayable: ev.Replayable, tried: map[string]bool{}, terms: ev.Terms,
 	}
+	others := s.inFlight()
 	s.Requests[r.ID] = r
 	if s.stopping {
 		return s.refuse(r, code.Stopping, code.NotRun, DefaultRetryAfter)
@@ -50,9 +54,26 @@
 	if refusal, quarantined := s.refuseQuarantined(in, r, statuses); quarantined {
 		return refusal
 	}
+	if !s.ownWork.Admit(others) {
+		return s.refuse(r, code.Overloaded, code.NotRun, s.gate(r.serviceKey()).RetryAfter())
+	}
 	return s.admit(in, r, directory, statuses)
 }
 
+// inFlight returns the number of requests that are not settled.
+func (s *State) inFlight() int { return len(s.Requests) - s.settled }
+
+// MaxInFlight returns the maximum number of requests in flight while this process is late by its own work; 0 for no maximum.
+func (s *State) MaxInFlight() int { return s.ownWork.Max() }
+
+// settle marks a request as settled. Only its Ended follows.
+func (s *State) settle(r *Request) {
+	if r.Phase != Settled {
+		s.settled++
+	}
+	r.Phase = Settled
+}
+
 func (s *State) claimSettled(in step.Input, ev ClaimSettled, directory Directory, statuses SuspectStatuses) []step.Effect {
 	r := s.Requests[ev.ID]
 	if r == nil || r.Phase != Claiming {
@@ -167,7 +188,7 @@
 
 // refuse settles a request of whose answer nothing was passed on.
 func (s *State) refuse(r *Request, c code.Code, ran code.Ran, after time.Duration) []step.Effect {
-	r.Phase = Settled
+	s.settle(r)
 	return []step.Effect{NewRefusal(r.ID, c, ran, after)}
 }
 
@@ -186,6 +207,9 @@
 		return nil
 	}
 	answered := r.Phase == Answering
+	if r.Phase == Settled {
+		s.settled--
+	}
 	s.release(in.Now, r)
 	if answered {
 		s.recordReport(in.Now, r, ev.Report)
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -14,6 +14,7 @@
 	"samphireweir.example/samphireweir/internal/core/admission"
 	"samphireweir.example/samphireweir/internal/core/member"
 	"samphireweir.example/samphireweir/internal/core/routing"
+	"samphireweir.example/samphireweir/internal/core/selflimit"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/core/suspect"
 )
@@ -133,6 +134,10 @@
 	budgets map[string]*admission.Budget
 	// sequence counts the attempts of all requests at this entry.
 	sequence uint64
+	// settled counts the requests in the phase Settled.
+	settled int
+	// ownWork limits the requests in flight while this process is late by its own work.
+	ownWork selflimit.Limit
 	// stopping is set when a graceful shutdown has started.
 	stopping bool
 }
