--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -17,6 +17,8 @@
 	PanicRecovered         ID = 1005
 	ServerError            ID = 1006
 	LinesDropped           ID = 1007
+	ProcessLate            ID = 1008
+	ProcessOnTime          ID = 1009
 	SettingInForce         ID = 2001
 	PlatformLost           ID = 2002
 	PlatformRecovered      ID = 2003
@@ -77,6 +79,8 @@
 	{PanicRecovered, "panic recovered", "A bug caused a panic, which was recovered and affects one request or message only; the field stack is the stack trace. Report it to the maintainers."},
 	{ServerError, "server error", "The HTTP library reported an error on a connection, such as a malformed request head or a failed handshake."},
 	{LinesDropped, "log lines dropped", "The process logged more lines than its rate limit allows, or the reader of the log was too slow; the field dropped counts the lines left out."},
+	{ProcessLate, "process late", "The process itself was late in the last second, by delay_ms: its timers fired late or its goroutines waited to run. late_from is when that second began, own_share the share of the processor time available to it that it used itself. A share of 0.7 or more means that its own work makes it late, and an entry accepts fewer requests; with a lower one it was suspended, or other processes used the processors."},
+	{ProcessOnTime, "process on time", "The process was not late for three seconds after it had been late from late_from until late_until (duration_ms), by up to max_delay_ms; own_share is as in 1008, over the late seconds together, delay_ms the delay of the last second."},
 	{SettingInForce, "setting in force", "A new revision of a setting came into force in this process."},
 	{PlatformLost, "platform lost", "The object API does not answer; the process keeps the settings in force."},
 	{PlatformRecovered, "platform recovered", "The object API answers again."},
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -75,6 +75,10 @@
 		"Revisions of settings that came into force in this process."}
 	panicsDefinition = Definition{"samphireweir_panics_total", CounterKind, []string{"where"},
 		"Panics that were recovered and affect one request or message only; report each to the maintainers."}
+	ownDelayDefinition = Definition{"samphireweir_own_delay_seconds", GaugeKind, nil,
+		"How late this process itself was in the last second: its timers fired late or its goroutines waited to run."}
+	lateReadsDefinition = Definition{"samphireweir_late_reads_total", CounterKind, nil,
+		"Reads of this process that were late: the data had already arrived when the time limit for it passed."}
 	goroutinesDefinition = Definition{"samphireweir_goroutines", GaugeKind, nil, "Goroutines of this process."}
 	memoryDefinition     = Definition{"samphireweir_memory_bytes", GaugeKind, []string{"kind"},
 		"Memory of this process: heap is the size of live objects, total what was obtained from the operating system."}
@@ -86,5 +90,5 @@
 	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, settingsDefinition,
-	panicsDefinition, storeRestoresDefinition, goroutinesDefinition, memoryDefinition,
+	panicsDefinition, storeRestoresDefinition, ownDelayDefinition, lateReadsDefinition, goroutinesDefinition, memoryDefinition,
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -23,6 +23,8 @@
 	Chunks, ChunkBytes, ChunksRefused         Counter
 	Loads, Settings, Panics                   Counter
 	StoreRestores                             Counter
+	OwnDelay                                  DurationGauge
+	LateReads                                 Counter
 
 	// exposed lists the metrics in the order in which Write writes them.
 	exposed []exposedMetric
@@ -55,6 +57,8 @@
 	m.Settings = m.counter(settingsDefinition)
 	m.Panics = m.counter(panicsDefinition)
 	m.StoreRestores = m.counter(storeRestoresDefinition)
+	m.OwnDelay = m.durationGauge(ownDelayDefinition)
+	m.LateReads = m.counter(lateReadsDefinition)
 	m.exposed = append(m.exposed, polledGauge{goroutinesDefinition, readGoroutines}, polledGauge{memoryDefinition, readMemory})
 	return m
 }
@@ -71,6 +75,12 @@
 	return h
 }
 
+func (m *Metrics) durationGauge(d Definition) DurationGauge {
+	g := newDurationGauge(m.Registry, d)
+	m.exposed = append(m.exposed, g)
+	return g
+}
+
 func readGoroutines() map[string]int64 { return map[string]int64{"": int64(runtime.NumGoroutine())} }
 
 // Names of the sizes in the package runtime/metrics that are exposed, in bytes.
--- a/internal/telemetry/page.go
+++ b/internal/telemetry/page.go
@@ -41,6 +41,12 @@
 	}
 }
 
+func (g DurationGauge) describe() Definition { return g.definition }
+
+func (g DurationGauge) write(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "%s %g\n", g.definition.Name, g.seconds.Value())
+}
+
 func (h Histogram) describe() Definition { return h.definition }
 
 func (h Histogram) write(w io.Writer) {
--- a/internal/telemetry/series.go
+++ b/internal/telemetry/series.go
@@ -165,3 +165,21 @@
 	}
 	return n
 }
+
+// DurationGauge is a gauge without labels whose value is a duration, exposed in seconds.
+type DurationGauge struct {
+	definition Definition
+	seconds    metrics.GaugeFloat64
+}
+
+func newDurationGauge(r metrics.Registry, d Definition) DurationGauge {
+	return DurationGauge{d, metrics.NewRegisteredGaugeFloat64(d.Name, r)}
+}
+
+// Set sets the value.
+func (g DurationGauge) Set(d time.Duration) { g.seconds.Update(d.Seconds()) }
+
+// Value returns the value.
+func (g DurationGauge) Value() time.Duration {
+	return time.Duration(g.seconds.Value() * float64(time.Second))
+}
