node, gateway, hostagent, explain: own delay is measured, decided on and explained

Cause: package owndelay ran in no process. Change: each process runs a monitor. Entries and the first path's processes pass each second to their reducer. samphireweir explain shows the spells of a process during a request.

--- a/internal/explain/read.go
+++ b/internal/explain/read.go
@@ -61,6 +61,15 @@
 	UpstreamPauseMS float64 `json:"upstream_pause_ms"`
 	CallerPauseMS   float64 `json:"caller_pause_ms"`
 	WaitedMS        float64 `json:"waited_ms"`
+	// TookMS is how long an answered request took, HeldMS how long a refused one was held, in milliseconds.
+	TookMS float64 `json:"took_ms"`
+	HeldMS float64 `json:"held_ms"`
+	// LateFrom, LateUntil, DelayMS, MaxDelayMS and OwnShare describe a spell of a process that is late; see Spell.
+	LateFrom   time.Time `json:"late_from"`
+	LateUntil  time.Time `json:"late_until"`
+	DelayMS    float64   `json:"delay_ms"`
+	MaxDelayMS float64   `json:"max_delay_ms"`
+	OwnShare   float64   `json:"own_share"`
 	// Kind is the kind of an object in the store.
 	Kind string `json:"kind"`
 	// Raw is the JSON of the line as it was written.
--- a/internal/explain/request.go
+++ b/internal/explain/request.go
@@ -30,6 +30,8 @@
 	Lines []Line
 	// Related are other lines that can explain the outcome.
 	Related []Line
+	// Spells are the times during the request in which a process that logged a line of it was late itself.
+	Spells []Spell
 }
 
 // Failed reports whether the request ended without a complete answer from an upstream, unless its caller disconnected.
@@ -60,6 +62,7 @@
 		v.Cause = v.lastFailure()
 	}
 	l.findAround(&v, last)
+	l.addSpells(&v, last)
 	return v, true
 }
 
@@ -153,7 +156,7 @@
 	}
 }
 
-// Print writes the request's lines, the lines around it and its outcome to w. It returns the error of w.
+// Print writes the request's lines, the lines around it, the spells and its outcome to w. It returns the error of w.
 func (v Explanation) Print(w io.Writer) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "request %s at %s\n\n", v.Request, v.Entry)
@@ -166,6 +169,12 @@
 			b.WriteString(line.short())
 		}
 	}
+	if len(v.Spells) > 0 {
+		b.WriteString("\nprocesses that were late themselves during the request:\n")
+		for _, s := range v.Spells {
+			fmt.Fprintf(&b, "  %s\n", s.text())
+		}
+	}
 	b.WriteString("\n")
 	for _, m := range v.Missing {
 		fmt.Fprintf(&b, "missing: %s\n", m)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -9,6 +9,7 @@
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/loadreport"
+	"samphireweir.example/samphireweir/internal/owndelay"
 )
 
 // Step passes an event to the reducers, as the shell does.
@@ -44,5 +45,15 @@
 	return a.outcomeOf(context.Background(), errWithdrawn)
 }
 
+// OwnDelay returns the monitor of this process's own delay.
+func (g *Gateway) OwnDelay() *owndelay.Monitor { return g.ownDelay }
+
+// MaxInFlight returns the maximum number of requests in flight while this process is late by its own work; 0 for no maximum.
+func (g *Gateway) MaxInFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.forward.MaxInFlight()
+}
+
 // MemoryUsed returns the number of bytes held for callers.
 func (g *Gateway) MemoryUsed() int64 { return g.memory.Used() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/membudget"
+	"samphireweir.example/samphireweir/internal/owndelay"
 	"samphireweir.example/samphireweir/internal/periodic"
 	"samphireweir.example/samphireweir/internal/storefeed"
 	"samphireweir.example/samphireweir/internal/storewatch"
@@ -67,6 +68,8 @@
 	socket  *loadreport.Socket
 	// memory limits the bytes held for callers.
 	memory *membudget.Budget
+	// ownDelay measures how late this process itself is, while it runs.
+	ownDelay *owndelay.Monitor
 
 	mu        sync.Mutex
 	catalog   *catalog.State
@@ -88,7 +91,7 @@
 	dialPeer := storeTransport.DialContext
 	upstreamClient := &http.Client{Transport: newUpstreamTransport()}
 	traces.Client(upstreamClient, telemetry.AttemptSpanName)
-	return &Gateway{
+	g := &Gateway{
 		host: host, self: self, log: log, metrics: m, catalog: catalogState, storePeers: storePeers, cache: cache,
 		forward: forward.NewState(forward.Self{
 			Name: host.Name, DataCentre: host.DataCentre, Region: host.Region, Regions: host.Regions,
@@ -99,6 +102,8 @@
 		store:    storePeers.Reader(platform.NewStore(host.Store, &http.Client{Transport: storeTransport}), control.NewPool(self, "", dialPeer), cache),
 		dialPeer: dialPeer,
 	}
+	g.ownDelay = owndelay.New(log, m, g.step)
+	return g
 }
 
 const (
@@ -262,6 +267,7 @@
 	go g.runHeartbeats(workCtx)
 	go g.storePeers.SendSeedHeartbeats(workCtx, socket, g.ready.Load)
 	go periodic.Run(workCtx, tickInterval, g.tick)
+	go g.ownDelay.Run(workCtx)
 	go g.serveReadiness(readinessListener)
 	callerServer := g.newCallerServer()
 	go g.serveCallers(callerServer, callerListener)
--- a/internal/hostagent/export_test.go
+++ b/internal/hostagent/export_test.go
@@ -8,6 +8,7 @@
 	"samphireweir.example/samphireweir/internal/core/install"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/manifest"
+	"samphireweir.example/samphireweir/internal/owndelay"
 )
 
 // Receive handles a message as if it had come from the socket.
@@ -41,6 +42,9 @@
 // Tick runs one tick.
 func (a *Agent) Tick() { a.tick() }
 
+// OwnDelay returns the monitor of this process's own delay.
+func (a *Agent) OwnDelay() *owndelay.Monitor { return a.ownDelay }
+
 // OriginRequestersAt returns how many hosts may ask the origin at a try.
 func OriginRequestersAt(try int) int { return originRequestersAt(try) }
 
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -30,6 +30,7 @@
 	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/logevent"
+	"samphireweir.example/samphireweir/internal/owndelay"
 	"samphireweir.example/samphireweir/internal/periodic"
 	"samphireweir.example/samphireweir/internal/setting"
 	"samphireweir.example/samphireweir/internal/storefeed"
@@ -78,6 +79,8 @@
 	fetcher    *transfer.Fetcher
 	socket     *loadreport.Socket
 	timeouts   timeouts
+	// ownDelay measures how late this process itself is, while it runs.
+	ownDelay *owndelay.Monitor
 
 	mu sync.Mutex
 	// staging orders the passes over the engine's staged chunks, by model.
@@ -106,7 +109,7 @@
 		catalog:  catalog.NewState(),
 		weights:  weights.NewState(weights.Peer{Address: self, Place: host.DataCentre, Region: host.Region}),
 		install:  install.NewState(self, host.VersionLifetime),
-		reporter: newReporter(), timeouts: defaultTimeouts(),
+		reporter: newReporter(), timeouts: defaultTimeouts(), ownDelay: owndelay.New(log, m, nil),
 	}
 	a.catalog.ListedActivatedAt = time.Now().Add(-host.AssumedVersionAge())
 	a.origin = platform.NewOrigin(originClient, a.originParams)
@@ -291,6 +294,7 @@
 	go a.storePeers.SendSeedHeartbeats(ctx, socket, a.initialized)
 	go periodic.Run(ctx, engineReadInterval, func() { a.pollEngine(ctx) })
 	go periodic.Run(ctx, step.TickInterval, a.tick)
+	go a.ownDelay.Run(ctx)
 	a.followStore(ctx)
 	logevent.Info(a.log, logevent.Listening).Str("peers", a.self).Str("engine", a.host.Engine).Msg("listening")
 	<-ctx.Done()
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -72,13 +72,26 @@
 	} else {
 		ups = []rollout.Upstream{{Upstream: member.Upstream{Name: "p1", Team: "karrakin", Service: "portal", Kind: setting.Plain}}}
 	}
+	p := s.newProcess(fmt.Sprintf("host-%d", i), place, role, ups, zerolog.Nop())
+	s.list(p.Address(), role, place)
+	s.run(p)
+	s.procs = append(s.procs, p)
+	return p
+}
+
+// newProcess returns a process that does not run yet.
+func (s *site) newProcess(name, place string, role member.Role, ups []rollout.Upstream, log zerolog.Logger) *node.Process {
 	p, err := node.NewProcess(node.Config{
-		Name: fmt.Sprintf("host-%d", i), Place: place, Region: "west", PeersListen: "127.0.0.1:0", OperatorsListen: "127.0.0.1:0",
+		Name: name, Place: place, Region: "west", PeersListen: "127.0.0.1:0", OperatorsListen: "127.0.0.1:0",
 		ObjectAPI: s.objects.URL, HostList: s.hosts.URL, Config: keys.Config{Secret: s.secret}, Role: role,
-	}, zerolog.Nop(), ups)
+	}, log, ups)
 	require.NoError(s.t, err)
 	p.Loop.SetExecutor(func(e step.Effect) { p.Execute(e) })
-	s.list(p.Address(), role, place)
+	return p
+}
+
+// run runs a process until the site ends or its stop function is called.
+func (s *site) run(p *node.Process) {
 	ctx, stop := context.WithCancel(context.Background())
 	p.Run(ctx, nil)
 	s.stops = append(s.stops, func() {
@@ -87,8 +100,6 @@
 		defer done()
 		p.Close(closing)
 	})
-	s.procs = append(s.procs, p)
-	return p
 }
 
 // list adds a process to the host list.
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -21,6 +21,7 @@
 	"samphireweir.example/samphireweir/internal/keys"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/objectapi"
+	"samphireweir.example/samphireweir/internal/owndelay"
 	"samphireweir.example/samphireweir/internal/telemetry"
 )
 
@@ -50,6 +51,8 @@
 	PeersMux     *http.ServeMux
 	OperatorsMux *http.ServeMux
 	Telemetry    *telemetry.Telemetry
+	// OwnDelay measures how late this process itself is, while it runs.
+	OwnDelay *owndelay.Monitor
 	// PeerClient calls other processes of the system, with mutual TLS when certificates are configured.
 	PeerClient *http.Client
 	// ExternalClient calls the platform and the sources of weights.
@@ -96,6 +99,7 @@
 	if err = p.instrument(); err != nil {
 		return nil, err
 	}
+	p.OwnDelay = owndelay.New(log, p.Telemetry.Metrics, p.Loop.Step)
 	p.routes()
 	return p, nil
 }
@@ -168,6 +172,7 @@
 	ev.Msg("listening")
 	p.Loop.Step(core.Started{})
 	go p.Loop.Tick(ctx)
+	go p.OwnDelay.Run(ctx)
 }
 
 // MarkNotReady makes the readiness check fail while the process still serves.
--- a/internal/owndelay/monitor_test.go
+++ b/internal/owndelay/monitor_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -122,21 +123,26 @@
 	require.Equal(t, time.Second, m.OwnDelay.Value())
 }
 
-// BenchmarkMonitor runs the monitor for two seconds an iteration and reports the processor time that this whole process used meanwhile,
-// as a share of one processor.
+// BenchmarkMonitor reports the processor time that this whole process uses, as a percentage of one processor, in an idle process without a
+// monitor, with one, and with a hundred. A hundred show the work of one without that of waking an idle process.
 func BenchmarkMonitor(b *testing.B) {
 	used := func() time.Duration {
 		var u syscall.Rusage
 		require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
 		return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 	}
-	monitor := owndelay.New(zerolog.Nop(), telemetry.NewMetrics(), nil)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go monitor.Run(ctx)
-	before, start := used(), time.Now()
-	for b.Loop() {
-		time.Sleep(2 * time.Second)
+	for _, monitors := range []int{0, 1, 100} {
+		b.Run(fmt.Sprint(monitors), func(b *testing.B) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			for range monitors {
+				go owndelay.New(zerolog.Nop(), telemetry.NewMetrics(), nil).Run(ctx)
+			}
+			before, start := used(), time.Now()
+			for b.Loop() {
+				time.Sleep(time.Second)
+			}
+			b.ReportMetric(100*float64(used()-before)/float64(time.Since(start)), "%core")
+		})
 	}
-	b.ReportMetric(100*float64(used()-before)/float64(time.Since(start)), "%core")
 }
