owndelay: measured from the timers that each process has; docs

Cause: a timer of the monitor's own wakes an idle process ten times a second. Change: processes call Monitor.Tick from their own tick. node.Loop.Tick is replaced by periodic.Run, which does the same.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,7 +102,7 @@
 		store:    storePeers.Reader(platform.NewStore(host.Store, &http.Client{Transport: storeTransport}), control.NewPool(self, "", dialPeer), cache),
 		dialPeer: dialPeer,
 	}
-	g.ownDelay = owndelay.New(log, m, g.step)
+	g.ownDelay = owndelay.New(log, m, tickInterval, g.step)
 	return g
 }
 
@@ -267,7 +267,6 @@
 	go g.runHeartbeats(workCtx)
 	go g.storePeers.SendSeedHeartbeats(workCtx, socket, g.ready.Load)
 	go periodic.Run(workCtx, tickInterval, g.tick)
-	go g.ownDelay.Run(workCtx)
 	go g.serveReadiness(readinessListener)
 	callerServer := g.newCallerServer()
 	go g.serveCallers(callerServer, callerListener)
@@ -278,6 +277,7 @@
 }
 
 func (g *Gateway) tick() {
+	g.ownDelay.Tick()
 	g.step(step.Tick{})
 	g.storePeers.Tick()
 }
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -109,7 +109,7 @@
 		catalog:  catalog.NewState(),
 		weights:  weights.NewState(weights.Peer{Address: self, Place: host.DataCentre, Region: host.Region}),
 		install:  install.NewState(self, host.VersionLifetime),
-		reporter: newReporter(), timeouts: defaultTimeouts(), ownDelay: owndelay.New(log, m, nil),
+		reporter: newReporter(), timeouts: defaultTimeouts(), ownDelay: owndelay.New(log, m, step.TickInterval, nil),
 	}
 	a.catalog.ListedActivatedAt = time.Now().Add(-host.AssumedVersionAge())
 	a.origin = platform.NewOrigin(originClient, a.originParams)
@@ -294,7 +294,6 @@
 	go a.storePeers.SendSeedHeartbeats(ctx, socket, a.initialized)
 	go periodic.Run(ctx, engineReadInterval, func() { a.pollEngine(ctx) })
 	go periodic.Run(ctx, step.TickInterval, a.tick)
-	go a.ownDelay.Run(ctx)
 	a.followStore(ctx)
 	logevent.Info(a.log, logevent.Listening).Str("peers", a.self).Str("engine", a.host.Engine).Msg("listening")
 	<-ctx.Done()
@@ -319,6 +318,7 @@
 }
 
 func (a *Agent) tick() {
+	a.ownDelay.Tick()
 	a.Step(step.Tick{})
 	a.activateDefaultVersions()
 	a.storePeers.Tick()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,7 +3,6 @@
 package node
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -67,17 +66,3 @@
 	defer l.mu.Unlock()
 	f(l.state)
 }
-
-// Tick steps a step.Tick event every step.TickInterval until ctx is done.
-func (l *Loop) Tick(ctx context.Context) {
-	t := time.NewTicker(step.TickInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			l.Step(step.Tick{})
-		}
-	}
-}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -22,6 +22,7 @@
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/objectapi"
 	"samphireweir.example/samphireweir/internal/owndelay"
+	"samphireweir.example/samphireweir/internal/periodic"
 	"samphireweir.example/samphireweir/internal/telemetry"
 )
 
@@ -99,7 +100,7 @@
 	if err = p.instrument(); err != nil {
 		return nil, err
 	}
-	p.OwnDelay = owndelay.New(log, p.Telemetry.Metrics, p.Loop.Step)
+	p.OwnDelay = owndelay.New(log, p.Telemetry.Metrics, step.TickInterval, p.Loop.Step)
 	p.routes()
 	return p, nil
 }
@@ -171,8 +172,12 @@
 	}
 	ev.Msg("listening")
 	p.Loop.Step(core.Started{})
-	go p.Loop.Tick(ctx)
-	go p.OwnDelay.Run(ctx)
+	go periodic.Run(ctx, step.TickInterval, p.tick)
+}
+
+func (p *Process) tick() {
+	p.OwnDelay.Tick()
+	p.Loop.Step(step.Tick{})
 }
 
 // MarkNotReady makes the readiness check fail while the process still serves.
--- a/internal/owndelay/monitor.go
+++ b/internal/owndelay/monitor.go
@@ -1,16 +1,16 @@
 // Package owndelay measures how late this process itself is, so that its own delay is not taken for a fault of others: it was suspended, it
 // had no processor time, or it had more work than its processors could do.
 //
-// A Monitor measures one second after another. The delay of a second is the larger of two: how late a timer fired, and how long goroutines
+// A Monitor measures one second after another. The delay of a second is the larger of two: how late a timer of the process fired, and how long goroutines
 // that were ready waited until they ran (99th percentile). It logs when the process becomes late and when it is on time again, keeps the
 // metrics, and passes each second to the reducer, which decides whether to accept fewer requests (package selflimit).
 //
-// The processors that count as available are those that the Go runtime uses (GOMAXPROCS). The runtime uses at least two, so a process whose
-// operating system allows it less than 1.4 processors never counts as late by its own work.
+// The processors that count as available are those that the Go runtime uses (GOMAXPROCS). The runtime rounds a limit of the operating system
+// up, and to at least two. A process that may use less than 1.4 processors, or a little more than two, therefore never counts as late by its
+// own work.
 package owndelay
 
 import (
-	"context"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,55 +21,52 @@
 	"samphireweir.example/samphireweir/internal/telemetry"
 )
 
-const (
-	// tickInterval is the interval of the timer whose lateness is measured. It is below selflimit.LateDelay, so that a shorter delay is
-	// not missed, and long enough that the monitor's own work is negligible.
-	tickInterval = 100 * time.Millisecond
-	// measureInterval is the length of a measured second.
-	measureInterval = time.Second
-)
+// measureInterval is the length of a measured second.
+const measureInterval = time.Second
 
-// Monitor measures the delay of this process. Use New to create one.
+// Monitor measures the delay of this process. Use New to create one. Its methods except LateRead are called by one goroutine at a time.
 type Monitor struct {
 	log     zerolog.Logger
 	metrics *telemetry.Metrics
+	// interval is the interval at which Tick is due.
+	interval time.Duration
 	// step passes an event to the reducer; nil if no reducer needs it.
 	step func(step.Event)
 	// read takes a reading of this process. Tests replace it.
 	read  func() Reading
 	spell spell
+	// lastTick is the time of the last Tick, zero before the first. timerLate is the largest lateness of a Tick since the reading before.
+	lastTick  time.Time
+	timerLate time.Duration
+	before    Reading
 }
 
-// New returns a monitor that logs to log, records in m, and passes a selflimit.OwnDelay for each second to step. step is nil for a process
-// that accepts no callers' requests.
-func New(log zerolog.Logger, m *telemetry.Metrics, step func(step.Event)) *Monitor {
-	return &Monitor{log: log, metrics: m, step: step, read: newReader().read}
+// New returns a monitor whose Tick is due at an interval, which must be well below selflimit.LateDelay. It logs to log, records in m, and
+// passes a selflimit.OwnDelay for each second to step. step is nil for a process that accepts no callers' requests.
+func New(log zerolog.Logger, m *telemetry.Metrics, interval time.Duration, step func(step.Event)) *Monitor {
+	return &Monitor{log: log, metrics: m, interval: interval, step: step, read: newReader().read}
 }
 
-// Run measures until ctx is done.
-func (m *Monitor) Run(ctx context.Context) {
-	timer := time.NewTimer(tickInterval)
-	defer timer.Stop()
-	due, before, timerLate := time.Now().Add(tickInterval), m.read(), time.Duration(0)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		now := time.Now()
-		timerLate = max(timerLate, now.Sub(due))
-		if now.Sub(before.At) >= measureInterval {
-			after := m.read()
-			m.Record(measure(before, after, timerLate))
-			before, timerLate = after, 0
-		}
-		due = time.Now().Add(tickInterval)
-		timer.Reset(tickInterval)
+// Tick measures how late it is called. A process calls it from a timer that it has anyway, since a timer of the monitor's own would cost far
+// more than the measurement: each wakes an idle process. Tick must not be called under a lock that step takes.
+func (m *Monitor) Tick() {
+	now, last := time.Now(), m.lastTick
+	m.lastTick = now
+	if last.IsZero() {
+		m.before = m.read()
+		return
+	}
+	m.timerLate = max(m.timerLate, now.Sub(last)-m.interval)
+	if now.Sub(m.before.At) < measureInterval {
+		return
 	}
+	after := m.read()
+	s := measure(m.before, after, m.timerLate)
+	m.before, m.timerLate = after, 0
+	m.Record(s)
 }
 
-// Record handles the measurement of one second. Run calls it; it must not be called at the same time by others.
+// Record handles the measurement of one second. Tick calls it.
 func (m *Monitor) Record(s Second) {
 	m.metrics.OwnDelay.Set(s.Delay)
 	switch m.spell.add(s) {
