--- a/internal/core/selflimit/selflimit.go
+++ b/internal/core/selflimit/selflimit.go
@@ -20,8 +20,10 @@
 
 	// shrinkFactor is applied to the limit in each second that is late by own work.
 	shrinkFactor = 0.8
-	// growFactor is applied to the limit in each other second. It returns from a fifth of the requests to all of them in eight seconds.
-	growFactor = 1.25
+	// growStep is by which part the limit grows in the first second that is not late by own work. In the next one it grows by twice that
+	// part, and so on. The first seconds keep the limit near the number of requests that the entry can serve on time, and the later ones
+	// lift it soon after the cause has gone.
+	growStep = 0.02
 	// liftFactor is how many times as many requests as were in flight a limit must allow to be lifted.
 	liftFactor = 2
 )
@@ -47,6 +49,8 @@
 	// peak is the highest number of requests in flight since the last OwnDelay, and refused is set if one was refused since.
 	peak    int
 	refused bool
+	// calm counts the seconds in a row that were not late by own work.
+	calm int
 }
 
 // Admit reports whether a new request may be accepted while inFlight others are in flight. Only new requests are limited: a retry or a
@@ -80,12 +84,13 @@
 	if l.limit > 0 {
 		base = min(base, l.limit)
 	}
-	l.limit = max(MinRequests, shrinkFactor*base)
+	l.limit, l.calm = max(MinRequests, shrinkFactor*base), 0
 }
 
 func (l *Limit) grow(peak int) {
-	l.limit *= growFactor
+	l.calm++
+	l.limit *= 1 + growStep*float64(l.calm)
 	if !l.refused && l.limit >= liftFactor*float64(peak) {
-		l.limit = 0
+		l.limit, l.calm = 0, 0
 	}
 }
