--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -107,6 +107,7 @@
 func (e *Entry) openStream(ctx context.Context, c agentCall) (*stream, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	watch := silence.NewWatch(c.headTimeout, func() { cancel(silence.ErrSilent) })
+	watch.OnLateRead(e.OwnDelay.LateRead)
 	var connectedAt atomic.Pointer[time.Time]
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
 		now := time.Now()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -65,6 +65,7 @@
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	a := &attempt{x: x, decision: e, cancel: cancel, createdAt: time.Now()}
 	a.silence = silence.NewWatch(e.FirstEventTimeout, func() { cancel(errUpstreamTimeout) })
+	a.silence.OnLateRead(x.gateway.ownDelay.LateRead)
 	defer cancel(nil)
 	x.current.Store(a)
 	defer x.current.Store(nil)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/membudget"
+	"samphireweir.example/samphireweir/internal/owndelay"
 	"samphireweir.example/samphireweir/internal/periodic"
 	"samphireweir.example/samphireweir/internal/silence"
 	"samphireweir.example/samphireweir/internal/storefeed"
@@ -68,6 +69,8 @@
 	socket  *loadreport.Socket
 	// memory limits the bytes held for callers.
 	memory *membudget.Budget
+	// ownDelay measures how late this process itself is, while it runs.
+	ownDelay *owndelay.Monitor
 
 	mu        sync.Mutex
 	catalog   *catalog.State
@@ -89,7 +92,7 @@
 	dialPeer := storeTransport.DialContext
 	upstreamClient := &http.Client{Transport: newUpstreamTransport()}
 	traces.Client(upstreamClient, telemetry.AttemptSpanName)
-	return &Gateway{
+	g := &Gateway{
 		host: host, self: self, log: log, metrics: m, catalog: catalogState, storePeers: storePeers, cache: cache,
 		forward: forward.NewState(forward.Self{
 			Name: host.Name, DataCentre: host.DataCentre, Region: host.Region, Regions: host.Regions,
@@ -100,6 +103,8 @@
 		store:    storePeers.Reader(platform.NewStore(host.Store, &http.Client{Transport: storeTransport}), control.NewPool(self, "", dialPeer), cache),
 		dialPeer: dialPeer,
 	}
+	g.ownDelay = owndelay.New(log, m, tickInterval, g.step)
+	return g
 }
 
 const (
@@ -273,6 +278,7 @@
 }
 
 func (g *Gateway) tick() {
+	g.ownDelay.Tick()
 	g.step(step.Tick{})
 	g.storePeers.Tick()
 }
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -30,6 +30,7 @@
 	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/logevent"
+	"samphireweir.example/samphireweir/internal/owndelay"
 	"samphireweir.example/samphireweir/internal/periodic"
 	"samphireweir.example/samphireweir/internal/setting"
 	"samphireweir.example/samphireweir/internal/storefeed"
@@ -78,6 +79,8 @@
 	fetcher    *transfer.Fetcher
 	socket     *loadreport.Socket
 	timeouts   timeouts
+	// ownDelay measures how late this process itself is, while it runs.
+	ownDelay *owndelay.Monitor
 
 	mu sync.Mutex
 	// staging orders the passes over the engine's staged chunks, by model.
@@ -106,7 +109,7 @@
 		catalog:  catalog.NewState(),
 		weights:  weights.NewState(weights.Peer{Address: self, Place: host.DataCentre, Region: host.Region}),
 		install:  install.NewState(self, host.VersionLifetime),
-		reporter: newReporter(), timeouts: defaultTimeouts(),
+		reporter: newReporter(), timeouts: defaultTimeouts(), ownDelay: owndelay.New(log, m, step.TickInterval, nil),
 	}
 	a.catalog.ListedActivatedAt = time.Now().Add(-host.AssumedVersionAge())
 	a.origin = platform.NewOrigin(originClient, a.originParams)
@@ -315,6 +318,7 @@
 }
 
 func (a *Agent) tick() {
+	a.ownDelay.Tick()
 	a.Step(step.Tick{})
 	a.activateDefaultVersions()
 	a.storePeers.Tick()
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -21,6 +21,8 @@
 	"samphireweir.example/samphireweir/internal/keys"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/objectapi"
+	"samphireweir.example/samphireweir/internal/owndelay"
+	"samphireweir.example/samphireweir/internal/periodic"
 	"samphireweir.example/samphireweir/internal/silence"
 	"samphireweir.example/samphireweir/internal/telemetry"
 )
@@ -51,6 +53,8 @@
 	PeersMux     *http.ServeMux
 	OperatorsMux *http.ServeMux
 	Telemetry    *telemetry.Telemetry
+	// OwnDelay measures how late this process itself is, while it runs.
+	OwnDelay *owndelay.Monitor
 	// PeerClient calls other processes of the system, with mutual TLS when certificates are configured.
 	PeerClient *http.Client
 	// ExternalClient calls the platform and the sources of weights.
@@ -97,6 +101,7 @@
 	if err = p.instrument(); err != nil {
 		return nil, err
 	}
+	p.OwnDelay = owndelay.New(log, p.Telemetry.Metrics, step.TickInterval, p.Loop.Step)
 	p.routes()
 	return p, nil
 }
@@ -187,7 +192,12 @@
 	}
 	ev.Msg("listening")
 	p.Loop.Step(core.Started{})
-	go p.Loop.Tick(ctx)
+	go periodic.Run(ctx, step.TickInterval, p.tick)
+}
+
+func (p *Process) tick() {
+	p.OwnDelay.Tick()
+	p.Loop.Step(step.Tick{})
 }
 
 // MarkNotReady makes the readiness check fail while the process still serves.
