--- a/internal/experiment/faults/kinds.go
+++ b/internal/experiment/faults/kinds.go
@@ -85,6 +85,8 @@
 		{name: "paused-holder", about: "SIGSTOP of an agent, a second one for its host, then SIGCONT of the first", hold: holdLong, prepare: pausedHolder},
 		{name: "kill-entry", about: "SIGKILL of an entry, replaced on its address", hold: holdShort, prepare: killEntry},
 		{name: "freeze-entry", about: "SIGSTOP of an entry, then SIGCONT", hold: holdLong, prepare: freezeEntry},
+		{name: "starve-entry", about: "SIGSTOP and SIGCONT of an entry in turn, so that it runs for a tenth of the time", hold: holdLong, prepare: starveEntry},
+		{name: "starve-agent", about: "SIGSTOP and SIGCONT of an agent in turn, so that it runs for a tenth of the time", hold: holdLong, prepare: starveAgent},
 		{name: "rolling-agents", about: "SIGTERM and restart of each agent in turn", prepare: rollingAgents},
 		{name: "rolling-entries", about: "SIGTERM and restart of each entry in turn", prepare: rollingEntries},
 	}
--- a/internal/soak/freeze_test.go
+++ b/internal/soak/freeze_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -36,3 +37,41 @@
 	require.Equal(t, 200, reply.Status, reply.Body)
 	require.Equal(t, 1, engine.Runs(reply.ID))
 }
+
+// starvedSeeds are the seeds of TestSoakStarvedEntries in CI.
+var starvedSeeds = []uint64{1}
+
+// TestSoakStarvedEntries guards against an entry that charges its own lack of processor time to upstreams: requests run a second time, answers
+// are cut, or callers are told that a request did not run although it did. One entry after the other is starved, beside the faults of TestSoak.
+func TestSoakStarvedEntries(t *testing.T) {
+	seconds, hosts := intFromEnv(t, secondsVariable, ciSeconds), intFromEnv(t, hostsVariable, defaultHosts)
+	for _, seed := range seedsToRun(t, starvedSeeds) {
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			s := newSoak(t, hosts)
+			stop := make(chan struct{})
+			var done, injectors sync.WaitGroup
+			s.callers(stop, &done)
+			end := time.Now().Add(time.Duration(seconds) * time.Second)
+			injectors.Go(func() { s.newInjector(seed, seed, 0, 0).starveUntil(end) })
+			injectors.Go(func() { s.newInjector(seed, seed+1, 0, 21).injectUntil(end) })
+			injectors.Go(func() { s.newInjector(seed, seed+2, 0, 0).announceUntil(end, 0, 1) })
+			injectors.Wait()
+			close(stop)
+			done.Wait()
+			s.verify()
+		})
+	}
+}
+
+// starveUntil starves one entry after the other until a time: it runs for a tenth of the time, for up to 3 s.
+func (s *injector) starveUntil(end time.Time) {
+	const off, on = 180 * time.Millisecond, 20 * time.Millisecond
+	for time.Now().Before(end) {
+		p := pick(s, s.entries)
+		for range 3 + s.random.IntN(12) {
+			p.freeze(func() { time.Sleep(off) })
+			time.Sleep(on)
+		}
+		s.pause()
+	}
+}
