--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -66,6 +66,9 @@
 	Cut bool
 	// Received is what arrived of an answer that was cut.
 	Received string
+	// Address is the entry that the request was sent to, and Error the error that it ended with at the caller; empty for none.
+	Address string
+	Error   string
 }
 
 // arrival is one planned request.
@@ -132,7 +135,7 @@
 func (f *Fleet) request(client *http.Client, l Load, a arrival, address string) Result {
 	ctx, cancel := context.WithTimeout(context.Background(), l.Deadline)
 	defer cancel()
-	r := Result{Client: a.client.Name, At: a.at}
+	r := Result{Client: a.client.Name, At: a.at, Address: address}
 	prompt := l.prompt(a)
 	req, err := l.build(ctx, address, prompt, a)
 	if err != nil {
@@ -143,7 +146,7 @@
 	resp, err := client.Do(req)
 	if err != nil {
 		r.Total = time.Since(start)
-		r.Cut = ctx.Err() == nil
+		r.Cut, r.Error = ctx.Err() == nil, err.Error()
 		return r
 	}
 	defer func() { _ = resp.Body.Close() }()
@@ -161,11 +164,21 @@
 	r.Complete = err == nil && restErr == nil && (l.Plain || completeAnswer(string(body), f.Digest, prompt, l.Tokens))
 	r.Cut = !r.Complete && ctx.Err() == nil
 	if r.Cut {
-		r.Received = string(body)
+		r.Received, r.Error = string(body), errorText(err, restErr)
 	}
 	return r
 }
 
+// errorText returns the text of the first error in errs; empty if there is none.
+func errorText(errs ...error) string {
+	for _, err := range errs {
+		if err != nil {
+			return err.Error()
+		}
+	}
+	return ""
+}
+
 func (l Load) build(ctx context.Context, address, prompt string, a arrival) (*http.Request, error) {
 	url := "http://" + address + "/" + Team + "/" + ModelService + "/v1/generate"
 	if l.Plain {
