experiment: a rolling restart waits until the balancer uses the replaced entry

TestRollingRestartCutsNothing lost requests beside load since they were sent to no entry: one check of the tool's balancer found the new entry not ready yet and, later in the same check, the next entry not ready any more, because the restart had gone on meanwhile. The restart now goes on once the balancer has found the new entry ready, as a platform's restart does. What the test demands is unchanged: each request is complete.

--- a/internal/experiment/failure_test.go
+++ b/internal/experiment/failure_test.go
@@ -95,7 +95,7 @@
 	b := experiment.NewBalancer(f)
 	defer b.Close()
 	done := make(chan error, 1)
-	go func() { done <- f.RollingRestart() }()
+	go func() { done <- f.RollingRestart(b) }()
 	l := load(30, 10*time.Second)
 	s := experiment.Summarize(logFailed(t, f.RunAt(l, b.Pick), false), 0, l.Duration, experiment.All)
 	require.NoError(t, <-done)
--- a/internal/experiment/restart.go
+++ b/internal/experiment/restart.go
@@ -2,17 +2,22 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"samphireweir.example/samphireweir/internal/core/routing"
 )
 
 // Balancer sends callers to ready entries. Like the platform's balancer it checks their readiness periodically.
 type Balancer struct {
 	fleet *Fleet
-	mu    sync.Mutex
-	ready []string
+	// client reads the readiness of the entries.
+	client *http.Client
+	mu     sync.Mutex
+	ready  []string
 	// checkedAt is when the last check started.
 	checkedAt time.Time
 	stop      chan struct{}
@@ -28,7 +33,12 @@
 
 // NewBalancer starts a balancer for the fleet's entries.
 func NewBalancer(f *Fleet) *Balancer {
-	b := &Balancer{fleet: f, stop: make(chan struct{})}
+	return startBalancer(f, f.client)
+}
+
+// startBalancer is NewBalancer with a client for the checks.
+func startBalancer(f *Fleet, client *http.Client) *Balancer {
+	b := &Balancer{fleet: f, client: client, stop: make(chan struct{})}
 	b.check()
 	go func() {
 		t := time.NewTicker(checkInterval)
@@ -52,7 +62,7 @@
 	startedAt := time.Now()
 	var ready []string
 	for _, e := range b.fleet.entries() {
-		resp, err := b.fleet.client.Get("http://" + e.OperatorsAddress() + "/ready")
+		resp, err := b.client.Get("http://" + e.OperatorsAddress() + "/ready")
 		if err != nil {
 			continue
 		}
@@ -84,6 +94,25 @@
 	return b.ready[random%len(b.ready)]
 }
 
+// await waits until the balancer sends callers to the entry with the given address.
+func (b *Balancer) await(address string) error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		if slices.Contains(b.addresses(), address) {
+			return nil
+		}
+		time.Sleep(readyPoll)
+	}
+	return errors.Errorf("timed out waiting for the balancer to use %s", address)
+}
+
+// addresses returns the addresses of the entries that the last check found ready.
+func (b *Balancer) addresses() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ready
+}
+
 // restart measures a load while every entry and agent is restarted in turn.
 func restart(o options, out func(Row)) error {
 	f, err := Start(benchmarkConfig(routing.Affinity))
@@ -95,7 +124,7 @@
 	defer b.Close()
 	l := benchmarkLoad(o, 0.4*nominalRate(), 30)
 	done := make(chan error, 1)
-	go func() { done <- f.RollingRestart() }()
+	go func() { done <- f.RollingRestart(b) }()
 	results := f.RunAt(l, b.Pick)
 	if err := <-done; err != nil {
 		return err
@@ -110,8 +139,9 @@
 	return nil
 }
 
-// RollingRestart stops and starts every process in turn, and waits until each new one serves.
-func (f *Fleet) RollingRestart() error {
+// RollingRestart stops and starts every process in turn, and waits until each new one serves and, for an entry, until b sends callers to it. A
+// check of b takes time: it may have found the new entry not ready yet and the next one not ready any more.
+func (f *Fleet) RollingRestart(b *Balancer) error {
 	for i := range f.config.Entries {
 		old := f.entries()[i]
 		old.Stop()
@@ -124,6 +154,9 @@
 		if err := f.awaitServing(); err != nil {
 			return err
 		}
+		if err := b.await(f.entries()[i].CallersAddress()); err != nil {
+			return err
+		}
 	}
 	for i := range f.config.Agents {
 		old := f.Agents[i]
