silence: a counter, for a peer that something else decides to give up

NewCounter returns a Watch that counts silence in slices of a given length and gives nothing up by itself. Silence returns what it has counted, GiveUp has the waiting read look a last time and then give the other side up, and Progress withdraws that.

--- a/internal/silence/watch.go
+++ b/internal/silence/watch.go
@@ -17,6 +17,10 @@
 	mu sync.Mutex
 	// limit is how long the other side may be silent; 0 means without a limit.
 	limit time.Duration
+	// counterSlice is the length of the slices of a counter; 0 for a Watch with a limit.
+	counterSlice time.Duration
+	// giveUp is called in place of onSilent once a counter finds the other side silent; nil unless GiveUp was called since the last progress.
+	giveUp func()
 	// silent is the silence counted since the last progress.
 	silent time.Duration
 	// conn is the connection of the call, nil before it is known and after Stop.
@@ -32,6 +36,10 @@
 	return &Watch{limit: limit, onSilent: onSilent}
 }
 
+// NewCounter returns a Watch without a limit, which counts the silence of the other side in slices of the given length. Something else decides
+// how much is too much, and then calls GiveUp.
+func NewCounter(slice time.Duration) *Watch { return &Watch{counterSlice: slice} }
+
 // OnLateRead sets a function that is called when data was found that had already arrived when the limit passed: this process was late, not
 // the other side. It is set before the Watch is used.
 func (w *Watch) OnLateRead(f func()) { w.onLateRead = f }
@@ -66,6 +74,27 @@
 	defer w.mu.Unlock()
 	w.limit = limit
 	w.silent = 0
+	w.giveUp = nil
+}
+
+// Silence returns the silence counted since the last progress. It reports false while the Watch is attached to no connection.
+func (w *Watch) Silence() (silent time.Duration, attached bool) {
+	if w == nil {
+		return 0, false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.silent, w.conn != nil && !w.stopped
+}
+
+// GiveUp lets a counter give up the other side if at least the given silence is counted: at the end of the slice in progress the connection is
+// looked at a last time, and if that finds nothing, onSilent is called and the read returns ErrSilent. Progress withdraws it.
+func (w *Watch) GiveUp(silence time.Duration, onSilent func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.silent >= silence {
+		w.giveUp = onSilent
+	}
 }
 
 // Stop ends the Watch for good and detaches it from its connection.
@@ -114,6 +143,14 @@
 	if w.stopped {
 		return 0
 	}
+	return w.sliceLength()
+}
+
+// sliceLength returns the length of a slice; 0 means without a limit. The caller holds mu.
+func (w *Watch) sliceLength() time.Duration {
+	if w.counterSlice > 0 {
+		return w.counterSlice
+	}
 	return w.limit / slicesPerLimit
 }
 
@@ -124,12 +161,15 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.silent += w.limit / slicesPerLimit
+	w.silent += w.sliceLength()
 	return w.overLimit()
 }
 
-// overLimit reports whether the silence counted has reached the limit. The caller holds mu.
+// overLimit reports whether the silence counted has reached the limit, or a counter is to give up. The caller holds mu.
 func (w *Watch) overLimit() bool {
+	if w.counterSlice > 0 {
+		return !w.stopped && w.giveUp != nil
+	}
 	slice := w.limit / slicesPerLimit
 	return !w.stopped && slice > 0 && w.silent >= slice*slicesPerLimit
 }
@@ -139,12 +179,16 @@
 func (w *Watch) expire() bool {
 	w.mu.Lock()
 	expired := w.overLimit()
+	onSilent := w.onSilent
 	if expired {
 		w.stopped, w.expired = true, true
+		if w.giveUp != nil {
+			onSilent = w.giveUp
+		}
 	}
 	w.mu.Unlock()
 	if expired {
-		w.onSilent()
+		onSilent()
 	}
 	return expired
 }
