agent: a probe whose answer lies unread is not unanswered

Callers saw a cut answer, or a second run on another engine: a run was cancelled as frozen (4002) although its engine had answered the probe.

Cause: a probe had a plain limit of 2 s for connecting, sending, the answer and reading it, so the agent's own delay was charged to the engine. Connecting to a plain service whose queue is full was worse: the dial's deadline ended it before the context's timer had, and the probe counted as refused, that is as a crash, which marks the request as suspect.

Evidence, without load: TestProbeAnswerThatLiesUnreadCounts holds the first read of the probe for 4.5 s while the answer lies there. Before: "expected Probe{BootID: b}, actual Probe{TimedOut: true}" after 2 s. TestProbeOfPlainServiceConnectsOnly before, for a full queue: "expected TimedOut, actual Refused". Both pass now.

Why it works: connecting is given up only while the kernel has no connection (silence.Dialer), and the answer only after a read that found nothing (silence.Watch). A refused connection still ends the probe at once. A process that accepts and answers nothing is found after the limit (TestProbeOfFrozenEngineEnds), one that is not even connected to after the same limit. A probe may take both, one after the other.

The limit comes from silence.ResponseTimes, of which the agent had a copy with the same figures. The copy is gone; its test checks the one that is used. TestConnectingIsGivenUpAfterTheLimit requires ErrNoConnection now, where it took any error: the probe tells a refusal from a timeout by it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"samphireweir.example/samphireweir/internal/frame"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/node"
+	"samphireweir.example/samphireweir/internal/silence"
 	"samphireweir.example/samphireweir/internal/source"
 	"samphireweir.example/samphireweir/internal/telemetry"
 	"samphireweir.example/samphireweir/internal/transfer"
@@ -37,7 +38,7 @@
 	singleUseClient *http.Client
 	// prober sends liveness probes to engines; probeTimes derives their timeout from recent response times.
 	prober     *engine.Client
-	probeTimes probeTimes
+	probeTimes silence.ResponseTimes
 	// orderCancels holds the cancel functions of the orders in flight, by serial.
 	orderCancels sync.Map
 	// upstreamsByURL holds the labels of the upstreams in metrics and traces, by base URL.
--- /dev/null
+++ b/internal/agent/own_delay_test.go
@@ -0,0 +1,97 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/core/run"
+	"samphireweir.example/samphireweir/internal/engine"
+	"samphireweir.example/samphireweir/internal/setting"
+	"samphireweir.example/samphireweir/internal/silence"
+)
+
+const (
+	// heldFor is how long a test holds the agent. It is longer than it takes to find a frozen upstream.
+	heldFor = probeInterval + minProbeTimeout + 1500*time.Millisecond
+	// frozenWithin is the time within which a frozen upstream must be found, also on a busy host.
+	frozenWithin = 4 * heldFor
+)
+
+// heldConn is a connection whose first read begins late, as that of a process without processor time. Data arrives meanwhile.
+type heldConn struct {
+	net.Conn
+	held sync.Once
+}
+
+// Read reads from the connection; the first call waits for heldFor before.
+func (c *heldConn) Read(p []byte) (int, error) {
+	c.held.Do(func() { time.Sleep(heldFor) })
+	return c.Conn.Read(p)
+}
+
+// heldClient returns a client whose connections are heldConns.
+func heldClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return silence.NewConn(&heldConn{Conn: c}), nil
+		},
+	}}
+}
+
+// frozenListener returns the address of a listener that accepts no connection.
+func frozenListener(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String()
+}
+
+// TestProbeAnswerThatLiesUnreadCounts guards against an engine that counts as frozen because the agent was late to read its answer to a probe.
+func TestProbeAnswerThatLiesUnreadCounts(t *testing.T) {
+	t.Parallel()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"boot_id":"b"}`) }))
+	defer server.Close()
+	a := &Agent{prober: engine.NewClient(heldClient())}
+	require.Equal(t, run.Probe{BootID: "b"}, a.probe(run.Start{Kind: setting.Engine, URL: server.URL}))
+}
+
+// TestProbeOfFrozenEngineEnds guards against a probe that waits without an end for a process that accepts the connection and answers nothing.
+func TestProbeOfFrozenEngineEnds(t *testing.T) {
+	t.Parallel()
+	a := &Agent{prober: newProber()}
+	startedAt := time.Now()
+	require.Equal(t, run.Probe{TimedOut: true}, a.probe(run.Start{Kind: setting.Engine, URL: "http://" + frozenListener(t)}))
+	require.GreaterOrEqual(t, time.Since(startedAt), minProbeTimeout)
+	require.Less(t, time.Since(startedAt), frozenWithin)
+}
+
+// TestProbeOfPlainServiceConnectsOnly guards against a plain service that counts as frozen although the kernel has connected the probe, and
+// against one whose crash or whose full queue is not noticed.
+func TestProbeOfPlainServiceConnectsOnly(t *testing.T) {
+	t.Parallel()
+	a := &Agent{prober: newProber()}
+	probe := func(address string) run.Probe {
+		return a.probe(run.Start{Kind: setting.Plain, URL: "http://" + address})
+	}
+	require.Equal(t, run.Probe{}, probe(frozenListener(t)))
+	require.Equal(t, run.Probe{TimedOut: true}, probe(busyListener(t).Addr().String()))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	startedAt := time.Now()
+	require.Equal(t, run.Probe{Refused: true}, probe(l.Addr().String()))
+	require.Less(t, time.Since(startedAt), minProbeTimeout)
+}
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -8,10 +8,13 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"samphireweir.example/samphireweir/internal/core/rollout"
 	"samphireweir.example/samphireweir/internal/core/run"
 	"samphireweir.example/samphireweir/internal/engine"
 	"samphireweir.example/samphireweir/internal/setting"
+	"samphireweir.example/samphireweir/internal/silence"
 )
 
 const (
@@ -26,6 +29,10 @@
 	// defaultStalledAfter is how long a response that has started may deliver no byte although its upstream answers
 	// probes. After that its connection is dead, or the upstream has dropped the request.
 	defaultStalledAfter = 15 * time.Second
+	// maxProbeTimeout is the maximum time that a probe waits, whatever the recent response times were.
+	maxProbeTimeout = 6 * time.Second
+	// maxProbes is the maximum number of concurrent probes of a run: each may wait for its connection and then for its answer.
+	maxProbes = int(2*maxProbeTimeout/probeInterval) + 1
 )
 
 // probeResult is the outcome of a probe that was sent at sentAt.
@@ -38,7 +45,7 @@
 // returns when the run ends.
 func (a *Agent) monitor(x *execution) {
 	startedAt := time.Now()
-	results := make(chan probeResult, int(maxProbeTimeout/probeInterval)+1) // The maximum number of concurrent probes.
+	results := make(chan probeResult, maxProbes)
 	lastAlive := startedAt
 	ticks := time.NewTicker(probeInterval)
 	defer ticks.Stop()
@@ -114,24 +121,35 @@
 	return run.Diagnose(x.start.Kind, x.start.BootID, a.probe(x.start))
 }
 
+// probeLimit returns how long the upstream may be silent to a probe that is sent at now.
+func (a *Agent) probeLimit(now time.Time) time.Duration {
+	return a.probeTimes.Limit(now, minProbeTimeout, maxProbeTimeout)
+}
+
 // probe sends one liveness probe: a read of the state to an engine, a TCP connection to a plain service.
-func (a *Agent) probe(s run.Start) run.Probe {
-	sentAt := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), a.probeTimes.timeout(sentAt))
+func (a *Agent) probe(s run.Start) run.Probe { return a.probeWithin(s, a.probeLimit(time.Now())) }
+
+// probeWithin sends a liveness probe. The upstream may leave the connection unanswered for limit and then be silent for limit.
+func (a *Agent) probeWithin(s run.Start, limit time.Duration) run.Probe {
+	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), connectLimitKey{}, limit))
 	defer cancel()
 	if s.Kind != setting.Engine {
 		return probeConnection(ctx, s.URL)
 	}
-	state, err := a.prober.State(ctx, s.URL)
+	watch := silence.NewWatch(limit, cancel)
+	defer watch.Stop()
+	sentAt := time.Now()
+	state, err := a.prober.State(silence.WithWatch(ctx, watch), s.URL)
 	if err == nil {
-		a.probeTimes.record(time.Now(), time.Since(sentAt))
+		now := time.Now()
+		a.probeTimes.Record(now, now.Sub(sentAt))
 		return run.Probe{BootID: state.BootID}
 	}
-	if ctx.Err() != nil {
+	if watch.Expired() {
 		return run.Probe{TimedOut: true}
 	}
 	// The connection was refused or reset, or the status code shows that the engine is not up.
-	return run.Probe{Refused: true}
+	return failedConnection(err)
 }
 
 // probeConnection probes a plain service by opening a TCP connection only: any request might have side effects.
@@ -144,13 +162,18 @@
 	if u.Port() == "" {
 		address = net.JoinHostPort(u.Host, "80")
 	}
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close()
-		return run.Probe{}
+	conn, err := dialUpstream(ctx, "tcp", address)
+	if err != nil {
+		return failedConnection(err)
 	}
-	return run.Probe{Refused: ctx.Err() == nil, TimedOut: ctx.Err() != nil}
+	_ = conn.Close()
+	return run.Probe{}
+}
+
+// failedConnection returns the result of a probe that failed with err.
+func failedConnection(err error) run.Probe {
+	timedOut := errors.Is(err, silence.ErrNoConnection)
+	return run.Probe{Refused: !timedOut, TimedOut: timedOut}
 }
 
 // newProber returns an engine client that opens a new connection for each probe.
--- a/internal/agent/probe_timeout_test.go
+++ b/internal/agent/probe_timeout_test.go
@@ -12,22 +12,23 @@
 
 	"samphireweir.example/samphireweir/internal/core/run"
 	"samphireweir.example/samphireweir/internal/setting"
+	"samphireweir.example/samphireweir/internal/silence"
 )
 
 // TestProbeTimeoutFollowsRecentResponseTimes guards against an upstream that counts as frozen because the network or this
 // host is slow: the timeout of a probe must grow with recent response times, and shrink again afterwards.
 func TestProbeTimeoutFollowsRecentResponseTimes(t *testing.T) {
-	var p probeTimes
+	var p silence.ResponseTimes
 	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	require.Equal(t, minProbeTimeout, p.timeout(now))
-	p.record(now, 10*time.Millisecond)
-	require.Equal(t, minProbeTimeout, p.timeout(now), "fast responses must not delay the detection of a frozen upstream")
-	p.record(now, 1500*time.Millisecond)
-	p.record(now, 20*time.Millisecond)
-	require.Equal(t, 4500*time.Millisecond, p.timeout(now))
-	p.record(now, time.Minute)
-	require.Equal(t, maxProbeTimeout, p.timeout(now))
-	require.Equal(t, minProbeTimeout, p.timeout(now.Add(slowProbeRetention+time.Second)))
+	require.Equal(t, minProbeTimeout, p.Limit(now, minProbeTimeout, maxProbeTimeout))
+	p.Record(now, 10*time.Millisecond)
+	require.Equal(t, minProbeTimeout, p.Limit(now, minProbeTimeout, maxProbeTimeout), "fast responses must not delay the detection of a frozen upstream")
+	p.Record(now, 1500*time.Millisecond)
+	p.Record(now, 20*time.Millisecond)
+	require.Equal(t, 4500*time.Millisecond, p.Limit(now, minProbeTimeout, maxProbeTimeout))
+	p.Record(now, time.Minute)
+	require.Equal(t, maxProbeTimeout, p.Limit(now, minProbeTimeout, maxProbeTimeout))
+	require.Equal(t, minProbeTimeout, p.Limit(now.Add(31*time.Second), minProbeTimeout, maxProbeTimeout))
 }
 
 // TestSlowEngineAnswersProbes guards against an engine that counts as frozen when a probe takes a little longer than the
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -17,6 +17,7 @@
 	"samphireweir.example/samphireweir/internal/engine"
 	"samphireweir.example/samphireweir/internal/frame"
 	"samphireweir.example/samphireweir/internal/setting"
+	"samphireweir.example/samphireweir/internal/silence"
 )
 
 // maxIdleConnsPerUpstream is the number of idle connections that are kept per upstream. It equals the maximum number of
@@ -44,18 +45,26 @@
 	errWeightsChanged = errors.New("weights of the engine changed during the run")
 )
 
+// connectLimitKey is the key of a context's limit for connecting to an upstream, a time.Duration.
+type connectLimitKey struct{}
+
+// dialUpstream connects to an upstream, within the limit of ctx if it has one.
+func dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
+	limit, _ := ctx.Value(connectLimitKey{}).(time.Duration)
+	return silence.Dialer(&net.Dialer{}, limit)(ctx, network, address)
+}
+
 // newUpstreamClient returns a client that returns every response unchanged, redirects included. If pooled is set, the
 // client reuses connections. Otherwise it opens one for each request. Requests that must not run twice are sent that way,
 // because net/http may retry a request on a reused connection.
 //
-// Connecting has no time limit but that of the request. An upstream on this host refuses the connection if it is down. If it
+// Connecting has no time limit but that of the request, unless its context has one under connectLimitKey. An upstream on this host refuses the connection if it is down. If it
 // is only busy, the kernel drops the attempt and repeats it after a second.
 func newUpstreamClient(pooled bool) *http.Client {
-	d := &net.Dialer{}
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{
-			DialContext:         d.DialContext,
+			DialContext:         dialUpstream,
 			MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
 			IdleConnTimeout:     upstreamIdleTimeout,
 			DisableCompression:  true,
--- a/internal/silence/silence_test.go
+++ b/internal/silence/silence_test.go
@@ -225,7 +225,7 @@
 	address := fullListener(t)
 	startedAt := time.Now()
 	_, err := Dialer(&net.Dialer{}, 400*time.Millisecond)(context.Background(), "tcp", address)
-	require.Error(t, err)
+	require.ErrorIs(t, err, ErrNoConnection)
 	require.GreaterOrEqual(t, time.Since(startedAt), 400*time.Millisecond)
 }
 
