agent: an answer that lies unread in the run's connection is not silence of its engine

Callers saw a cut answer, or a second run on another engine, with code 4002: the agent had cancelled the run as frozen.

Cause: the silence of a run was the time since the agent had last processed a byte. It ran on while the agent had no processor time or did something else, and the cancellation did not look at the connection.

Evidence, without load: TestAnswerThatLiesUnreadIsNotFrozen holds the first read of the run's connection for 4.5 s, with the whole answer there and probes unanswered. Before: failure 4002, ran unknown, after 3 s. Now the answer is complete.

Why it works: upstream connections are dialed with silence.Dialer and one silence.Watch counts a run's silence, in slices of 250 ms of reads that found nothing. What the monitor calls silent is that count. A run is given up as frozen or stalled by the read that waits (Watch.GiveUp), after a last look that found nothing; data withdraws it. Time in out.write does not count since nothing is read meanwhile, which replaces the check whether the output is full; time in which the upstream waits for the request's body starts the count anew, also once it has begun to answer.

While a connection is being made there is nothing to read, and probes alone decide. The stall limit, half of the deadline, no longer covers that time: an upstream that accepts no connection does not accept the probe either, and the run ends as not executed (TestUpstreamThatAcceptsNoConnectionIsFound). A frozen engine is still found in the middle of an answer (TestEngineThatFreezesDuringAnswerIsFound). These two passed before.

--- a/internal/agent/output.go
+++ b/internal/agent/output.go
@@ -53,13 +53,6 @@
 	o.notify()
 }
 
-// full reports whether the upstream has to wait until the connection to the entry has read more.
-func (o *output) full() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.base+int64(len(o.buf))-o.readOffset >= maxUnreadBytes
-}
-
 // headSet reports whether setHead was called.
 func (o *output) headSet() bool {
 	o.mu.Lock()
--- a/internal/agent/own_delay_test.go
+++ b/internal/agent/own_delay_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core/run"
 	"samphireweir.example/samphireweir/internal/engine"
 	"samphireweir.example/samphireweir/internal/setting"
@@ -51,6 +52,16 @@
 	}}
 }
 
+// frozenProber returns a prober whose probes reach a process that answers nothing. The kernel establishes their connections.
+func frozenProber(t *testing.T) *engine.Client {
+	address := frozenListener(t)
+	dial := silence.Dialer(&net.Dialer{}, 0)
+	return engine.NewClient(&http.Client{Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext:       func(ctx context.Context, network, _ string) (net.Conn, error) { return dial(ctx, network, address) },
+	}})
+}
+
 // frozenListener returns the address of a listener that accepts no connection.
 func frozenListener(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -59,6 +70,20 @@
 	return l.Addr().String()
 }
 
+// TestAnswerThatLiesUnreadIsNotFrozen guards against a run that is cancelled as frozen because the agent was late to read the answer, which lay
+// in the run's connection. The caller's answer was cut, or made a second time by another engine.
+func TestAnswerThatLiesUnreadIsNotFrozen(t *testing.T) {
+	b := newTestEnv(t, setting.FencingChecked, "e1")
+	v1 := b.apply("v1")
+	a := b.agent("host-1", []string{"e1"}, func(a *Agent) {
+		a.pooledClient, a.singleUseClient, a.prober = heldClient(), heldClient(), frozenProber(t)
+	})
+	a.awaitServing("e1", v1)
+	digest, failed := a.generate("e1", "unread", 3)
+	require.Nil(t, failed)
+	require.Equal(t, v1, digest)
+}
+
 // TestProbeAnswerThatLiesUnreadCounts guards against an engine that counts as frozen because the agent was late to read its answer to a probe.
 func TestProbeAnswerThatLiesUnreadCounts(t *testing.T) {
 	t.Parallel()
@@ -95,3 +120,45 @@
 	require.Equal(t, run.Probe{Refused: true}, probe(l.Addr().String()))
 	require.Less(t, time.Since(startedAt), minProbeTimeout)
 }
+
+// requireFrozen runs a request and requires that its upstream is found frozen in bounded time.
+func requireFrozen(t *testing.T, a *testAgent, ran code.Ran) {
+	startedAt := time.Now()
+	_, failed := a.generate("e1", "frozen", 400)
+	require.NotNil(t, failed)
+	require.Equal(t, code.UpstreamSilent, failed.code)
+	require.Equal(t, ran, failed.ran)
+	require.Less(t, time.Since(startedAt), frozenWithin)
+}
+
+// TestEngineThatFreezesDuringAnswerIsFound guards against a run that waits until its deadline for an engine that froze in the middle of its
+// answer, with its connection established.
+func TestEngineThatFreezesDuringAnswerIsFound(t *testing.T) {
+	b := newTestEnv(t, setting.FencingChecked, "e1")
+	v1 := b.apply("v1")
+	a := b.agent("host-1", []string{"e1"})
+	a.awaitServing("e1", v1)
+	go func() {
+		b.await(func() bool { return b.hasRunning("e1") }, "e1 runs a request")
+		b.setFaults(b.engines, `{"e1":{"freeze":true}}`)
+	}()
+	requireFrozen(t, a, code.Unknown)
+	b.setFaults(b.engines, `{"e1":{"freeze":false}}`)
+}
+
+// TestUpstreamThatAcceptsNoConnectionIsFound guards against a run that waits until its deadline for an upstream that is frozen with a full queue
+// of new connections. Nothing was sent to it.
+func TestUpstreamThatAcceptsNoConnectionIsFound(t *testing.T) {
+	b := newTestEnv(t, setting.FencingChecked, "e1")
+	v1 := b.apply("v1")
+	address := busyListener(t).Addr().String()
+	a := b.agent("host-1", []string{"e1"}, func(a *Agent) {
+		dial := silence.Dialer(&net.Dialer{}, 0)
+		client := &http.Client{Transport: &http.Transport{
+			DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) { return dial(ctx, network, address) },
+		}}
+		a.pooledClient, a.singleUseClient, a.prober = client, client, frozenProber(t)
+	})
+	a.awaitServing("e1", v1)
+	requireFrozen(t, a, code.NotRun)
+}
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -33,20 +34,27 @@
 	maxProbeTimeout = 6 * time.Second
 	// maxProbes is the maximum number of concurrent probes of a run: each may wait for its connection and then for its answer.
 	maxProbes = int(2*maxProbeTimeout/probeInterval) + 1
+	// silenceSlice is the unit in which the silence of a run's upstream is counted, short enough to find it within probeInterval.
+	silenceSlice = probeInterval / 4
+	// silentBeforeProbe is the silence counted after which an upstream is probed. The slice in progress is not counted yet.
+	silentBeforeProbe = probeInterval - silenceSlice
 )
 
-// probeResult is the outcome of a probe that was sent at sentAt.
+// unknownSilence stands for the silence of an upstream with which the run has no connection to read.
+const unknownSilence time.Duration = math.MaxInt64
+
+// probeResult is the outcome of a probe that was sent at sentAt and waited for limit at most.
 type probeResult struct {
 	sentAt time.Time
+	limit  time.Duration
 	health run.Health
 }
 
 // monitor probes the upstream of a run while the upstream sends nothing, to distinguish a slow upstream from a dead one. It
 // returns when the run ends.
 func (a *Agent) monitor(x *execution) {
-	startedAt := time.Now()
 	results := make(chan probeResult, maxProbes)
-	lastAlive := startedAt
+	lastAlive := time.Now()
 	ticks := time.NewTicker(probeInterval)
 	defer ticks.Stop()
 	for {
@@ -54,9 +62,9 @@
 		case <-x.ctx.Done():
 			return
 		case result := <-results:
-			lastAlive = x.applyProbe(result, lastAlive, x.silence(startedAt))
+			lastAlive = x.applyProbe(result, lastAlive, x.silence())
 		case <-ticks.C:
-			if silent := x.silence(startedAt); silent >= probeInterval {
+			if silent := x.silence(); silent >= silentBeforeProbe {
 				a.cancelIfStalled(x, silent)
 				go a.sendProbe(x, results)
 			} else {
@@ -66,36 +74,53 @@
 	}
 }
 
-// silence returns how long the upstream has sent nothing to a run that started at startedAt, although it had the request's body so far.
-func (x *execution) silence(startedAt time.Time) time.Duration {
-	if x.out.full() {
-		x.recordActivity() // The reader is slow, not the upstream.
-	}
-	if last := x.lastActivity.Load(); last != 0 {
-		return time.Since(time.Unix(0, last))
+// silence returns how long the upstream has been silent although it had the request's body so far. It counts only time in which the agent waited
+// in a read of the run's connection that found nothing. Without a connection to read, while it is being made and once the answer is complete,
+// only probes show whether the upstream is alive, and silence returns unknownSilence.
+func (x *execution) silence() time.Duration {
+	silent, attached := x.watch.Silence()
+	if !attached {
+		return unknownSilence
 	}
-	if supplied := x.body.suppliedAt(); supplied.After(startedAt) {
-		return time.Since(supplied)
+	if supplied := x.body.suppliedAt(); supplied.After(x.suppliedAt) {
+		x.suppliedAt = supplied
+		x.watch.Progress(0)
+		return 0
 	}
-	return time.Since(startedAt)
+	return silent
 }
 
 // cancelIfStalled cancels a run whose connection has delivered nothing for too long, even if its upstream answers probes.
 // The limit is StalledAfter, or half of the deadline before the first byte.
 func (a *Agent) cancelIfStalled(x *execution, silent time.Duration) {
-	firstByteTimeout := time.Duration(x.env.DeadlineMS) * time.Millisecond / 2
-	responding := x.lastActivity.Load() != 0
-	if responding && silent > a.config.StalledAfter || !responding && firstByteTimeout > 0 && silent > firstByteTimeout {
-		x.cancel(errStalled)
+	if silent == unknownSilence {
+		return
+	}
+	limit := time.Duration(x.env.DeadlineMS) * time.Millisecond / 2
+	if x.lastActivity.Load() != 0 {
+		limit = a.config.StalledAfter
+	}
+	if limit > 0 && silent > limit {
+		x.giveUp(silent, errStalled)
+	}
+}
+
+// giveUp cancels a run whose upstream was silent, after a last look at the run's connection has found nothing.
+func (x *execution) giveUp(silent time.Duration, cause error) {
+	if _, attached := x.watch.Silence(); attached {
+		x.watch.GiveUp(silent, func() { x.cancel(cause) })
+		return
 	}
+	x.cancel(cause)
 }
 
 // sendProbe probes the upstream of a run and sends the result to results.
 func (a *Agent) sendProbe(x *execution, results chan<- probeResult) {
 	sentAt := time.Now()
-	health := a.diagnose(x)
+	limit := a.probeLimit(sentAt)
+	health := run.Diagnose(x.start.Kind, x.start.BootID, a.probeWithin(x.start, limit))
 	select {
-	case results <- probeResult{sentAt: sentAt, health: health}:
+	case results <- probeResult{sentAt: sentAt, limit: limit, health: health}:
 	case <-x.ctx.Done():
 	}
 }
@@ -107,8 +132,9 @@
 	case run.Crashing:
 		x.cancel(errCrashed)
 	case run.Unanswered:
-		if result.sentAt.After(lastAlive) && silent >= time.Since(result.sentAt) {
-			x.cancel(errFrozen)
+		activeSince := x.lastActivity.Load() >= result.sentAt.UnixNano()
+		if !activeSince && result.sentAt.After(lastAlive) && silent >= max(result.limit, minProbeTimeout) {
+			x.giveUp(silent, errFrozen)
 		}
 	default:
 		return time.Now()
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -19,6 +19,7 @@
 	"samphireweir.example/samphireweir/internal/frame"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/node"
+	"samphireweir.example/samphireweir/internal/silence"
 )
 
 const (
@@ -43,6 +44,10 @@
 	cancel context.CancelCauseFunc
 	// lastActivity is when the upstream last sent a byte, in Unix nanoseconds; 0 before the first byte.
 	lastActivity atomic.Int64
+	// watch counts the silence of the upstream on the run's connection, until the answer is complete.
+	watch *silence.Watch
+	// suppliedAt is the last value of body.suppliedAt that the monitor has taken into account.
+	suppliedAt time.Time
 
 	mu sync.Mutex
 	// relayConn controls the connection that relays the response, nil while there is none.
@@ -229,7 +234,7 @@
 		limit = time.Duration(env.DeadlineMS) * time.Millisecond
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
-	x := &execution{start: start, env: env, out: newOutput(), body: body, ctx: ctx, cancel: cancel}
+	x := &execution{start: start, env: env, out: newOutput(), body: body, ctx: ctx, cancel: cancel, watch: silence.NewCounter(silenceSlice)}
 	a.executions.Store(start.ID, x)
 	stop := time.AfterFunc(limit, func() { cancel(errDeadline) })
 	go func() {
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -85,10 +85,11 @@
 	if err != nil {
 		return &failure{code: code.BadMessage, ran: code.NotRun}
 	}
+	defer x.watch.Stop()
 	startedAt := time.Now()
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	resp, err := a.clientFor(x, req).Do(req.WithContext(httptrace.WithClientTrace(x.ctx, trace)))
+	resp, err := a.clientFor(x, req).Do(req.WithContext(silence.WithWatch(httptrace.WithClientTrace(x.ctx, trace), x.watch)))
 	if err != nil {
 		if !connected.Load() {
 			return a.connectFailed(x)
@@ -133,7 +134,10 @@
 }
 
 // recordActivity records that the upstream has just sent something.
-func (x *execution) recordActivity() { x.lastActivity.Store(time.Now().UnixNano()) }
+func (x *execution) recordActivity() {
+	x.lastActivity.Store(time.Now().UnixNano())
+	x.watch.Progress(0)
+}
 
 // connectFailed returns the failure of a run for which no connection was made. Nothing was sent, so it was not executed.
 func (a *Agent) connectFailed(x *execution) *failure {
