agent: the confirmation of the weights is not silence of the run

Callers saw a complete answer withheld with code 4002, ran, when the engine took longer than the stall limit to confirm its weights, although it answered probes all the time.

Cause: the agent reads the engine's state after the whole answer. That wait counted as silence of the run's connection, which has nothing more to deliver.

Evidence, without load: TestConfirmationIsNoSilenceOfTheRun, with reads of the state that get no answer for 4.5 s and a short stall limit. Now the answer is delivered.

Why it works: the run's Watch ends with the answer, so no stall limit applies to the confirmation. Once the answer is confirmed, the run needs nothing more from its upstream and is monitored no longer, also while a slow entry takes the last event.

--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -182,8 +182,10 @@
 // show that the weights did not change in between.
 //
 // The read is repeated when it times out, because a slow engine that has made the whole response is no reason to withhold
-// it. The run's deadline ends the repeats, and so does the run's monitor if the engine is frozen.
+// it. The run's deadline ends the repeats, and so does the run's monitor if the engine is frozen. The run's connection has
+// nothing more to deliver, so that its silence means nothing from here on.
 func (a *Agent) confirmWeights(x *execution) *failure {
+	x.watch.Stop()
 	state, err := a.readFinalState(x)
 	for err != nil && isTimeout(err) && x.ctx.Err() == nil {
 		state, err = a.readFinalState(x)
@@ -195,6 +197,7 @@
 	case err != nil:
 		return &failure{code: code.UpstreamDied, ran: code.DidRun}
 	case !state.Loading && state.Digest == start.Digest && state.Generation == start.Generation && state.BootID == start.BootID:
+		x.confirmed.Store(true)
 		return nil
 	}
 	logevent.Warn(a.Log, logevent.AnswerWithheld).Str("request", start.ID.Request).Str("upstream", start.Upstream).Msg("answer withheld")
--- a/internal/agent/own_delay_test.go
+++ b/internal/agent/own_delay_test.go
@@ -121,6 +121,38 @@
 	require.Less(t, time.Since(startedAt), minProbeTimeout)
 }
 
+// TestConfirmationIsNoSilenceOfTheRun guards against a complete answer that is withheld because the engine took long to confirm its weights: its
+// run's connection has nothing more to deliver, and the engine answers probes.
+func TestConfirmationIsNoSilenceOfTheRun(t *testing.T) {
+	b := newTestEnv(t, setting.FencingChecked, "e1")
+	reads := &stallingReads{}
+	v1 := b.apply("v1")
+	a := b.agent("host-1", []string{"e1"}, func(a *Agent) {
+		a.engines = engine.NewClient(&http.Client{Transport: reads})
+		a.config.StalledAfter = probeInterval / 2
+	})
+	a.awaitServing("e1", v1)
+	reads.stalled.Store(true)
+	time.AfterFunc(heldFor, func() { reads.stalled.Store(false) })
+	digest, failed := a.generate("e1", "confirm", 3)
+	require.Nil(t, failed)
+	require.Equal(t, v1, digest)
+}
+
+// TestEngineThatFreezesDuringConfirmationIsFound guards against a run that waits until its deadline for an engine that froze after its answer.
+func TestEngineThatFreezesDuringConfirmationIsFound(t *testing.T) {
+	b := newTestEnv(t, setting.FencingChecked, "e1")
+	reads := &stallingReads{}
+	v1 := b.apply("v1")
+	a := b.agent("host-1", []string{"e1"}, func(a *Agent) {
+		a.engines, a.prober = engine.NewClient(&http.Client{Transport: reads}), frozenProber(t)
+	})
+	a.awaitServing("e1", v1)
+	reads.stalled.Store(true)
+	requireFrozen(t, a, code.DidRun)
+	reads.stalled.Store(false)
+}
+
 // requireFrozen runs a request and requires that its upstream is found frozen in bounded time.
 func requireFrozen(t *testing.T, a *testAgent, ran code.Ran) {
 	startedAt := time.Now()
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -51,7 +51,7 @@
 }
 
 // monitor probes the upstream of a run while the upstream sends nothing, to distinguish a slow upstream from a dead one. It
-// returns when the run ends.
+// returns when the run ends or needs nothing more from its upstream.
 func (a *Agent) monitor(x *execution) {
 	results := make(chan probeResult, maxProbes)
 	lastAlive := time.Now()
@@ -62,8 +62,13 @@
 		case <-x.ctx.Done():
 			return
 		case result := <-results:
-			lastAlive = x.applyProbe(result, lastAlive, x.silence())
+			if !x.confirmed.Load() {
+				lastAlive = x.applyProbe(result, lastAlive, x.silence())
+			}
 		case <-ticks.C:
+			if x.confirmed.Load() {
+				return
+			}
 			if silent := x.silence(); silent >= silentBeforeProbe {
 				a.cancelIfStalled(x, silent)
 				go a.sendProbe(x, results)
@@ -75,7 +80,7 @@
 }
 
 // silence returns how long the upstream has been silent although it had the request's body so far. It counts only time in which the agent waited
-// in a read of the run's connection that found nothing. Without a connection to read, while it is being made and once the answer is complete,
+// in a read of the run's connection that found nothing. Without a connection to read, while one is being made and once the answer is complete,
 // only probes show whether the upstream is alive, and silence returns unknownSilence.
 func (x *execution) silence() time.Duration {
 	silent, attached := x.watch.Silence()
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -48,6 +48,8 @@
 	watch *silence.Watch
 	// suppliedAt is the last value of body.suppliedAt that the monitor has taken into account.
 	suppliedAt time.Time
+	// confirmed is set when the answer is complete and valid, so that the run needs nothing more from its upstream.
+	confirmed atomic.Bool
 
 	mu sync.Mutex
 	// relayConn controls the connection that relays the response, nil while there is none.
