agent: a request of which nothing was written is reported as not run

Callers were told "unknown" for a request that nobody had executed, so that one which must not run twice was not tried elsewhere.

Cause: the agent took having a connection for having sent something. A connection that failed, or a run that was cancelled, between the two counted as sent.

Evidence, without load: TestRequestThatWasNeverWrittenDidNotRun closes the connection between the two. Before: "expected not run, actual unknown". It passes now.

Why it works: Watch.Abandon closes the connection, so that nothing is sent afterwards, and says whether anything was written to it before.

--- a/internal/agent/own_delay_test.go
+++ b/internal/agent/own_delay_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"sync"
 	"testing"
 	"time"
@@ -194,3 +195,28 @@
 	a.awaitServing("e1", v1)
 	requireFrozen(t, a, code.NotRun)
 }
+
+// closingTransport closes the connection of each call before anything is written to it.
+type closingTransport struct{ next http.RoundTripper }
+
+// RoundTrip sends a call, which fails.
+func (c closingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { _ = info.Conn.Close() }}
+	return c.next.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+}
+
+// TestRequestThatWasNeverWrittenDidNotRun guards against a request that is reported as possibly executed, so that its caller must not repeat it,
+// although there was a connection only and nothing was written to it.
+func TestRequestThatWasNeverWrittenDidNotRun(t *testing.T) {
+	b := newTestEnv(t, setting.FencingChecked, "e1")
+	v1 := b.apply("v1")
+	a := b.agent("host-1", []string{"e1"}, func(a *Agent) {
+		a.pooledClient = &http.Client{Transport: closingTransport{newUpstreamClient(true).Transport}}
+		a.singleUseClient = &http.Client{Transport: closingTransport{newUpstreamClient(false).Transport}}
+	})
+	a.awaitServing("e1", v1)
+	_, failed := a.generate("e1", "unwritten", 3)
+	require.NotNil(t, failed)
+	require.Equal(t, code.UpstreamDied, failed.code)
+	require.Equal(t, code.NotRun, failed.ran)
+}
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -4,9 +4,7 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -87,12 +85,10 @@
 	}
 	defer x.watch.Stop()
 	startedAt := time.Now()
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	resp, err := a.clientFor(x, req).Do(req.WithContext(silence.WithWatch(httptrace.WithClientTrace(x.ctx, trace), x.watch)))
+	resp, err := a.clientFor(x, req).Do(req.WithContext(silence.WithWatch(x.ctx, x.watch)))
 	if err != nil {
-		if !connected.Load() {
-			return a.connectFailed(x)
+		if sent := x.watch.Abandon(); !sent {
+			return a.notSent(x)
 		}
 		return a.connectionLost(x)
 	}
@@ -139,8 +135,8 @@
 	x.watch.Progress(0)
 }
 
-// connectFailed returns the failure of a run for which no connection was made. Nothing was sent, so it was not executed.
-func (a *Agent) connectFailed(x *execution) *failure {
+// notSent returns the failure of a run of which nothing was sent to the upstream, so that it was not executed.
+func (a *Agent) notSent(x *execution) *failure {
 	if cause := context.Cause(x.ctx); cause != nil {
 		return &failure{code: codeOf(cause), ran: code.NotRun}
 	}
