agent: a state that lies unread does not take its engine out of service

Callers were refused or sent elsewhere, and a load order in flight was cancelled and repeated: after three readings of an engine's state that failed, the engine counts as down.

Cause: a reading had a plain limit of 2 s, and connecting one of 1 s, so the agent's own delay was charged to the engine.

Evidence, without load: TestEngineWhoseStateLiesUnreadStaysInService holds the first read of each reading's connection for 2.5 s. Before, the engine never came into service within 30 s; now it does after two readings (5 s).

Why it works: the calls for an engine's state and cache events go through a transport that gives up an engine that is silent for 2 s, connecting apart, as package silence counts it. The call in all has 6 s, which bounds an engine that sends a little at a time. A frozen engine is found as fast as before (TestReadOfFrozenEnginesStateEnds, also on a reused connection and in the middle of the answer). The confirmation after a run repeats a reading that failed for silence, as it did for a timeout.

TestCompleteAnswerOfSlowEngineIsDelivered takes 6 s instead of 2.5 s: its transport ignores silence, so the call's limit ends its stalled reading.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -72,7 +72,7 @@
 		c.MarkTimeout = defaultMarkTimeout
 	}
 	a := &Agent{Process: p, config: c, pooledClient: newUpstreamClient(true), singleUseClient: newUpstreamClient(false), prober: newProber()}
-	a.stateClient = node.NewHTTPClient()
+	a.stateClient = newStateClient()
 	a.newOrderTransport = engine.NewGuardedTransport
 	a.instrument(upstreams)
 	a.engines = engine.NewClient(a.stateClient)
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -79,7 +79,7 @@
 }
 
 func (a *Agent) pollEngine(ctx context.Context, u rollout.Upstream, cursors map[string]int64) {
-	callCtx, cancel := context.WithTimeout(ctx, stateTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, stateCallTimeout)
 	defer cancel()
 	state, err := a.engines.State(callCtx, u.URL)
 	a.recordLoad(u.Name, state, err)
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -16,11 +16,10 @@
 	"samphireweir.example/samphireweir/internal/engine"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/setting"
+	"samphireweir.example/samphireweir/internal/silence"
 )
 
 const (
-	// stateTimeout bounds one read of an engine's state.
-	stateTimeout = 2 * time.Second
 	// loadTimeout bounds a load order.
 	loadTimeout = 10 * time.Minute
 	// roleTimeout bounds a role order.
@@ -84,7 +83,7 @@
 }
 
 func (a *Agent) readState(e rollout.ReadState) {
-	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), stateCallTimeout)
 	defer cancel()
 	state, err := a.engines.State(ctx, e.URL)
 	if err != nil {
@@ -206,13 +205,16 @@
 
 // readFinalState reads the state of a run's engine once.
 func (a *Agent) readFinalState(x *execution) (engine.State, error) {
-	ctx, cancel := context.WithTimeout(x.ctx, stateTimeout)
+	ctx, cancel := context.WithTimeout(x.ctx, stateCallTimeout)
 	defer cancel()
 	return a.engines.State(ctx, x.start.URL)
 }
 
 // isTimeout reports whether a call got no answer in time, as opposed to one that was refused or broken off.
 func isTimeout(err error) bool {
+	if errors.Is(err, silence.ErrSilent) || errors.Is(err, silence.ErrNoConnection) {
+		return true
+	}
 	var netError net.Error
 	return errors.As(err, &netError) && netError.Timeout()
 }
