--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -16,6 +16,7 @@
 	"samphireweir.example/samphireweir/internal/frame"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/node"
+	"samphireweir.example/samphireweir/internal/silence"
 	"samphireweir.example/samphireweir/internal/source"
 	"samphireweir.example/samphireweir/internal/telemetry"
 	"samphireweir.example/samphireweir/internal/transfer"
@@ -37,7 +38,7 @@
 	singleUseClient *http.Client
 	// prober sends liveness probes to engines; probeTimes derives their timeout from recent response times.
 	prober     *engine.Client
-	probeTimes probeTimes
+	probeTimes silence.ResponseTimes
 	// orderCancels holds the cancel functions of the orders in flight, by serial.
 	orderCancels sync.Map
 	// upstreamsByURL holds the labels of the upstreams in metrics and traces, by base URL.
@@ -71,7 +72,7 @@
 		c.MarkTimeout = defaultMarkTimeout
 	}
 	a := &Agent{Process: p, config: c, pooledClient: newUpstreamClient(true), singleUseClient: newUpstreamClient(false), prober: newProber()}
-	a.stateClient = node.NewHTTPClient()
+	a.stateClient = newStateClient()
 	a.newOrderTransport = engine.NewGuardedTransport
 	a.instrument(upstreams)
 	a.engines = engine.NewClient(a.stateClient)
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -16,11 +16,10 @@
 	"samphireweir.example/samphireweir/internal/engine"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/setting"
+	"samphireweir.example/samphireweir/internal/silence"
 )
 
 const (
-	// stateTimeout bounds one read of an engine's state.
-	stateTimeout = 2 * time.Second
 	// loadTimeout bounds a load order.
 	loadTimeout = 10 * time.Minute
 	// roleTimeout bounds a role order.
@@ -84,7 +83,7 @@
 }
 
 func (a *Agent) readState(e rollout.ReadState) {
-	ctx, cancel := context.WithTimeout(context.Background(), stateTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), stateCallTimeout)
 	defer cancel()
 	state, err := a.engines.State(ctx, e.URL)
 	if err != nil {
@@ -182,8 +181,10 @@
 // show that the weights did not change in between.
 //
 // The read is repeated when it times out, because a slow engine that has made the whole response is no reason to withhold
-// it. The run's deadline ends the repeats, and so does the run's monitor if the engine is frozen.
+// it. The run's deadline ends the repeats, and so does the run's monitor if the engine is frozen. The run's connection has
+// nothing more to deliver, so that its silence means nothing from here on.
 func (a *Agent) confirmWeights(x *execution) *failure {
+	x.watch.Stop()
 	state, err := a.readFinalState(x)
 	for err != nil && isTimeout(err) && x.ctx.Err() == nil {
 		state, err = a.readFinalState(x)
@@ -195,6 +196,7 @@
 	case err != nil:
 		return &failure{code: code.UpstreamDied, ran: code.DidRun}
 	case !state.Loading && state.Digest == start.Digest && state.Generation == start.Generation && state.BootID == start.BootID:
+		x.confirmed.Store(true)
 		return nil
 	}
 	logevent.Warn(a.Log, logevent.AnswerWithheld).Str("request", start.ID.Request).Str("upstream", start.Upstream).Msg("answer withheld")
@@ -203,13 +205,16 @@
 
 // readFinalState reads the state of a run's engine once.
 func (a *Agent) readFinalState(x *execution) (engine.State, error) {
-	ctx, cancel := context.WithTimeout(x.ctx, stateTimeout)
+	ctx, cancel := context.WithTimeout(x.ctx, stateCallTimeout)
 	defer cancel()
 	return a.engines.State(ctx, x.start.URL)
 }
 
 // isTimeout reports whether a call got no answer in time, as opposed to one that was refused or broken off.
 func isTimeout(err error) bool {
+	if errors.Is(err, silence.ErrSilent) || errors.Is(err, silence.ErrNoConnection) {
+		return true
+	}
 	var netError net.Error
 	return errors.As(err, &netError) && netError.Timeout()
 }
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"samphireweir.example/samphireweir/internal/core/rollout"
 	"samphireweir.example/samphireweir/internal/core/run"
 	"samphireweir.example/samphireweir/internal/engine"
 	"samphireweir.example/samphireweir/internal/setting"
+	"samphireweir.example/samphireweir/internal/silence"
 )
 
 const (
@@ -26,20 +30,31 @@
 	// defaultStalledAfter is how long a response that has started may deliver no byte although its upstream answers
 	// probes. After that its connection is dead, or the upstream has dropped the request.
 	defaultStalledAfter = 15 * time.Second
+	// maxProbeTimeout is the maximum time that a probe waits, whatever the recent response times were.
+	maxProbeTimeout = 6 * time.Second
+	// maxProbes is the maximum number of concurrent probes of a run: each may wait for its connection and then for its answer.
+	maxProbes = int(2*maxProbeTimeout/probeInterval) + 1
+	// silenceSlice is the unit in which the silence of a run's upstream is counted, short enough to find it within probeInterval.
+	silenceSlice = probeInterval / 4
+	// silentBeforeProbe is the silence counted after which an upstream is probed. The slice in progress is not counted yet.
+	silentBeforeProbe = probeInterval - silenceSlice
 )
 
-// probeResult is the outcome of a probe that was sent at sentAt.
+// unknownSilence stands for the silence of an upstream with which the run has no connection to read.
+const unknownSilence time.Duration = math.MaxInt64
+
+// probeResult is the outcome of a probe that was sent at sentAt and waited for limit at most.
 type probeResult struct {
 	sentAt time.Time
+	limit  time.Duration
 	health run.Health
 }
 
 // monitor probes the upstream of a run while the upstream sends nothing, to distinguish a slow upstream from a dead one. It
-// returns when the run ends.
+// returns when the run ends or needs nothing more from its upstream.
 func (a *Agent) monitor(x *execution) {
-	startedAt := time.Now()
-	results := make(chan probeResult, int(maxProbeTimeout/probeInterval)+1) // The maximum number of concurrent probes.
-	lastAlive := startedAt
+	results := make(chan probeResult, maxProbes)
+	lastAlive := time.Now()
 	ticks := time.NewTicker(probeInterval)
 	defer ticks.Stop()
 	for {
@@ -47,9 +62,14 @@
 		case <-x.ctx.Done():
 			return
 		case result := <-results:
-			lastAlive = x.applyProbe(result, lastAlive, x.silence(startedAt))
+			if !x.confirmed.Load() {
+				lastAlive = x.applyProbe(result, lastAlive, x.silence())
+			}
 		case <-ticks.C:
-			if silent := x.silence(startedAt); silent >= probeInterval {
+			if x.confirmed.Load() {
+				return
+			}
+			if silent := x.silence(); silent >= silentBeforeProbe {
 				a.cancelIfStalled(x, silent)
 				go a.sendProbe(x, results)
 			} else {
@@ -59,36 +79,53 @@
 	}
 }
 
-// silence returns how long the upstream has sent nothing to a run that started at startedAt, although it had the request's body so far.
-func (x *execution) silence(startedAt time.Time) time.Duration {
-	if x.out.full() {
-		x.recordActivity() // The reader is slow, not the upstream.
-	}
-	if last := x.lastActivity.Load(); last != 0 {
-		return time.Since(time.Unix(0, last))
+// silence returns how long the upstream has been silent although it had the request's body so far. It counts only time in which the agent waited
+// in a read of the run's connection that found nothing. Without a connection to read, while one is being made and once the answer is complete,
+// only probes show whether the upstream is alive, and silence returns unknownSilence.
+func (x *execution) silence() time.Duration {
+	silent, attached := x.watch.Silence()
+	if !attached {
+		return unknownSilence
 	}
-	if supplied := x.body.suppliedAt(); supplied.After(startedAt) {
-		return time.Since(supplied)
+	if supplied := x.body.suppliedAt(); supplied.After(x.suppliedAt) {
+		x.suppliedAt = supplied
+		x.watch.Progress(0)
+		return 0
 	}
-	return time.Since(startedAt)
+	return silent
 }
 
 // cancelIfStalled cancels a run whose connection has delivered nothing for too long, even if its upstream answers probes.
 // The limit is StalledAfter, or half of the deadline before the first byte.
 func (a *Agent) cancelIfStalled(x *execution, silent time.Duration) {
-	firstByteTimeout := time.Duration(x.env.DeadlineMS) * time.Millisecond / 2
-	responding := x.lastActivity.Load() != 0
-	if responding && silent > a.config.StalledAfter || !responding && firstByteTimeout > 0 && silent > firstByteTimeout {
-		x.cancel(errStalled)
+	if silent == unknownSilence {
+		return
+	}
+	limit := time.Duration(x.env.DeadlineMS) * time.Millisecond / 2
+	if x.lastActivity.Load() != 0 {
+		limit = a.config.StalledAfter
+	}
+	if limit > 0 && silent > limit {
+		x.giveUp(silent, errStalled)
+	}
+}
+
+// giveUp cancels a run whose upstream was silent, after a last look at the run's connection has found nothing.
+func (x *execution) giveUp(silent time.Duration, cause error) {
+	if _, attached := x.watch.Silence(); attached {
+		x.watch.GiveUp(silent, func() { x.cancel(cause) })
+		return
 	}
+	x.cancel(cause)
 }
 
 // sendProbe probes the upstream of a run and sends the result to results.
 func (a *Agent) sendProbe(x *execution, results chan<- probeResult) {
 	sentAt := time.Now()
-	health := a.diagnose(x)
+	limit := a.probeLimit(sentAt)
+	health := run.Diagnose(x.start.Kind, x.start.BootID, a.probeWithin(x.start, limit))
 	select {
-	case results <- probeResult{sentAt: sentAt, health: health}:
+	case results <- probeResult{sentAt: sentAt, limit: limit, health: health}:
 	case <-x.ctx.Done():
 	}
 }
@@ -100,8 +137,9 @@
 	case run.Crashing:
 		x.cancel(errCrashed)
 	case run.Unanswered:
-		if result.sentAt.After(lastAlive) && silent >= time.Since(result.sentAt) {
-			x.cancel(errFrozen)
+		activeSince := x.lastActivity.Load() >= result.sentAt.UnixNano()
+		if !activeSince && result.sentAt.After(lastAlive) && silent >= max(result.limit, minProbeTimeout) {
+			x.giveUp(silent, errFrozen)
 		}
 	default:
 		return time.Now()
@@ -114,24 +152,35 @@
 	return run.Diagnose(x.start.Kind, x.start.BootID, a.probe(x.start))
 }
 
+// probeLimit returns how long the upstream may be silent to a probe that is sent at now.
+func (a *Agent) probeLimit(now time.Time) time.Duration {
+	return a.probeTimes.Limit(now, minProbeTimeout, maxProbeTimeout)
+}
+
 // probe sends one liveness probe: a read of the state to an engine, a TCP connection to a plain service.
-func (a *Agent) probe(s run.Start) run.Probe {
-	sentAt := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), a.probeTimes.timeout(sentAt))
+func (a *Agent) probe(s run.Start) run.Probe { return a.probeWithin(s, a.probeLimit(time.Now())) }
+
+// probeWithin sends a liveness probe. The upstream may leave the connection unanswered for limit and then be silent for limit.
+func (a *Agent) probeWithin(s run.Start, limit time.Duration) run.Probe {
+	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), connectLimitKey{}, limit))
 	defer cancel()
 	if s.Kind != setting.Engine {
 		return probeConnection(ctx, s.URL)
 	}
-	state, err := a.prober.State(ctx, s.URL)
+	watch := silence.NewWatch(limit, cancel)
+	defer watch.Stop()
+	sentAt := time.Now()
+	state, err := a.prober.State(silence.WithWatch(ctx, watch), s.URL)
 	if err == nil {
-		a.probeTimes.record(time.Now(), time.Since(sentAt))
+		now := time.Now()
+		a.probeTimes.Record(now, now.Sub(sentAt))
 		return run.Probe{BootID: state.BootID}
 	}
-	if ctx.Err() != nil {
+	if watch.Expired() {
 		return run.Probe{TimedOut: true}
 	}
 	// The connection was refused or reset, or the status code shows that the engine is not up.
-	return run.Probe{Refused: true}
+	return failedConnection(err)
 }
 
 // probeConnection probes a plain service by opening a TCP connection only: any request might have side effects.
@@ -144,13 +193,18 @@
 	if u.Port() == "" {
 		address = net.JoinHostPort(u.Host, "80")
 	}
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close()
-		return run.Probe{}
+	conn, err := dialUpstream(ctx, "tcp", address)
+	if err != nil {
+		return failedConnection(err)
 	}
-	return run.Probe{Refused: ctx.Err() == nil, TimedOut: ctx.Err() != nil}
+	_ = conn.Close()
+	return run.Probe{}
+}
+
+// failedConnection returns the result of a probe that failed with err.
+func failedConnection(err error) run.Probe {
+	timedOut := errors.Is(err, silence.ErrNoConnection)
+	return run.Probe{Refused: !timedOut, TimedOut: timedOut}
 }
 
 // newProber returns an engine client that opens a new connection for each probe.
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -4,9 +4,7 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,6 +15,7 @@
 	"samphireweir.example/samphireweir/internal/engine"
 	"samphireweir.example/samphireweir/internal/frame"
 	"samphireweir.example/samphireweir/internal/setting"
+	"samphireweir.example/samphireweir/internal/silence"
 )
 
 // maxIdleConnsPerUpstream is the number of idle connections that are kept per upstream. It equals the maximum number of
@@ -44,18 +43,26 @@
 	errWeightsChanged = errors.New("weights of the engine changed during the run")
 )
 
+// connectLimitKey is the key of a context's limit for connecting to an upstream, a time.Duration.
+type connectLimitKey struct{}
+
+// dialUpstream connects to an upstream, within the limit of ctx if it has one.
+func dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
+	limit, _ := ctx.Value(connectLimitKey{}).(time.Duration)
+	return silence.Dialer(&net.Dialer{}, limit)(ctx, network, address)
+}
+
 // newUpstreamClient returns a client that returns every response unchanged, redirects included. If pooled is set, the
 // client reuses connections. Otherwise it opens one for each request. Requests that must not run twice are sent that way,
 // because net/http may retry a request on a reused connection.
 //
-// Connecting has no time limit but that of the request. An upstream on this host refuses the connection if it is down. If it
+// Connecting has no time limit but that of the request, unless its context has one under connectLimitKey. An upstream on this host refuses the connection if it is down. If it
 // is only busy, the kernel drops the attempt and repeats it after a second.
 func newUpstreamClient(pooled bool) *http.Client {
-	d := &net.Dialer{}
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{
-			DialContext:         d.DialContext,
+			DialContext:         dialUpstream,
 			MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
 			IdleConnTimeout:     upstreamIdleTimeout,
 			DisableCompression:  true,
@@ -76,13 +83,12 @@
 	if err != nil {
 		return &failure{code: code.BadMessage, ran: code.NotRun}
 	}
+	defer x.watch.Stop()
 	startedAt := time.Now()
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	resp, err := a.clientFor(x, req).Do(req.WithContext(httptrace.WithClientTrace(x.ctx, trace)))
+	resp, err := a.clientFor(x, req).Do(req.WithContext(silence.WithWatch(x.ctx, x.watch)))
 	if err != nil {
-		if !connected.Load() {
-			return a.connectFailed(x)
+		if sent := x.watch.Abandon(); !sent {
+			return a.notSent(x)
 		}
 		return a.connectionLost(x)
 	}
@@ -124,10 +130,13 @@
 }
 
 // recordActivity records that the upstream has just sent something.
-func (x *execution) recordActivity() { x.lastActivity.Store(time.Now().UnixNano()) }
+func (x *execution) recordActivity() {
+	x.lastActivity.Store(time.Now().UnixNano())
+	x.watch.Progress(0)
+}
 
-// connectFailed returns the failure of a run for which no connection was made. Nothing was sent, so it was not executed.
-func (a *Agent) connectFailed(x *execution) *failure {
+// notSent returns the failure of a run of which nothing was sent to the upstream, so that it was not executed.
+func (a *Agent) notSent(x *execution) *failure {
 	if cause := context.Cause(x.ctx); cause != nil {
 		return &failure{code: codeOf(cause), ran: code.NotRun}
 	}
