--- a/internal/silence/conn.go
+++ b/internal/silence/conn.go
@@ -19,12 +19,8 @@
 	"github.com/pkg/errors"
 )
 
-const (
-	// slicesPerLimit is the number of slices into which a limit is divided. A read that is late for whatever reason counts as one slice.
-	slicesPerLimit = 4
-	// lastLookTimeout is how long the last read before the other side is given up waits for data. Data that has arrived is returned at once.
-	lastLookTimeout = 10 * time.Millisecond
-)
+// slicesPerLimit is the number of slices into which a limit is divided. A read that is late for whatever reason counts as one slice.
+const slicesPerLimit = 4
 
 // ErrSilent is returned by a read of a connection whose other side was silent for the limit of its Watch.
 var ErrSilent = errors.New("waiting for data: the other side sent nothing within the limit")
@@ -123,14 +119,6 @@
 	return c.watch
 }
 
-// lastLook reads what has arrived since the last slice.
-func (c *Conn) lastLook(p []byte) (int, error) {
-	c.mu.Lock()
-	c.setDeadline(lastLookTimeout)
-	c.mu.Unlock()
-	return c.Conn.Read(p)
-}
-
 // setDeadline limits reads to d from now, or not at all if d is 0. The caller holds mu.
 func (c *Conn) setDeadline(d time.Duration) {
 	c.sliceEnd = time.Time{}
