node: a process that is late in a TLS handshake does not give up the other side

What callers see, with certificates: a request refused by, or an attempt taken from, a living agent, which then counts as unreachable for 2 s; after a connection that broke, a second run.

Cause: the handshake was limited by a timer of 1 s that ran on while this process had no processor time.

Why it works: the silence of the other side is counted by a Watch, in reads that find nothing. The handshake as a whole ends after WriteTimeout, which also bounds a peer that accepts nothing or drips.

--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -124,15 +124,19 @@
 	return nil
 }
 
-// withTLS returns a function that opens TLS connections over those of dial. The handshake may take control.DialTimeout.
+// withTLS returns a function that opens TLS connections over those of dial, which must be of type *silence.Conn. In the handshake the other side
+// may be silent for control.DialTimeout. The handshake ends after WriteTimeout in any case, also if the peer accepts nothing.
 func withTLS(dial control.DialFunc, config *tls.Config) control.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		raw, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		ctx, cancel := context.WithTimeout(ctx, control.DialTimeout)
+		ctx, cancel := context.WithTimeout(ctx, WriteTimeout)
 		defer cancel()
+		watch := silence.NewWatch(control.DialTimeout, func() {})
+		watch.Attach(raw.(*silence.Conn))
+		defer watch.Stop()
 		conn := tls.Client(raw, config)
 		if err := conn.HandshakeContext(ctx); err != nil {
 			_ = raw.Close()
