agent: a connection that was replaced while its failure was dealt with does not cancel the resumed run

What callers see: an answer that was resumed is cut 5 s later.

Why it works: whether a connection still relays and whether the timer starts is decided under one lock; so is stopping the timer when another connection takes over.

A name that two tests of internal/node shared is changed.

--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -17,50 +17,35 @@
 func (a *Agent) relay(w http.ResponseWriter, r *http.Request, x *execution, reader int, withHead bool) {
 	conn := http.NewResponseController(w)
 	node.LimitSendBuffer(r, maxSendBufferBytes)
-	x.stopResumeTimer()
 	x.startRelay(conn)
 	ended := a.relayFrames(w, r, x, reader, withHead)
-	x.stopRelay(conn)
-	if !ended {
-		x.startResumeTimer()
-	}
+	x.stopRelay(conn, ended)
 }
 
 // startRelay makes conn the connection that relays the response. It ends a write that blocks on the one that it replaces.
 func (x *execution) startRelay(conn *http.ResponseController) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.resumeTimer != nil {
+		x.resumeTimer.Stop()
+	}
 	if x.relayConn != nil {
 		_ = x.relayConn.SetWriteDeadline(time.Now())
 	}
 	x.relayConn = conn
 }
 
-// stopRelay records that conn no longer relays the response, if no other connection has replaced it. The server may use conn for
-// another call afterwards.
-func (x *execution) stopRelay(conn *http.ResponseController) {
+// stopRelay records that conn no longer relays the response, if no other connection has replaced it. The server may use conn for another call
+// afterwards. Unless the response has ended, the run is cancelled after resumeWindow if no connection resumes it before.
+func (x *execution) stopRelay(conn *http.ResponseController, ended bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.relayConn == conn {
-		x.relayConn = nil
+	if x.relayConn != conn {
+		return
 	}
-}
-
-// startResumeTimer cancels the run after resumeWindow, unless a connection resumes it before.
-func (x *execution) startResumeTimer() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.resumeTimer != nil {
-		x.resumeTimer.Stop()
-	}
-	x.resumeTimer = time.AfterFunc(resumeWindow, func() { x.cancel(errAbandoned) })
-}
-
-func (x *execution) stopResumeTimer() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.resumeTimer != nil {
-		x.resumeTimer.Stop()
+	x.relayConn = nil
+	if !ended {
+		x.resumeTimer = time.AfterFunc(resumeWindow, func() { x.cancel(errAbandoned) })
 	}
 }
 
--- a/internal/node/handshake_test.go
+++ b/internal/node/handshake_test.go
@@ -15,14 +15,14 @@
 	"samphireweir.example/samphireweir/internal/silence"
 )
 
-// lateConn is a connection of a process that gets no processor time: what has arrived is passed on late.
-type lateConn struct {
+// lateHandshakeConn is a connection of a process that gets no processor time: what has arrived is passed on late.
+type lateHandshakeConn struct {
 	net.Conn
 	lateness time.Duration
 }
 
 // Read reads, and returns late if there was data.
-func (c *lateConn) Read(p []byte) (int, error) {
+func (c *lateHandshakeConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		time.Sleep(c.lateness)
@@ -37,7 +37,7 @@
 		t.Cleanup(func() { _ = near.Close() })
 		t.Cleanup(func() { _ = far.Close() })
 		go serve(far)
-		return silence.NewConn(&lateConn{Conn: near, lateness: lateness}), nil
+		return silence.NewConn(&lateHandshakeConn{Conn: near, lateness: lateness}), nil
 	}
 }
 
