--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -70,7 +70,9 @@
 	engineServer  string
 	plainServer   string
 	entries       []*Entry
-	agents        []*agent.Agent
+	// entryLog is what the entries have logged.
+	entryLog lockedBuffer
+	agents   []*agent.Agent
 	// agentProxies are the proxies from the first entry to the agents; engineProxies and plainProxies are those from
 	// the agents to their upstreams.
 	agentProxies  []*faultProxy
@@ -78,6 +80,26 @@
 	plainProxies  []*faultProxy
 }
 
+// lockedBuffer is a buffer that several goroutines may use at once.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+// String returns what was written.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
 // addressCount is the number of loopback addresses that uniqueAddress returned.
 var addressCount atomic.Uint32
 
@@ -221,7 +243,7 @@
 		Config: f.nodeConfig(fmt.Sprintf("entry-%d", i), member.Entry), CallersListen: uniqueAddress(),
 		DefaultDeadline: testDeadline, MaxBodyBytes: 1 << 20, Routing: string(routing.Affinity),
 		Claims: claim.Config{Retention: claim.DefaultRetention, UntimedRetention: claim.DefaultUntimedRetention},
-	}, zerolog.Nop())
+	}, zerolog.New(&f.entryLog).With().Timestamp().Logger())
 	require.NoError(f.t, err)
 	for _, c := range []*http.Client{e.agentClient, e.unpooledAgentClient} {
 		c.Transport.(*http.Transport).DialContext = f.dialAgent
--- a/internal/entry/slow_entry_test.go
+++ b/internal/entry/slow_entry_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -12,7 +11,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 
 	"samphireweir.example/samphireweir/internal/core"
@@ -100,7 +98,7 @@
 	outcome
 	// runs and completeRuns count the runs on all engines.
 	runs, completeRuns int
-	// log is what the entry logged.
+	// log is what the entries logged.
 	log string
 }
 
@@ -117,9 +115,7 @@
 		r.Header.Set(HeaderDeadline, fmt.Sprint(q.deadline.Milliseconds()))
 	}
 	w := &heldWriter{ResponseRecorder: httptest.NewRecorder(), at: at, hold: hold}
-	var log bytes.Buffer
-	f.entries[0].Log = zerolog.New(&log).With().Timestamp().Logger()
-	start := time.Now()
+	start, logged := time.Now(), len(f.entryLog.String())
 	func() {
 		defer func() {
 			if p := recover(); p != nil && p != http.ErrAbortHandler {
@@ -130,7 +126,7 @@
 	}()
 	h := handled{outcome: outcome{id: w.Header().Get(HeaderRequestID), status: w.Code, duration: time.Since(start)}}
 	h.read(w.Result(), q, f.weightsDigest)
-	h.log = log.String()
+	h.log = f.entryLog.String()[logged:]
 	time.Sleep(time.Second) // A run too many has come to its end.
 	for _, run := range f.engineRuns()[h.id] {
 		h.runs++
