--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -56,8 +56,8 @@
 // client reuses connections. Otherwise it opens one for each request. Requests that must not run twice are sent that way,
 // because net/http may retry a request on a reused connection.
 //
-// Connecting has no time limit but that of the request, unless its context has one under connectLimitKey. An upstream on this host refuses the connection if it is down. If it
-// is only busy, the kernel drops the attempt and repeats it after a second.
+// Connecting has no time limit but that of the request, unless its context has one under connectLimitKey. An upstream on this host
+// refuses the connection if it is down. If it is only busy, the kernel drops the attempt and repeats it after a second.
 func newUpstreamClient(pooled bool) *http.Client {
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/silence/conn.go
+++ b/internal/silence/conn.go
@@ -1,5 +1,5 @@
 // Package silence decides when the other side of a connection is silent. Both paths use it wherever a peer that sends nothing has to be
-// given up: an entry that waits for an agent or an upstream.
+// given up: an entry that waits for an agent or an upstream, an agent that waits for an engine.
 //
 // Silence is not the time since the last byte arrived. It counts only while this process waits in a read of the connection, in slices of the
 // limit, and a slice counts only if the read found nothing at its end. Time that this process spends on something else (a write to a slow
--- a/internal/silence/watch.go
+++ b/internal/silence/watch.go
@@ -7,7 +7,8 @@
 	"time"
 )
 
-// Watch limits how long the other side of a connection may be silent during one call. Its methods may be called on nil, which sets no limit.
+// Watch limits how long the other side of a connection may be silent during one call. A connection without a Watch has a nil one, which sets no
+// limit and counts nothing.
 type Watch struct {
 	// onSilent is called at most once, before the read that found the other side silent returns.
 	onSilent func()
