entry, agent: a process that is late itself waits longer before it takes others for silent

Cause: the limits follow recent response times, which are not known yet when a burst begins; the process's own delay is known and was not used.

A process on time waits as before.

Tests: TestLateEntryWaitsLongerForAgents, TestLateAgentProbesMorePatiently.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -39,6 +39,8 @@
 	// prober sends liveness probes to engines; probeTimes derives their timeout from recent response times.
 	prober     *engine.Client
 	probeTimes silence.ResponseTimes
+	// allowance returns how much longer probes wait because this process is late; nil for never.
+	allowance func() time.Duration
 	// orderCancels holds the cancel functions of the orders in flight, by serial.
 	orderCancels sync.Map
 	// upstreamsByURL holds the labels of the upstreams in metrics and traces, by base URL.
@@ -72,6 +74,7 @@
 		c.MarkTimeout = defaultMarkTimeout
 	}
 	a := &Agent{Process: p, config: c, pooledClient: newUpstreamClient(true), singleUseClient: newUpstreamClient(false), prober: newProber()}
+	a.allowance = p.OwnDelay.Allowance
 	a.stateClient = newStateClient()
 	a.newOrderTransport = engine.NewGuardedTransport
 	a.instrument(upstreams)
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -152,9 +152,14 @@
 	return run.Diagnose(x.start.Kind, x.start.BootID, a.probe(x.start))
 }
 
-// probeLimit returns how long the upstream may be silent to a probe that is sent at now.
+// probeLimit returns how long the upstream may be silent to a probe that is sent at now. While this process is late, its upstream, which shares
+// the host, has as little processor time.
 func (a *Agent) probeLimit(now time.Time) time.Duration {
-	return a.probeTimes.Limit(now, minProbeTimeout, maxProbeTimeout)
+	limit := a.probeTimes.Limit(now, minProbeTimeout, maxProbeTimeout)
+	if a.allowance != nil {
+		limit += a.allowance()
+	}
+	return min(maxProbeTimeout, limit)
 }
 
 // probe sends one liveness probe: a read of the state to an engine, a TCP connection to a plain service.
--- a/internal/agent/probe_timeout_test.go
+++ b/internal/agent/probe_timeout_test.go
@@ -50,3 +50,15 @@
 	require.Equal(t, run.Probe{BootID: "b"}, a.probe(start))
 	require.Equal(t, run.Probe{BootID: "b"}, a.probe(start))
 }
+
+// TestLateAgentProbesMorePatiently guards against an engine that counts as frozen because its host has no processor time, which the agent knows
+// from its own delay.
+func TestLateAgentProbesMorePatiently(t *testing.T) {
+	now := time.Now()
+	a := &Agent{}
+	require.Equal(t, minProbeTimeout, a.probeLimit(now))
+	a.allowance = func() time.Duration { return 3 * time.Second }
+	require.Equal(t, minProbeTimeout+3*time.Second, a.probeLimit(now))
+	a.allowance = func() time.Duration { return time.Hour }
+	require.Equal(t, maxProbeTimeout, a.probeLimit(now), "a frozen engine is found in bounded time")
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -80,7 +80,7 @@
 	}
 	s, err := e.openStream(ctx, agentCall{
 		address: eff.Target.Address, path: frame.RunPath, env: env, header: header, body: reader, contentLength: length,
-		headTimeout: e.headTimes.limit(eff.Target.Address, time.Now(), frame.HeadTimeout),
+		headTimeout: e.headTimeout(eff.Target.Address, time.Now(), frame.HeadTimeout),
 	})
 	return e.receiveAnswer(ctx, c, eff.Attempt, s, err)
 }
--- a/internal/entry/head_times.go
+++ b/internal/entry/head_times.go
@@ -59,10 +59,15 @@
 // another upstream while it is not known whether the first one runs it: as long as a dead agent in the middle of an answer.
 const maxAgentSilence = frame.HeadTimeout + frame.FrameTimeout
 
+// headTimeout returns how long an agent may be silent before the first byte of a call, at least shortest.
+func (e *Entry) headTimeout(address string, now time.Time, shortest time.Duration) time.Duration {
+	return min(maxHeadTimeout, e.headTimes.limit(address, now, shortest)+e.OwnDelay.Allowance())
+}
+
 // reconnectTimeout returns how long an agent may be silent before the first byte of a call on a new connection. What it was
 // silent before counts.
 func (e *Entry) reconnectTimeout(c *call, attempt request.Attempt, now time.Time) time.Duration {
 	shortest := max(frame.HeadTimeout, maxAgentSilence-c.agentSilence)
-	limit := e.headTimes.limit(attempt.Target.Address, now, shortest)
+	limit := e.headTimeout(attempt.Target.Address, now, shortest)
 	return max(frame.HeadTimeout, min(limit, c.deadline.Sub(now)/reconnectShare))
 }
--- a/internal/owndelay/monitor.go
+++ b/internal/owndelay/monitor.go
@@ -11,6 +11,7 @@
 package owndelay
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -21,10 +22,15 @@
 	"samphireweir.example/samphireweir/internal/telemetry"
 )
 
-// measureInterval is the length of a measured second.
-const measureInterval = time.Second
+const (
+	// measureInterval is the length of a measured second.
+	measureInterval = time.Second
+	// allowanceFactor is how many times its own delay a process allows others.
+	allowanceFactor = 2
+)
 
-// Monitor measures the delay of this process. Use New to create one. Its methods except LateRead are called by one goroutine at a time.
+// Monitor measures the delay of this process. Use New to create one. Its methods except LateRead and Allowance are called by one goroutine at a
+// time.
 type Monitor struct {
 	log     zerolog.Logger
 	metrics *telemetry.Metrics
@@ -39,6 +45,8 @@
 	lastTick  time.Time
 	timerLate time.Duration
 	before    Reading
+	// recent is the delay that Allowance is derived from, in nanoseconds.
+	recent atomic.Int64
 }
 
 // New returns a monitor whose Tick is due at an interval, which must be well below selflimit.LateDelay. It logs to log, records in m, and
@@ -76,6 +84,7 @@
 		m.logEnd(s)
 		m.spell = spell{}
 	}
+	m.recent.Store(int64(max(s.Delay, m.spell.maxDelay)))
 	if m.step != nil {
 		m.step(selflimit.OwnDelay{Delay: s.Delay, OwnShare: s.OwnShare})
 	}
@@ -86,5 +95,9 @@
 		Dur("max_delay_ms", m.spell.maxDelay).Dur("duration_ms", m.spell.until.Sub(m.spell.from)).Float64("own_share", m.spell.ownShare()).Msg("process on time")
 }
 
+// Allowance returns how much longer this process waits for others before it takes them for silent: twice its delay, which is the largest of the
+// present spell, or that of the last second if there is none. Sending and reading may each be late. It may be called by any goroutine.
+func (m *Monitor) Allowance() time.Duration { return allowanceFactor * time.Duration(m.recent.Load()) }
+
 // LateRead counts a read that was late: its data had already arrived when the time limit for it passed.
 func (m *Monitor) LateRead() { m.metrics.LateReads.Add(1) }
