entry: a connection that breaks before the answer is replaced up to three times

Cause: one reconnect for each attempt, whatever had failed. An answer that was not accepted, or a connection that broke, used it up; the next break ended the attempt within milliseconds.

Why it works: a reconnect resumes or fences, it starts nothing, and a break costs no waiting. A silent agent, or one that can't be reached, gets one reconnect as before.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -26,10 +26,11 @@
 	fenceTimeout = 2 * time.Second
 	// deadlineGrace is how long after the caller's deadline the entry waits for the agent's report on the attempt.
 	deadlineGrace = 300 * time.Millisecond
-	// maxReconnects bounds how often the entry reconnects for an attempt whose connection failed before its answer.
-	// At-most-once calls get more reconnects, because they can't be sent to another upstream.
-	maxReconnects           = 1
-	maxReconnectsAtMostOnce = 3
+	// maxReconnects bounds how often the entry reconnects for an attempt whose agent was silent, or could not be reached, before its answer.
+	maxReconnects = 1
+	// maxSafeReconnects applies instead to a connection that broke, because a reconnect starts nothing and takes little time, and to
+	// at-most-once calls, because they can't be sent to another upstream.
+	maxSafeReconnects = 3
 	// initialReconnectDelay is the delay before the second reconnect; it doubles for each further one. The first is
 	// made at once.
 	initialReconnectDelay = 100 * time.Millisecond
@@ -112,7 +113,7 @@
 			e.reportFailure(c, attempt, &frame.Fail{Code: code.DeadlinePassed, Ran: e.fence(c, attempt)})
 			return false
 		}
-		if reconnects == maxReconnectsOf(attempt) {
+		if reconnects >= maxReconnectsAfter(err, attempt) {
 			e.cancelAttempt(c, attempt)
 			e.Loop.Step(member.CallFailed{Address: attempt.Target.Address})
 			e.reportFailure(c, attempt, &frame.Fail{Code: code.UpstreamSilent, Ran: code.Unknown})
@@ -128,10 +129,11 @@
 	}
 }
 
-// maxReconnectsOf returns the maximum number of reconnects for an attempt.
-func maxReconnectsOf(attempt request.Attempt) int {
-	if attempt.AtMostOnce {
-		return maxReconnectsAtMostOnce
+// maxReconnectsAfter returns the maximum number of reconnects for an attempt whose last connection failed with err.
+func maxReconnectsAfter(err error, attempt request.Attempt) int {
+	broke := silenceOf(err) == 0 && !errors.Is(err, errNotConnected)
+	if attempt.AtMostOnce || broke {
+		return maxSafeReconnects
 	}
 	return maxReconnects
 }
