explain, gateway: losses by priority, client account and data centre

Cause: a refusal's log line named neither the route, the client account nor the priority, so that the logs could not show which callers pay for an overload. The lines of a request's end now carry them, and explain -losses counts the accepted requests by each.

--- a/internal/core/forward/ending.go
+++ b/internal/core/forward/ending.go
@@ -84,3 +84,11 @@
 	}
 	return a.Name
 }
+
+// priority returns the priority that applies to the request: its account's, if that sets one, else its route's.
+func (r *request) priority() int {
+	if r.account != nil && r.account.Priority != nil {
+		return *r.account.Priority
+	}
+	return r.route.Priority
+}
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -177,6 +177,9 @@
 	ID       uint64
 	Route    *catalog.Route
 	Deadline time.Time
+	// Account is the name of the client account, empty if the caller has none, and Priority the priority that applies to the request.
+	Account  string
+	Priority int
 }
 
 // Send has the shell make one attempt: send a request to an upstream.
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -60,7 +60,7 @@
 	}
 	s.requests[r.id] = r
 	s.retryBudget(r.service).addRequest(in.Now)
-	effects := []step.Effect{Accepted{ID: r.id, Route: r.route, Deadline: r.deadline}}
+	effects := []step.Effect{Accepted{ID: r.id, Route: r.route, Deadline: r.deadline, Account: accountName(r.account), Priority: r.priority()}}
 	return append(effects, s.dispatch(in, r)...)
 }
 
@@ -113,7 +113,7 @@
 		s.unreportedWaiting++
 	}
 	e := Send{
-		ID: r.id, Attempt: r.attempts, Upstream: u, Homes: r.homes, Priority: r.route.Priority, Deadline: r.deadline, Resume: r.partial, Returning: r.returning,
+		ID: r.id, Attempt: r.attempts, Upstream: u, Homes: r.homes, Account: accountName(r.account), Priority: r.priority(), Deadline: r.deadline, Resume: r.partial, Returning: r.returning,
 	}
 	if required := s.requiredVersion(in.Now, r.model); required > 0 {
 		// An engine compares versions for equality, so require the version that it holds, which may be newer than the required one.
@@ -122,12 +122,6 @@
 		}
 	}
 	r.version = e.Version
-	if r.account != nil {
-		e.Account = r.account.Name
-		if r.account.Priority != nil {
-			e.Priority = *r.account.Priority
-		}
-	}
 	e.FirstEventTimeout, e.GapTimeout = r.attemptTimeouts(in.Now)
 	return []step.Effect{e}
 }
--- a/internal/explain/losses.go
+++ b/internal/explain/losses.go
@@ -23,6 +23,8 @@
 	Ended, InTime int
 	// ByReason are sorted by their number of requests, in descending order.
 	ByReason []Loss
+	// ByClass counts the accepted requests by priority, by client account and by the data centre of their entry.
+	ByClass []ClassLosses
 }
 
 // Reasons why requests were not answered in time.
@@ -66,6 +68,7 @@
 			}
 		}
 	}
+	out.ByClass = l.lossesByClass()
 	for reason, n := range reasons {
 		out.ByReason = append(out.ByReason, Loss{Reason: reason, Requests: n})
 	}
@@ -132,6 +135,7 @@
 	for _, loss := range l.ByReason {
 		fmt.Fprintf(&out, "%7d %5.1f%%  %s\n", loss.Requests, percent(loss.Requests), loss.Reason)
 	}
+	l.printClasses(&out)
 	_, err := io.WriteString(w, out.String())
 	return err
 }
--- a/internal/explain/losses_test.go
+++ b/internal/explain/losses_test.go
@@ -49,3 +49,26 @@
 	require.NoError(t, losses.Print(&out))
 	require.Contains(t, out.String(), "      2  13.3%  refused: no capacity")
 }
+
+// TestLossesByClassShowWhoIsRefused checks that the losses of a priority, of a client account and of a data centre are counted apart,
+// and that a request without a route is left out.
+func TestLossesByClassShowWhoIsRefused(t *testing.T) {
+	var log strings.Builder
+	log.WriteString(line(0, "entry", "edge-1", `"event":1001,"data_centre":"north"`))
+	log.WriteString(line(1, "entry", "edge-1", `"event":4008,"request":"1","route":"r","account":"small","priority":0,"outcome":"answered","objective_ms":400,"first_ms":100`))
+	log.WriteString(line(1, "entry", "edge-2", `"event":4001,"request":"2","route":"r","account":"large","priority":2,"code":2003,"ran":"not run"`))
+	log.WriteString(line(2, "entry", "edge-1", `"event":4001,"request":"3","route":"r","account":"large","priority":2,"code":2003,"ran":"not run","came_back":true`))
+	log.WriteString(line(2, "entry", "edge-1", `"event":4001,"request":"4","code":1011,"ran":"not run"`))
+	losses := read(t, log.String(), "").Losses()
+	class := func(property, value string) explain.Class { return explain.Class{Property: property, Value: value} }
+	require.Equal(t, []explain.ClassLosses{
+		{Class: class("account", "large"), Ended: 2, Refused: 1, RefusedAgain: 1},
+		{Class: class("account", "small"), Ended: 1, InTime: 1},
+		{Class: class("data centre", "north"), Ended: 2, InTime: 1, RefusedAgain: 1},
+		{Class: class("priority", "0"), Ended: 1, InTime: 1},
+		{Class: class("priority", "2"), Ended: 2, Refused: 1, RefusedAgain: 1},
+	}, losses.ByClass)
+	var out strings.Builder
+	require.NoError(t, losses.Print(&out))
+	require.Contains(t, out.String(), "large")
+}
--- a/internal/explain/read.go
+++ b/internal/explain/read.go
@@ -49,6 +49,12 @@
 	Ran      string `json:"ran"`
 	Why      string `json:"why"`
 	Error    string `json:"error"`
+	// Route, Account and Priority are a request's route, client account and priority; Account is empty if the caller has none.
+	Route    string `json:"route"`
+	Account  string `json:"account"`
+	Priority int    `json:"priority"`
+	// DataCentre is the data centre of the process; only the line of its start has it.
+	DataCentre string `json:"data_centre"`
 	// Returning is set if the caller was probably refused before.
 	Returning bool `json:"came_back"`
 	// ObjectiveMS, FirstMS and WaitedMS are a request's latency objective, the time to its first byte and its wait for capacity, in
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -215,7 +215,8 @@
 	_, _ = x.w.Write(body) // A caller that left is detected by the request's context.
 	// The log field came_back is Refuse.Returning.
 	logevent.Warn(x.gateway.log, logevent.RequestRefused).Str("request", x.call.CallerAttemptID).Int("code", int(e.Code)).Str("ran", string(e.Ran)).
-		Str("why", e.Reason).Bool("came_back", e.Returning).Dur("limit_ms", x.call.TimeLeft).Dur("retry_after_ms", e.RetryAfter).Dur("held_ms", time.Since(x.arrivedAt)).Msg("request refused")
+		Str("why", e.Reason).Bool("came_back", e.Returning).Dur("limit_ms", x.call.TimeLeft).Dur("retry_after_ms", e.RetryAfter).Dur("held_ms", time.Since(x.arrivedAt)).
+		Str("route", x.routeName()).Str("account", x.accepted.Account).Int("priority", x.accepted.Priority).Msg("request refused")
 	x.countRequest(strconv.Itoa(int(e.Code)))
 	x.gateway.metrics.Refusals.Add(1, strconv.Itoa(int(e.Code)), string(e.Ran))
 }
@@ -255,8 +256,8 @@
 
 // recordEnd logs and counts the end of a request; why may be empty.
 func (x *exchange) recordEnd(outcome, why string) {
-	logevent.Info(x.gateway.log, logevent.RequestEnded).Str("request", x.call.CallerAttemptID).Str("route", x.routeName()).Str("outcome", outcome).
-		Str("why", why).Dur("objective_ms", x.objective()).Dur("first_ms", x.timeToFirstByte()).
+	logevent.Info(x.gateway.log, logevent.RequestEnded).Str("request", x.call.CallerAttemptID).Str("route", x.routeName()).Str("account", x.accepted.Account).
+		Int("priority", x.accepted.Priority).Str("outcome", outcome).Str("why", why).Dur("objective_ms", x.objective()).Dur("first_ms", x.timeToFirstByte()).
 		Int("events", x.timing.eventCount).Dur("gap_objective_ms", x.gapObjective()).Dur("upstream_pause_ms", x.timing.maxUpstreamGap).Dur("caller_pause_ms", x.timing.maxWrite).
 		Int64("version", x.startedVersion).Dur("took_ms", time.Since(x.arrivedAt)).Msg("request ended")
 	x.countRequest(outcome)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -271,7 +271,7 @@
 	go g.serveReadiness(readinessListener)
 	callerServer := g.newCallerServer()
 	go g.serveCallers(callerServer, callerListener)
-	logevent.Info(g.log, logevent.Listening).Str("callers", g.host.CallersListen).Str("readiness", g.host.ReadinessListen).Msg("listening")
+	logevent.Info(g.log, logevent.Listening).Str("callers", g.host.CallersListen).Str("readiness", g.host.ReadinessListen).Str("data_centre", g.host.DataCentre).Msg("listening")
 	<-ctx.Done()
 	g.stop(callerServer)
 	return nil
