storefeed: agents of a medium fleet wait to learn from which entry to read

Cause: after a power loss of a whole fleet of some 60 hosts each agent of a data centre read the manifest (1,400 routes) and the list of upstreams from the store for itself. 28 agents of one data centre filled the link between regions, so that the entries there knew no manifest for 3.3 s and refused every request, and half of the hosts could not resolve the version, all chunks of which were staged at their engines. Only fleets for which the platform allows 10,000 reads per second waited so far.

Change: agents wait up to 1.5 s from 4,000 reads per second on (some 40 hosts); entries of such fleets read at once as before.

--- a/internal/storefeed/peers.go
+++ b/internal/storefeed/peers.go
@@ -34,6 +34,8 @@
 	// from the seeds too, and then from the entries that have read their lists.
 	entryStartWait = time.Second
 	agentStartWait = 3 * time.Second
+	// agentMediumStartWait is the same for an agent of a medium fleet, where entries need less time for their lists.
+	agentMediumStartWait = 1500 * time.Millisecond
 	// settleTime is how long after its start a process assumes that its peers do not know all entries yet. If it relied on
 	// their entry lists, it could wrongly conclude that it is the first entry of its data centre, and read the store.
 	settleTime = 250 * time.Millisecond
@@ -46,6 +48,9 @@
 	// largeFleetReads determines whether a fleet counts as large: the platform allows all its processes together at least
 	// this rate of reads of the store, in reads per second. The platform allows about a hundred reads per second and host.
 	largeFleetReads = 10000
+	// mediumFleetReads is the same for a medium fleet, where only agents wait. They are most of the processes: when 28 agents of a data
+	// centre read a manifest with many routes over a link between regions at once, the entries there had to wait for theirs for 3 s.
+	mediumFleetReads = 4000
 )
 
 // Peers is what a process knows of the entries of its data centre, and where it reads the store from. It is safe for
@@ -89,18 +94,24 @@
 			p.seeds = append(p.seeds, a)
 		}
 	}
-	if host.StoreReadsPerSecond >= largeFleetReads {
-		p.source.delayLists(p.startWait())
+	if wait := startWait(agent, host.StoreReadsPerSecond); wait > 0 {
+		p.source.delayLists(wait)
 	}
 	return p
 }
 
-// startWait is how long this process waits at its start to learn from which entry to read.
-func (p *Peers) startWait() time.Duration {
-	if p.agent {
+// startWait is how long a process waits at its start to learn from which entry to read. storeReads is the platform's limit of reads per
+// second.
+func startWait(agent bool, storeReads float64) time.Duration {
+	switch {
+	case agent && storeReads >= largeFleetReads:
 		return agentStartWait
+	case agent && storeReads >= mediumFleetReads:
+		return agentMediumStartWait
+	case storeReads >= largeFleetReads:
+		return entryStartWait
 	}
-	return entryStartWait
+	return 0
 }
 
 // Reader returns a reader of a store that reads through peers in a large data centre. cache is nil for a process that no
