--- a/internal/core/catalog/manifest.go
+++ b/internal/core/catalog/manifest.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -82,6 +83,10 @@
 	PromptTokensPerSecond float64
 	// MeanPromptTokens is the mean prompt length in tokens; 0 when it is unknown.
 	MeanPromptTokens float64
+	// MeanAnswerTokens is the mean length of an answer in tokens; 0 when it is unknown.
+	MeanAnswerTokens float64
+	// StepTime is the time that an engine takes for one token of an answer; 0 when it is unknown.
+	StepTime time.Duration
 	// ChunkBytes and Chunks are the size in bytes and the number of the chunks that make up a model's weights.
 	ChunkBytes int64
 	Chunks     int
@@ -128,11 +133,16 @@
 	accounts map[string]*ClientAccount
 	// routes maps each host to its routes, sorted by descending length of the prefix.
 	routes map[string][]*Route
+	// prioritized has the services whose requests have different priorities.
+	prioritized map[string]bool
 }
 
 // NewManifest returns a manifest with the given routes, and client accounts by API key.
 func NewManifest(version int64, routes []*Route, accounts map[string]*ClientAccount) *Manifest {
-	m := &Manifest{Version: version, accounts: accounts, routes: map[string][]*Route{}, Services: map[string]*Service{}}
+	m := &Manifest{
+		Version: version, accounts: accounts, routes: map[string][]*Route{}, Services: map[string]*Service{},
+		prioritized: prioritizedServices(routes, accounts),
+	}
 	for _, r := range routes {
 		m.routes[r.Host] = append(m.routes[r.Host], r)
 	}
@@ -142,6 +152,40 @@
 	return m
 }
 
+// prioritizedServices returns the services whose requests can have different priorities: those of the routes to the service for the
+// callers without a priority of their own, and those of the accounts.
+func prioritizedServices(routes []*Route, accounts map[string]*ClientAccount) map[string]bool {
+	own, allHaveOwn := map[int]bool{}, len(accounts) > 0
+	for _, a := range accounts {
+		if a.Priority != nil {
+			own[*a.Priority] = true
+		} else {
+			allHaveOwn = false
+		}
+	}
+	priorities := map[string]map[int]bool{}
+	for _, r := range routes {
+		for _, share := range r.Shares {
+			if priorities[share.Service] == nil {
+				priorities[share.Service] = maps.Clone(own)
+			}
+			if !allHaveOwn || r.Anonymous {
+				priorities[share.Service][r.Priority] = true
+			}
+		}
+	}
+	prioritized := map[string]bool{}
+	for service, of := range priorities {
+		if len(of) > 1 {
+			prioritized[service] = true
+		}
+	}
+	return prioritized
+}
+
+// Prioritized reports whether the requests of a service can have different priorities, so that their order matters.
+func (m *Manifest) Prioritized(service string) bool { return m.prioritized[service] }
+
 // Route returns the route with the longest matching prefix among the routes of the host; nil for none.
 func (m *Manifest) Route(host, path string) *Route {
 	for _, r := range m.routes[host] {
