emulator: load patterns with priorities and accounts

Cause: the order of waiting requests by priority and account was tested at one entry only.

Change: kinds of requests have a priority and an account, and three patterns use them: one account floods, a burst of the lowest priority, full all the time at 2.5 times the capacity. experiment policy runs them too.

--- a/internal/emulator/caller.go
+++ b/internal/emulator/caller.go
@@ -12,6 +12,9 @@
 	Name string
 	// Share is its fraction of all requests.
 	Share float64
+	// Priority is its priority, and Account the client account of its callers.
+	Priority int
+	Account  string
 	// Prompt and Events are the mean number of prompt tokens and of answer events.
 	Prompt, Events int
 	// Objective bounds the time to the first event, and Pause the time between two events.
@@ -75,9 +78,9 @@
 }
 
 // newRequest creates a request of a caller in a data centre and starts its first try.
-func (f *fleet) newRequest(centre int) {
+func (f *fleet) newRequest(centre int, kind *RequestKind) {
 	w := f.simulation
-	r := &request{fleet: f, kind: f.drawKind(), startedAt: w.now, centre: centre, retries: 1}
+	r := &request{fleet: f, kind: kind, startedAt: w.now, centre: centre, retries: 1}
 	r.prompt, r.events, r.entry = w.sampleSize(r.kind.Prompt), w.sampleSize(r.kind.Events), w.demand.Uint64()
 	f.requests = append(f.requests, r)
 	r.startTry(w.now + r.kind.Limit)
--- a/internal/emulator/command.go
+++ b/internal/emulator/command.go
@@ -55,10 +55,10 @@
 func (c *command) run(out, progress io.Writer) error {
 	variants := Variants()
 	var finished atomic.Int64
-	all := len(Patterns) * len(variants) * c.seeds
-	rows := Compare(Streams(), Patterns, variants, c.seeds, c.jobs, func() {
-		fmt.Fprintf(progress, "\r%d of %d simulations", finished.Add(1), all)
-	})
+	all := (len(Patterns) + len(PriorityPatterns)) * len(variants) * c.seeds
+	oneDone := func() { fmt.Fprintf(progress, "\r%d of %d simulations", finished.Add(1), all) }
+	rows := Compare(Streams(), Patterns, variants, c.seeds, c.jobs, oneDone)
+	rows = append(rows, Compare(Priorities(), PriorityPatterns, variants, c.seeds, c.jobs, oneDone)...)
 	fmt.Fprintln(progress)
 	if err := printTable(out, rows); err != nil {
 		return err
--- a/internal/emulator/entry.go
+++ b/internal/emulator/entry.go
@@ -93,7 +93,7 @@
 	t.exchange = x
 	e.inFlight[x.id] = x
 	e.step(forward.Arrived{
-		ID: x.id, Host: host, Path: "/" + t.request.kind.Name + "/x", Model: modelName, Budget: t.deadline - e.fleet.simulation.now, PromptTokens: t.request.prompt,
+		ID: x.id, Host: host, Path: "/" + t.request.kind.Name + "/x", Key: t.request.kind.Account, Model: modelName, Budget: t.deadline - e.fleet.simulation.now, PromptTokens: t.request.prompt,
 	})
 }
 
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
@@ -94,17 +95,22 @@
 
 func (f *fleet) manifest() *catalog.Manifest {
 	var routes []*catalog.Route
-	prompt := 0.0
+	accounts := map[string]*catalog.ClientAccount{}
+	prompt, answer := 0.0, 0.0
 	for _, k := range f.setup.Kinds {
 		routes = append(routes, &catalog.Route{
 			Name: k.Name, Host: host, Prefix: "/" + k.Name + "/", Kind: catalog.Streaming, Resumable: true, MaxUpstreams: 2,
-			Shares: []catalog.Share{{Service: service, Weight: 1}}, Timeout: k.Limit, Objective: k.Objective, CallerTimeout: firstEventTimeout,
+			Shares: []catalog.Share{{Service: service, Weight: 1}}, Timeout: k.Limit, Objective: k.Objective, CallerTimeout: firstEventTimeout, Priority: k.Priority,
 		})
+		accounts[k.Account] = &catalog.ClientAccount{Name: k.Account}
 		prompt += k.Share * float64(k.Prompt)
+		answer += k.Share * float64(k.Events)
 	}
-	m := catalog.NewManifest(1, routes, nil)
+	m := catalog.NewManifest(1, routes, accounts)
+	model := f.setup.EngineModel
 	m.Services[service] = &catalog.Service{Name: service, Engine: &catalog.Engine{
 		Slots: f.setup.EngineModel.Slots, PromptTokensPerSecond: f.setup.EngineModel.ReadRate, MeanPromptTokens: prompt, Models: []string{modelName},
+		MeanAnswerTokens: answer * float64(model.TokensPerEvent), StepTime: model.PassTime + time.Duration(model.Slots)*model.PerSequence,
 	}}
 	return m
 }
@@ -173,13 +179,29 @@
 			return
 		}
 		f.simulation.after(time.Duration(f.simulation.demand.ExpFloat64()/rate*float64(time.Second)), func() {
-			f.newRequest(centre)
+			f.newRequest(centre, f.drawKind())
 			next()
 		})
 	}
 	f.simulation.after(0, next)
 }
 
+// burst adds requests of one kind from all data centres between two times. They come in equal intervals, at a rate that is a fraction of
+// what the engines can do of this kind.
+func (f *fleet) burst(kind string, utilization float64, from, to time.Duration) {
+	i := slices.IndexFunc(f.setup.Kinds, func(k RequestKind) bool { return k.Name == kind })
+	k := &f.setup.Kinds[i]
+	only := f.setup
+	only.Kinds = []RequestKind{{Share: 1, Prompt: k.Prompt, Events: k.Events}}
+	interval := time.Duration(float64(time.Second) / (utilization * only.Capacity()))
+	n := 0
+	for at := from; at < to; at += interval {
+		n++
+		centre := n % f.setup.Centres
+		f.simulation.after(at, func() { f.newRequest(centre, k) })
+	}
+}
+
 // load sets the request rate of all data centres together, as a fraction of the engines' capacity, and each data centre's share of it. Without shares
 // it is the same for all.
 func (f *fleet) load(utilization float64, shares ...float64) {
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -15,8 +15,13 @@
 	Bound int
 	// WorstSecond is the lowest fraction of a second's requests that were answered in time, and WorstCentre the lowest of a data centre's.
 	WorstSecond, WorstCentre float64
+	// Kinds counts the requests by kind.
+	Kinds map[string]KindResult
 }
 
+// KindResult counts the requests of one kind. Served is the number of those that were answered in time or late.
+type KindResult struct{ Total, InTime, Served int }
+
 // Simulate runs a load pattern with a policy.
 func Simulate(setup Setup, pattern Pattern, policy forward.Policy, seed uint64) Result {
 	setup.Policy = policy
@@ -37,23 +42,28 @@
 func (p counts) share() float64 { return float64(p.inTime) / float64(max(1, p.total)) }
 
 func (f *fleet) result(from, to time.Duration, pattern Pattern) Result {
-	var r Result
+	r := Result{Kinds: map[string]KindResult{}}
 	seconds, centres := map[time.Duration]counts{}, map[int]counts{}
 	for _, q := range f.requests {
 		if q.startedAt < from || q.startedAt >= to {
 			continue
 		}
 		r.Total++
+		kind := r.Kinds[q.kind.Name]
+		kind.Total++
 		second, centre := seconds[q.startedAt/time.Second], centres[q.centre]
 		second.total++
 		centre.total++
 		switch q.outcome {
 		case inTime:
 			r.InTime++
+			kind.InTime++
+			kind.Served++
 			second.inTime++
 			centre.inTime++
 		case late:
 			r.Late++
+			kind.Served++
 		case refusedOutcome:
 			r.Refused++
 		default:
@@ -62,6 +72,7 @@
 		if q.refusals > 1 {
 			r.RefusedTwice++
 		}
+		r.Kinds[q.kind.Name] = kind
 		seconds[q.startedAt/time.Second], centres[q.centre] = second, centre
 	}
 	r.WorstSecond, r.WorstCentre = 1, 1
