--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/quarantine"
+	"samphireweir.example/samphireweir/internal/core/schedule"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
@@ -75,6 +76,7 @@
 	mu        sync.Mutex
 	catalog   *catalog.State
 	forward   *forward.State
+	waiting   [schedule.Priorities]int // As last counted in the metrics.
 	exchanges map[uint64]*exchange
 
 	nextID   atomic.Uint64
@@ -151,6 +153,9 @@
 	for _, e := range effects {
 		g.execute(e)
 	}
+	if _, tick := ev.(step.Tick); tick {
+		g.countWaiting()
+	}
 	if !g.ready.Load() && g.catalog.Ready() {
 		g.ready.Store(true)
 		logevent.Info(g.log, logevent.Ready).Int("upstreams", len(g.catalog.Upstreams)).Msg("ready")
@@ -158,6 +163,17 @@
 	}
 }
 
+// countWaiting brings the metric of the waiting requests up to date. The caller holds the lock.
+func (g *Gateway) countWaiting() {
+	waiting := g.forward.Waiting()
+	for p, n := range waiting {
+		if d := n - g.waiting[p]; d != 0 {
+			g.metrics.Waiting.Add(int64(d), strconv.Itoa(p))
+		}
+	}
+	g.waiting = waiting
+}
+
 // execute logs a change of the known state, or passes an effect to the request that it concerns. The caller holds the lock.
 func (g *Gateway) execute(e step.Effect) {
 	if storewatch.Report(g.log, g.metrics, e) {
@@ -175,6 +191,8 @@
 		g.logLateStart(e)
 	case forward.NoticeChanged:
 		g.logUpstreamNotice(e)
+	case forward.Yielded:
+		g.metrics.Yielded.Add(1, strconv.Itoa(min(max(e.Priority, 0), schedule.Priorities-1)))
 	case forward.Withdraw:
 		if x := g.exchanges[e.ID]; x != nil {
 			x.withdraw(e)
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -33,6 +33,10 @@
 		"Refusals sent to callers, by result code and by whether an upstream ran the request."}
 	inFlightDefinition = Definition{"samphireweir_requests_in_flight", GaugeKind, []string{"team", "service"},
 		"Callers' requests in flight at this entry."}
+	waitingDefinition = Definition{"samphireweir_requests_waiting", GaugeKind, []string{"priority"},
+		"Requests that wait at this entry of the users' platform for an upstream with capacity, by priority; 0 is the most urgent."}
+	yieldedDefinition = Definition{"samphireweir_yielded_total", CounterKind, []string{"priority"},
+		"Requests that arrived while an upstream had capacity, and left it to a more urgent one that waited, by their own priority."}
 	firstByteDefinition = Definition{"samphireweir_first_byte_seconds", HistogramKind, []string{"team", "service"},
 		"Time from the request's head to the first byte of the answer's body, for complete answers."}
 	totalDefinition = Definition{"samphireweir_request_seconds", HistogramKind, []string{"team", "service"},
@@ -86,7 +90,7 @@
 
 // Catalogue lists every metric, in the order of docs/METRICS.md.
 var Catalogue = []Definition{
-	requestsDefinition, refusalsDefinition, inFlightDefinition, firstByteDefinition, totalDefinition,
+	requestsDefinition, refusalsDefinition, inFlightDefinition, waitingDefinition, yieldedDefinition, firstByteDefinition, totalDefinition,
 	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, settingsDefinition,
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -13,6 +13,7 @@
 	Registry gometrics.Registry
 
 	Requests, Refusals, InFlight              Counter
+	Waiting, Yielded                          Counter
 	FirstByte, Total                          Histogram
 	Attempts, AttemptsFailed                  Counter
 	UpstreamCalls                             Counter
@@ -36,6 +37,8 @@
 	m.Requests = m.counter(requestsDefinition)
 	m.Refusals = m.counter(refusalsDefinition)
 	m.InFlight = m.counter(inFlightDefinition)
+	m.Waiting = m.counter(waitingDefinition)
+	m.Yielded = m.counter(yieldedDefinition)
 	m.FirstByte = m.histogram(firstByteDefinition)
 	m.Total = m.histogram(totalDefinition)
 	m.Attempts = m.counter(attemptsDefinition)
