forward: results of searches are kept by service; test that no slot is left idle

Cause: found on review: after a new manifest a waiting request may go to another service, and the search for it then used a result of the service before within the same pass.

Change: the service is part of the key. TestNoSlotIsLeftIdle runs 8,000 events with manifests that change priorities: a tick right after an event sends nothing more, no request is lost from the queue, and none waits beyond its limit.

--- a/internal/core/forward/pass.go
+++ b/internal/core/forward/pass.go
@@ -32,10 +32,11 @@
 // searchKey has what the result "full" of a search depends on beside the sizes of a request: two requests with the same key differ only
 // in these. A queued request has had no attempt.
 type searchKey struct {
-	model, homes          string
+	service, model, homes string
+	kind                  catalog.Kind
 	objective             time.Duration
 	repeatable, returning bool
-	fitsMemory, stream    bool
+	fitsMemory            bool
 	priority              int
 }
 
@@ -102,8 +103,8 @@
 
 func (s *State) searchKey(r *request) searchKey {
 	k := searchKey{
-		model: r.model, objective: r.route.Objective, repeatable: r.route.Repeatable(), returning: r.returning, priority: r.priority,
-		stream: r.route.Kind == catalog.Streaming, fitsMemory: true,
+		service: r.service, model: r.model, kind: r.route.Kind, objective: r.route.Objective, repeatable: r.route.Repeatable(),
+		returning: r.returning, priority: r.priority, fitsMemory: true,
 	}
 	if !r.homes.Unrestricted() {
 		k.homes = r.homes.String()
--- a/internal/core/forward/priority_test.go
+++ b/internal/core/forward/priority_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -147,3 +149,60 @@
 	require.Empty(t, append(arrive(3, "0", 4000), arrive(4, "1", 45)...))
 	require.Equal(t, uint64(3), r.finish(t, 1), "both accounts have received the same, and it is the older one")
 }
+
+// TestNoSlotIsLeftIdle: a service that is full for 16 s, with four priorities, two accounts, prompts of all sizes, and manifests by which
+// priorities end and return. Guards against requests that wait while an upstream has room for them, are lost from the queue, or wait
+// beyond their limit: a tick right after any event sends nothing more, and none waits for over 0.2 s.
+func TestNoSlotIsLeftIdle(t *testing.T) {
+	r := newPriorityRig(true, 2)
+	manifests := []*catalog.Manifest{r.state.Catalog.Manifest, newPriorityRig(false, 2).state.Catalog.Manifest}
+	manifests[0].Route("h", "/1/x").HomeRegions = []string{"southwest"}
+	for i := range 6 {
+		r.add(fmt.Sprintf("m%d", i), "model", []string{"perth-a", "bunbury-a"}[i%2], 8)
+	}
+	random, with, waitingSince, sends := rand.New(rand.NewPCG(3, 4)), []uint64(nil), map[uint64]time.Duration{}, 0
+	note := func(effects []step.Effect) (sent int) {
+		for _, e := range effects {
+			switch e := e.(type) {
+			case forward.Accepted:
+				waitingSince[e.ID] = r.now
+			case forward.Send:
+				delete(waitingSince, e.ID)
+				with, sent = append(with, e.ID), sent+1
+			case forward.Refuse:
+				delete(waitingSince, e.ID)
+			}
+		}
+		return sent
+	}
+	for id := uint64(1); id <= 8000; id++ {
+		r.now += 2 * time.Millisecond
+		if id%1000 == 0 {
+			r.applyCatalog(catalog.ManifestRead{Revision: storerev.Revision{Number: int64(id)}, Manifest: manifests[id/1000%2]})
+		}
+		note(r.step(step.Tick{})) // Some limits end by time alone.
+		ev := overloadEvent(random, with, id)
+		switch e := ev.(type) {
+		case forward.Arrived:
+			e.Path, e.Key, e.BodyReadTime = fmt.Sprintf("/%d/x", random.IntN(4)), fmt.Sprint(random.IntN(2)), 0
+			ev = e
+		case forward.AttemptEnded:
+			with = slices.DeleteFunc(with, func(id uint64) bool { return id == e.ID })
+		case forward.CallerGone:
+			delete(waitingSince, e.ID)
+		}
+		sends += note(r.step(ev))
+		if idle := note(r.step(step.Tick{})); r.state.Catalog.Manifest == manifests[0] { // Else a first event makes room only with a tick.
+			require.Zero(t, idle, "after event %d: %T", id, ev)
+		}
+		waiting := 0
+		for _, n := range r.state.Waiting() {
+			waiting += n
+		}
+		require.Len(t, waitingSince, waiting)
+		for id, since := range waitingSince {
+			require.Less(t, r.now-since, 200*time.Millisecond, "request %d", id)
+		}
+	}
+	require.Greater(t, sends, 100)
+}
