loadreport: demand of entries and sums of it by data centre

Cause: entries plan across data centres from the demand of all of them (docs/design/19-overload.md, part D) and had no message for it.

--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -94,6 +94,10 @@
 	Activations []Activation `json:"w,omitempty"`
 	// Crashes holds the requests that recently crashed upstreams.
 	Crashes []quarantine.Report `json:"x,omitempty"`
+	// Demand is the demand at an entry, in its heartbeats. DemandSums are the sums of the demand by data centre, as far as the sending
+	// agent heard it. A process that doesn't know these fields ignores them.
+	Demand     []Demand    `json:"m,omitempty"`
+	DemandSums []DemandSum `json:"s,omitempty"`
 }
 
 // Socket sends and receives messages.
