forward: the data centre that the plan names is tried first

Cause: under an evacuation at full load the engines that are left are full of nearer entries' requests, and an entry reuses the slots that it frees, so that the callers of the evacuated data centre get none.

Change: where the manifest has home regions or a data centre is evacuated, an entry plans each 0.5 s from the agents' sums, and pick tries the data centre that the plan names for the request first; the others follow as before. The reserve for nearer entries does not apply to requests that the plan sends there. Where the plan moves work to a data centre, an entry's part of an engine's slots follows from its part of that work; above it, while the slots are contended, it does not reuse a slot that it frees.

The same inputs have the same effects where no plan is in effect (TestDecisionsWithoutHomesAndEvacuationsAreAsBefore).

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -7,6 +7,7 @@
 package balance
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"strings"
@@ -219,3 +220,24 @@
 	c := &p.centres[centre]
 	return c.supply > 0 && o.mask&(1<<c.region) != 0
 }
+
+// Describe describes the parts of the demand of a data centre, for the log.
+func (s Shares) Describe(dataCentre string) string {
+	var lines []string
+	for o, parts := range s.splits {
+		if o.dataCentre != dataCentre {
+			continue
+		}
+		homes := "unbound"
+		if o.homes != "" {
+			homes = "bound to " + strings.ReplaceAll(o.homes, "\n", " ")
+		}
+		line := homes + ":"
+		for _, p := range parts {
+			line += fmt.Sprintf(" %s %.2f", p.dataCentre, p.fraction)
+		}
+		lines = append(lines, line)
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "; ")
+}
--- a/internal/core/balance/problem.go
+++ b/internal/core/balance/problem.go
@@ -67,7 +67,7 @@
 	count := map[string]int{}
 	for _, d := range demand {
 		i, known := index[d.DataCentre]
-		work := d.Work * aged(now.Sub(d.At))
+		work := d.Work * Aged(now.Sub(d.At))
 		if !known || !(work > minWork) || math.IsInf(work, 0) {
 			continue
 		}
@@ -91,8 +91,8 @@
 	})
 }
 
-// aged returns the part of demand of an age that still counts.
-func aged(age time.Duration) float64 {
+// Aged returns the part of demand of an age that still counts.
+func Aged(age time.Duration) float64 {
 	if age <= freshDemand {
 		return 1
 	}
--- a/internal/core/catalog/evacuation.go
+++ b/internal/core/catalog/evacuation.go
@@ -45,6 +45,16 @@
 // Evacuated reports whether a data centre is under evacuation, so that no requests may be sent to its upstreams.
 func (s *State) Evacuated(dataCentre string) bool { return s.evacuations[dataCentre].active }
 
+// AnyEvacuated reports whether any data centre is under evacuation.
+func (s *State) AnyEvacuated() bool {
+	for _, e := range s.evacuations {
+		if e.active {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *State) evacuationsListed(now time.Time, ev EvacuationsListed) []step.Effect {
 	var effects []step.Effect
 	for _, dataCentre := range ev.DataCentres {
--- a/internal/core/catalog/manifest.go
+++ b/internal/core/catalog/manifest.go
@@ -128,6 +128,8 @@
 	accounts map[string]*ClientAccount
 	// routes maps each host to its routes, sorted by descending length of the prefix.
 	routes map[string][]*Route
+	// hasHomes is set if a route or a client account has home regions.
+	hasHomes bool
 }
 
 // NewManifest returns a manifest with the given routes, and client accounts by API key.
@@ -139,9 +141,16 @@
 	for _, list := range m.routes {
 		sortByPrefix(list)
 	}
+	m.hasHomes = slices.ContainsFunc(routes, func(r *Route) bool { return len(r.HomeRegions) > 0 })
+	for _, a := range accounts {
+		m.hasHomes = m.hasHomes || len(a.HomeRegions) > 0
+	}
 	return m
 }
 
+// HasHomes reports whether a route or a client account is bound to home regions.
+func (m *Manifest) HasHomes() bool { return m.hasHomes }
+
 // Route returns the route with the longest matching prefix among the routes of the host; nil for none.
 func (m *Manifest) Route(host, path string) *Route {
 	for _, r := range m.routes[host] {
--- /dev/null
+++ b/internal/core/forward/balance_demand.go
@@ -0,0 +1,270 @@
+package forward
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"samphireweir.example/samphireweir/internal/core/balance"
+	"samphireweir.example/samphireweir/internal/core/step"
+)
+
+const (
+	// demandWindow is the time over which arrivals are averaged.
+	demandWindow = 1500 * time.Millisecond
+	// defaultSlotTime is how long a request takes an engine's slot, until it is measured. Requests of the users take 0.5 to 1.3 s.
+	defaultSlotTime = 900 * time.Millisecond
+	// slotTimeWeight is the weight of one request in the measured slot time.
+	slotTimeWeight = 0.02
+	// freshSums is how long an agent's sums are used. After that the last estimate remains, and ages in package balance.
+	freshSums = 3 * time.Second
+	// sumsLifetime is how long an agent's sums are kept at all, and estimateLifetime the same for an estimate. By then an estimate is worth
+	// less than a thousandth.
+	sumsLifetime     = 10 * time.Second
+	estimateLifetime = 15 * time.Second
+)
+
+// ownDemand is the demand at this entry.
+type ownDemand struct {
+	slotTime time.Duration
+	// arrivals are the arrivals of first tries by homes, decayed over demandWindow. Callers that return after a refusal don't count: their
+	// demand counted already.
+	arrivals map[string]*arrivalRate
+}
+
+// arrivalRate is a decaying count of the arrivals with one set of homes.
+type arrivalRate struct {
+	homes []string
+	count float64
+	at    time.Time
+}
+
+func newOwnDemand() ownDemand {
+	return ownDemand{slotTime: defaultSlotTime, arrivals: map[string]*arrivalRate{}}
+}
+
+// decay reduces the count to its value at now.
+func (a *arrivalRate) decay(now time.Time) {
+	a.count *= math.Exp(-now.Sub(a.at).Seconds() / demandWindow.Seconds())
+	a.at = now
+}
+
+// countArrival counts the arrival of a request for the demand of this entry.
+func (s *State) countArrival(now time.Time, r *request) {
+	if r.model == "" || r.returning {
+		return
+	}
+	homes := s.homesOf(r)
+	key := strings.Join(homes, "\n")
+	a := s.balance.own.arrivals[key]
+	if a == nil {
+		a = &arrivalRate{homes: homes, at: now}
+		s.balance.own.arrivals[key] = a
+	}
+	a.decay(now)
+	a.count++
+}
+
+// measureSlotTime records how long an answered request took an engine's slot.
+func (s *State) measureSlotTime(now time.Time, r *request, o Outcome) {
+	if o == Answered && r.model != "" {
+		d := &s.balance.own.slotTime
+		*d += time.Duration(slotTimeWeight * float64(now.Sub(r.sentAt)-*d))
+	}
+}
+
+// EntryDemand is the demand at this entry with one set of homes, for other processes.
+type EntryDemand struct {
+	Homes []string
+	// Work is the work that arrives per second, in seconds of a slot.
+	Work float64
+	// Waiting are the requests that wait for capacity, by priority.
+	Waiting [priorityCount]int
+}
+
+// priorityCount is the number of priorities; the most urgent is 0.
+const priorityCount = 10
+
+// Demand returns the demand at this entry by homes, in a fixed order. It is empty where no plan can come into effect.
+func (s *State) Demand(now time.Time) []EntryDemand {
+	if s.Catalog.Manifest == nil || !s.Catalog.FollowsEvacuations && !s.balanceInEffect() {
+		return nil
+	}
+	waiting := map[string]*[priorityCount]int{}
+	for _, r := range s.requests {
+		if r.instance.ID != "" || r.queueDeadline.IsZero() || r.model == "" {
+			continue
+		}
+		key := strings.Join(s.homesOf(r), "\n")
+		if waiting[key] == nil {
+			waiting[key] = &[priorityCount]int{}
+		}
+		priority := r.route.Priority
+		if r.account != nil && r.account.Priority != nil {
+			priority = *r.account.Priority
+		}
+		waiting[key][min(max(priority, 0), priorityCount-1)]++
+	}
+	var list []EntryDemand
+	for _, key := range slices.Sorted(maps.Keys(s.balance.own.arrivals)) {
+		a := s.balance.own.arrivals[key]
+		a.decay(now)
+		if a.count < 1e-3 {
+			delete(s.balance.own.arrivals, key)
+			continue
+		}
+		d := EntryDemand{Homes: a.homes, Work: a.count / demandWindow.Seconds() * s.balance.own.slotTime.Seconds()}
+		if w := waiting[key]; w != nil {
+			d.Waiting = *w
+		}
+		list = append(list, d)
+	}
+	if list == nil {
+		return []EntryDemand{{}} // No demand differs from unknown demand.
+	}
+	return list
+}
+
+// DemandReported is the event that an agent's sums of the demand were received.
+type DemandReported struct {
+	// Address is the address of the agent's engine.
+	Address string
+	Sums    []DemandSum
+}
+
+// DemandSum is the demand of the entries of one data centre from which an agent gets heartbeats.
+type DemandSum struct {
+	DataCentre string
+	// Entries is the number of these entries, and Age the mean age of what they said.
+	Entries int
+	Age     time.Duration
+	Sets    []balance.Demand
+}
+
+// Event marks the type as an event.
+func (DemandReported) Event() {}
+
+// heardDemand is what agents said about the demand of all data centres.
+type heardDemand struct {
+	agents map[string]*agentSums
+	// estimates are the last estimates by data centre.
+	estimates map[string]estimate
+}
+
+// agentSums are the last sums of one agent, by data centre.
+type agentSums struct {
+	dataCentre string
+	at         time.Time
+	sums       map[string]agentSum
+}
+
+type agentSum struct {
+	at   time.Time
+	sets []balance.Demand
+}
+
+// estimate is the estimated demand of a data centre.
+type estimate struct {
+	at   time.Time
+	sets []balance.Demand
+}
+
+func newHeardDemand() heardDemand {
+	return heardDemand{agents: map[string]*agentSums{}, estimates: map[string]estimate{}}
+}
+
+func (s *State) demandReported(in step.Input, ev DemandReported) {
+	u := s.Catalog.UpstreamAt(ev.Address, 0)
+	if u == nil {
+		return
+	}
+	h := &s.balance.heard
+	a := h.agents[ev.Address]
+	if a == nil || a.dataCentre != u.DataCentre {
+		a = &agentSums{dataCentre: u.DataCentre, sums: map[string]agentSum{}}
+		h.agents[ev.Address] = a
+	}
+	a.at = in.Now
+	for _, sum := range ev.Sums {
+		a.sums[sum.DataCentre] = agentSum{at: in.Now.Add(-sum.Age), sets: sum.Sets}
+	}
+}
+
+// knows reports whether the demand of a data centre was heard.
+func (h *heardDemand) knows(dataCentre string) bool {
+	_, known := h.estimates[dataCentre]
+	return known
+}
+
+// estimate returns the demand of all data centres. An agent hears only the entries that send it heartbeats: a fraction of those of its own
+// data centre and a smaller one of the others, which follow from the numbers of engines; see ChooseHeartbeatTargets. The sum over some
+// agents, divided by the sum of these fractions, is an estimate of the whole. Agents of the data centre itself hear the most of it. Where
+// none of them is heard, those of this entry's data centre are used.
+func (h *heardDemand) estimate(now time.Time, here string, engines engineCounts) []balance.Demand {
+	names := map[string]bool{}
+	for address, a := range h.agents {
+		if now.Sub(a.at) > sumsLifetime {
+			delete(h.agents, address)
+			continue
+		}
+		for name := range a.sums {
+			names[name] = true
+		}
+	}
+	for name := range names {
+		inside := engines.byDataCentre[name]
+		if !h.estimateFrom(now, name, name, fraction(maxNearAgents, inside)) && name != here {
+			h.estimateFrom(now, name, here, fraction(maxFarAgents, engines.total-inside))
+		}
+	}
+	var list []balance.Demand
+	for _, name := range slices.Sorted(maps.Keys(h.estimates)) {
+		if now.Sub(h.estimates[name].at) > estimateLifetime {
+			delete(h.estimates, name)
+			continue
+		}
+		for _, d := range h.estimates[name].sets {
+			list = append(list, balance.Demand{DataCentre: name, Homes: d.Homes, Work: d.Work, At: h.estimates[name].at})
+		}
+	}
+	return list
+}
+
+// estimateFrom estimates the demand of a data centre from what the agents of another said lately, or of the same one. heardPart is the part
+// of its entries that each of them hears. It reports whether there is any such agent.
+func (h *heardDemand) estimateFrom(now time.Time, name, agentsIn string, heardPart float64) bool {
+	total, heard, e := 0.0, false, estimate{}
+	byHomes := map[string]int{}
+	for _, address := range slices.Sorted(maps.Keys(h.agents)) {
+		a := h.agents[address]
+		if a.dataCentre != agentsIn || now.Sub(a.at) > freshSums {
+			continue
+		}
+		total += heardPart // Agents that heard none of the entries count too, or the estimate would be too large.
+		sum, known := a.sums[name]
+		if !known || now.Sub(sum.at) > freshSums {
+			continue
+		}
+		heard, e.at = true, maxTime(e.at, sum.at)
+		for _, d := range sum.sets {
+			key := strings.Join(d.Homes, "\n")
+			i, known := byHomes[key]
+			if !known {
+				i = len(e.sets)
+				byHomes[key] = i
+				e.sets = append(e.sets, balance.Demand{Homes: d.Homes})
+			}
+			e.sets[i].Work += d.Work
+		}
+	}
+	if !heard {
+		return false
+	}
+	for i := range e.sets {
+		e.sets[i].Work /= total
+	}
+	h.estimates[name] = e
+	return true
+}
--- a/internal/core/forward/capacity.go
+++ b/internal/core/forward/capacity.go
@@ -80,12 +80,13 @@
 // slow reports whether the engine's requests are likely to be late.
 func (v *upstreamView) slow() bool { return v.slowdown() >= slowThreshold }
 
-// maxRequests returns how many requests the upstream may have.
+// maxRequests returns how many requests the upstream may have. The reserve for nearer entries does not apply to requests that the plan across
+// data centres sends there; see sendsUntilNextReport.
 func (v *upstreamView) maxRequests(r *request) int {
 	switch {
 	case r.model == "":
 		return v.slots() * plainQueueFactor
-	case v.distance > 0 && r.attempts == 0:
+	case r.rank(v) > 0 && r.attempts == 0:
 		return max(1, v.slots()-farReservedSlots)
 	}
 	return v.slots()
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -204,6 +204,8 @@
 	Resume bool
 	// Returning is set if the caller was probably refused before; see callerTimeouts.
 	Returning bool
+	// Moved is set if the plan across data centres named the upstream's data centre for this first attempt, instead of this entry's own.
+	Moved bool
 }
 
 // Refuse ends a request without an upstream's answer.
@@ -287,6 +289,10 @@
 	partial    bool
 	progressAt time.Time
 	tried      map[catalog.Instance]bool
+	// moveTo is the data centre that the plan across data centres names for the request; empty for this entry's own. balanceDraw is the
+	// random number by which it was chosen; 0 before the first choice.
+	moveTo      string
+	balanceDraw uint64
 }
 
 // State is what an entry knows about its requests and about the state of the upstreams.
@@ -324,6 +330,8 @@
 	// last load report. recentEntries is the maximum of the recent estimates.
 	estimatedEntries int
 	recentEntries    recentMax
+	// balance is the plan across data centres and its inputs.
+	balance balanceState
 	// ownWork limits the requests in flight while this process is late by its own work.
 	ownWork selflimit.Limit
 	// stopping is set once this process is shutting down.
@@ -342,6 +350,7 @@
 		Self: self, Catalog: c, requests: map[uint64]*request{}, loadStates: map[catalog.Instance]*loadState{},
 		retryBudgets: map[string]*retryBudget{}, callerTimeouts: callerTimeouts{}, Crashes: quarantine.NewTable(),
 		breaks: map[uint64][]breakRecord{}, queues: map[string][]uint64{}, lastQueuedAt: map[string]time.Time{},
+		balance: newBalanceState(self),
 	}
 }
 
@@ -360,6 +369,8 @@
 		return s.callerGone(in, ev.ID)
 	case LoadReported:
 		return s.loadReported(in, ev)
+	case DemandReported:
+		s.demandReported(in, ev)
 	case CrashesReported:
 		return s.crashesReported(in, ev)
 	case AnswerHeadReceived:
@@ -373,6 +384,7 @@
 		s.countOverdue(in.Now)
 		s.callerTimeouts.forget(in.Now)
 		effects := append(s.expireCrashes(in.Now), s.withdrawUnstarted(in)...)
+		effects = append(effects, s.updateBalance(in.Now)...)
 		return append(effects, s.serveWaiting(in)...)
 	}
 	return nil
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -147,7 +147,7 @@
 	l.otherRequests = max(0, ev.RequestCount-l.inFlight)
 	l.noteCold(in.Now, ev.ColdRemaining)
 	v := s.view(u)
-	l.remainingSends = v.shareOfFree(ev, in.Rand)
+	l.remainingSends = s.sendsUntilNextReport(v, ev, in.Rand)
 	s.setColdPacer(in.Now, v)
 	if ev.Leaving {
 		l.leavingAt = in.Now
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -60,6 +60,7 @@
 //
 // Unreported and stale engines are not used if at least minReports engines have a valid report and every current upstream is unusable.
 func (s *State) pick(in step.Input, r *request) (*catalog.Upstream, availability) {
+	s.chooseDataCentre(in, r)
 	p := s.samples(in, r)
 	switch {
 	case p.current.availability < available && p.withExpiringVersion.availability == available:
@@ -98,7 +99,7 @@
 	required, ifFull := s.requiredVersion(in.Now, r.model), s.minVersionIfFull(in.Now, r)
 	wait := s.maxWait(r)
 	for _, v := range s.viewsFor(in.Now, r) {
-		if p.current.settled(v.distance) {
+		if p.current.settled(r.rank(v)) {
 			break
 		}
 		if v.load.hasReport(in.Now) {
@@ -132,6 +133,8 @@
 // candidate is an upstream with capacity for a request.
 type candidate struct {
 	*upstreamView
+	// rank is the place of its data centre in the request's order; see request.rank.
+	rank int
 	// tieBreak is a random order of the upstreams, different for each request.
 	tieBreak uint64
 }
@@ -150,7 +153,7 @@
 }
 
 // preferredTo reports whether c is to be used before o whatever their loads. Engines with overdue requests come last, and before them
-// those with a slowdown. Among equal ones, the nearest come first.
+// those with a slowdown. Among equal ones, those of the lowest rank come first.
 func (c candidate) preferredTo(o candidate) bool {
 	if late, otherLate := c.load.overdue > 0, o.load.overdue > 0; late != otherLate {
 		return otherLate
@@ -158,7 +161,7 @@
 	if slow, otherSlow := c.slow(), o.slow(); slow != otherSlow {
 		return otherSlow
 	}
-	return c.distance < o.distance
+	return c.rank < o.rank
 }
 
 // cost returns a number that grows with the expected time to the first event: the sum of the used parts of the request limit and of
@@ -187,7 +190,7 @@
 		s.availability, s.anyFull = max(s.availability, full), true
 		return
 	}
-	s.add(candidate{upstreamView: v, tieBreak: mix(v.hash ^ in.Rand)})
+	s.add(candidate{upstreamView: v, rank: r.rank(v), tieBreak: mix(v.hash ^ in.Rand)})
 }
 
 // add offers one more upstream with capacity to the sample.
@@ -215,10 +218,10 @@
 	}
 }
 
-// settled reports whether no upstream at the distance, or farther, can be chosen: a nearer one has capacity and is neither overdue
-// nor slow.
-func (s *sample) settled(distance int) bool {
-	return s.availability == available && s.candidates[0].distance < distance && s.candidates[0].load.overdue == 0 && !s.candidates[0].slow()
+// settled reports whether no upstream of the rank, or of a higher one, can be chosen: one of a lower rank has capacity and is neither
+// overdue nor slow.
+func (s *sample) settled(rank int) bool {
+	return s.availability == available && s.candidates[0].rank < rank && s.candidates[0].load.overdue == 0 && !s.candidates[0].slow()
 }
 
 // best returns the upstream of the sample that will answer soonest.
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -60,6 +60,7 @@
 	}
 	s.requests[r.id] = r
 	s.retryBudget(r.service).addRequest(in.Now)
+	s.countArrival(in.Now, r)
 	effects := []step.Effect{Accepted{ID: r.id, Route: r.route, Deadline: r.deadline}}
 	return append(effects, s.dispatch(in, r)...)
 }
@@ -114,6 +115,7 @@
 	}
 	e := Send{
 		ID: r.id, Attempt: r.attempts, Upstream: u, Homes: r.homes, Priority: r.route.Priority, Deadline: r.deadline, Resume: r.partial, Returning: r.returning,
+		Moved: r.attempts == 1 && r.moveTo != "" && r.moveTo == u.DataCentre,
 	}
 	if required := s.requiredVersion(in.Now, r.model); required > 0 {
 		// An engine compares versions for equality, so require the version that it holds, which may be newer than the required one.
@@ -139,6 +141,7 @@
 	}
 	effects := s.trackCrashes(in, r, ev)
 	s.unreportedEnded(in.Now, r, ev.Outcome)
+	s.measureSlotTime(in.Now, r, ev.Outcome)
 	s.release(in, r, ev.Outcome)
 	if ev.Partial {
 		r.partial, r.progressAt = true, in.Now.Add(-ev.SinceLastPart)
@@ -172,7 +175,9 @@
 	l := s.loadState(r.instance)
 	l.inFlight--
 	l.tokens -= r.tokens
-	l.remainingSends++
+	if s.mayReuseSlot(in.Now, r) {
+		l.remainingSends++
+	}
 	// A misdirected attempt that required a version does not count as a failure (see recordOutcome): the engine may be healthy and hold
 	// another version.
 	if o != Misdirected || r.version == 0 {
--- a/internal/core/forward/upstream_view.go
+++ b/internal/core/forward/upstream_view.go
@@ -40,7 +40,9 @@
 // derived from the catalog, the manifest, the heartbeat targets and the estimated number of entries, and rebuilt when one of these
 // changes.
 type viewCache struct {
-	byService        map[string][]*upstreamView
+	byService map[string][]*upstreamView
+	// firstIn are the views of byService in another order; see viewsFirstIn.
+	firstIn          map[firstKey][]*upstreamView
 	changes          uint64
 	manifest         *catalog.Manifest
 	estimatedEntries int
@@ -63,10 +65,11 @@
 	return v.byService[service]
 }
 
-// viewsFor returns the views of the upstreams of a request's service in the regions in which the request may be, the nearest first.
+// viewsFor returns the views of the upstreams of a request's service in the regions in which the request may be: first those in the data
+// centre that the plan names for it, then the nearest.
 // Every search for an upstream must use it.
 func (s *State) viewsFor(now time.Time, r *request) []*upstreamView {
-	all := s.viewsOf(now, r.service)
+	all := s.viewsFirstIn(now, r.service, r.moveTo)
 	if r.homes.Unrestricted() {
 		return all
 	}
