gateway, hostagent: demand in heartbeats, sums of it in load reports

Cause: the plan across data centres needs the demand of all of them at each entry.

Change: entries put their demand into heartbeats where a plan can come into effect; agents keep it for 3.5 s per entry and add the sums by data centre to the reports that carry the entries, to entries of other data centres only the sum of their own. Unusable demand is dropped with one counted log line in 10 s (event 2021). The plan is logged when it changes (event 2020), at most once in 5 s; moved requests are counted by data centre (samphireweir_moved_requests_total).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,8 @@
 	forward   *forward.State
 	exchanges map[uint64]*exchange
 
+	droppedDemand droppedDemand
+
 	nextID   atomic.Uint64
 	ready    atomic.Bool
 	stopping atomic.Bool
@@ -175,6 +177,8 @@
 		g.logLateStart(e)
 	case forward.NoticeChanged:
 		g.logUpstreamNotice(e)
+	case forward.BalanceChanged:
+		logevent.Info(g.log, logevent.BalanceChanged).Str("plan", e.Plan).Str("demand", e.Demand).Str("supply", e.Supply).Dur("age_ms", e.OldestDemand).Msg("balance changed")
 	case forward.Withdraw:
 		if x := g.exchanges[e.ID]; x != nil {
 			x.withdraw(e)
@@ -182,6 +186,9 @@
 	case forward.Accepted:
 		g.dispatch(e.ID, e)
 	case forward.Send:
+		if e.Moved {
+			g.metrics.MovedRequests.Add(1, e.Upstream.DataCentre)
+		}
 		g.dispatch(e.ID, e)
 	case forward.Refuse:
 		g.dispatch(e.ID, e)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -39,6 +39,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	message := loadreport.Message{DataCentre: g.host.DataCentre, Crashes: g.forward.Crashes.Reports(now)}
+	message.Demand = g.demand(now)
 	message.Activations = loadreport.Activations(now, g.catalog.ReportedActivations(now, g.host.VersionLifetime))
 	var agents []netip.AddrPort
 	for _, u := range g.forward.ChooseHeartbeatTargets() {
@@ -65,6 +66,7 @@
 			Versions: m.Load.Versions, RateLimit: m.Load.RateLimit, Leaving: m.Load.Leaving, Entries: m.Load.Entries, NearEntries: m.Load.NearEntries,
 			ColdRemaining: time.Duration(m.Load.ColdMS) * time.Millisecond, Slowdown: m.Load.Slowdown,
 		})
+		g.handleDemandSums(m)
 	}
 }
 
--- a/internal/hostagent/export_test.go
+++ b/internal/hostagent/export_test.go
@@ -53,3 +53,11 @@
 
 // SetTimeouts replaces the timeouts for other hosts and for the origin.
 func (a *Agent) SetTimeouts(d time.Duration) { a.timeouts = timeouts{discovery: d, origin: d} }
+
+// DemandSumsFor returns the sums that a report to a subscriber would carry at a time.
+func (a *Agent) DemandSumsFor(address netip.AddrPort, now time.Time) []loadreport.DemandSum {
+	a.reporter.mu.Lock()
+	defer a.reporter.mu.Unlock()
+	a.updateDemandSums(now)
+	return a.reporter.demand.sumsFor(a.reporter.subscribers[address])
+}
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -41,6 +41,9 @@
 	crashesSentAt time.Time
 	// entriesSentAt is when the list of entries of its data centre was last sent to it.
 	entriesSentAt time.Time
+	// demand is what the entry last said of its demand, at demandAt.
+	demand   []loadreport.Demand
+	demandAt time.Time
 }
 
 // reporter holds the subscribers, and what is passed on to all of them.
@@ -49,6 +52,7 @@
 	subscribers map[netip.AddrPort]*subscriber
 	// crashes holds the requests that crash upstreams, as reported in heartbeats. It is passed on to all subscribers.
 	crashes *quarantine.Table
+	demand  demandSums
 }
 
 func newReporter() reporter {
@@ -73,6 +77,7 @@
 		a.reporter.subscribers[from] = s
 	}
 	s.heartbeatAt, s.dataCentre, s.near = time.Now(), m.DataCentre, m.DataCentre == a.host.DataCentre
+	a.recordDemand(s.heartbeatAt, s, m)
 }
 
 // pollEngine reads the engine's state and reports it to the entries.
@@ -153,6 +158,7 @@
 			load.NearEntries++
 		}
 	}
+	a.updateDemandSums(now)
 	a.reporter.crashes.Expire(now)
 	if n := a.reporter.crashes.TakeDropped(); n > 0 {
 		logevent.Warn(a.log, logevent.CrashesDropped).Int("count", n).Msg("crashes dropped")
@@ -171,6 +177,7 @@
 		if now.Sub(s.entriesSentAt) >= idleInterval { // Sent with each report, the entries would take up much of it.
 			s.entriesSentAt = now
 			a.storePeers.AddEntries(s.dataCentre, &m)
+			m.DemandSums = a.reporter.demand.sumsFor(s)
 		}
 		if err := a.socket.Send(address, m); err != nil {
 			logevent.Info(a.log, logevent.PeerFailed).Str("peer", address.String()).Err(err).Msg("peer failed")
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -65,6 +65,25 @@
 	return max(0, h.VersionLifetime-h.SettleTime)
 }
 
+// KnowsDataCentre reports whether the settings name a data centre.
+func (h Host) KnowsDataCentre(name string) bool {
+	_, known := h.Regions[name]
+	return known || name == h.DataCentre
+}
+
+// KnowsRegion reports whether the settings name a region.
+func (h Host) KnowsRegion(name string) bool {
+	if name == h.Region {
+		return true
+	}
+	for _, region := range h.Regions {
+		if region == name {
+			return true
+		}
+	}
+	return false
+}
+
 // ChangeTime returns the maximum time for a process to receive any change in the store: the shorter of ManifestTime and
 // DrainTime, or the one that the platform specifies if it specifies only one.
 func (h Host) ChangeTime() time.Duration {
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -32,6 +32,9 @@
 	UpstreamNotice         ID = 2011
 	ManifestIgnored        ID = 2012
 	StoreRestored          ID = 2013
+	BalanceChanged         ID = 2020
+	DemandDropped          ID = 2021
+	ManifestFieldKept      ID = 2022
 	BurstStarted           ID = 3001
 	BurstComplete          ID = 3002
 	ChunkRefused           ID = 3003
@@ -94,6 +97,9 @@
 	{UpstreamNotice, "upstream notice changed", "The notice in an upstream's answer head differs from the previous one. limited: it accepts rate_limit requests per second from all entries together; garbled: its limit is malformed; leaving: it is shutting down; retry_after_ms: the backoff in milliseconds that it requests from this entry."},
 	{ManifestIgnored, "manifest ignored", "A manifest was read and not put in force, because it is older than the one in force: version, era and revision are its own, in_force, in_force_era and in_force_revision those of the one in force. Expected for a slow read, and after a restore of the store until the operator's manifest is written again. If it is not, write a manifest with a version above in_force."},
 	{StoreRestored, "store restored", "The platform's store came back from a copy: era is the number of its new era, known_era and known_revision the last that were known. What was written last may be missing until operators and upstreams write it again."},
+	{BalanceChanged, "balance changed", "The entry's plan across data centres changed, because of homes or an evacuation. plan is what part of this data centre's requests is tried first where, by their homes; demand and supply are its inputs in seconds of a slot per second, age_ms the age of the oldest demand. At most one line is written in 5 s. See docs/operators/evacuations.md."},
+	{DemandDropped, "demand dropped", "Messages about the demand of data centres were malformed or from a data centre that the settings don't name, and were not used; the field count counts them since the last such line."},
+	{ManifestFieldKept, "manifest field kept", "A manifest in the store has an invalid value in the field named. The last good value stays in force, or the nearest valid one if there was none (value); the rest of the manifest is applied. Correct the manifest; samphireweir check names the field too."},
 	{BurstStarted, "burst started", "The host started to fetch a version of weights."},
 	{BurstComplete, "burst complete", "The host holds every chunk of a version, each verified against its digest."},
 	{ChunkRefused, "chunk refused", "A chunk did not match its digest or could not be fetched; the field from names the sender."},
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -49,6 +49,8 @@
 		"Requests that an upstream started on an expired version of weights."}
 	upstreamNoticesDefinition = Definition{"samphireweir_upstream_notices_total", CounterKind, nil,
 		"Changed notices in the heads of upstreams' answers: a rate limit, a shutdown, a requested backoff."}
+	movedRequestsDefinition = Definition{"samphireweir_moved_requests_total", CounterKind, []string{"data_centre"},
+		"Requests that the plan across data centres had tried first in another data centre than this entry's, by that data centre."}
 	storeRestoresDefinition = Definition{"samphireweir_store_restores_total", CounterKind, nil,
 		"Restores of the platform's store from a copy, as this process noticed them."}
 	runsRefusedDefinition = Definition{"samphireweir_runs_refused_total", CounterKind, []string{"cause"},
@@ -87,7 +89,7 @@
 // Catalogue lists every metric, in the order of docs/METRICS.md.
 var Catalogue = []Definition{
 	requestsDefinition, refusalsDefinition, inFlightDefinition, firstByteDefinition, totalDefinition,
-	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, runsRefusedDefinition,
+	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, movedRequestsDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, settingsDefinition,
 	panicsDefinition, storeRestoresDefinition, ownDelayDefinition, lateReadsDefinition, goroutinesDefinition, memoryDefinition,
