--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -29,6 +29,8 @@
 	// FollowsEvacuations is set where operators may evacuate data centres. The process must then know the evacuations before
 	// it is ready.
 	FollowsEvacuations bool
+	// Regions are the regions that exist. Home regions in the manifest are checked against them; empty if they are unknown.
+	Regions map[string]bool
 	// evacuations maps each data centre that was ever evacuated to its last known evacuation state.
 	evacuations map[string]evacuation
 	// history maps each model to its activations, in the order in which they were received.
@@ -73,7 +75,8 @@
 	EvacuationTopic Topic = "evacuations"
 )
 
-// ManifestRead reports the manifest that the store holds at a revision.
+// ManifestRead reports the manifest that the store holds at a revision. The manifest belongs to the reducer from then on, which replaces
+// invalid values in it; see FieldKept.
 type ManifestRead struct {
 	Revision storerev.Revision
 	Manifest *Manifest
@@ -205,8 +208,9 @@
 		return s.ignoreManifest(ev)
 	}
 	s.manifestRevision = ev.Revision
+	effects := s.repairManifest(ev.Manifest)
 	s.Manifest = ev.Manifest
-	return []step.Effect{StateChanged{Topic: ManifestTopic, Value: "in force", Revision: ev.Revision}}
+	return append(effects, StateChanged{Topic: ManifestTopic, Value: "in force", Revision: ev.Revision})
 }
 
 // replacesManifest reports whether a manifest that was read replaces the one in force. Within an era of the store, the later one is in
--- a/internal/core/catalog/manifest.go
+++ b/internal/core/catalog/manifest.go
@@ -141,10 +141,7 @@
 	for _, list := range m.routes {
 		sortByPrefix(list)
 	}
-	m.hasHomes = slices.ContainsFunc(routes, func(r *Route) bool { return len(r.HomeRegions) > 0 })
-	for _, a := range accounts {
-		m.hasHomes = m.hasHomes || len(a.HomeRegions) > 0
-	}
+	m.noteHomes()
 	return m
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,7 @@
 func New(host hostconfig.Host, log zerolog.Logger, m *telemetry.Metrics, traces *telemetry.Traces) *Gateway {
 	catalogState, self := catalog.NewState(), net.JoinHostPort(host.IP, strconv.Itoa(host.PeerPort))
 	catalogState.ListedActivatedAt, catalogState.FollowsEvacuations = time.Now().Add(-host.AssumedVersionAge()), host.EvacuationTime > 0
+	catalogState.Regions = host.KnownRegions()
 	storePeers, cache := storefeed.NewPeers(host, self, false, log), storefeed.NewCache(host.ChangeTime())
 	storeTransport := newStoreTransport()
 	dialPeer := storeTransport.DialContext
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -71,6 +71,18 @@
 	return known || name == h.DataCentre
 }
 
+// KnownRegions returns the regions that the settings name; none if the settings don't map data centres to regions.
+func (h Host) KnownRegions() map[string]bool {
+	known := map[string]bool{}
+	for _, region := range h.Regions {
+		known[region] = true
+	}
+	if len(known) > 0 && h.Region != "" {
+		known[h.Region] = true
+	}
+	return known
+}
+
 // KnowsRegion reports whether the settings name a region.
 func (h Host) KnowsRegion(name string) bool {
 	if name == h.Region {
