--- a/internal/core/forward/balance.go
+++ b/internal/core/forward/balance.go
@@ -179,19 +179,25 @@
 // supply returns what the engines of each data centre can serve, and how many engines there are. A data centre that the settings name and
 // that has no engines is included, because its callers have demand.
 func (s *State) supply(now time.Time) ([]balance.Supply, engineCounts) {
-	slots, counts := map[string]float64{}, engineCounts{byDataCentre: map[string]int{}}
+	slots, counts := map[string]*slotCount{s.Self.DataCentre: {}}, engineCounts{byDataCentre: map[string]int{}}
 	for dataCentre := range s.Self.Regions {
-		slots[dataCentre] = 0
+		slots[dataCentre] = &slotCount{}
 	}
-	slots[s.Self.DataCentre] += 0
 	for name, service := range s.Catalog.Manifest.Services {
 		if service.Engine == nil {
 			continue
 		}
+		required := map[string]int64{}
+		for _, model := range service.Engine.Models {
+			required[model] = s.requiredVersion(now, model)
+		}
 		for _, v := range s.viewsOf(now, name) {
 			counts.byDataCentre[v.DataCentre]++
 			counts.total++
-			slots[v.DataCentre] += float64(v.usableSlots(now))
+			if slots[v.DataCentre] == nil {
+				slots[v.DataCentre] = &slotCount{}
+			}
+			slots[v.DataCentre].add(now, v, required)
 		}
 	}
 	var list []balance.Supply
@@ -200,28 +206,54 @@
 		if region == "" && dataCentre == s.Self.DataCentre {
 			region = s.Self.Region
 		}
-		list = append(list, balance.Supply{DataCentre: dataCentre, Region: region, Work: slots[dataCentre], Evacuated: s.Catalog.Evacuated(dataCentre)})
+		list = append(list, balance.Supply{DataCentre: dataCentre, Region: region, Work: slots[dataCentre].usable(), Evacuated: s.Catalog.Evacuated(dataCentre)})
 	}
 	return list, counts
 }
 
-// usableSlots returns the slots of an engine that takes requests as far as this entry knows. An engine that loads weights for some tenths of
-// a second counts, so that the plan doesn't follow each load.
-func (v *upstreamView) usableSlots(now time.Time) int {
-	silent := !v.load.reportedAt.IsZero() && !v.load.hasReport(now) && !v.noHeartbeat
-	if v.inactive(now) || now.Before(v.load.avoidUntil) || silent {
-		return 0
+// slotCount counts the slots of the engines of one data centre.
+type slotCount struct {
+	// heard are the slots of the engines whose agents report to this entry, heardUsable those of the usable ones among them, and others the
+	// slots of the engines that are usable as far as the store says.
+	heard, heardUsable, others float64
+}
+
+func (c *slotCount) add(now time.Time, v *upstreamView, required map[string]int64) {
+	if v.inactive(now) {
+		return
 	}
-	held := v.Versions
-	if v.load.hasReport(now) {
-		held = v.load.report.Versions
+	slots := float64(v.slots())
+	usable := v.holdsAny(now, required) && !now.Before(v.load.avoidUntil)
+	switch {
+	case v.noHeartbeat && usable:
+		c.others += slots
+	case !v.noHeartbeat:
+		c.heard += slots
+		silent := !v.load.reportedAt.IsZero() && !v.load.hasReport(now)
+		if usable && !silent {
+			c.heardUsable += slots
+		}
 	}
-	for _, version := range held {
-		if version > 0 {
-			return v.slots()
+}
+
+// usable returns the slots of the usable engines. Of those that don't report to this entry, the part is assumed to be usable that is so of the
+// others: where a data centre is cut off, all of them are not.
+func (c *slotCount) usable() float64 {
+	if c.heard == 0 {
+		return c.others
+	}
+	return c.heardUsable + c.others*c.heardUsable/c.heard
+}
+
+// holdsAny reports whether an engine holds weights on which requests may start. An engine that loads weights for some tenths of a second
+// counts, so that the plan doesn't follow each load.
+func (v *upstreamView) holdsAny(now time.Time, required map[string]int64) bool {
+	for model, version := range required {
+		if held := v.heldVersion(now, model); held > 0 && held >= version {
+			return true
 		}
 	}
-	return 0
+	return false
 }
 
 func (s *State) describePlan(now time.Time, demand []balance.Demand, supply []balance.Supply) BalanceChanged {
--- a/internal/core/forward/balance_load_test.go
+++ b/internal/core/forward/balance_load_test.go
@@ -58,6 +58,24 @@
 	require.Less(t, s.moved["bunbury-a"]+s.moved["karratha-a"], .01*s.offered["perth-a"])
 }
 
+// TestOverloadOfOneDataCentreIsShared names this load: all data centres are full, one is asked for 1.8 times its slots, and three in ten of
+// all requests are bound to their region. It guards against callers of that data centre who are served less than the others.
+func TestOverloadOfOneDataCentreIsShared(t *testing.T) {
+	s := newSimulation(t)
+	s.load["perth-a"] = 1.8
+	for _, c := range centres {
+		s.bound[c] = .3
+	}
+	s.run(10 * time.Second)
+	s.resetCounts()
+	s.run(20 * time.Second)
+	p, b, k := s.served()
+	t.Logf("served %.3f %.3f %.3f", p, b, k)
+	require.InDelta(t, b, p, .05)
+	require.InDelta(t, k, p, .05)
+	require.InDelta(t, k, b, .05)
+}
+
 // TestDemandThatTurnsAroundIsFollowed names this load: demand moves from one data centre to another within a second, and the reports are
 // late and half of them are lost. It guards against requests that are refused for long after that, or moved back and forth.
 func TestDemandThatTurnsAroundIsFollowed(t *testing.T) {
