balance: entries exceed their quota of slots sooner

Cause: TestCallersOfAnEvacuatedDataCentreAreServedLikeOthers failed once (.654 against .596, bound .05) when the order of the engines in its simulation changed.

Change: an entry may exceed its quota at an engine of which 0.15 of the slots are free instead of 0.2. The test measures 60 s instead of 20, with the same bound and a higher one for the total (1.88 instead of 1.85). Requests whose homes the settings don't name are not planned.

--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -133,13 +134,13 @@
 			for _, c := range supply {
 				if f := s.Fraction(d.DataCentre, d.Homes, c.DataCentre); f > 0 {
 					require.True(rt, !c.Evacuated && c.Work > 0, "%s gets some", c.DataCentre)
-					require.True(rt, len(d.Homes) == 0 || contains(d.Homes, c.Region), "%v to %s", d.Homes, c.DataCentre)
+					require.True(rt, len(d.Homes) == 0 || slices.Contains(d.Homes, c.Region), "%v to %s", d.Homes, c.DataCentre)
 				}
 			}
 			if parts[i] < .93 { // Then no data centre within the homes has room.
 				for _, c := range supply {
 					l := s.Load(c.DataCentre)
-					if !c.Evacuated && (len(d.Homes) == 0 || contains(d.Homes, c.Region)) {
+					if !c.Evacuated && (len(d.Homes) == 0 || slices.Contains(d.Homes, c.Region)) {
 						require.GreaterOrEqual(rt, l.Own+l.Moved, .95*l.Supply-1, "%s has room", c.DataCentre)
 					}
 				}
@@ -148,15 +149,6 @@
 	})
 }
 
-func contains(list []string, s string) bool {
-	for _, e := range list {
-		if e == s {
-			return true
-		}
-	}
-	return false
-}
-
 // TestPlansConvergeFromLateAndLostReports names this load: demand moves from the east to the west within a second, and each of 20 entries
 // hears of it from three agents, 0 to 0.9 s late and with half of the reports lost. It guards against plans that overshoot, that swing back and forth, or that
 // differ between the entries after some seconds.
--- a/internal/core/forward/balance.go
+++ b/internal/core/forward/balance.go
@@ -89,11 +89,16 @@
 	return homes
 }
 
+// planned reports whether the plan covers a request: it is for a model engine, and some region that the settings name is allowed.
+func (s *State) planned(r *request) bool {
+	return r.model != "" && (r.homes.Unrestricted() || len(s.homesOf(r)) > 0)
+}
+
 // chooseDataCentre notes the data centre that a request is to be tried at first, if the plan names another one than this. The plan may change
 // while a request waits; the draw stays, so that the request is not moved back and forth.
 func (s *State) chooseDataCentre(in step.Input, r *request) {
 	r.moveTo = ""
-	if r.model == "" || !s.balance.shares.Known() {
+	if !s.balance.shares.Known() || !s.planned(r) {
 		return
 	}
 	if r.balanceDraw == 0 {
--- a/internal/core/forward/balance_capacity.go
+++ b/internal/core/forward/balance_capacity.go
@@ -15,8 +15,9 @@
 	// quota.
 	contendedPart = 0.95
 	// idlePart is the part of an engine's slots that must be free for an entry to exceed its quota there. The plan is an estimate, and slots
-	// must not be left free because of it.
-	idlePart = 0.2
+	// must not be left free because of it. With a fifth of the slots, some 2 of 100 fewer requests are served in an overload, because an
+	// entry at its quota gives up slots that no other takes in time.
+	idlePart = 0.15
 )
 
 // slotQuota is the part of the slots of the engines of a data centre that this entry's requests may take. Entries reuse the slots that they
--- a/internal/core/forward/balance_demand.go
+++ b/internal/core/forward/balance_demand.go
@@ -53,7 +53,7 @@
 
 // countArrival counts the arrival of a request for the demand of this entry.
 func (s *State) countArrival(now time.Time, r *request) {
-	if r.model == "" || r.returning {
+	if r.returning || !s.planned(r) {
 		return
 	}
 	homes := s.homesOf(r)
@@ -94,7 +94,7 @@
 	}
 	waiting := map[string]*[priorityCount]int{}
 	for _, r := range s.requests {
-		if r.instance.ID != "" || r.queueDeadline.IsZero() || r.model == "" {
+		if r.instance.ID != "" || r.queueDeadline.IsZero() || !s.planned(r) {
 			continue
 		}
 		key := strings.Join(s.homesOf(r), "\n")
--- a/internal/core/forward/balance_load_test.go
+++ b/internal/core/forward/balance_load_test.go
@@ -19,19 +19,19 @@
 // against slots that are left free for fairness, and against requests that are moved after the data centre is back.
 func TestCallersOfAnEvacuatedDataCentreAreServedLikeOthers(t *testing.T) {
 	for _, lossy := range []bool{false, true} {
-		s := newSimulation(t)
+		s := newSimulation()
 		s.lossy = lossy
 		s.run(5 * time.Second)
 		s.evacuate("perth-a")
 		s.run(5 * time.Second)
 		s.resetCounts()
-		s.run(20 * time.Second)
+		s.run(60 * time.Second)
 		p, b, k := s.served()
 		t.Logf("lossy %v: served %.3f %.3f %.3f", lossy, p, b, k)
 		require.InDelta(t, b, p, .05)
 		require.InDelta(t, k, p, .05)
 		require.InDelta(t, k, b, .05)
-		require.Greater(t, p+b+k, 1.85, "of 2")
+		require.Greater(t, p+b+k, 1.88, "of 2")
 		s.evacuate()
 		s.run(6 * time.Second)
 		s.resetCounts()
@@ -46,7 +46,7 @@
 // others for half of theirs. It guards against bound requests that are refused while unbound ones take their slots, and against moved
 // requests while the data centre has room.
 func TestBoundRequestsKeepRoomAtHome(t *testing.T) {
-	s := newSimulation(t)
+	s := newSimulation()
 	s.load = map[string]float64{"perth-a": 1.6, "bunbury-a": .5, "karratha-a": .5}
 	s.bound["perth-a"] = .5
 	s.run(8 * time.Second)
@@ -61,14 +61,14 @@
 // TestOverloadOfOneDataCentreIsShared names this load: all data centres are full, one is asked for 1.8 times its slots, and three in ten of
 // all requests are bound to their region. It guards against callers of that data centre who are served less than the others.
 func TestOverloadOfOneDataCentreIsShared(t *testing.T) {
-	s := newSimulation(t)
+	s := newSimulation()
 	s.load["perth-a"] = 1.8
 	for _, c := range centres {
 		s.bound[c] = .3
 	}
 	s.run(10 * time.Second)
 	s.resetCounts()
-	s.run(20 * time.Second)
+	s.run(60 * time.Second)
 	p, b, k := s.served()
 	t.Logf("served %.3f %.3f %.3f", p, b, k)
 	require.InDelta(t, b, p, .05)
@@ -79,7 +79,7 @@
 // TestDemandThatTurnsAroundIsFollowed names this load: demand moves from one data centre to another within a second, and the reports are
 // late and half of them are lost. It guards against requests that are refused for long after that, or moved back and forth.
 func TestDemandThatTurnsAroundIsFollowed(t *testing.T) {
-	s := newSimulation(t)
+	s := newSimulation()
 	s.lossy = true
 	s.load = map[string]float64{"perth-a": 1.5, "bunbury-a": .3, "karratha-a": .5}
 	s.run(10 * time.Second)
@@ -98,7 +98,7 @@
 func TestEntryWithoutReportsServesAsBefore(t *testing.T) {
 	var sums [2]float64
 	for i, silent := range []bool{true, false} {
-		s := newSimulation(t)
+		s := newSimulation()
 		s.silent = silent
 		for _, c := range centres {
 			s.load[c] = .5
--- a/internal/core/forward/balance_test.go
+++ b/internal/core/forward/balance_test.go
@@ -2,7 +2,8 @@
 
 import (
 	"fmt"
-	"testing"
+	"maps"
+	"slices"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/balance"
@@ -31,7 +32,6 @@
 
 // simulation is a fleet of entries, with engines that run as many requests as they have slots and queue the others.
 type simulation struct {
-	t       *testing.T
 	now     time.Duration
 	draw    uint64
 	nextID  uint64
@@ -53,8 +53,8 @@
 	queued     []func()
 }
 
-func newSimulation(t *testing.T) *simulation {
-	s := &simulation{t: t, draw: 1, engines: map[string]*simulatedEngine{}, due: map[time.Duration][]func(){}, load: map[string]float64{}, bound: map[string]float64{}}
+func newSimulation() *simulation {
+	s := &simulation{draw: 1, engines: map[string]*simulatedEngine{}, due: map[time.Duration][]func(){}, load: map[string]float64{}, bound: map[string]float64{}}
 	for _, c := range centres {
 		for i := range entriesPerCentre {
 			s.entries, s.centre = append(s.entries, s.newEntry(fmt.Sprintf("%s-%d", c, i), c)), append(s.centre, c)
@@ -177,7 +177,7 @@
 
 // report sends the agents' reports that are due to an entry: of its own data centre each 90 ms, of others each 400 ms, sums each 900 ms.
 func (s *simulation) report(entry int, c string) {
-	for i, id := range sortedIDs(s.engines) {
+	for i, id := range slices.Sorted(maps.Keys(s.engines)) {
 		e := s.engines[id]
 		interval, offset := 400*time.Millisecond, time.Duration((entry*7+i*13)%40)*tickTime
 		if e.dataCentre == c {
@@ -209,16 +209,6 @@
 	}
 }
 
-func sortedIDs(m map[string]*simulatedEngine) []string {
-	var ids []string
-	for _, c := range centres {
-		for i := range enginesPerCentre {
-			ids = append(ids, fmt.Sprintf("%s-m%d", c, i))
-		}
-	}
-	return ids[:len(m)]
-}
-
 func (s *simulation) evacuate(dataCentres ...string) {
 	for _, r := range s.entries {
 		r.evacuate(dataCentres...)
