--- a/internal/core/forward/pass.go
+++ b/internal/core/forward/pass.go
@@ -32,12 +32,12 @@
 // searchKey has what the result "full" of a search depends on beside the sizes of a request: two requests with the same key differ only
 // in these. A queued request has had no attempt.
 type searchKey struct {
-	service, model, homes string
-	kind                  catalog.Kind
-	objective             time.Duration
-	repeatable, returning bool
-	fitsMemory            bool
-	priority              int
+	service, model, homes, moveTo string
+	kind                          catalog.Kind
+	objective                     time.Duration
+	repeatable, returning         bool
+	fitsMemory                    bool
+	priority                      int
 }
 
 // fullResult says that all upstreams are full for requests that are at least as large.
@@ -103,7 +103,7 @@
 
 func (s *State) searchKey(r *request) searchKey {
 	k := searchKey{
-		service: r.service, model: r.model, kind: r.route.Kind, objective: r.route.Objective, repeatable: r.route.Repeatable(),
+		service: r.service, model: r.model, moveTo: r.moveTo, kind: r.route.Kind, objective: r.route.Objective, repeatable: r.route.Repeatable(),
 		returning: r.returning, priority: r.priority, fitsMemory: true,
 	}
 	if !r.homes.Unrestricted() {
