forward: choice, limits and second attempts by predicted first events

Cause: among sampled upstreams the choice is by load alone, an engine that slows down when nearly full gets all its slots, one that has just started as well, and a request at an engine that hangs waits for its timeout of 1.5 s.

Change, with the entry's flag -uneven-engines (off by default): the choice is by predicted first event where predictions differ, hasCapacity respects a limit below the slots and a slow start of 3 s, and an attempt beyond three times its prediction and 0.3 s over it is withdrawn and sent to a faster engine. Only repeatable requests, before the first event, within MaxUpstreams and half of the retry budget; none while more than a quarter of a service's waiting requests are late. Metrics, events 4020 and 4021.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -41,6 +41,8 @@
 	metricsPort int
 	logLevel    string
 	trace       telemetry.TraceConfig
+	// unevenEngines is a flag of the entry only; see hostconfig.Host.
+	unevenEngines bool
 }
 
 // flags defines the flags of c on fs.
@@ -84,6 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
+	host.UnevenEngines = c.unevenEngines
 	if host.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(host.MemoryBytes) * memoryFraction))
 	}
@@ -149,7 +152,10 @@
 }
 
 // SetFlags defines the command's flags.
-func (c *platformEntryCommand) SetFlags(fs *flag.FlagSet) { c.config.flags(fs) }
+func (c *platformEntryCommand) SetFlags(fs *flag.FlagSet) {
+	fs.BoolVar(&c.config.unevenEngines, "uneven-engines", false, "predict the time to the first event of each model engine, and choose, limit and retry by it")
+	c.config.flags(fs)
+}
 
 // Execute runs the process until SIGTERM or SIGINT.
 func (c *platformEntryCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
--- a/internal/core/forward/bench_test.go
+++ b/internal/core/forward/bench_test.go
@@ -51,3 +51,25 @@
 		})
 	}
 }
+
+// BenchmarkDispatchUneven measures the same with the setting uneven-engines off and on, and engines that were observed lately.
+func BenchmarkDispatchUneven(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		b.Run(fmt.Sprintf("on=%t, 1000 upstreams", on), func(b *testing.B) {
+			r := newUnevenRig(0, on)
+			for i := range 1000 {
+				r.add(fmt.Sprintf("m%d", i), "model", []string{"perth-a", "bunbury-a"}[i%2], 16)
+				r.rig.step(forward.LoadReported{Address: fmt.Sprintf("m%d", i), RequestCount: 5, Versions: map[string]int64{"m": 1}, Entries: 1, NearEntries: 1})
+			}
+			id := uint64(0)
+			for b.Loop() {
+				id++
+				r.now = time.Duration(id%1000) * time.Microsecond
+				r.arriveWithTimeout(id, 6*time.Second)
+				r.now += 100 * time.Millisecond
+				r.rig.step(forward.Started{ID: id})
+				r.rig.step(forward.AttemptEnded{ID: id, Outcome: forward.Answered})
+			}
+		})
+	}
+}
--- a/internal/core/forward/capacity.go
+++ b/internal/core/forward/capacity.go
@@ -21,7 +21,7 @@
 
 // hasCapacity reports whether this entry may send the upstream one more request.
 func (v *upstreamView) hasCapacity(now time.Time, r *request) bool {
-	return v.occupied(now, r) < v.maxRequests(r) && !v.prefillFull(r) && !v.shareUsedUp(now, r) && v.rateAllowed(now) && v.fitsMemory(v.load.tokens+r.tokens)
+	return v.occupied(now, r) < v.maxRequests(r) && !v.prefillFull(r) && !v.shareUsedUp(now, r) && v.rateAllowed(now) && v.fitsMemory(v.load.tokens+r.tokens) && !v.beyondLimit(now, r)
 }
 
 // fitsMemory reports whether an engine's memory holds that many tokens. An engine that runs out of memory evicts a request that it
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -33,6 +33,8 @@
 	Retries hostconfig.RetryBudget
 	// VersionLifetime is how long requests may still start on an older version after a newer one was activated.
 	VersionLifetime time.Duration
+	// UnevenEngines is the host setting uneven-engines; see package speed.
+	UnevenEngines bool
 	// Policy is DefaultPolicy unless it is set.
 	Policy Policy
 }
@@ -107,6 +109,8 @@
 	// Partial is set if part of the answer was passed on to the caller, and SinceLastPart is the time since the last part.
 	Partial       bool
 	SinceLastPart time.Duration
+	// MaxGap is the longest gap between two events of a complete stream from a single attempt; 0 if it is unknown.
+	MaxGap time.Duration
 }
 
 // TimedOut is the event that a request's deadline has passed.
@@ -287,6 +291,7 @@
 	partial    bool
 	progressAt time.Time
 	tried      map[catalog.Instance]bool
+	speed      requestSpeed
 }
 
 // State is what an entry knows about its requests and about the state of the upstreams.
@@ -331,6 +336,8 @@
 	// overdue are the states of the upstreams that had overdue requests at the last tick, and forgotAt is when forget last ran.
 	overdue  []*loadState
 	forgotAt time.Time
+	// uneven is what is known about the speed of engines; nil unless Self.UnevenEngines is set.
+	uneven *unevenEngines
 }
 
 // NewState returns a state without requests.
@@ -342,11 +349,14 @@
 		Self: self, Catalog: c, requests: map[uint64]*request{}, loadStates: map[catalog.Instance]*loadState{},
 		retryBudgets: map[string]*retryBudget{}, callerTimeouts: callerTimeouts{}, Crashes: quarantine.NewTable(),
 		breaks: map[uint64][]breakRecord{}, queues: map[string][]uint64{}, lastQueuedAt: map[string]time.Time{},
+		uneven: newUnevenEngines(self),
 	}
 }
 
 // Reduce handles one input and returns the effects for the shell to carry out.
-func (s *State) Reduce(in step.Input) []step.Effect {
+func (s *State) Reduce(in step.Input) []step.Effect { return s.flushUneven(s.reduce(in)) }
+
+func (s *State) reduce(in step.Input) []step.Effect {
 	switch ev := in.Event.(type) {
 	case Arrived:
 		return s.arrived(in, ev)
@@ -373,6 +383,7 @@
 		s.countOverdue(in.Now)
 		s.callerTimeouts.forget(in.Now)
 		effects := append(s.expireCrashes(in.Now), s.withdrawUnstarted(in)...)
+		effects = append(effects, s.withdrawLate(in)...)
 		return append(effects, s.serveWaiting(in)...)
 	}
 	return nil
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -63,6 +63,7 @@
 	backoff backoff
 	// brokenRequests are the requests whose attempts broke there recently, the oldest first.
 	brokenRequests []brokenRequest
+	speed          engineSpeed
 }
 
 func (s *State) loadState(instance catalog.Instance) *loadState {
@@ -143,6 +144,7 @@
 		effects = append(effects, s.foundDown(in, u.Instance())...)
 	}
 	l.report, l.reportedAt = ev, in.Now
+	s.noteStart(in.Now, l, ev)
 	l.nearEntries.add(in.Now, ev.NearEntries)
 	l.otherRequests = max(0, ev.RequestCount-l.inFlight)
 	l.noteCold(in.Now, ev.ColdRemaining)
@@ -203,6 +205,7 @@
 		return
 	}
 	s.forgotAt = now
+	s.forgetSpeeds(now)
 	for instance, l := range s.loadStates {
 		u := s.Catalog.Upstreams[instance.ID]
 		if (u == nil || u.StartedAt != instance.StartedAt) && l.inFlight == 0 && now.Sub(l.reportedAt) > reportLifetime && !l.keepsState(now) {
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -228,6 +228,12 @@
 	}
 	best := s.candidates[0]
 	for _, c := range s.candidates[1:s.size] {
+		if sooner, decides := c.compare(best, now, r); decides {
+			if sooner {
+				best = c
+			}
+			continue
+		}
 		cost, lowest := c.cost(now, r), best.cost(now, r)
 		if cost < lowest || cost == lowest && c.tieBreak < best.tieBreak {
 			best = c
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -97,6 +97,8 @@
 
 // send starts an attempt of a request at an upstream and counts the resources that it takes there; see release.
 func (s *State) send(in step.Input, r *request, u *catalog.Upstream) []step.Effect {
+	v := s.view(u)
+	s.noteSending(in.Now, r, v)
 	r.attempts++
 	r.instance, r.sentAt = u.Instance(), in.Now
 	r.tried[r.instance] = true
@@ -108,7 +110,7 @@
 	s.loadState(r.instance).coldPacer.used()
 	s.loadState(r.instance).backoff.attempted(in.Now)
 	r.awaitingFirstEvent, r.firstEventLate = true, false
-	r.unreported = s.view(u).unreported()
+	r.unreported = v.unreported()
 	if r.unreported {
 		s.unreportedWaiting++
 	}
@@ -117,7 +119,7 @@
 	}
 	if required := s.requiredVersion(in.Now, r.model); required > 0 {
 		// An engine compares versions for equality, so require the version that it holds, which may be newer than the required one.
-		if held := s.view(u).heldVersion(in.Now, r.model); held >= required {
+		if held := v.heldVersion(in.Now, r.model); held >= required {
 			e.Version = held
 		}
 	}
@@ -129,6 +131,7 @@
 		}
 	}
 	e.FirstEventTimeout, e.GapTimeout = r.attemptTimeouts(in.Now)
+	r.speed.timeout = e.FirstEventTimeout
 	return []step.Effect{e}
 }
 
@@ -139,6 +142,7 @@
 	}
 	effects := s.trackCrashes(in, r, ev)
 	s.unreportedEnded(in.Now, r, ev.Outcome)
+	s.observeGap(in.Now, r, ev)
 	s.release(in, r, ev.Outcome)
 	if ev.Partial {
 		r.partial, r.progressAt = true, in.Now.Add(-ev.SinceLastPart)
@@ -168,6 +172,7 @@
 	if r.instance == (catalog.Instance{}) {
 		return
 	}
+	s.attemptReleased(in.Now, r, o)
 	s.clearPendingPrompt(r.id)
 	l := s.loadState(r.instance)
 	l.inFlight--
@@ -202,7 +207,7 @@
 
 // retry sends a request again, to an upstream with capacity. Without capacity the request ends: a retry is not queued.
 func (s *State) retry(in step.Input, r *request, o Outcome) []step.Effect {
-	u, found := s.pick(in, r)
+	u, found := s.pickRetry(in, r)
 	if found == available {
 		if o.sent() {
 			s.retryBudget(r.service).addRetry(in.Now) // A retry for which there is no capacity does not count.
--- a/internal/core/forward/upstream_view.go
+++ b/internal/core/forward/upstream_view.go
@@ -32,6 +32,8 @@
 	entries int
 	// prefillAhead is Policy.PrefillAhead.
 	prefillAhead time.Duration
+	// speeds are the usual times of its service's engines; nil for a plain service and where the setting uneven-engines is off.
+	speeds *serviceSpeed
 	// hash is the upstream's hash, which yields an order that differs between requests.
 	hash uint64
 }
@@ -87,6 +89,7 @@
 	if service := s.service(u); service != nil {
 		v.engine, v.coldRate = service.Engine, service.ColdRate
 	}
+	v.speeds = s.serviceSpeedOf(v)
 	v.superseded = s.Catalog.Superseded(u)
 	v.evacuated = s.Catalog.Evacuated(u.DataCentre)
 	v.noHeartbeat = s.heartbeatTargets != nil && !s.heartbeatTargets[u.ID] && v.engine != nil
--- a/internal/core/forward/version.go
+++ b/internal/core/forward/version.go
@@ -75,6 +75,7 @@
 
 // started handles the first event of an answer.
 func (s *State) started(in step.Input, ev Started) []step.Effect {
+	s.firstEventReceived(in.Now, s.requests[ev.ID])
 	s.clearPendingPrompt(ev.ID)
 	r := s.requests[ev.ID]
 	if r != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -25,7 +25,7 @@
 var errUpstreamTimeout = errors.New("timed out waiting for data from the upstream")
 
 // errWithdrawn ends an attempt that its upstream has not started and must not start any more; see forward.Withdraw.
-var errWithdrawn = errors.New("withdrawn before the upstream started it: the request is quarantined, or the engine's version is about to expire")
+var errWithdrawn = errors.New("withdrawn before the upstream started it: the request is quarantined, the engine's version is about to expire, or the engine takes far longer than predicted")
 
 // attempt is one attempt to have an upstream run a request.
 type attempt struct {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -304,6 +304,9 @@
 	if x.headerSent {
 		attemptEnd.SinceLastPart = time.Since(x.lastWriteAt)
 	}
+	if outcome == forward.Answered && x.current.Load() != nil && x.current.Load().decision.Attempt == 1 {
+		attemptEnd.MaxGap = x.timing.maxUpstreamGap
+	}
 	x.unsent = true
 	x.gateway.step(attemptEnd)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,8 @@
 	catalog   *catalog.State
 	forward   *forward.State
 	exchanges map[uint64]*exchange
+	// secondAttemptLog and limitLog bound the rates of these log lines.
+	secondAttemptLog, limitLog lineRate
 
 	nextID   atomic.Uint64
 	ready    atomic.Bool
@@ -96,7 +98,7 @@
 		host: host, self: self, log: log, metrics: m, catalog: catalogState, storePeers: storePeers, cache: cache,
 		forward: forward.NewState(forward.Self{
 			Name: host.Name, DataCentre: host.DataCentre, Region: host.Region, Regions: host.Regions,
-			Retries: host.Retries, VersionLifetime: host.VersionLifetime,
+			Retries: host.Retries, VersionLifetime: host.VersionLifetime, UnevenEngines: host.UnevenEngines,
 		}, catalogState),
 		exchanges: map[uint64]*exchange{}, memory: membudget.New(callerMemoryLimit(host), time.Now),
 		upstreamTransport: upstreamClient.Transport, traces: traces,
@@ -175,6 +177,10 @@
 		g.logLateStart(e)
 	case forward.NoticeChanged:
 		g.logUpstreamNotice(e)
+	case forward.SecondAttempt:
+		g.recordSecondAttempt(e)
+	case forward.LimitLowered:
+		g.recordLimit(e)
 	case forward.Withdraw:
 		if x := g.exchanges[e.ID]; x != nil {
 			x.withdraw(e)
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -52,6 +52,9 @@
 	SettleTime time.Duration
 	// Retries is the retry budget of a service.
 	Retries RetryBudget
+	// UnevenEngines has an entry predict the speed of each engine and decide by it; see package speed. The platform's settings file does
+	// not have it: it is a flag of the entry.
+	UnevenEngines bool
 }
 
 // AssumedVersionAge returns the age that a process assumes at its start for a version of weights that it finds in the store. With
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -58,6 +58,8 @@
 	RequestQuarantined     ID = 4010
 	CrashesDropped         ID = 4011
 	SlowCallerDisconnected ID = 4012
+	SecondAttempt          ID = 4020
+	LimitLowered           ID = 4021
 )
 
 // Entry describes an event for the catalogue.
@@ -120,6 +122,8 @@
 	{RequestQuarantined, "request quarantined", "A request is quarantined because upstreams crashed while they ran it: requests with the same fingerprint are refused for left_ms milliseconds. told is set when another process reported the quarantine; otherwise the field upstream names the upstream that crashed last. Events 4001 (field why) and 4002 have the same fingerprint."},
 	{CrashesDropped, "crashes dropped", "Crashes of upstreams were not attributed to requests, because the table of requests that were in flight at crashed upstreams is full."},
 	{SlowCallerDisconnected, "slow caller disconnected", "The memory for callers was full, and the connection of the caller that had been idle for longest was closed to free memory; answering is set when its answer had started, held is the memory in bytes that is now held for callers."},
+	{SecondAttempt, "second attempt", "An attempt was withdrawn after waited_ms milliseconds without a first event, far beyond its predicted time predicted_ms, and the request goes to the engine second, whose prediction is second_predicted_ms. observed_ago_ms is the age of the last observation of that engine, negative if it has none; left_out counts the lines left out since the last one."},
+	{LimitLowered, "concurrency limit lowered", "An engine gets at most limit requests instead of its slots, because one more was predicted to make the running ones miss the objective objective_ms: predicted_ms is the predicted time to the first event with all slots in use, 0 if the gaps of streams led to the limit. observed_ago_ms is the age of the latest observation before; left_out counts the lines left out since the last one."},
 }
 
 // Debug starts a log line of level debug for event id.
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -49,6 +49,10 @@
 		"Requests that an upstream started on an expired version of weights."}
 	upstreamNoticesDefinition = Definition{"samphireweir_upstream_notices_total", CounterKind, nil,
 		"Changed notices in the heads of upstreams' answers: a rate limit, a shutdown, a requested backoff."}
+	secondAttemptsDefinition = Definition{"samphireweir_second_attempts_total", CounterKind, []string{"stage"},
+		"Second attempts of requests whose first one was far beyond its predicted time: sent when decided, won when the second one sent its first event, lost when it ended without one or the first one was faster. The others ended with their request."}
+	limitsLoweredDefinition = Definition{"samphireweir_limits_lowered_total", CounterKind, nil,
+		"Concurrency limits below an engine's slots that came into force because one more request was predicted to make the running ones miss their objective."}
 	storeRestoresDefinition = Definition{"samphireweir_store_restores_total", CounterKind, nil,
 		"Restores of the platform's store from a copy, as this process noticed them."}
 	runsRefusedDefinition = Definition{"samphireweir_runs_refused_total", CounterKind, []string{"cause"},
@@ -87,7 +91,7 @@
 // Catalogue lists every metric, in the order of docs/METRICS.md.
 var Catalogue = []Definition{
 	requestsDefinition, refusalsDefinition, inFlightDefinition, firstByteDefinition, totalDefinition,
-	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, runsRefusedDefinition,
+	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, secondAttemptsDefinition, limitsLoweredDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, settingsDefinition,
 	panicsDefinition, storeRestoresDefinition, ownDelayDefinition, lateReadsDefinition, goroutinesDefinition, memoryDefinition,
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -18,6 +18,7 @@
 	UpstreamCalls                             Counter
 	UpstreamFirstByte                         Histogram
 	StartedLate, RunsRefused, UpstreamNotices Counter
+	SecondAttempts, LimitsLowered             Counter
 	Records, RecordBytes                      Counter
 	ControlCalls, ControlBytes, PlatformCalls Counter
 	Chunks, ChunkBytes, ChunksRefused         Counter
@@ -44,6 +45,8 @@
 	m.UpstreamFirstByte = m.histogram(upstreamFirstByteDefinition)
 	m.StartedLate = m.counter(startedLateDefinition)
 	m.UpstreamNotices = m.counter(upstreamNoticesDefinition)
+	m.SecondAttempts = m.counter(secondAttemptsDefinition)
+	m.LimitsLowered = m.counter(limitsLoweredDefinition)
 	m.RunsRefused = m.counter(runsRefusedDefinition)
 	m.Records = m.counter(recordsDefinition)
 	m.RecordBytes = m.counter(recordBytesDefinition)
