--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -15,6 +16,16 @@
 // Step passes an event to the reducers, as the shell does.
 func (g *Gateway) Step(ev step.Event) { g.step(ev) }
 
+// ServeCallers serves callers on one more listener.
+func (g *Gateway) ServeCallers(l net.Listener) { g.serveCallers(g.newCallerServer(), l) }
+
+// WaitsAtFirstLook reports whether a look at an accepted connection finds a request that waits, and since when.
+func WaitsAtFirstLook(c net.Conn) (since time.Time) {
+	a := &arrivalConn{Conn: c}
+	a.look(time.Now())
+	return a.waitingSince
+}
+
 // SetUpstreamTransport replaces the transport for requests to upstreams.
 func (g *Gateway) SetUpstreamTransport(transport http.RoundTripper) { g.upstreamTransport = transport }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -33,12 +33,13 @@
 func (g *Gateway) newCallerServer() *http.Server {
 	return &http.Server{
 		Handler: g.traces.EntryServer(http.HandlerFunc(g.serve)), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
-		ErrorLog: stdlog.New(io.Discard, "", 0), // Connections closed by callers are not worth logging.
+		ConnContext: withArrivalConn,
+		ErrorLog:    stdlog.New(io.Discard, "", 0), // Connections closed by callers are not worth logging.
 	}
 }
 
 func (g *Gateway) serveCallers(server *http.Server, l net.Listener) {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(arrivalListener{l}); !errors.Is(err, http.ErrServerClosed) {
 		logevent.Warn(g.log, logevent.ServerError).Err(err).Msg("caller HTTP server failed")
 	}
 }
@@ -75,7 +76,7 @@
 
 // serve handles one request of a caller.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	arrivedAt := time.Now()
+	arrivedAt := headArrivedAt(r)
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	if g.stopping.Load() {
