routing: outliers by the run time that agents measure

Cause: when the entry's process is late in both directions, a slow engine's 0.2 s vanish in the entry's own first-byte time, and routing can't tell slow engines (TestBrownoutIsNotAmplified).

Change: the agent measures from the end of its write of the request to the first byte of the response and reports it with the answer's head (first_us). Outlier detection compares the mean of these with the peers' where at least three upstreams have it, else the entry's own time as before; the two kinds are never compared. An aborted wait counts for both, so that an upstream that hangs is still taken out. The cost: an agent whose link alone is slow is no outlier any more.

--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -105,6 +105,7 @@
 	if *withHead && s.status != 0 {
 		*withHead = false
 		head := frame.Head{Request: id.Request, Attempt: id.Attempt, Status: s.status, Header: s.header, Load: a.loadReport(x, false)}
+		head.Load.FirstByteUS = x.firstByte.took().Microseconds()
 		if err := frame.WriteJSON(w, frame.TypeHead, head); err != nil {
 			return err
 		}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -41,6 +41,8 @@
 	cancel context.CancelCauseFunc
 	// lastActivity is when the upstream last sent a byte, in Unix nanoseconds; 0 before the first byte.
 	lastActivity atomic.Int64
+	// firstByte measures the upstream's time to the first byte, for the report with the response's head.
+	firstByte firstByteTimer
 	// watch counts the silence of the upstream on the run's connection, until the answer is complete.
 	watch *silence.Watch
 	// suppliedAt is the last value of body.suppliedAt that the monitor has taken into account.
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -85,7 +85,7 @@
 	}
 	defer x.watch.Stop()
 	startedAt := time.Now()
-	resp, err := a.clientFor(x, req).Do(req.WithContext(silence.WithWatch(x.ctx, x.watch)))
+	resp, err := a.clientFor(x, req).Do(req.WithContext(x.firstByte.trace(silence.WithWatch(x.ctx, x.watch))))
 	if err != nil {
 		if sent := x.watch.Abandon(); !sent {
 			return a.notSent(x)
--- a/internal/core/request/attempt.go
+++ b/internal/core/request/attempt.go
@@ -121,7 +121,7 @@
 		if ev.CannotServe {
 			s.Routing.Failed(in.Now, r.serviceKey(), r.upstream)
 		} else {
-			s.Routing.FirstByte(in.Now, r.serviceKey(), r.upstream, in.Now.Sub(r.sentAt))
+			s.Routing.FirstByte(in.Now, r.serviceKey(), r.upstream, in.Now.Sub(r.sentAt), ev.Report.FirstByteTime())
 		}
 	case Resuming, Continuing:
 	default:
--- a/internal/core/routing/outlier.go
+++ b/internal/core/routing/outlier.go
@@ -1,7 +1,7 @@
 package routing
 
 import (
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -67,7 +67,7 @@
 
 func (l *latency) mean() time.Duration { return time.Duration(l.average) }
 
-// peerLatency is the median of the mean first-byte times of the upstreams in service. count is the number of upstreams
+// peerLatency is the median of the usual first-byte times of the upstreams in service. count is the number of upstreams
 // in it.
 type peerLatency struct {
 	median     time.Duration
@@ -75,8 +75,12 @@
 	computedAt time.Time
 }
 
+// firstByte is one first-byte time of an upstream. own is the time that this entry measured, which includes the network and the delay of
+// this process. run is the time that the upstream took by the measurement of its agent; 0 if the agent reports none.
+type firstByte struct{ own, run time.Duration }
+
 // addSample adds a first-byte time of an upstream. It ejects the upstream if it is too slow, or counts a probe.
-func (svc *service) addSample(now time.Time, u *upstream, took time.Duration) {
+func (svc *service) addSample(now time.Time, u *upstream, took firstByte) {
 	if u.health == ejected {
 		return // The request was sent before the upstream was ejected.
 	}
@@ -85,8 +89,11 @@
 		svc.probeAnswered(now, u, took)
 		return
 	}
-	u.latency.add(took)
-	if svc.tooSlow(u, u.latency.mean()) && u.latency.samples >= MinSamples && svc.mayEject() {
+	u.latency.add(took.own)
+	if took.run > 0 {
+		u.runTime.add(took.run)
+	}
+	if svc.tooSlow(u.usual()) && svc.mayEject() {
 		svc.eject(now, u)
 	}
 }
@@ -104,31 +111,65 @@
 	}
 }
 
-func (svc *service) tooSlow(u *upstream, took time.Duration) bool {
-	if svc.peers.count < MinPeers {
-		return false
+// usual returns the upstream's mean first-byte times. Each is 0 while it has fewer than MinSamples.
+// Run times are averaged, too: prompts differ, and the median of few run times would change with each long one.
+func (u *upstream) usual() firstByte {
+	var t firstByte
+	if u.latency.samples >= MinSamples {
+		t.own = u.latency.mean()
 	}
-	return float64(took) > SlowFactor*float64(svc.peers.median) && took-svc.peers.median > SlowMargin
+	if u.runTime.samples >= MinSamples {
+		t.run = u.runTime.mean()
+	}
+	return t
+}
+
+// tooSlow compares a first-byte time with the peers' median: the run time where the agents report it, else the time that this entry
+// measured. While this process is late in all its calls, its own time hides a slow upstream. The two kinds are never compared with each
+// other, since some agents may not report run times yet.
+func (svc *service) tooSlow(took firstByte) bool {
+	if took.run > 0 && svc.runPeers.count >= MinPeers {
+		return svc.runPeers.exceeded(took.run)
+	}
+	return took.own > 0 && svc.peers.count >= MinPeers && svc.peers.exceeded(took.own)
+}
+
+// exceeded reports whether a time is too far above the median.
+func (p peerLatency) exceeded(took time.Duration) bool {
+	return float64(took) > SlowFactor*float64(p.median) && took-p.median > SlowMargin
 }
 
-// refreshMedian computes the peers' median again if it is older than medianMaxAge.
+// refreshMedian computes the peers' medians again if they are older than medianMaxAge.
 func (svc *service) refreshMedian(now time.Time) {
 	if now.Sub(svc.peers.computedAt) < medianMaxAge {
 		return
 	}
 	svc.peers.computedAt = now
-	var means []time.Duration
+	var own, runs []time.Duration
 	for _, u := range svc.byKey {
-		if u.health == inService && u.latency.samples >= MinSamples {
-			means = append(means, u.latency.mean())
+		if u.health != inService {
+			continue
+		}
+		t := u.usual()
+		if t.own > 0 {
+			own = append(own, t.own)
+		}
+		if t.run > 0 {
+			runs = append(runs, t.run)
 		}
 	}
-	svc.peers.count = len(means)
-	if len(means) == 0 {
+	svc.peers.setMedian(own)
+	svc.runPeers.setMedian(runs)
+}
+
+// setMedian sets the median of the usual times of the upstreams in service. It keeps the last one if there are none.
+func (p *peerLatency) setMedian(times []time.Duration) {
+	p.count = len(times)
+	if len(times) == 0 {
 		return
 	}
-	sort.Slice(means, func(i, j int) bool { return means[i] < means[j] })
-	svc.peers.median = means[(len(means)-1)/2]
+	slices.Sort(times)
+	p.median = times[(len(times)-1)/2]
 }
 
 // mayEject reports whether one more upstream may be ejected under MaxEjectedShare.
@@ -149,13 +190,13 @@
 	u.ejections++
 	u.goodProbes = 0
 	u.failures = 0
-	u.latency = latency{}
+	u.latency, u.runTime = latency{}, latency{}
 }
 
 // probeAnswered ejects the upstream again if the answer to a probe was too slow. Otherwise it counts the probe, and
 // returns the upstream to service after ProbesToReturn of them.
-func (svc *service) probeAnswered(now time.Time, u *upstream, took time.Duration) {
-	if svc.tooSlow(u, took) {
+func (svc *service) probeAnswered(now time.Time, u *upstream, took firstByte) {
+	if svc.tooSlow(took) {
 		svc.eject(now, u)
 		return
 	}
@@ -176,13 +217,17 @@
 	return u.health != ejected
 }
 
-// slowness returns the ratio of an upstream's mean first-byte time to the peers' median; 1 if they can't be compared.
+// slowness returns the ratio of an upstream's usual first-byte time to the peers' median; 1 if they can't be compared.
 func (svc *service) slowness(now time.Time, u *upstream) float64 {
 	svc.refreshMedian(now)
-	if u.latency.samples < MinSamples || svc.peers.count < MinPeers || svc.peers.median <= 0 {
+	t := u.usual()
+	if t.run > 0 && svc.runPeers.count >= MinPeers && svc.runPeers.median > 0 {
+		return float64(t.run) / float64(svc.runPeers.median)
+	}
+	if t.own <= 0 || svc.peers.count < MinPeers || svc.peers.median <= 0 {
 		return 1
 	}
-	return float64(u.latency.mean()) / float64(svc.peers.median)
+	return float64(t.own) / float64(svc.peers.median)
 }
 
 // probeDue returns an upstream on probation whose next probe is due; nil for none.
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -224,12 +224,13 @@
 	}
 }
 
-// FirstByte records the time that an upstream took for the first byte of an answer.
-func (s *State) FirstByte(now time.Time, service string, c member.Candidate, took time.Duration) {
+// FirstByte records the time that an upstream took for the first byte of an answer: took by this entry's own measurement, run by that of
+// the upstream's agent. run is 0 if the agent reports none.
+func (s *State) FirstByte(now time.Time, service string, c member.Candidate, took, run time.Duration) {
 	svc := s.service(service)
 	u := svc.upstream(c)
 	u.failures = 0
-	svc.addSample(now, u, took)
+	svc.addSample(now, u, firstByte{own: took, run: max(0, run)})
 }
 
 // Failed records an answer with which the upstream reports that it can't serve.
@@ -247,7 +248,11 @@
 	u.endedSince++
 	// An aborted wait shows that the upstream is slow only if it was longer than the mean first-byte time.
 	if waited > 0 && waited > u.latency.mean() {
-		svc.addSample(now, u, waited)
+		took := firstByte{own: waited}
+		if u.runTime.samples > 0 {
+			took.run = waited // The agent measured nothing. An upstream that hangs would otherwise keep its last mean.
+		}
+		svc.addSample(now, u, took)
 	}
 }
 
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -54,7 +54,7 @@
 	c := d.pick(prefix)
 	d.s.Sent(d.now, Query{Service: svcKey, Prefix: prefix}, c)
 	d.now = d.now.Add(5 * time.Millisecond)
-	d.s.FirstByte(d.now, svcKey, c, took(c))
+	d.s.FirstByte(d.now, svcKey, c, took(c), 0)
 	d.s.Ended(d.now, svcKey, c, 0)
 	return c
 }
@@ -241,7 +241,7 @@
 		if c.Address == bad && down {
 			d.s.Failed(d.now, svcKey, c)
 		} else {
-			d.s.FirstByte(d.now, svcKey, c, 20*time.Millisecond)
+			d.s.FirstByte(d.now, svcKey, c, 20*time.Millisecond, 0)
 		}
 		d.s.Ended(d.now, svcKey, c, 0)
 		return c.Address
--- a/internal/core/routing/service.go
+++ b/internal/core/routing/service.go
@@ -28,7 +28,8 @@
 	// byKey holds the upstreams by Key, including those that are no longer candidates until they are dropped.
 	byKey    map[string]*upstream
 	prefixes prefixIndex
-	peers    peerLatency
+	// peers is the median of the first-byte times that this entry measured, and runPeers of those that agents reported.
+	peers, runPeers peerLatency
 	// scratch is the buffer that every call of withCapacity reuses.
 	scratch []*upstream
 }
--- a/internal/core/routing/upstream.go
+++ b/internal/core/routing/upstream.go
@@ -16,6 +16,8 @@
 	LeavingMaxAge = 30 * time.Second
 	// DefaultLimit is the concurrency limit of an upstream that has not reported one.
 	DefaultLimit = 16
+	// maxFirstByteUS is the longest first-byte time that is taken from a report, in microseconds. A longer one exceeds every deadline.
+	maxFirstByteUS = int64(time.Hour / time.Microsecond)
 )
 
 // Report is an agent's load report on one of its upstreams. The agent sends it with its replies.
@@ -30,10 +32,21 @@
 	WaitingAgeMS int64 `json:"age_ms,omitempty"`
 	// Leaving reports whether the agent is shutting down and accepts no new requests.
 	Leaving bool `json:"leaving,omitempty"`
+	// FirstByteUS is how long the upstream took for the first byte of this answer, in microseconds: from the end of the agent's write
+	// of the request to the agent's read of the first byte. It is 0 if it is unknown, and only in the report with an answer's head.
+	FirstByteUS int64 `json:"first_us,omitempty"`
 	// Cache holds the changes of the engine's prefix cache that the entry has not received yet; nil for none.
 	Cache *CacheChanges `json:"cache,omitempty"`
 }
 
+// FirstByteTime returns the upstream's first-byte time as its agent measured it; 0 if it is unknown. The receiver may be nil.
+func (r *Report) FirstByteTime() time.Duration {
+	if r == nil || r.FirstByteUS <= 0 || r.FirstByteUS > maxFirstByteUS {
+		return 0
+	}
+	return time.Duration(r.FirstByteUS) * time.Microsecond
+}
+
 // upstream is the state that this entry keeps of one upstream.
 type upstream struct {
 	candidate member.Candidate
@@ -56,7 +69,9 @@
 	// cacheEpoch is incremented when everything known of the cache becomes invalid.
 	cacheEpoch int
 
-	latency      latency
+	// latency is the mean first-byte time that this entry measured, and runTime the mean that the agent reported.
+	latency, runTime latency
+
 	health       health
 	ejectedUntil time.Time
 	// ejections counts the ejections, less one for each return to service. It determines the next eject time.
