--- a/internal/core/forward/uneven_test.go
+++ b/internal/core/forward/uneven_test.go
@@ -22,11 +22,13 @@
 	// running maps the requests with an engine to it; sent counts them by engine.
 	running map[uint64]string
 	sent    map[string]int
+	// gaps are the longest gaps of the requests' streams.
+	gaps map[uint64]time.Duration
 }
 
 // newUnevenRig returns an entry, with the setting uneven-engines on or off, and n engines.
 func newUnevenRig(n int, on bool) *unevenRig {
-	r := &unevenRig{rig: newRig(), running: map[uint64]string{}, sent: map[string]int{}}
+	r := &unevenRig{rig: newRig(), running: map[uint64]string{}, sent: map[string]int{}, gaps: map[uint64]time.Duration{}}
 	self := r.state.Self
 	self.UnevenEngines = on
 	r.state = forward.NewState(self, r.state.Catalog)
@@ -103,7 +105,7 @@
 
 func (r *unevenRig) finish(id uint64) {
 	r.step(forward.Started{ID: id})
-	r.step(forward.AttemptEnded{ID: id, Outcome: forward.Answered})
+	r.step(forward.AttemptEnded{ID: id, Outcome: forward.Answered, MaxGap: r.gaps[id]})
 	delete(r.running, id)
 }
 
@@ -151,23 +153,33 @@
 	require.Greater(t, off, on)
 }
 
-// TestEngineAtItsLimitGetsNoMore guards against requests that make the running ones miss their objective: an engine takes 1.2 s instead
-// of 0.1 s as soon as it has four requests, at an objective of 0.5 s.
+// TestEngineAtItsLimitGetsNoMore guards against requests that make the running ones miss their objective: with four requests or more, an
+// engine takes 1.2 s to the first event instead of 0.15 s, at an objective of 0.5 s, or pauses for 0.6 s at a gap objective of 0.2 s.
 func TestEngineAtItsLimitGetsNoMore(t *testing.T) {
-	r := newUnevenRig(1, true)
-	late := 0
-	took := func(_ string, running int) time.Duration {
-		if running < 4 {
+	for name, slow := range map[string]func(r *unevenRig) time.Duration{
+		"first event": func(*unevenRig) time.Duration { return 1200 * ms },
+		"gap": func(r *unevenRig) time.Duration {
+			r.gaps[r.id] = 600 * ms
 			return 150 * ms
+		},
+	} {
+		r := newUnevenRig(1, true)
+		r.state.Catalog.Manifest.Route("h", resumableStream).GapObjective = 200 * ms
+		missed := 0
+		took := func(_ string, running int) time.Duration {
+			if running < 4 {
+				r.gaps[r.id] = 50 * ms
+				return 150 * ms
+			}
+			missed++
+			return slow(r)
 		}
-		late++
-		return 1200 * ms
+		r.serve(5*time.Second, took)
+		before := missed
+		require.Positive(t, before, name)
+		r.serve(5*time.Second, took)
+		require.Less(t, missed-before, 25, "%s: a tenth of the requests", name)
 	}
-	r.serve(5*time.Second, took)
-	before := late
-	require.Positive(t, before)
-	r.serve(5*time.Second, took)
-	require.Less(t, late-before, 25, "a tenth of the requests")
 }
 
 // TestJustStartedEngineIsFilledSlowly guards against an engine that gets all its slots filled in the moment of its start.
