forward: a first event during its withdrawal leaves no target for a later retry

A retry after the first attempt had begun its answer was counted as a second attempt. While the process is late, withdrawals that were decided already are repeated.

--- a/internal/core/forward/second_attempt.go
+++ b/internal/core/forward/second_attempt.go
@@ -82,9 +82,10 @@
 // withdrawLate withdraws attempts that are far beyond their prediction, if another engine is predicted to send the first event sooner
 // than the present one is expected to; see worthSecond. The retry that follows is the second attempt.
 func (s *State) withdrawLate(in step.Input) []step.Effect {
-	if s.uneven == nil || s.ownWork.Max() > 0 {
-		return nil // While this process is late itself, attempts seem late that are not.
+	if s.uneven == nil {
+		return nil
 	}
+	processLate := s.ownWork.Max() > 0 // Attempts then seem late that are not.
 	counts := map[string]awaiting{}
 	var candidates []*request
 	var effects []step.Effect
@@ -107,7 +108,7 @@
 		if !second.withdrawing {
 			c := counts[r.service]
 			slowService := c.late > minLate && float64(c.late) > maxLateShare*float64(c.all)
-			if slowService || searches >= maxSearches || in.Now.Sub(second.checkedAt) < recheckInterval || !s.maySendSecond(in, r) {
+			if processLate || slowService || searches >= maxSearches || in.Now.Sub(second.checkedAt) < recheckInterval || !s.maySendSecond(in, r) {
 				continue
 			}
 			searches++
@@ -193,6 +194,7 @@
 	switch {
 	case second.withdrawing:
 		s.freeReserved(r)
+		second.target = catalog.Instance{} // A later retry chooses by itself.
 		s.reportSecond(r.id, SecondLost)
 	case second.attempt > 0 && second.attempt == r.attempts:
 		s.reportSecond(r.id, SecondWon)
--- a/internal/core/forward/uneven_test.go
+++ b/internal/core/forward/uneven_test.go
@@ -234,6 +234,8 @@
 		"first event": func(r *unevenRig, id uint64) {
 			require.Equal(t, []forward.SecondAttemptStage{forward.SecondLost}, stages(r.step(forward.Started{ID: id})))
 			require.Empty(t, withdrawn(r.step(step.Tick{})))
+			only[forward.Send](t, r.step(forward.AttemptEnded{ID: id, Outcome: forward.Broken, Partial: true}))
+			require.Empty(t, stages(r.step(forward.Started{ID: id})), "a resumption is no second attempt")
 			r.step(forward.AttemptEnded{ID: id, Outcome: forward.Answered})
 		},
 		"caller gone": func(r *unevenRig, id uint64) { r.step(forward.CallerGone{ID: id}) },
