--- a/internal/core/forward/capacity.go
+++ b/internal/core/forward/capacity.go
@@ -26,7 +26,7 @@
 
 // hasSlot reports whether the upstream has a slot that the request may take, disregarding its size.
 func (v *upstreamView) hasSlot(now time.Time, r *request) bool {
-	return v.occupied(now, r) < v.maxRequests(r) && !v.shareUsedUp(now, r) && v.rateAllowed(now) && !v.load.reserved.excludes(r)
+	return v.occupied(now, r) < v.maxRequests(r) && !v.shareUsedUp(now, r) && v.rateAllowed(now) && !v.load.reserved.excludes(r) && !v.beyondLimit(now, r)
 }
 
 // fitsMemory reports whether an engine's memory holds that many tokens. An engine that runs out of memory evicts a request that it
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -34,6 +34,8 @@
 	Retries hostconfig.RetryBudget
 	// VersionLifetime is how long requests may still start on an older version after a newer one was activated.
 	VersionLifetime time.Duration
+	// UnevenEngines is the host setting uneven-engines; see package speed.
+	UnevenEngines bool
 	// Policy is DefaultPolicy unless it is set.
 	Policy Policy
 }
@@ -108,6 +110,8 @@
 	// Partial is set if part of the answer was passed on to the caller, and SinceLastPart is the time since the last part.
 	Partial       bool
 	SinceLastPart time.Duration
+	// MaxGap is the longest gap between two events of a complete stream from a single attempt; 0 if it is unknown.
+	MaxGap time.Duration
 }
 
 // TimedOut is the event that a request's deadline has passed.
@@ -302,6 +306,7 @@
 	// random number by which it was chosen; 0 before the first choice.
 	moveTo      string
 	balanceDraw uint64
+	speed       requestSpeed
 }
 
 // State is what an entry knows about its requests and about the state of the upstreams.
@@ -349,6 +354,8 @@
 	// overdue are the states of the upstreams that had overdue requests at the last tick, and forgotAt is when forget last ran.
 	overdue  []*loadState
 	forgotAt time.Time
+	// uneven is what is known about the speed of engines; nil unless Self.UnevenEngines is set.
+	uneven *unevenEngines
 }
 
 // NewState returns a state without requests.
@@ -361,11 +368,14 @@
 		retryBudgets: map[string]*retryBudget{}, callerTimeouts: callerTimeouts{}, Crashes: quarantine.NewTable(),
 		breaks: map[uint64][]breakRecord{}, queues: map[string]*schedule.Queue{}, lastQueuedAt: map[string]time.Time{},
 		balance: newBalanceState(self),
+		uneven:  newUnevenEngines(self),
 	}
 }
 
 // Reduce handles one input and returns the effects for the shell to carry out.
-func (s *State) Reduce(in step.Input) []step.Effect {
+func (s *State) Reduce(in step.Input) []step.Effect { return s.flushUneven(s.reduce(in)) }
+
+func (s *State) reduce(in step.Input) []step.Effect {
 	switch ev := in.Event.(type) {
 	case Arrived:
 		return s.arrived(in, ev)
@@ -395,6 +405,7 @@
 		s.callerTimeouts.forget(in.Now)
 		effects := append(s.expireCrashes(in.Now), s.withdrawUnstarted(in)...)
 		effects = append(effects, s.updateBalance(in.Now)...)
+		effects = append(effects, s.withdrawLate(in)...)
 		return append(effects, s.serveWaiting(in)...)
 	}
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,8 @@
 	forward   *forward.State
 	waiting   [schedule.Priorities]int // As last counted in the metrics.
 	exchanges map[uint64]*exchange
+	// secondAttemptLog and limitLog bound the rates of these log lines.
+	secondAttemptLog, limitLog lineRate
 
 	droppedDemand droppedDemand
 
@@ -101,7 +103,7 @@
 		host: host, self: self, log: log, metrics: m, catalog: catalogState, storePeers: storePeers, cache: cache,
 		forward: forward.NewState(forward.Self{
 			Name: host.Name, DataCentre: host.DataCentre, Region: host.Region, Regions: host.Regions,
-			Retries: host.Retries, VersionLifetime: host.VersionLifetime,
+			Retries: host.Retries, VersionLifetime: host.VersionLifetime, UnevenEngines: host.UnevenEngines,
 		}, catalogState),
 		exchanges: map[uint64]*exchange{}, memory: membudget.New(callerMemoryLimit(host), time.Now),
 		upstreamTransport: upstreamClient.Transport, traces: traces,
@@ -198,6 +200,10 @@
 		g.metrics.Yielded.Add(1, strconv.Itoa(min(max(e.Priority, 0), schedule.Priorities-1)))
 	case forward.BalanceChanged:
 		logevent.Info(g.log, logevent.BalanceChanged).Str("plan", e.Plan).Str("demand", e.Demand).Str("supply", e.Supply).Dur("age_ms", e.OldestDemand).Msg("balance changed")
+	case forward.SecondAttempt:
+		g.recordSecondAttempt(e)
+	case forward.LimitLowered:
+		g.recordLimit(e)
 	case forward.Withdraw:
 		if x := g.exchanges[e.ID]; x != nil {
 			x.withdraw(e)
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -55,6 +55,10 @@
 		"Changed notices in the heads of upstreams' answers: a rate limit, a shutdown, a requested backoff."}
 	movedRequestsDefinition = Definition{"samphireweir_moved_requests_total", CounterKind, []string{"data_centre"},
 		"Requests that the plan across data centres had tried first in another data centre than this entry's, by that data centre."}
+	secondAttemptsDefinition = Definition{"samphireweir_second_attempts_total", CounterKind, []string{"stage"},
+		"Second attempts of requests whose first one was far beyond its predicted time: sent when decided, won when the second one sent its first event, lost when it ended without one or the first one was faster. The others ended with their request."}
+	limitsLoweredDefinition = Definition{"samphireweir_limits_lowered_total", CounterKind, nil,
+		"Concurrency limits below an engine's slots that came into force because one more request was predicted to make the running ones miss their objective."}
 	storeRestoresDefinition = Definition{"samphireweir_store_restores_total", CounterKind, nil,
 		"Restores of the platform's store from a copy, as this process noticed them."}
 	runsRefusedDefinition = Definition{"samphireweir_runs_refused_total", CounterKind, []string{"cause"},
@@ -93,7 +97,7 @@
 // Catalogue lists every metric, in the order of docs/METRICS.md.
 var Catalogue = []Definition{
 	requestsDefinition, refusalsDefinition, inFlightDefinition, waitingDefinition, yieldedDefinition, firstByteDefinition, totalDefinition,
-	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, movedRequestsDefinition, runsRefusedDefinition,
+	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, movedRequestsDefinition, secondAttemptsDefinition, limitsLoweredDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, settingsDefinition,
 	panicsDefinition, storeRestoresDefinition, ownDelayDefinition, lateReadsDefinition, goroutinesDefinition, memoryDefinition,
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -20,6 +20,7 @@
 	UpstreamFirstByte                         Histogram
 	StartedLate, RunsRefused, UpstreamNotices Counter
 	MovedRequests                             Counter
+	SecondAttempts, LimitsLowered             Counter
 	Records, RecordBytes                      Counter
 	ControlCalls, ControlBytes, PlatformCalls Counter
 	Chunks, ChunkBytes, ChunksRefused         Counter
@@ -49,6 +50,8 @@
 	m.StartedLate = m.counter(startedLateDefinition)
 	m.UpstreamNotices = m.counter(upstreamNoticesDefinition)
 	m.MovedRequests = m.counter(movedRequestsDefinition)
+	m.SecondAttempts = m.counter(secondAttemptsDefinition)
+	m.LimitsLowered = m.counter(limitsLoweredDefinition)
 	m.RunsRefused = m.counter(runsRefusedDefinition)
 	m.Records = m.counter(recordsDefinition)
 	m.RecordBytes = m.counter(recordBytesDefinition)
