forecast: predicted room, refusal on arrival and waits until the end of an outage

In an outage (fewer than half of a service's engines usable) every first try is refused with 2 to 2.9 s and every returning caller at once, so both tries of most callers fall into an outage of 6 s.

Package forecast simulates how returning engines fill up at their reading rate beside the first tries that arrive, and decides whether a request waits until then or is refused, and with which Retry-After. Package forward applies it to services of model engines in an outage whose end agents predict; without predictions each decision is as before.

--- /dev/null
+++ b/internal/core/forecast/forecast.go
@@ -0,0 +1,206 @@
+// Package forecast predicts when the upstreams of one service have room for a request of one entry, and decides from that whether the
+// request waits or is refused, and when its caller is to return. The package is pure: it reads no clock and draws no random number.
+//
+// There are two predictions. RoomByRate follows from the rate at which capacity became free in the last second; it applies while
+// engines run. RoomAt applies while engines are about to return: it simulates how they fill up, from the agents' reports on when each
+// one will accept requests. Neither needs the state of another entry, and both are rebuilt from load reports within a second.
+package forecast
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+const (
+	// Priorities is the number of priorities; 0 is the most urgent.
+	Priorities = 10
+	// maxOverdue is how long after its predicted time an engine that still does not accept requests is expected at any moment. After
+	// that its return is unknown. Reports are up to 0.9 s late, and one or two may be lost.
+	maxOverdue = 2 * time.Second
+	// stepLength and horizon set the resolution and the range of the simulation. The resolution is one tick of the entry. No caller
+	// waits longer than the horizon.
+	stepLength = 20 * time.Millisecond
+	horizon    = 6 * time.Second
+	steps      = int(horizon / stepLength)
+	// defaultRunTime is the assumed time that an engine takes for a request until some were measured.
+	defaultRunTime = 900 * time.Millisecond
+	// runTimeWeight is the weight of the newest measurement in the moving average of run times.
+	runTimeWeight = 0.1
+)
+
+// Engine is the part of one engine's capacity that this entry may use.
+type Engine struct {
+	// ReadyAt is when the engine is predicted to accept requests; zero if it accepts them now.
+	ReadyAt time.Time
+	// Slots is the number of its slots, and Occupied how many of these are taken now.
+	Slots, Occupied float64
+	// PerSecond is how many prompts it reads per second. A new engine takes no more requests than that, whatever its free slots.
+	PerSecond float64
+}
+
+// Capacity is the expected capacity of one service at one entry. The zero value knows nothing.
+type Capacity struct {
+	freed    meter
+	arrivals [Priorities]meter
+	runTime  time.Duration
+	engines  []Engine
+	// updatedAt is when engines was set, and predicted the number of engines in it whose return is predicted.
+	updatedAt time.Time
+	predicted int
+	curves    [Priorities]*curve
+}
+
+// Observe records that work worth this much engine time was completed, so that capacity for as much more is free.
+func (c *Capacity) Observe(now time.Time, work time.Duration) { c.freed.add(now, work.Seconds()) }
+
+// Completed records how long an engine took for a request.
+func (c *Capacity) Completed(took time.Duration) {
+	if c.runTime == 0 {
+		c.runTime = took
+	}
+	c.runTime += time.Duration(runTimeWeight * float64(took-c.runTime))
+}
+
+// RunTime returns the usual time that an engine takes for a request.
+func (c *Capacity) RunTime() time.Duration {
+	if c.runTime <= 0 {
+		return defaultRunTime
+	}
+	return c.runTime
+}
+
+// Arrived records the arrival of a first try.
+func (c *Capacity) Arrived(now time.Time, priority int) {
+	c.arrivals[min(max(priority, 0), Priorities-1)].add(now, 1)
+}
+
+// FirstTries returns how many first tries of this priority or a more urgent one arrive per second.
+func (c *Capacity) FirstTries(now time.Time, priority int) float64 {
+	var sum float64
+	for i := range c.arrivals[:min(max(priority, 0), Priorities-1)+1] {
+		sum += c.arrivals[i].rate(now)
+	}
+	return sum
+}
+
+// Update replaces what is known about the engines. A prediction that is overdue by maxOverdue is dropped. The caller must not change
+// the list before the next call.
+func (c *Capacity) Update(now time.Time, engines []Engine) {
+	c.engines, c.updatedAt, c.predicted = engines[:0], now, 0
+	for _, e := range engines {
+		if !e.ReadyAt.IsZero() {
+			if now.Sub(e.ReadyAt) > maxOverdue {
+				continue
+			}
+			c.predicted++
+		}
+		c.engines = append(c.engines, e)
+	}
+	c.curves = [Priorities]*curve{}
+}
+
+// Predicted returns the number of engines whose return is predicted.
+func (c *Capacity) Predicted() int { return c.predicted }
+
+// FirstReady returns the earliest time at which an engine accepts requests; false if it is unknown.
+func (c *Capacity) FirstReady(now time.Time) (time.Time, bool) {
+	var first time.Time
+	for i, e := range c.engines {
+		if at := laterOf(e.ReadyAt, now); i == 0 || at.Before(first) {
+			first = at
+		}
+	}
+	return first, len(c.engines) > 0
+}
+
+// RoomAt returns when the returning engines have room for a waiting request of a priority behind a number of others, beside the first
+// tries that are expected to arrive; these come first. firstTry is set for a request that is itself one of these. The result is false
+// if nothing is known of the engines, and a time beyond every wait if they have no room within the horizon.
+func (c *Capacity) RoomAt(priority, ahead int, firstTry bool) (time.Time, bool) {
+	if len(c.engines) == 0 {
+		return time.Time{}, false
+	}
+	priority = min(max(priority, 0), Priorities-1)
+	if c.curves[priority] == nil {
+		c.curves[priority] = simulate(c.updatedAt, c.engines, c.FirstTries(c.updatedAt, priority), c.RunTime())
+	}
+	served := &c.curves[priority].waiting
+	if firstTry {
+		served = &c.curves[priority].all
+	}
+	// The shares of several engines may make up one slot, so half a slot counts as one.
+	at := sort.Search(steps, func(i int) bool { return served[i] >= float64(ahead)+0.5 })
+	if at == steps {
+		return c.updatedAt.Add(2 * horizon), true
+	}
+	return c.updatedAt.Add(time.Duration(at) * stepLength), true
+}
+
+// RoomByRate returns when work that waits behind this much other work gets room, at the rate at which capacity became free in the
+// last second; false if nothing became free or less than a second was observed.
+func (c *Capacity) RoomByRate(now time.Time, ahead time.Duration) (time.Time, bool) {
+	rate := c.freed.rate(now)
+	if rate <= 0 || !c.freed.complete(now) {
+		return time.Time{}, false
+	}
+	return now.Add(time.Duration(math.Min(ahead.Seconds()/rate, horizon.Seconds()*2) * float64(time.Second))), true
+}
+
+// curve holds how many requests get a slot until each step of the simulation: all of them, and the waiting ones alone.
+type curve struct{ all, waiting [steps]float64 }
+
+// simulate computes how the engines fill up. In each step they take what their free slots and their reading rate allow: first tries
+// first, and of these at most those of the last firstTryWait, since older ones were refused; then waiting requests. A request that is
+// taken leaves its slot after the run time.
+func simulate(now time.Time, engines []Engine, firstTries float64, runTime time.Duration) *curve {
+	var slots, perStep [steps]float64
+	var occupied float64
+	for _, e := range engines {
+		// ReadyAt is rounded up, so that nobody is told a time at which the engine is not ready yet.
+		at := int((max(0, e.ReadyAt.Sub(now)) + stepLength - 1) / stepLength)
+		if at >= steps {
+			continue
+		}
+		slots[at] += e.Slots
+		perStep[at] += math.Min(e.PerSecond*stepLength.Seconds(), e.Slots)
+		if at == 0 {
+			occupied += e.Occupied
+		}
+	}
+	run := max(1, int(runTime/stepLength))
+	leavingPerStep := occupied / float64(run)
+	var taken [steps]float64
+	var total, rate, backlog, all, waiting float64
+	arriving := firstTries * stepLength.Seconds()
+	c := &curve{}
+	for i := range steps {
+		total += slots[i]
+		rate += perStep[i]
+		if i < run {
+			occupied -= leavingPerStep
+		} else {
+			occupied -= taken[i-run]
+		}
+		backlog = math.Min(backlog+arriving, firstTries*firstTryWait.Seconds())
+		taken[i] = math.Min(math.Max(0, total-occupied), rate)
+		first := math.Min(taken[i], backlog)
+		backlog -= first
+		occupied += taken[i]
+		all += taken[i]
+		waiting += taken[i] - first
+		c.all[i], c.waiting[i] = all, waiting
+	}
+	return c
+}
+
+// firstTryWait is about how long a first try waits for room before it is refused: 0.4 of the objectives of the users' streams.
+const firstTryWait = 330 * time.Millisecond
+
+// laterOf returns the later of two times.
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -33,6 +33,8 @@
 	Retries hostconfig.RetryBudget
 	// VersionLifetime is how long requests may still start on an older version after a newer one was activated.
 	VersionLifetime time.Duration
+	// MaxHeldBytes limits the bodies of the requests that wait for the end of an outage; defaultMaxHeldBytes if it is 0.
+	MaxHeldBytes int64
 	// Policy is DefaultPolicy unless it is set.
 	Policy Policy
 }
@@ -291,6 +293,8 @@
 	partial    bool
 	progressAt time.Time
 	tried      map[catalog.Instance]bool
+	// hold is the request's wait for the end of an outage.
+	hold hold
 }
 
 // State is what an entry knows about its requests and about the state of the upstreams.
@@ -313,6 +317,12 @@
 	// lastQueuedAt is when a request of the service last had to wait. Each tick puts the requests that still wait back into their
 	// queue, so it is recent as long as one waits.
 	lastQueuedAt map[string]time.Time
+	// outlooks are what this entry expects of the engines of a service, and forecastChanges the changes to report with the next tick.
+	outlooks        map[outlookKey]*outlook
+	forecastChanges []step.Effect
+	// heldCount and heldBytes count the requests that wait for the end of an outage, and their bodies.
+	heldCount int
+	heldBytes int64
 	// heartbeatTargets are the IDs of the engines whose agents get heartbeats from this entry; nil before the first call of
 	// ChooseHeartbeatTargets.
 	heartbeatTargets map[string]bool
@@ -342,8 +352,12 @@
 	if self.Policy == (Policy{}) {
 		self.Policy = DefaultPolicy()
 	}
+	if self.MaxHeldBytes <= 0 {
+		self.MaxHeldBytes = defaultMaxHeldBytes
+	}
 	return &State{
-		Self: self, Catalog: c, requests: map[uint64]*request{}, loadStates: map[catalog.Instance]*loadState{},
+		outlooks: map[outlookKey]*outlook{},
+		Self:     self, Catalog: c, requests: map[uint64]*request{}, loadStates: map[catalog.Instance]*loadState{},
 		retryBudgets: map[string]*retryBudget{}, callerTimeouts: callerTimeouts{}, Crashes: quarantine.NewTable(),
 		breaks: map[uint64][]breakRecord{}, queues: map[string][]uint64{}, lastQueuedAt: map[string]time.Time{},
 	}
@@ -377,7 +391,10 @@
 		s.countOverdue(in.Now)
 		s.callerTimeouts.forget(in.Now)
 		effects := append(s.expireCrashes(in.Now), s.withdrawUnstarted(in)...)
-		return append(effects, s.serveWaiting(in)...)
+		effects = append(effects, s.serveWaiting(in)...)
+		effects = append(append(effects, s.serveHeld(in)...), s.forecastChanges...)
+		s.forecastChanges = nil
+		return effects
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/core/forward/held.go
@@ -0,0 +1,296 @@
+package forward
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"samphireweir.example/samphireweir/internal/code"
+	"samphireweir.example/samphireweir/internal/core/catalog"
+	"samphireweir.example/samphireweir/internal/core/forecast"
+	"samphireweir.example/samphireweir/internal/core/step"
+)
+
+const (
+	// maxHeld limits the requests that wait at one entry for the end of an outage, and defaultMaxHeldBytes their bodies. The limit is
+	// a quarter of the memory for callers' bodies; beyond the whole of it, new requests would be refused for lack of memory.
+	maxHeld             = 4096
+	defaultMaxHeldBytes = 16 << 20
+	// earlyMargin is how much sooner than the shortest delay a caller must return in order to count as early. Clocks and the network
+	// account for less.
+	earlyMargin = 50 * time.Millisecond
+)
+
+// hold is the wait of a request for the end of an outage.
+type hold struct {
+	// until is the latest time at which the request can be sent; zero if it does not wait.
+	until time.Time
+	// predicted is set for a first try whose wait was decided by a forecast, whatever its length.
+	predicted bool
+	// early is set if the caller returned sooner than any caller was told to.
+	early bool
+	// elapsed is the time since the caller's first try, and size the length of the body in bytes.
+	elapsed time.Duration
+	size    int64
+}
+
+// WaitDecision is what was decided on a request by a forecast.
+type WaitDecision string
+
+// The decisions by a forecast.
+const (
+	// RefusedOnArrival: the predicted wait is too long.
+	RefusedOnArrival WaitDecision = "refused"
+	// WaitsForRoom: a first try waits because room is predicted within its wait limit.
+	WaitsForRoom WaitDecision = "waits"
+	// WaitsForEnd: the request waits for the end of an outage.
+	WaitsForEnd WaitDecision = "waits for the end"
+	// WaitServed: a request that waited for the end of an outage was sent.
+	WaitServed WaitDecision = "served"
+	// WaitEnded: a wait ended with a refusal, because its predicted end moved out of reach.
+	WaitEnded WaitDecision = "ended"
+	// WaitShed: a wait ended with a refusal, because more urgent requests need the memory.
+	WaitShed WaitDecision = "shed"
+)
+
+// WaitDecided reports to the shell a decision by a forecast.
+type WaitDecided struct {
+	ID       uint64
+	Decision WaitDecision
+	// Predicted is the predicted time until there is room.
+	Predicted time.Duration
+}
+
+// Effect marks the type as an effect.
+func (WaitDecided) Effect() {}
+
+// urgency returns the priority of a request where the service's requests have different ones, else 0.
+func (s *State) urgency(_ *request) int { return 0 }
+
+// compareHeld orders the requests that wait for the end of an outage: by priority, those that returned as told before early ones, and
+// then by the time until which they can wait, so that most of them get an answer.
+func (s *State) compareHeld(a, b *request) int {
+	early := func(r *request) int {
+		if r.hold.early {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(s.urgency(a), s.urgency(b)), early(a)-early(b), a.hold.until.Compare(b.hold.until), cmp.Compare(a.id, b.id))
+}
+
+// decideByForecast decides on a request while its service is in an outage or has just come out of one. The second result is false if
+// the forecast has no part in the decision. u and found are the result of pick.
+func (s *State) decideByForecast(in step.Input, r *request, u *catalog.Upstream, found availability) ([]step.Effect, bool) {
+	if found == available && !r.returning {
+		return nil, false
+	}
+	o := s.outlookInEffect(in, r)
+	if o == nil {
+		return nil, false
+	}
+	if !r.queueDeadline.IsZero() {
+		return s.keepWaiting(in, r, o, found)
+	}
+	if found == available && len(o.held) == 0 && s.spare(in.Now, o, r) {
+		o.freeSlots--
+		return s.send(in, r, u), true
+	}
+	if !o.endKnown() || !r.returning && !o.outage {
+		return nil, false
+	}
+	q := s.forecastRequest(r, o)
+	s.markEarly(in.Now, r, o)
+	r.hold.until = q.LatestSend(r.arrived)
+	ahead, _ := slices.BinarySearchFunc(o.held, r, s.compareHeld)
+	r.hold.until = time.Time{}
+	firstTryAt, _ := o.capacity.RoomAt(s.urgency(r), 0, true)
+	roomAt, _ := o.capacity.RoomAt(s.urgency(r), ahead, false)
+	d := forecast.Decide(in.Now, q, firstTryAt, roomAt, in.Rand)
+	switch {
+	case d.UntilEnd:
+		return s.holdRequest(in, r, o, d.Until, roomAt), true
+	case d.Wait:
+		r.hold.predicted = true
+		r.queueDeadline = d.Until
+		return append(s.enqueue(in, r), WaitDecided{ID: r.id, Decision: WaitsForRoom, Predicted: firstTryAt.Sub(in.Now)}), true
+	}
+	if !r.returning {
+		o.shortestRetry.add(in.Now, d.RetryAfter)
+	}
+	return s.refuseByForecast(in, r, o, RefusedOnArrival, found, roomAt, d), true
+}
+
+// keepWaiting decides on a first try that waits in its queue. Where its wait was decided by a forecast, it goes on though no engine is
+// usable yet, and ends once room is no longer expected in time.
+func (s *State) keepWaiting(in step.Input, r *request, o *outlook, found availability) ([]step.Effect, bool) {
+	if !r.hold.predicted {
+		return nil, false
+	}
+	at, known := o.capacity.RoomAt(s.urgency(r), 0, true)
+	if !known || !o.endKnown() || at.After(r.queueDeadline.Add(outlookLifetime)) {
+		return s.refuseByForecast(in, r, o, WaitEnded, found, at, forecast.Decision{RetryAfter: s.clampedRetryAfter(in, r), Reason: "room is no longer expected in time"}), true
+	}
+	return s.enqueue(in, r), true
+}
+
+// forecastRequest returns what the decision on a request depends on.
+func (s *State) forecastRequest(r *request, o *outlook) forecast.Request {
+	firstEvent := s.Self.Policy.PrefillAhead
+	if rate := s.readingRate(r); rate > 0 {
+		firstEvent += time.Duration(float64(r.prompt) / rate * float64(time.Second))
+	}
+	return forecast.Request{
+		Arrived: r.arrived, Deadline: r.deadline, CallerTimeout: r.route.CallerTimeout, WaitLimit: s.maxWait(r),
+		RunTime: o.capacity.RunTime(), FirstEvent: firstEvent, Returning: r.returning, Outage: true,
+	}
+}
+
+// readingRate returns how many prompt tokens per second the manifest declares for the engines of a request's service.
+func (s *State) readingRate(r *request) float64 {
+	if service := r.manifest.Services[r.service]; service != nil && service.Engine != nil && service.Engine.PromptTokensPerSecond > 0 {
+		return service.Engine.PromptTokensPerSecond
+	}
+	return defaultPrefillRate
+}
+
+// markEarly records whether a caller returned sooner than any caller was told to.
+func (s *State) markEarly(now time.Time, r *request, o *outlook) {
+	shortest, known := o.shortestRetry.value(now)
+	r.hold.early = r.returning && known && r.hold.elapsed < shortest-earlyMargin
+}
+
+// spare reports whether a returning request may take a free slot. While no first try waits, it may if none had to wait recently, as at
+// any time, or if more slots are free than the first tries need until others are complete. An engine takes no more prompts at once than
+// it reads, so first tries wait for that for a moment though many slots are free.
+func (s *State) spare(now time.Time, o *outlook, r *request) bool {
+	if now.Sub(s.lastQueuedAt[r.service]) >= s.Self.Policy.ReserveFor {
+		return true
+	}
+	expected := o.capacity.FirstTries(now, s.urgency(r)) * s.Self.Policy.ReserveFor.Seconds()
+	return s.waitingFirstTries(r.service) == 0 && o.freeSlots-expected >= 1
+}
+
+// waitingFirstTries returns how many first tries of a service wait for room.
+func (s *State) waitingFirstTries(service string) int { return len(s.queues[service]) }
+
+// holdRequest lets a request wait for the end of an outage. If too many wait, the least urgent one is refused.
+func (s *State) holdRequest(in step.Input, r *request, o *outlook, until, roomAt time.Time) []step.Effect {
+	r.hold.until = until
+	at, _ := slices.BinarySearchFunc(o.held, r, s.compareHeld)
+	o.held = slices.Insert(o.held, at, r)
+	s.heldCount++
+	s.heldBytes += r.hold.size
+	effects := []step.Effect{WaitDecided{ID: r.id, Decision: WaitsForEnd, Predicted: roomAt.Sub(in.Now)}}
+	for s.heldCount > maxHeld || s.heldBytes > s.Self.MaxHeldBytes {
+		effects = append(effects, s.shedHeld(in)...)
+	}
+	return effects
+}
+
+// shedHeld refuses the least urgent request that waits for the end of an outage.
+func (s *State) shedHeld(in step.Input) []step.Effect {
+	var from *outlook
+	for _, key := range s.outlookKeys() {
+		o := s.outlooks[key]
+		if n := len(o.held); n > 0 && (from == nil || s.compareHeld(o.held[n-1], from.held[len(from.held)-1]) > 0) {
+			from = o
+		}
+	}
+	r := from.held[len(from.held)-1]
+	from.held = from.held[:len(from.held)-1]
+	s.unhold(r)
+	if s.requests[r.id] != r {
+		return nil
+	}
+	why := fmt.Sprintf("%d requests with %d bytes wait for the end of the outage, and this is the least urgent", s.heldCount, s.heldBytes)
+	return s.refuseByForecast(in, r, from, WaitShed, full, in.Now, forecast.Decision{RetryAfter: s.clampedRetryAfter(in, r), Reason: why})
+}
+
+func (s *State) unhold(r *request) {
+	s.heldCount--
+	s.heldBytes -= r.hold.size
+	r.hold.until = time.Time{}
+}
+
+// outlookKeys returns the keys of the outlooks in a fixed order.
+func (s *State) outlookKeys() []outlookKey {
+	keys := make([]outlookKey, 0, len(s.outlooks))
+	for key := range s.outlooks {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b outlookKey) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.model, b.model), cmp.Compare(a.homes, b.homes))
+	})
+	return keys
+}
+
+// serveHeld sends the requests that wait for the end of an outage as far as there are slots that no first try needs, and refuses those
+// whose turn no longer comes in time.
+func (s *State) serveHeld(in step.Input) []step.Effect {
+	if s.heldCount == 0 {
+		return nil
+	}
+	var effects []step.Effect
+	for _, key := range s.outlookKeys() {
+		if o := s.outlooks[key]; len(o.held) > 0 {
+			effects = append(effects, s.serveOutlook(in, o)...)
+		}
+	}
+	return effects
+}
+
+func (s *State) serveOutlook(in step.Input, o *outlook) []step.Effect {
+	s.updateOutlook(in.Now, o)
+	list := o.held
+	o.held = nil
+	slices.SortFunc(list, s.compareHeld) // A new manifest may have changed priorities.
+	var effects []step.Effect
+	blocked := false
+	for _, r := range list {
+		if s.requests[r.id] != r {
+			s.unhold(r)
+			continue // Its caller is gone or its deadline has passed.
+		}
+		if end, forbidden := s.refreshAndCheck(in, r); forbidden {
+			s.unhold(r)
+			effects = append(effects, s.endRequest(in, r, end)...)
+			continue
+		}
+		if s.outlookOf(in.Now, r) != o {
+			s.unhold(r)
+			effects = append(effects, s.dispatch(in, r)...)
+			continue
+		}
+		if !blocked && s.spare(in.Now, o, r) {
+			if u, found := s.pick(in, r); found == available {
+				s.unhold(r)
+				o.freeSlots--
+				effects = append(append(effects, s.send(in, r, u)...), WaitDecided{ID: r.id, Decision: WaitServed})
+				continue
+			}
+		}
+		blocked = true
+		roomAt, known := o.capacity.RoomAt(s.urgency(r), len(o.held), false)
+		if !known || !o.endKnown() || roomAt.After(r.hold.until) {
+			d := forecast.Decision{RetryAfter: s.clampedRetryAfter(in, r), Reason: fmt.Sprintf("its turn no longer comes within %v", r.hold.until.Sub(in.Now).Round(time.Millisecond))}
+			s.unhold(r)
+			effects = append(effects, s.refuseByForecast(in, r, o, WaitEnded, full, roomAt, d)...)
+			continue
+		}
+		o.held = append(o.held, r)
+	}
+	return effects
+}
+
+// refuseByForecast refuses a request for its predicted wait.
+func (s *State) refuseByForecast(in step.Input, r *request, o *outlook, decision WaitDecision, found availability, roomAt time.Time, d forecast.Decision) []step.Effect {
+	c := code.Overloaded
+	if found == unavailable {
+		c = code.NoUpstream
+	}
+	why := fmt.Sprintf("%s: %s (%d of %d engines of %s usable, %d predicted by reports of up to %v, %d requests waiting, %.1f first tries/s)", decision, d.Reason,
+		o.usable, o.total, o.key.service, o.capacity.Predicted(), o.oldestReport.Round(time.Millisecond), len(o.held), o.capacity.FirstTries(in.Now, forecast.Priorities-1))
+	return append(s.endRequest(in, r, ending{code: c, reason: why, retryAfter: d.RetryAfter}), WaitDecided{ID: r.id, Decision: decision, Predicted: max(0, roomAt.Sub(in.Now))})
+}
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -203,6 +203,7 @@
 		return
 	}
 	s.forgotAt = now
+	s.forgetOutlooks(now)
 	for instance, l := range s.loadStates {
 		u := s.Catalog.Upstreams[instance.ID]
 		if (u == nil || u.StartedAt != instance.StartedAt) && l.inFlight == 0 && now.Sub(l.reportedAt) > reportLifetime && !l.keepsState(now) {
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -54,12 +54,16 @@
 	if !in.Now.Before(r.deadline) {
 		return refuseArrival(ev.ID, code.Overloaded, fmt.Sprintf("the deadline passed while its body was read, which took %v", ev.BodyReadTime), s.retryAfter(in))
 	}
-	r.returning = s.callerTimeouts.returning(in.Now, r, ev.Budget)
+	r.returning, r.hold.elapsed = s.callerTimeouts.returning(in.Now, r, ev.Budget)
+	r.hold.size = ev.Size
 	if !s.ownWork.Admit(len(s.requests)) {
 		return s.refuseForOwnWork(in, r)
 	}
 	s.requests[r.id] = r
 	s.retryBudget(r.service).addRequest(in.Now)
+	if !r.returning {
+		s.noteFirstTry(in.Now, r)
+	}
 	effects := []step.Effect{Accepted{ID: r.id, Route: r.route, Deadline: r.deadline}}
 	return append(effects, s.dispatch(in, r)...)
 }
@@ -82,6 +86,9 @@
 		return s.endRequest(in, r, end)
 	}
 	u, found := s.pick(in, r)
+	if effects, decided := s.decideByForecast(in, r, u, found); decided {
+		return effects
+	}
 	// A returning caller is refused although an upstream has capacity: that capacity is reserved for first tries; see Policy.ReserveFor.
 	if found == available && r.returning && in.Now.Sub(s.lastQueuedAt[r.service]) < s.Self.Policy.ReserveFor {
 		return s.endWithRetryAfter(in, r, code.Overloaded, fmt.Sprintf("the free capacity of %s is reserved for first tries", r.service))
@@ -139,6 +146,7 @@
 	}
 	effects := s.trackCrashes(in, r, ev)
 	s.unreportedEnded(in.Now, r, ev.Outcome)
+	s.noteFreed(in.Now, r, ev.Outcome)
 	s.release(in, r, ev.Outcome)
 	if ev.Partial {
 		r.partial, r.progressAt = true, in.Now.Add(-ev.SinceLastPart)
--- a/internal/core/forward/retry_after.go
+++ b/internal/core/forward/retry_after.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"samphireweir.example/samphireweir/internal/core/forecast"
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
@@ -32,6 +33,11 @@
 	return max(after, s.shortestBackoff(in.Now, r)+after-retryAfterMin)
 }
 
+// clampedRetryAfter returns the Retry-After delay for a request whose wait was ended, limited to what its caller follows.
+func (s *State) clampedRetryAfter(in step.Input, r *request) time.Duration {
+	return forecast.ClampRetry(s.retryAfterFor(in, r), r.deadline.Sub(in.Now))
+}
+
 // shortestBackoff returns the time until the first upstream of a request's service accepts requests again, provided that every
 // active upstream has requested a backoff. It returns 0 if one has not: that one is usable sooner, or at an unknown time.
 func (s *State) shortestBackoff(now time.Time, r *request) time.Duration {
--- a/internal/core/forward/returning.go
+++ b/internal/core/forward/returning.go
@@ -16,13 +16,13 @@
 	seenAt  time.Time
 }
 
-// returning reports whether a request with this timeout was probably refused before, and records the timeout. Timeouts of first
+// returning reports whether a request with this timeout was probably refused before, and how long ago, and records the timeout. Timeouts of first
 // tries vary somewhat, but a refused caller is asked to wait for at least retryAfterMin. A timeout that is shorter than the longest
 // one by less than that is therefore a first try. A caller also counts as new if no longer timeout is known for its account.
 //
 // For example, the longest timeout known for an account is 6 s, and retryAfterMin is 0.95 s. A request with a timeout of 5.05 s or less
 // then counts as returning, since its caller may have waited for 0.95 s. One with a timeout of 5.2 s counts as a first try.
-func (c callerTimeouts) returning(now time.Time, r *request, timeout time.Duration) bool {
+func (c callerTimeouts) returning(now time.Time, r *request, timeout time.Duration) (bool, time.Duration) {
 	key := callerKey{route: r.route.Name}
 	if r.account != nil {
 		key.account = r.account.Name
@@ -30,9 +30,10 @@
 	known := c[key]
 	if timeout >= known.longest || now.Sub(known.seenAt) > callerTimeoutLifetime {
 		c[key] = observedTimeout{longest: timeout, seenAt: now}
-		return false
+		return false, 0
 	}
-	return timeout > 0 && known.longest-timeout >= retryAfterMin
+	elapsed := known.longest - timeout
+	return timeout > 0 && elapsed >= retryAfterMin, elapsed
 }
 
 // forget drops timeouts that are too old.
