--- a/internal/core/forward/outlook.go
+++ b/internal/core/forward/outlook.go
@@ -36,7 +36,7 @@
 	// updatedAt is when the fields below were computed, and usedAt when a request last arrived.
 	updatedAt, usedAt time.Time
 	usable, total     int
-	// outage is set while fewer than half of the engines are usable, and outageAt is when it last was.
+	// outage is set while fewer than half of the engines are usable, and outageAt is when it last was and its end was predicted.
 	outage   bool
 	outageAt time.Time
 	// freeSlots is this entry's share of the free slots, whatever the engines' reading rate allows it to send at once.
@@ -114,9 +114,9 @@
 	return nil
 }
 
-// recovering reports whether the service is in an outage or was a moment ago, or requests wait for its end.
+// recovering reports whether the service is in an outage whose end is predicted, or was a moment ago, or requests wait for its end.
 func (o *outlook) recovering(now time.Time) bool {
-	return o.outage || len(o.held) > 0 || !o.outageAt.IsZero() && now.Sub(o.outageAt) < recoveryTime
+	return len(o.held) > 0 || !o.outageAt.IsZero() && now.Sub(o.outageAt) < recoveryTime
 }
 
 // endKnown reports whether anything is known of how the engines return.
@@ -161,10 +161,10 @@
 		counted = reported
 	}
 	o.usable, o.total, o.outage = counted.usable, counted.total, counted.mostlyDown()
-	if o.outage {
+	o.capacity.Update(now, o.engines)
+	if o.outage && o.capacity.Predicted() > 0 {
 		o.outageAt = now
 	}
-	o.capacity.Update(now, o.engines)
 	s.noteForecastChange(now, o)
 }
 
@@ -226,7 +226,7 @@
 
 // noteForecastChange queues a ForecastChanged for the next tick if the outlook differs from the one last reported.
 func (s *State) noteForecastChange(now time.Time, o *outlook) {
-	if now.Sub(o.loggedAt) < changeLogInterval || !o.outage && !o.logged.Outage {
+	if now.Sub(o.loggedAt) < changeLogInterval || o.capacity.Predicted() == 0 && o.logged.Predicted == 0 || !o.outage && !o.logged.Outage {
 		return
 	}
 	ready, known := o.capacity.FirstReady(now)
