--- a/internal/core/forecast/forecast.go
+++ b/internal/core/forecast/forecast.go
@@ -41,11 +41,11 @@
 
 // Capacity is the expected capacity of one service at one entry. The zero value knows nothing.
 type Capacity struct {
-	freed    meter
-	sent     meter
-	arrivals [Priorities]meter
-	runTime  time.Duration
-	engines  []Engine
+	// freed is the work that was completed, in seconds, completed the number of its requests, and sent that of the requests sent.
+	freed, completed, sent meter
+	arrivals               [Priorities]meter
+	runTime                time.Duration
+	engines                []Engine
 	// updatedAt is when engines was set, and predicted the number of engines in it whose return is predicted.
 	updatedAt time.Time
 	predicted int
@@ -53,7 +53,10 @@
 }
 
 // Observe records that work worth this much engine time was completed, so that capacity for as much more is free.
-func (c *Capacity) Observe(now time.Time, work time.Duration) { c.freed.add(now, work.Seconds()) }
+func (c *Capacity) Observe(now time.Time, work time.Duration) {
+	c.freed.add(now, work.Seconds())
+	c.completed.add(now, 1)
+}
 
 // Completed records how long an engine took for a request.
 func (c *Capacity) Completed(took time.Duration) {
@@ -160,16 +163,24 @@
 	return c.updatedAt.Add(time.Duration(n) * stepLength), true
 }
 
-// RoomByRate returns when work that waits behind this much other work gets room, at the rate at which capacity became free in the
-// last second; false if nothing became free or less than a second was observed.
-func (c *Capacity) RoomByRate(now time.Time, ahead time.Duration) (time.Time, bool) {
+// RoomByRate returns when work of a priority that waits behind this much other work gets room: at the rate at which capacity became free
+// in the last second, less what more urgent first tries take of it, but at least lowestShare. The result is false if nothing became
+// free or less than a second was observed.
+func (c *Capacity) RoomByRate(now time.Time, priority int, ahead time.Duration) (time.Time, bool) {
 	rate := c.freed.rate(now, rateBuckets)
 	if rate <= 0 || !c.freed.complete(now) {
 		return time.Time{}, false
 	}
+	if priority > 0 {
+		urgent := c.FirstTries(now, priority-1) * rate / c.completed.rate(now, rateBuckets)
+		rate = math.Max(rate-urgent, lowestShare*rate)
+	}
 	return now.Add(time.Duration(math.Min(ahead.Seconds()/rate, horizon.Seconds()*2) * float64(time.Second))), true
 }
 
+// lowestShare is the part of the capacity that becomes free which each lower priority gets at least; see package schedule.
+const lowestShare = 0.05
+
 // Sent records that this entry sent a request to an engine of the service.
 func (c *Capacity) Sent(now time.Time) { c.sent.add(now, 1) }
 
--- a/internal/core/forecast/forecast_test.go
+++ b/internal/core/forecast/forecast_test.go
@@ -62,12 +62,12 @@
 	for i := range 30 {
 		now := begin.Add(time.Duration(i) * 50 * time.Millisecond)
 		c.Observe(now, 100*time.Millisecond) // Work of 2 s a second.
-		_, known := c.RoomByRate(now, time.Second)
+		_, known := c.RoomByRate(now, 0, time.Second)
 		require.Equal(t, i >= 20, known)
 	}
-	at, _ := c.RoomByRate(begin.Add(1500*time.Millisecond), time.Second)
+	at, _ := c.RoomByRate(begin.Add(1500*time.Millisecond), 0, time.Second)
 	require.InDelta(t, 0.5, at.Sub(begin.Add(1500*time.Millisecond)).Seconds(), 0.05)
-	_, known := c.RoomByRate(begin.Add(4*time.Second), time.Second)
+	_, known := c.RoomByRate(begin.Add(4*time.Second), 0, time.Second)
 	require.False(t, known)
 }
 
