forecast: refusals by rate leave the floors of lower priorities

Completions within a wait of 0.2 s are random, and the scheduler's floor is given only to a priority of which a request waits.

Change: a request is refused on arrival only if its turn is out of reach by two standard deviations, in the order and by the floor of its priority. Waits that have begun are not ended by the rate.

--- a/internal/core/forecast/forecast.go
+++ b/internal/core/forecast/forecast.go
@@ -48,7 +48,9 @@
 	// rates are the results of rateFor at ratesAt.
 	rates   [Priorities]float64
 	ratesAt time.Time
-	engines []Engine
+	// perRequest is the mean work of a completed request, in seconds, as of ratesAt.
+	perRequest float64
+	engines    []Engine
 	// updatedAt is when engines was set, and predicted the number of engines in it whose return is predicted.
 	updatedAt time.Time
 	predicted int
@@ -177,6 +179,32 @@
 	return now.Add(time.Duration(math.Min(ahead.Seconds()/rate, horizon.Seconds()*2) * float64(time.Second))), true
 }
 
+// InReachByRate reports whether work that waits behind this much other work may well get room within a time: completions are random, so
+// that some more of them than expected are counted on (reachDeviations). Without that, few waits of some hundred milliseconds would
+// begin at all, and slots that become free by chance would have no request. The result is true if the rate is unknown.
+func (c *Capacity) InReachByRate(now time.Time, priority int, ahead, within time.Duration) bool {
+	rate := c.rateFor(now, min(max(priority, 0), Priorities-1))
+	if rate <= 0 {
+		return true
+	}
+	return inReach(ahead.Seconds()/c.perRequest, rate*within.Seconds()/c.perRequest)
+}
+
+// InReachByFloor reports whether a request that waits behind a number of others of its priority may well get room within a time by the
+// least share of its priority.
+func (c *Capacity) InReachByFloor(now time.Time, others int, within time.Duration) bool {
+	rate := c.rateFor(now, 0)
+	return rate <= 0 || inReach(float64(others), lowestShare*rate*within.Seconds()/c.perRequest)
+}
+
+// inReach reports whether the turn of a request behind others may well come if so many completions are expected.
+func inReach(ahead, expected float64) bool {
+	return ahead <= 1+expected+reachDeviations*math.Sqrt(expected)
+}
+
+// reachDeviations is the number of standard deviations by which completions within a wait may exceed what is expected.
+const reachDeviations = 2
+
 // rateFor returns the rate at which capacity becomes free for a priority; 0 if it is unknown. It is computed once per stepLength, since
 // it is needed for each waiting request.
 func (c *Capacity) rateFor(now time.Time, priority int) float64 {
@@ -184,11 +212,11 @@
 		c.ratesAt, c.rates = now, [Priorities]float64{}
 		rate := c.freed.rate(now, rateBuckets)
 		if rate > 0 && c.freed.complete(now) {
-			perRequest := rate / c.completed.rate(now, rateBuckets)
+			c.perRequest = rate / c.completed.rate(now, rateBuckets)
 			urgent := 0.0
 			for p := range c.rates {
 				c.rates[p] = math.Max(rate-urgent, lowestShare*rate)
-				urgent += c.arrivals[p].rate(now, keptBuckets) * perRequest
+				urgent += c.arrivals[p].rate(now, keptBuckets) * c.perRequest
 			}
 		}
 	}
--- a/internal/core/forward/by_rate.go
+++ b/internal/core/forward/by_rate.go
@@ -5,31 +5,26 @@
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/forecast"
+	"samphireweir.example/samphireweir/internal/core/schedule"
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
-// rateTolerance is the part of the predicted wait that must be out of reach for a wait to end. The rate at which capacity becomes free
-// varies, and a request at the limit would be refused a moment before it is served.
-const rateTolerance = 0.8
-
-// decideByRate decides on a first try to a full service whose requests have different priorities. It is refused on arrival, or its wait
-// ends, if the requests before it take longer than it can wait.
+// decideByRate decides on a first try that arrives at a full service whose requests have different priorities. It is refused if the
+// requests before it take longer than it can wait. A wait that has begun is not ended by the rate: with that, 5,692 in place of 5,799
+// callers were answered in time in the simulated flood of one account, since completions within a wait of 0.2 s are random.
 func (s *State) decideByRate(in step.Input, r *request, found availability) ([]step.Effect, bool) {
-	if found != full || r.returning || !s.prioritized(r.service) {
+	if found != full || r.returning || !r.queueDeadline.IsZero() || !s.prioritized(r.service) {
 		return nil, false
 	}
 	o := s.outlookOf(in.Now, r)
 	if o == nil {
 		return nil, false
 	}
-	if !r.queueDeadline.IsZero() {
-		return s.keepWaitingByRate(in, r, o)
-	}
 	ahead := s.queue(r.service).Ahead(in.Now, s.item(r))
-	roomAt, known := o.capacity.RoomByRate(in.Now, r.priority, ahead)
-	if !known {
+	if s.inReach(in.Now, r, o, ahead, s.maxWait(r)) {
 		return nil, false
 	}
+	roomAt, _ := o.capacity.RoomByRate(in.Now, r.priority, ahead)
 	q := s.forecastRequest(r, o)
 	q.Outage = false
 	d := forecast.Decide(in.Now, q, roomAt, roomAt, in.Rand)
@@ -39,17 +34,14 @@
 	return s.refuseByForecast(in, r, RefusedOnArrival, full, roomAt, d, describeRate(r, ahead, roomAt.Sub(in.Now))), true
 }
 
-// keepWaitingByRate ends the wait of a request in the queue if its turn no longer comes in time. It is reviewed with each tick.
-func (s *State) keepWaitingByRate(in step.Input, r *request, o *outlook) ([]step.Effect, bool) {
-	if _, tick := in.Event.(step.Tick); !tick || s.pass == nil || !in.Now.Before(r.queueDeadline) {
-		return nil, false
-	}
-	roomAt, known := o.capacity.RoomByRate(in.Now, r.priority, s.pass.ahead)
-	if !known || !in.Now.Add(time.Duration(rateTolerance*float64(roomAt.Sub(in.Now)))).After(r.queueDeadline) {
-		return nil, false
+// inReach reports whether a request may well get room within a time: in the scheduler's order, or by the floor of its priority, for which
+// only requests of the same priority count. The floor is given to a priority only while requests of it wait.
+func (s *State) inReach(now time.Time, r *request, o *outlook, ahead, within time.Duration) bool {
+	if o.capacity.InReachByRate(now, r.priority, ahead, within) {
+		return true
 	}
-	d := forecast.Decision{RetryAfter: s.clampedRetryAfter(in, r, o), Reason: "its turn no longer comes in time"}
-	return s.refuseByForecast(in, r, WaitEnded, full, roomAt, d, describeRate(r, s.pass.ahead, roomAt.Sub(in.Now))), true
+	others := s.queue(r.service).Waiting()[min(max(r.priority, 0), schedule.Priorities-1)]
+	return o.capacity.InReachByFloor(now, others, within)
 }
 
 // describeRate describes, for the log, what a prediction by the rate is based on.
