--- a/internal/core/forward/by_rate.go
+++ b/internal/core/forward/by_rate.go
@@ -59,8 +59,9 @@
 	if o == nil || len(o.held) == 0 || o.held[0].priority >= r.priority || o.servedAt.Equal(in.Now) {
 		return nil, false
 	}
+	first := r.queueDeadline.IsZero()
 	effects := s.enqueue(in, r)
-	if s.requests[r.id] == r {
+	if first {
 		effects = append(effects, Yielded{ID: r.id, Priority: r.priority})
 	}
 	return effects, true
