forecast: simulated outages with five seeds

One seed was not enough to compare counts at 0.93 of the capacity: at a patience of first tries of 60 ms it answered 999 of 1,600 callers and 998 without predictions; with five seeds 4,986 and 4,997. At 100 ms (kept) five seeds answer 3,449, 4,408 and 5,006 at 0.47, 0.75 and 0.93 of the capacity, 2,890, 4,221 and 4,997 without predictions; in time 2,514, 3,941 and 4,828, without 2,500, 3,939 and 4,756.

--- a/internal/core/forecast/forecast.go
+++ b/internal/core/forecast/forecast.go
@@ -138,7 +138,7 @@
 
 // candidateFactor and waitingFactor are by how much more or fewer first tries are assumed than were measured, for requests of the
 // kinds Candidate and Waiting. Without the difference, waits began and ended because the rate of first tries varies: in a simulated
-// outage of 6 s at 0.75 of the capacity, 155 of 208 waits ended with a refusal, and with it 27 of 95.
+// outage of 6 s at 0.75 of the capacity, 155 of 208 waits ended with a refusal, and with it 24 of 100.
 const candidateFactor, waitingFactor = 1.1, 0.9
 
 // RoomAt returns when the engines have room for a request of a priority behind a number of others of its kind, beside the first tries
@@ -306,7 +306,8 @@
 }
 
 const (
-	// firstTryPatience is for how long first tries may wait for the slots that others took; it is a part of firstTryWait.
+	// firstTryPatience is for how long first tries may wait for the slots that others took; it is a part of firstTryWait. With 60 ms, 38
+	// more of 9,880 first tries were in time in simulated outages at 0.47 to 0.93 of the capacity, and 46 fewer callers were answered.
 	firstTryPatience = 100 * time.Millisecond
 	// firstTryWait is about how long a first try waits for room before it is refused: 0.4 of the objectives of the users' streams.
 	firstTryWait = 330 * time.Millisecond
--- a/internal/core/forward/outage_fleet_test.go
+++ b/internal/core/forward/outage_fleet_test.go
@@ -21,6 +21,7 @@
 	outageBudget    = 6 * time.Second
 	outageCaller    = 3200 * time.Millisecond
 	outageBegin     = 5 * time.Second
+	outageLength    = 6 * time.Second
 	outageReport    = 90 * time.Millisecond
 )
 
@@ -32,10 +33,8 @@
 	engines []*outageEngine
 	calls   map[uint64]*outageCall
 	nextID  uint64
-	// load is the number of first tries per second, length the length of the outage, and predict returns what an engine's agent reports
-	// about the end of it; 0 for nothing. impatient callers return at once, up to four times.
+	// load is the number of first tries per second, and predict returns what an engine's agent reports about the end; 0 for nothing. impatient callers return at once, up to four times.
 	load      float64
-	length    time.Duration
 	predict   func(f *outageFleet, engine int) time.Duration
 	dead      func(f *outageFleet, engine int) bool
 	impatient bool
@@ -60,18 +59,16 @@
 	entry, tries                     int
 	first, arrived, started, returns time.Duration
 	endsAt                           time.Duration
-	engine                           int
 }
 
-func newOutageFleet(length time.Duration, load float64, predict func(*outageFleet, int) time.Duration) *outageFleet {
-	f := &outageFleet{random: rand.New(rand.NewPCG(1, 2)), calls: map[uint64]*outageCall{}, load: load, length: length, predict: predict, waits: map[forward.WaitDecision]int{}}
+func newOutageFleet(seed uint64, load float64, predict func(*outageFleet, int) time.Duration) *outageFleet {
+	f := &outageFleet{random: rand.New(rand.NewPCG(seed, 2)), calls: map[uint64]*outageCall{}, load: load, predict: predict, waits: map[forward.WaitDecision]int{}}
 	for e := range outageEntries {
-		r := newOutageRig()
-		r.rand = uint64(e) * 7919
-		f.entries = append(f.entries, r)
+		f.entries = append(f.entries, newOutageRig())
+		f.entries[e].rand = uint64(e) * 7919
 	}
-	for range outageEngines {
-		f.engines = append(f.engines, &outageEngine{})
+	for i := range outageEngines {
+		f.engines = append(f.engines, &outageEngine{readyAt: outageBegin + outageLength + time.Duration(i)*50*time.Millisecond})
 	}
 	return f
 }
@@ -92,23 +89,19 @@
 }
 
 // out reports whether the engines are without weights.
-func (f *outageFleet) out() bool { return f.now >= outageBegin && f.now < outageBegin+f.length }
+func (f *outageFleet) out() bool { return f.now >= outageBegin && f.now < outageBegin+outageLength }
 
 // value weighs a late answer as callers do on average.
 func (f *outageFleet) value() float64 { return float64(f.inTime) + 0.45*float64(f.late) }
 
 // run simulates until all callers that arrived until end have their answer.
 func (f *outageFleet) run(end time.Duration) *outageFleet {
-	for i := range f.engines {
-		f.engines[i].readyAt = outageBegin + f.length + time.Duration(i)*50*time.Millisecond
-	}
 	for ; f.now < end+outageBudget; f.now += 10 * time.Millisecond {
 		for i := range f.engines {
 			f.runEngine(i)
 		}
 		for e, r := range f.entries {
-			r.now = f.now
-			if f.now%(20*time.Millisecond) == 0 {
+			if r.now = f.now; f.now%(20*time.Millisecond) == 0 {
 				f.apply(e, r.step(step.Tick{}))
 			}
 		}
@@ -185,7 +178,7 @@
 			c, i := f.calls[e.ID], int(e.Upstream.ID[0]-'0')
 			g := f.engines[i]
 			g.busyUntil = max(g.busyUntil, f.now) + outageReadTime
-			c.started, c.engine = g.busyUntil, i
+			c.started = g.busyUntil
 			g.running = append(g.running, c)
 		case forward.WaitDecided:
 			f.waits[e.Decision]++
--- a/internal/core/forward/outage_test.go
+++ b/internal/core/forward/outage_test.go
@@ -21,22 +21,28 @@
 func exact(f *outageFleet, i int) time.Duration { return max(0, f.engines[i].readyAt-f.now) }
 
 // TestOutageAnswersMoreCallers guards against two tries of most callers in vain. The load is an outage of 6 s at 0.47, 0.75 and 0.93
-// of the capacity.
+// of the capacity, with five seeds each.
 func TestOutageAnswersMoreCallers(t *testing.T) {
 	for _, load := range []float64{50, 80, 100} {
-		before := newOutageFleet(6*time.Second, load, unpredicted).run(16 * time.Second)
-		f := newOutageFleet(6*time.Second, load, exact)
-		f.strict = true
-		f.run(16 * time.Second)
-		t.Logf("load %v: %d in time, %d late, %d lost, longest wait in vain %v, %v", load, f.inTime, f.late, f.lost, f.inVain, f.waits)
-		t.Logf("load %v without predictions: %d in time, %d late, %d lost", load, before.inTime, before.late, before.lost)
-		require.Greater(t, f.value(), before.value(), "load %v", load)
-		require.Greater(t, f.inTime+f.late, before.inTime+before.late, "load %v", load)
-		require.Greater(t, float64(f.inTime), 0.98*float64(before.inTime), "load %v: first tries lost their slots", load)
-		require.Empty(t, before.waits)
-		require.Zero(t, f.left, "load %v: callers left without an answer", load)
-		require.Zero(t, f.badRetries, "load %v: delays that callers do not follow", load)
-		require.LessOrEqual(t, f.inVain, outageCaller-290*time.Millisecond)
+		var before, after, inTimeBefore, inTime, answeredBefore, answered float64
+		for seed := range uint64(5) {
+			old := newOutageFleet(seed+1, load, unpredicted).run(16 * time.Second)
+			f := newOutageFleet(seed+1, load, exact)
+			f.strict = true
+			f.run(16 * time.Second)
+			t.Logf("load %v: %d in time, %d late, %d lost, longest wait in vain %v, %v; without predictions %d, %d, %d", load, f.inTime, f.late, f.lost, f.inVain, f.waits, old.inTime, old.late, old.lost)
+			require.Zero(t, f.left, "load %v: callers left without an answer", load)
+			require.Zero(t, f.badRetries, "load %v: delays that callers do not follow", load)
+			require.LessOrEqual(t, f.inVain, outageCaller-290*time.Millisecond)
+			require.Empty(t, old.waits)
+			before, after = before+old.value(), after+f.value()
+			inTimeBefore, inTime = inTimeBefore+float64(old.inTime), inTime+float64(f.inTime)
+			answeredBefore, answered = answeredBefore+float64(old.inTime+old.late), answered+float64(f.inTime+f.late)
+		}
+		t.Logf("load %v: %v in time, %v answered, without predictions %v, %v", load, inTime, answered, inTimeBefore, answeredBefore)
+		require.Greater(t, after, before, "load %v", load)
+		require.Greater(t, answered, answeredBefore, "load %v", load)
+		require.Greater(t, inTime, 0.99*inTimeBefore, "load %v: first tries lost their slots", load)
 	}
 }
 
@@ -44,7 +50,7 @@
 // of the capacity, with predictions that are wrong in each way in which they can be, agents that die in the middle of the outage, and
 // callers that ignore Retry-After.
 func TestWrongPredictionsAreNoWorse(t *testing.T) {
-	before := newOutageFleet(6*time.Second, 80, unpredicted).run(16 * time.Second)
+	before := newOutageFleet(1, 80, unpredicted).run(16 * time.Second)
 	cases := map[string]func(*outageFleet, int) time.Duration{
 		"half lost": func(f *outageFleet, i int) time.Duration {
 			return exact(f, i) * time.Duration(f.random.IntN(2))
@@ -58,7 +64,7 @@
 		"impatient":                     exact,
 	}
 	for name, predict := range cases {
-		f := newOutageFleet(6*time.Second, 80, predict)
+		f := newOutageFleet(1, 80, predict)
 		f.impatient = name == "impatient"
 		f.dead = func(f *outageFleet, i int) bool {
 			return name == "dead" && i%2 == 1 && f.now > outageBegin+3*time.Second && f.now < outageBegin+9*time.Second
