--- /dev/null
+++ b/internal/core/forward/by_rate.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"fmt"
+	"time"
+
+	"samphireweir.example/samphireweir/internal/core/forecast"
+	"samphireweir.example/samphireweir/internal/core/schedule"
+	"samphireweir.example/samphireweir/internal/core/step"
+)
+
+// decideByRate decides on a first try that arrives at a full service whose requests have different priorities. It is refused if the
+// requests before it take longer than it can wait. A wait that has begun is not ended by the rate: with that, 5,692 in place of 5,799
+// callers were answered in time in the simulated flood of one account, since completions within a wait of 0.2 s are random.
+func (s *State) decideByRate(in step.Input, r *request, found availability) ([]step.Effect, bool) {
+	if found != full || r.returning || !r.queueDeadline.IsZero() || !s.prioritized(r.service) {
+		return nil, false
+	}
+	o := s.outlookOf(in.Now, r)
+	if o == nil {
+		return nil, false
+	}
+	ahead := s.queue(r.service).Ahead(in.Now, s.item(r))
+	if s.inReach(in.Now, r, o, ahead, s.maxWait(r)) {
+		return nil, false
+	}
+	roomAt, _ := o.capacity.RoomByRate(in.Now, r.priority, ahead)
+	q := s.forecastRequest(r, o)
+	q.Outage = false
+	d := forecast.Decide(in.Now, q, roomAt, roomAt, in.Rand)
+	if d.Wait {
+		return nil, false
+	}
+	return s.refuseByForecast(in, r, RefusedOnArrival, full, roomAt, d, describeRate(r, ahead, roomAt.Sub(in.Now))), true
+}
+
+// inReach reports whether a request may well get room within a time: in the scheduler's order, or by the floor of its priority, for which
+// only requests of the same priority count. The floor is given to a priority only while requests of it wait.
+func (s *State) inReach(now time.Time, r *request, o *outlook, ahead, within time.Duration) bool {
+	if o.capacity.InReachByRate(now, r.priority, ahead, within) {
+		return true
+	}
+	others := s.queue(r.service).Waiting()[min(max(r.priority, 0), schedule.Priorities-1)]
+	return o.capacity.InReachByFloor(now, others, within)
+}
+
+// describeRate describes, for the log, what a prediction by the rate is based on.
+func describeRate(r *request, ahead, wait time.Duration) string {
+	return fmt.Sprintf("priority %d, %v of work ahead, room in %v by the completions of the last second", r.priority, ahead.Round(time.Millisecond), wait.Round(time.Millisecond))
+}
+
+// yieldToHeld lets a first try wait though an upstream has capacity, because a more urgent request waits for the end of an outage and has
+// not had its turn yet. It has it with the next tick.
+func (s *State) yieldToHeld(in step.Input, r *request) ([]step.Effect, bool) {
+	if s.heldCount == 0 || r.attempts > 0 || !s.prioritized(r.service) {
+		return nil, false
+	}
+	o := s.outlookOf(in.Now, r)
+	if o == nil || len(o.held) == 0 || o.held[0].priority >= r.priority || o.servedAt.Equal(in.Now) {
+		return nil, false
+	}
+	first := r.queueDeadline.IsZero()
+	effects := s.enqueue(in, r)
+	if first {
+		effects = append(effects, Yielded{ID: r.id, Priority: r.priority})
+	}
+	return effects, true
+}
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -36,6 +36,8 @@
 	VersionLifetime time.Duration
 	// UnevenEngines is the host setting uneven-engines; see package speed.
 	UnevenEngines bool
+	// MaxHeldBytes limits the bodies of the requests that wait for the end of an outage; defaultMaxHeldBytes if it is 0.
+	MaxHeldBytes int64
 	// Policy is DefaultPolicy unless it is set.
 	Policy Policy
 }
@@ -146,6 +148,10 @@
 	ColdRemaining time.Duration
 	// Slowdown is the engine's processing time relative to what its service declares, as a factor; 0 if it does not say.
 	Slowdown float64
+	// ReadyIn is the time until the agent expects the engine to accept requests, and ReadyVersion the version of weights that the engine
+	// will then hold. ReadyIn is 0 if that time is unknown or the engine accepts requests now.
+	ReadyIn      time.Duration
+	ReadyVersion int64
 	// Entries is the number of entries that this agent reports to, and NearEntries the number of these in its data centre.
 	Entries     int
 	NearEntries int
@@ -307,6 +313,8 @@
 	moveTo      string
 	balanceDraw uint64
 	speed       requestSpeed
+	// hold is the request's wait for the end of an outage.
+	hold hold
 }
 
 // State is what an entry knows about its requests and about the state of the upstreams.
@@ -330,6 +338,12 @@
 	// lastQueuedAt is when a request of the service last had to wait. Each tick gives the requests that still wait their turn, so it is
 	// recent as long as one waits.
 	lastQueuedAt map[string]time.Time
+	// outlooks are what this entry expects of the engines of a service, and forecastChanges the changes to report with the next tick.
+	outlooks        map[outlookKey]*outlook
+	forecastChanges []step.Effect
+	// heldCount and heldBytes count the requests that wait for the end of an outage, and their bodies.
+	heldCount int
+	heldBytes int64
 	// heartbeatTargets are the IDs of the engines whose agents get heartbeats from this entry; nil before the first call of
 	// ChooseHeartbeatTargets.
 	heartbeatTargets map[string]bool
@@ -363,8 +377,12 @@
 	if self.Policy == (Policy{}) {
 		self.Policy = DefaultPolicy()
 	}
+	if self.MaxHeldBytes <= 0 {
+		self.MaxHeldBytes = defaultMaxHeldBytes
+	}
 	return &State{
-		Self: self, Catalog: c, requests: map[uint64]*request{}, loadStates: map[catalog.Instance]*loadState{},
+		outlooks: map[outlookKey]*outlook{},
+		Self:     self, Catalog: c, requests: map[uint64]*request{}, loadStates: map[catalog.Instance]*loadState{},
 		retryBudgets: map[string]*retryBudget{}, callerTimeouts: callerTimeouts{}, Crashes: quarantine.NewTable(),
 		breaks: map[uint64][]breakRecord{}, queues: map[string]*schedule.Queue{}, lastQueuedAt: map[string]time.Time{},
 		balance: newBalanceState(self),
@@ -406,7 +424,11 @@
 		effects := append(s.expireCrashes(in.Now), s.withdrawUnstarted(in)...)
 		effects = append(effects, s.updateBalance(in.Now)...)
 		effects = append(effects, s.withdrawLate(in)...)
-		return append(effects, s.serveWaiting(in)...)
+		effects = append(effects, s.serveHeld(in, true)...) // Those that are more urgent than what waits in the queues.
+		effects = append(effects, s.serveWaiting(in)...)
+		effects = append(append(effects, s.serveHeld(in, false)...), s.forecastChanges...)
+		s.forecastChanges = nil
+		return effects
 	}
 	return nil
 }
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -54,13 +54,17 @@
 	if !in.Now.Before(r.deadline) {
 		return refuseArrival(ev.ID, code.Overloaded, fmt.Sprintf("the deadline passed while its body was read, which took %v", ev.BodyReadTime), s.retryAfter(in))
 	}
-	r.returning = s.callerTimeouts.returning(in.Now, r, ev.Budget)
+	r.returning, r.hold.elapsed = s.callerTimeouts.returning(in.Now, r, ev.Budget)
+	r.hold.size = ev.Size
 	if !s.ownWork.Admit(len(s.requests)) {
 		return s.refuseForOwnWork(in, r)
 	}
 	s.requests[r.id] = r
 	s.retryBudget(r.service).addRequest(in.Now)
 	s.countArrival(in.Now, r)
+	if !r.returning {
+		s.noteFirstTry(in.Now, r)
+	}
 	effects := []step.Effect{Accepted{ID: r.id, Route: r.route, Deadline: r.deadline, Account: accountName(r.account), Priority: r.priority}}
 	return append(effects, s.dispatch(in, r)...)
 }
@@ -83,6 +87,9 @@
 		return s.endRequest(in, r, end)
 	}
 	u, found := s.search(in, r)
+	if effects, decided := s.decideByForecast(in, r, u, found); decided {
+		return effects
+	}
 	// A returning caller is refused although an upstream has capacity: that capacity is reserved for first tries; see Policy.ReserveFor.
 	if found == available && r.returning && in.Now.Sub(s.lastQueuedAt[r.service]) < s.Self.Policy.ReserveFor {
 		return s.endWithRetryAfter(in, r, code.Overloaded, fmt.Sprintf("the free capacity of %s is reserved for first tries", r.service))
@@ -100,6 +107,7 @@
 
 // send starts an attempt of a request at an upstream and counts the resources that it takes there; see release.
 func (s *State) send(in step.Input, r *request, u *catalog.Upstream) []step.Effect {
+	s.noteSent(in.Now, r)
 	s.chargeService(in, r)
 	v := s.view(u)
 	s.noteSending(in.Now, r, v)
@@ -143,6 +151,7 @@
 	s.unreportedEnded(in.Now, r, ev.Outcome)
 	s.measureSlotTime(in.Now, r, ev.Outcome)
 	s.observeGap(in.Now, r, ev)
+	s.noteFreed(in.Now, r, ev.Outcome)
 	s.release(in, r, ev.Outcome)
 	if ev.Partial {
 		r.partial, r.progressAt = true, in.Now.Add(-ev.SinceLastPart)
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -59,6 +59,12 @@
 		"Second attempts of requests whose first one was far beyond its predicted time: sent when decided, won when the second one sent its first event, lost when it ended without one or the first one was faster. The others ended with their request."}
 	limitsLoweredDefinition = Definition{"samphireweir_limits_lowered_total", CounterKind, nil,
 		"Concurrency limits below an engine's slots that came into force because one more request was predicted to make the running ones miss their objective."}
+	waitDecisionsDefinition = Definition{"samphireweir_wait_decisions_total", CounterKind, []string{"decision"},
+		"Decisions by a predicted wait: refused on arrival, waits for room, waits for the end of an outage, served after such a wait, ended because the end moved out of reach, or shed for more urgent requests."}
+	predictedWaitDefinition = Definition{"samphireweir_predicted_wait_seconds", HistogramKind, []string{"decision"},
+		"Predicted time until there is room, for each such decision."}
+	waitingForEndDefinition = Definition{"samphireweir_waiting_for_end", GaugeKind, nil,
+		"Requests that wait at this entry for the end of an outage."}
 	storeRestoresDefinition = Definition{"samphireweir_store_restores_total", CounterKind, nil,
 		"Restores of the platform's store from a copy, as this process noticed them."}
 	runsRefusedDefinition = Definition{"samphireweir_runs_refused_total", CounterKind, []string{"cause"},
@@ -97,7 +103,8 @@
 // Catalogue lists every metric, in the order of docs/METRICS.md.
 var Catalogue = []Definition{
 	requestsDefinition, refusalsDefinition, inFlightDefinition, waitingDefinition, yieldedDefinition, firstByteDefinition, totalDefinition,
-	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, movedRequestsDefinition, secondAttemptsDefinition, limitsLoweredDefinition, runsRefusedDefinition,
+	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, movedRequestsDefinition, secondAttemptsDefinition, limitsLoweredDefinition,
+	waitDecisionsDefinition, predictedWaitDefinition, waitingForEndDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, settingsDefinition,
 	panicsDefinition, storeRestoresDefinition, ownDelayDefinition, lateReadsDefinition, goroutinesDefinition, memoryDefinition,
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -26,6 +26,8 @@
 	Chunks, ChunkBytes, ChunksRefused         Counter
 	Loads, Settings, Panics                   Counter
 	StoreRestores                             Counter
+	WaitDecisions, WaitingForEnd              Counter
+	PredictedWait                             Histogram
 	OwnDelay                                  DurationGauge
 	LateReads                                 Counter
 
@@ -52,6 +54,9 @@
 	m.MovedRequests = m.counter(movedRequestsDefinition)
 	m.SecondAttempts = m.counter(secondAttemptsDefinition)
 	m.LimitsLowered = m.counter(limitsLoweredDefinition)
+	m.WaitDecisions = m.counter(waitDecisionsDefinition)
+	m.PredictedWait = m.histogram(predictedWaitDefinition)
+	m.WaitingForEnd = m.counter(waitingForEndDefinition)
 	m.RunsRefused = m.counter(runsRefusedDefinition)
 	m.Records = m.counter(recordsDefinition)
 	m.RecordBytes = m.counter(recordBytesDefinition)
