--- a/internal/core/catalog/manifest.go
+++ b/internal/core/catalog/manifest.go
@@ -135,6 +135,8 @@
 	routes map[string][]*Route
 	// prioritized has the services whose requests have different priorities.
 	prioritized map[string]bool
+	// hasHomes is set if a route or a client account has home regions.
+	hasHomes bool
 }
 
 // NewManifest returns a manifest with the given routes, and client accounts by API key.
@@ -149,6 +151,7 @@
 	for _, list := range m.routes {
 		sortByPrefix(list)
 	}
+	m.noteHomes()
 	return m
 }
 
@@ -186,6 +189,9 @@
 // Prioritized reports whether the requests of a service can have different priorities, so that their order matters.
 func (m *Manifest) Prioritized(service string) bool { return m.prioritized[service] }
 
+// HasHomes reports whether a route or a client account is bound to home regions.
+func (m *Manifest) HasHomes() bool { return m.hasHomes }
+
 // Route returns the route with the longest matching prefix among the routes of the host; nil for none.
 func (m *Manifest) Route(host, path string) *Route {
 	for _, r := range m.routes[host] {
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -64,7 +64,8 @@
 	if !r.returning {
 		s.noteFirstTry(in.Now, r)
 	}
-	effects := []step.Effect{Accepted{ID: r.id, Route: r.route, Deadline: r.deadline}}
+	s.countArrival(in.Now, r)
+	effects := []step.Effect{Accepted{ID: r.id, Route: r.route, Deadline: r.deadline, Account: accountName(r.account), Priority: r.priority}}
 	return append(effects, s.dispatch(in, r)...)
 }
 
@@ -124,7 +125,8 @@
 		s.unreportedWaiting++
 	}
 	e := Send{
-		ID: r.id, Attempt: r.attempts, Upstream: u, Homes: r.homes, Priority: r.priority, Deadline: r.deadline, Resume: r.partial, Returning: r.returning,
+		ID: r.id, Attempt: r.attempts, Upstream: u, Homes: r.homes, Account: accountName(r.account), Priority: r.priority, Deadline: r.deadline, Resume: r.partial, Returning: r.returning,
+		Moved: r.attempts == 1 && r.moveTo != "" && r.moveTo == u.DataCentre,
 	}
 	if required := s.requiredVersion(in.Now, r.model); required > 0 {
 		// An engine compares versions for equality, so require the version that it holds, which may be newer than the required one.
@@ -133,9 +135,6 @@
 		}
 	}
 	r.version = e.Version
-	if r.account != nil {
-		e.Account = r.account.Name
-	}
 	e.FirstEventTimeout, e.GapTimeout = r.attemptTimeouts(in.Now)
 	return []step.Effect{e}
 }
@@ -148,6 +147,7 @@
 	effects := s.trackCrashes(in, r, ev)
 	s.unreportedEnded(in.Now, r, ev.Outcome)
 	s.noteFreed(in.Now, r, ev.Outcome)
+	s.measureSlotTime(in.Now, r, ev.Outcome)
 	s.release(in, r, ev.Outcome)
 	if ev.Partial {
 		r.partial, r.progressAt = true, in.Now.Add(-ev.SinceLastPart)
@@ -181,7 +181,9 @@
 	l := s.loadState(r.instance)
 	l.inFlight--
 	l.tokens -= r.tokens
-	l.remainingSends++
+	if s.mayReuseSlot(in.Now, r) {
+		l.remainingSends++
+	}
 	// A misdirected attempt that required a version does not count as a failure (see recordOutcome): the engine may be healthy and hold
 	// another version.
 	if o != Misdirected || r.version == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,8 @@
 	waiting   [schedule.Priorities]int // As last counted in the metrics.
 	exchanges map[uint64]*exchange
 
+	droppedDemand droppedDemand
+
 	nextID   atomic.Uint64
 	ready    atomic.Bool
 	stopping atomic.Bool
@@ -89,6 +91,7 @@
 func New(host hostconfig.Host, log zerolog.Logger, m *telemetry.Metrics, traces *telemetry.Traces) *Gateway {
 	catalogState, self := catalog.NewState(), net.JoinHostPort(host.IP, strconv.Itoa(host.PeerPort))
 	catalogState.ListedActivatedAt, catalogState.FollowsEvacuations = time.Now().Add(-host.AssumedVersionAge()), host.EvacuationTime > 0
+	catalogState.Regions = host.KnownRegions()
 	storePeers, cache := storefeed.NewPeers(host, self, false, log), storefeed.NewCache(host.ChangeTime())
 	storeTransport := newStoreTransport()
 	dialPeer := storeTransport.DialContext
@@ -201,6 +204,8 @@
 		g.metrics.PredictedWait.Observe(e.Predicted, string(e.Decision))
 	case forward.Yielded:
 		g.metrics.Yielded.Add(1, strconv.Itoa(min(max(e.Priority, 0), schedule.Priorities-1)))
+	case forward.BalanceChanged:
+		logevent.Info(g.log, logevent.BalanceChanged).Str("plan", e.Plan).Str("demand", e.Demand).Str("supply", e.Supply).Dur("age_ms", e.OldestDemand).Msg("balance changed")
 	case forward.Withdraw:
 		if x := g.exchanges[e.ID]; x != nil {
 			x.withdraw(e)
@@ -208,6 +213,9 @@
 	case forward.Accepted:
 		g.dispatch(e.ID, e)
 	case forward.Send:
+		if e.Moved {
+			g.metrics.MovedRequests.Add(1, e.Upstream.DataCentre)
+		}
 		g.dispatch(e.ID, e)
 	case forward.Refuse:
 		g.dispatch(e.ID, e)
@@ -309,7 +317,7 @@
 	go g.serveReadiness(readinessListener)
 	callerServer := g.newCallerServer()
 	go g.serveCallers(callerServer, callerListener)
-	logevent.Info(g.log, logevent.Listening).Str("callers", g.host.CallersListen).Str("readiness", g.host.ReadinessListen).Msg("listening")
+	logevent.Info(g.log, logevent.Listening).Str("callers", g.host.CallersListen).Str("readiness", g.host.ReadinessListen).Str("data_centre", g.host.DataCentre).Msg("listening")
 	<-ctx.Done()
 	g.stop(callerServer)
 	return nil
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -39,6 +39,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	message := loadreport.Message{DataCentre: g.host.DataCentre, Crashes: g.forward.Crashes.Reports(now)}
+	message.Demand = g.demand(now)
 	message.Activations = loadreport.Activations(now, g.catalog.ReportedActivations(now, g.host.VersionLifetime))
 	var agents []netip.AddrPort
 	for _, u := range g.forward.ChooseHeartbeatTargets() {
@@ -66,6 +67,7 @@
 			ColdRemaining: time.Duration(m.Load.ColdMS) * time.Millisecond, Slowdown: m.Load.Slowdown,
 			ReadyIn: time.Duration(m.Load.ReadyMS) * time.Millisecond, ReadyVersion: m.Load.ReadyVersion,
 		})
+		g.handleDemandSums(m)
 	}
 }
 
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -65,6 +65,37 @@
 	return max(0, h.VersionLifetime-h.SettleTime)
 }
 
+// KnowsDataCentre reports whether the settings name a data centre.
+func (h Host) KnowsDataCentre(name string) bool {
+	_, known := h.Regions[name]
+	return known || name == h.DataCentre
+}
+
+// KnownRegions returns the regions that the settings name; none if the settings don't map data centres to regions.
+func (h Host) KnownRegions() map[string]bool {
+	known := map[string]bool{}
+	for _, region := range h.Regions {
+		known[region] = true
+	}
+	if len(known) > 0 && h.Region != "" {
+		known[h.Region] = true
+	}
+	return known
+}
+
+// KnowsRegion reports whether the settings name a region.
+func (h Host) KnowsRegion(name string) bool {
+	if name == h.Region {
+		return true
+	}
+	for _, region := range h.Regions {
+		if region == name {
+			return true
+		}
+	}
+	return false
+}
+
 // ChangeTime returns the maximum time for a process to receive any change in the store: the shorter of ManifestTime and
 // DrainTime, or the one that the platform specifies if it specifies only one.
 func (h Host) ChangeTime() time.Duration {
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -59,6 +59,8 @@
 		"Predicted time until there is room, for each such decision."}
 	waitingForEndDefinition = Definition{"samphireweir_waiting_for_end", GaugeKind, nil,
 		"Requests that wait at this entry for the end of an outage."}
+	movedRequestsDefinition = Definition{"samphireweir_moved_requests_total", CounterKind, []string{"data_centre"},
+		"Requests that the plan across data centres had tried first in another data centre than this entry's, by that data centre."}
 	storeRestoresDefinition = Definition{"samphireweir_store_restores_total", CounterKind, nil,
 		"Restores of the platform's store from a copy, as this process noticed them."}
 	runsRefusedDefinition = Definition{"samphireweir_runs_refused_total", CounterKind, []string{"cause"},
@@ -97,7 +99,7 @@
 // Catalogue lists every metric, in the order of docs/METRICS.md.
 var Catalogue = []Definition{
 	requestsDefinition, refusalsDefinition, inFlightDefinition, waitingDefinition, yieldedDefinition, firstByteDefinition, totalDefinition,
-	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, waitDecisionsDefinition, predictedWaitDefinition, waitingForEndDefinition, runsRefusedDefinition,
+	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, movedRequestsDefinition, waitDecisionsDefinition, predictedWaitDefinition, waitingForEndDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, settingsDefinition,
 	panicsDefinition, storeRestoresDefinition, ownDelayDefinition, lateReadsDefinition, goroutinesDefinition, memoryDefinition,
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -19,6 +19,7 @@
 	UpstreamCalls                             Counter
 	UpstreamFirstByte                         Histogram
 	StartedLate, RunsRefused, UpstreamNotices Counter
+	MovedRequests                             Counter
 	Records, RecordBytes                      Counter
 	ControlCalls, ControlBytes, PlatformCalls Counter
 	Chunks, ChunkBytes, ChunksRefused         Counter
@@ -52,6 +53,7 @@
 	m.WaitDecisions = m.counter(waitDecisionsDefinition)
 	m.PredictedWait = m.histogram(predictedWaitDefinition)
 	m.WaitingForEnd = m.counter(waitingForEndDefinition)
+	m.MovedRequests = m.counter(movedRequestsDefinition)
 	m.RunsRefused = m.counter(runsRefusedDefinition)
 	m.Records = m.counter(recordsDefinition)
 	m.RecordBytes = m.counter(recordBytesDefinition)
