loadreport: when an engine is expected to accept requests

Load reports carry no prediction, so an entry learns of an engine's return only with the first report after it. The optional fields ReadyMS (w) and ReadyVersion (x) are added, decoded by the entry and passed to the reducer as LoadReported.ReadyIn and ReadyVersion. Nothing uses them yet; processes that do not know them ignore them.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -141,6 +141,10 @@
 	ColdRemaining time.Duration
 	// Slowdown is the engine's processing time relative to what its service declares, as a factor; 0 if it does not say.
 	Slowdown float64
+	// ReadyIn is the time until the agent expects the engine to accept requests, and ReadyVersion the version of weights that the engine
+	// will then hold. ReadyIn is 0 if that time is unknown or the engine accepts requests now.
+	ReadyIn      time.Duration
+	ReadyVersion int64
 	// Entries is the number of entries that this agent reports to, and NearEntries the number of these in its data centre.
 	Entries     int
 	NearEntries int
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -64,6 +64,7 @@
 			Address: m.Load.Address, StartedAt: m.Load.StartedAt, RequestCount: m.Load.RequestCount, NotAccepting: m.Load.NotAccepting,
 			Versions: m.Load.Versions, RateLimit: m.Load.RateLimit, Leaving: m.Load.Leaving, Entries: m.Load.Entries, NearEntries: m.Load.NearEntries,
 			ColdRemaining: time.Duration(m.Load.ColdMS) * time.Millisecond, Slowdown: m.Load.Slowdown,
+			ReadyIn: time.Duration(m.Load.ReadyMS) * time.Millisecond, ReadyVersion: m.Load.ReadyVersion,
 		})
 	}
 }
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -72,6 +72,10 @@
 	ColdMS int64 `json:"h,omitempty"`
 	// Slowdown is the factor by which the engine is slower than usual, as it reports itself; absent if it is not slower.
 	Slowdown float64 `json:"y,omitempty"`
+	// ReadyMS is the time from the sending until the engine is expected to accept requests, in milliseconds, and ReadyVersion is the
+	// version of weights that it will then hold. ReadyMS is 0 or absent if that time is unknown or the engine accepts requests now.
+	ReadyMS      int64 `json:"w,omitempty"`
+	ReadyVersion int64 `json:"x,omitempty"`
 	// Entries is the number of entries that recently sent a heartbeat to the agent, and NearEntries is the number of those in
 	// the agent's data centre.
 	Entries     int `json:"n"`
