versionplan: complete first the version that can be whole first

Cause: a host dropped an incomplete version as soon as a newer one was activated less than 2.5 s after it. Version 2 activated at 18.0 s and version 3 at 20.0 s with the origin away from 20.5 to 26.5 s thus left the fleet without any usable version from 27.7 s on.

Change: package versionplan predicts from the chunks that the fleet and the host lack, and from the rates of origin and link, when each version can be whole. It orders the fetches and decides on the load. weights.Want.Rank carries the order: a later rank leaves the origin to an earlier one that needs it and answers, and fetches one chunk at a time from peers beside it. What one transfer learns about the origin holds for all. A status 410 of the origin ends the fetches of that version there and is no outage.

TestSoonSupersededVersionIsDropped expected version 2 to be dropped 2 s after its activation, whatever the fleet had of it. That is the loss described above. It now requires this for 0.4 s, with the log of what is dropped, and TestNearlyCompleteVersionIsCompletedFirst requires the new order for 2 s. TestFirstRequiredVersionIsFetchedToTheEnd now states which chunks the fleet lacks.

--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -9,11 +9,14 @@
 package install
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/versionplan"
 )
 
 const (
@@ -133,6 +136,26 @@
 	Accepted bool
 }
 
+// TransfersRead reports what remains to be transferred to this host, as of now.
+type TransfersRead struct {
+	// Transfers are the wanted versions, by digest.
+	Transfers map[string]Transfer
+	// OriginRate and LinkRate are in bytes per second; 0 if unknown. OriginAway is set when the origin is known to be unreachable.
+	OriginRate, LinkRate float64
+	OriginAway           bool
+}
+
+// Transfer is what remains to be transferred of one version.
+type Transfer struct {
+	// Size is the size of the version, HostLacks that of the chunks that this host does not have, and FleetLacks that of those that no
+	// reachable host has. They are in bytes; Size is 0 until the chunk manifest is read.
+	Size, HostLacks, FleetLacks int64
+	// Chunks is the number of chunks, Held how many this host has, and Known how many it or a reachable peer has.
+	Chunks, Held, Known int
+	// Gone is set when the origin no longer sends the version.
+	Gone bool
+}
+
 // PeersChanged reports the hosts that load weights into engines of the same service, this host included.
 type PeersChanged struct{ Peers []string }
 
@@ -160,6 +183,9 @@
 // Event marks the type as an event.
 func (LoadOrderEnded) Event() {}
 
+// Event marks the type as an event.
+func (TransfersRead) Event() {}
+
 // Event marks the type as an event.
 func (PeersChanged) Event() {}
 
@@ -179,6 +205,8 @@
 	Model   string
 	Version int64
 	Digest  string
+	// Rank is the version's place in the fetch order; 0 comes first.
+	Rank int
 }
 
 // Prepare has the shell stage the chunks for the engine and read each one back.
@@ -203,6 +231,21 @@
 	MaxAcceptAge time.Duration
 }
 
+// VersionDropped has the shell log that an incomplete version is no longer wanted.
+type VersionDropped struct {
+	Model    string
+	Version  int64
+	Transfer Transfer
+	Reason   string
+}
+
+// PlanChanged has the shell log that the plan for a model has changed, with the inputs of the decision.
+type PlanChanged struct {
+	Model  string
+	Plan   versionplan.Plan
+	Inputs versionplan.Inputs
+}
+
 // PhaseChanged has the shell log that a version, or the engine for a model, entered a phase. The texts in Phase and Reason are logged as
 // they are.
 type PhaseChanged struct {
@@ -227,6 +270,12 @@
 // Effect marks the type as an effect.
 func (PhaseChanged) Effect() {}
 
+// Effect marks the type as an effect.
+func (VersionDropped) Effect() {}
+
+// Effect marks the type as an effect.
+func (PlanChanged) Effect() {}
+
 // version is one version of a model that may be loaded.
 type version struct {
 	number int64
@@ -243,7 +292,7 @@
 	// activatedAt maps each version to its activation time as far as known. It includes versions that the engine skips, because
 	// the expiry of the earlier versions is counted from their activation too.
 	activatedAt map[int64]time.Time
-	// versions are the versions that the engine may still need, oldest first; see retained.
+	// versions are the versions that the engine may still need, oldest first; see package versionplan.
 	versions []*version
 	// phase is the engine's phase for this model, and target the number of the version to load.
 	phase  Phase
@@ -251,6 +300,15 @@
 	// nextAt ends the wait of the phase: for the engine's turn in Waiting, for the answer in Ordering, for the order's effect in Loading
 	// and Unloading.
 	nextAt time.Time
+	// dropped holds the versions that were dropped before they were complete.
+	dropped map[int64]bool
+	// plan is the last plan. turnOf is the version for whose load nextAt is this engine's turn.
+	plan   versionplan.Plan
+	turnOf int64
+	// loggedAt is when a change of the plan was last logged.
+	loggedAt time.Time
+	// phaseSince is when the engine entered its phase.
+	phaseSince time.Time
 	// order is the last load order; nil once its weights are verified, and after a restart of the engine.
 	order *sentOrder
 }
@@ -261,6 +319,8 @@
 	Self string
 	// VersionLifetime is how long requests may still start on a version after a newer one was activated.
 	VersionLifetime time.Duration
+	// ChunkMemory is the size of the memory for chunks, in bytes; 0 for no limit.
+	ChunkMemory int64
 
 	models map[string]*model
 	peers  []string
@@ -277,6 +337,8 @@
 	registered []catalog.Instance
 	// complete holds the digests whose content is complete on this host.
 	complete map[string]bool
+	// transfers is the last reading of the transfers.
+	transfers TransfersRead
 }
 
 // NewState returns the state of an agent that knows nothing about its engine yet.
@@ -337,17 +399,19 @@
 // RequestCount returns the number of requests that the engine processes or has queued.
 func (s *State) RequestCount() int { return s.engine.RequestCount }
 
-// Wanted returns the versions whose chunks are wanted on this host. It includes complete versions, because other hosts may still
-// fetch them from here.
+// Wanted returns the versions whose chunks are wanted on this host, in the order in which they are fetched. It includes complete versions,
+// because other hosts may still fetch them from here.
 func (s *State) Wanted() []Want {
 	var wants []Want
 	for _, name := range s.Models() {
-		for _, v := range s.models[name].versions {
+		m := s.models[name]
+		for _, v := range m.versions {
 			if v.digest != "" {
-				wants = append(wants, Want{Model: name, Version: v.number, Digest: v.digest})
+				wants = append(wants, Want{Model: name, Version: v.number, Digest: v.digest, Rank: m.rank(v)})
 			}
 		}
 	}
+	slices.SortStableFunc(wants, func(a, b Want) int { return cmp.Compare(a.Rank, b.Rank) })
 	return wants
 }
 
@@ -393,6 +457,8 @@
 		s.registered = ev.Instances
 	case PeersChanged:
 		s.peers = ev.Peers
+	case TransfersRead:
+		s.transfers = ev
 	}
 	return append(effects, s.advance(in)...)
 }
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -1,6 +1,7 @@
 package install
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -13,23 +14,32 @@
 func (s *State) versionActivated(in step.Input, ev VersionActivated) []step.Effect {
 	m := s.models[ev.Model]
 	if m == nil {
-		m = &model{name: ev.Model, phase: Idle, activatedAt: map[int64]time.Time{}}
+		m = &model{name: ev.Model, phase: Idle, activatedAt: map[int64]time.Time{}, dropped: map[int64]bool{}}
 		s.models[ev.Model] = m
 	}
 	m.recordActivation(ev.Version, in.Now.Add(-ev.Age))
 	var effects []step.Effect
-	if len(m.versions) == 0 || ev.Version > m.newest().number {
+	if s.mayBeNeeded(in.Now, m, ev.Version) {
 		v := &version{number: ev.Version, phase: Resolving, nextAt: in.Now.Add(resolveTimeout)}
-		m.versions = append(m.retained(m.activatedAt[ev.Version]), v)
+		m.versions = append(m.versions, v)
+		slices.SortFunc(m.versions, func(a, b *version) int { return cmp.Compare(a.number, b.number) })
 		// The reason "named" means that the version was activated. It is logged, so it stays.
 		effects = []step.Effect{Resolve{Model: m.name, Version: v.number}, WantedChanged{}, m.phaseChanged(v.number, Resolving, "named")}
 	}
-	if m.phase == Waiting && m.newestComplete() != nil {
-		m.nextAt = in.Now.Add(s.turnDelay(in.Now, m, s.usableVersion(m.name)))
-	}
+	m.turnOf = 0
 	return effects
 }
 
+// mayBeNeeded reports whether the version is unknown here and the engine may still need it. An older version than the newest known one is
+// reported to a process that starts; it may be the only one that the fleet can complete.
+func (s *State) mayBeNeeded(now time.Time, m *model, number int64) bool {
+	if len(m.versions) == 0 || number > m.newest().number {
+		return true
+	}
+	held, until := s.usableVersion(m.name), s.usableUntil(m, number)
+	return m.version(number) == nil && !m.dropped[number] && number > held && m.newest().phase != Fetched && now.Before(until)
+}
+
 // maxActivations bounds the activations kept per model. Only those of the last seconds are needed.
 const maxActivations = 16
 
@@ -40,22 +50,6 @@
 	}
 }
 
-// retained returns the versions to keep when a newer one, activated at the time newer, is added. These are the complete versions, and
-// the oldest of those being fetched that were activated at least minUse before the newer one and are thus usable long enough. Only one is
-// kept of those being fetched, because they share the links with the newer version and delay it.
-func (m *model) retained(newer time.Time) []*version {
-	var list []*version
-	fetching := false
-	for _, v := range m.versions {
-		useful := v.phase == Fetching && !fetching && newer.Sub(m.activatedAt[v.number]) >= minUse
-		if v.phase == Fetched || useful {
-			list = append(list, v)
-			fetching = fetching || useful
-		}
-	}
-	return list
-}
-
 func (m *model) newest() *version { return m.versions[len(m.versions)-1] }
 
 func (m *model) version(number int64) *version {
@@ -141,7 +135,7 @@
 		m := s.models[name]
 		m.order = nil
 		if m.phase != Idle {
-			effects = append(effects, m.enter(Idle, in.Now, "the engine restarted")...)
+			effects = append(effects, m.enter(in.Now, Idle, in.Now, "the engine restarted")...)
 		}
 	}
 	return effects
@@ -173,12 +167,12 @@
 		return nil
 	}
 	if !ev.OK {
-		return m.enter(Waiting, in.Now.Add(prepareRetry), "chunks could not be staged")
+		return m.enter(in.Now, Waiting, in.Now.Add(prepareRetry), "chunks could not be staged")
 	}
 	if !s.responding(in.Now) {
-		return m.enter(Waiting, in.Now.Add(prepareRetry), "the engine does not respond")
+		return m.enter(in.Now, Waiting, in.Now.Add(prepareRetry), "the engine does not respond")
 	}
-	return append(m.enter(Ordering, in.Now.Add(orderTimeout), "chunks read back"), s.newOrder(m, ev.CheckedAt))
+	return append(m.enter(in.Now, Ordering, in.Now.Add(orderTimeout), "chunks read back"), s.newOrder(m, ev.CheckedAt))
 }
 
 func (s *State) loadOrderEnded(in step.Input, ev LoadOrderEnded) []step.Effect {
@@ -195,7 +189,7 @@
 		// The engine may have accepted it all the same. The next reading shows that.
 		why = "order not confirmed"
 	}
-	return m.enter(Loading, in.Now.Add(orderRetry), why)
+	return m.enter(in.Now, Loading, in.Now.Add(orderRetry), why)
 }
 
 // advance moves each model to its next phase as far as the engine's state and the time allow.
@@ -204,6 +198,7 @@
 	for _, name := range s.Models() {
 		m := s.models[name]
 		effects = append(effects, s.advanceVersions(in, m)...)
+		effects = append(effects, s.updatePlan(in, m)...)
 		effects = append(effects, s.advanceEngine(in, m)...)
 	}
 	return effects
@@ -219,9 +214,7 @@
 			effects = append(effects, Resolve{Model: m.name, Version: v.number, EarlierAttempts: v.attempts})
 		case v.phase == Fetching && s.complete[v.digest]:
 			v.phase = Fetched
-			if m.phase == Waiting {
-				m.nextAt = in.Now.Add(s.turnDelay(in.Now, m, s.usableVersion(m.name)))
-			}
+			m.turnOf = 0
 			effects = append(effects, m.phaseChanged(v.number, Fetched, "every chunk is on this host"))
 		}
 	}
@@ -244,21 +237,22 @@
 	case Idle:
 		if v := m.newestComplete(); v != nil && responding && v.number != held {
 			m.target = v.number
-			return m.enter(Waiting, in.Now.Add(s.turnDelay(in.Now, m, held)), "the engine holds another version")
+			m.turnOf = 0
+			return m.enter(in.Now, Waiting, in.Now, "the engine holds another version")
 		}
 	case Waiting:
 		return s.leaveWaiting(in, m, responding, held, due)
 	case Ordering:
 		if due {
-			return m.enter(Loading, in.Now.Add(orderRetry), "order unanswered")
+			return m.enter(in.Now, Loading, in.Now.Add(orderRetry), "order unanswered")
 		}
 	case Loading:
 		if responding && !s.engine.Busy && (due || held == m.target) {
-			return m.enter(Idle, in.Now, "the load has ended")
+			return m.enter(in.Now, Idle, in.Now, "the load has ended")
 		}
 	case Unloading:
 		if responding && !s.engine.Busy && (due || s.engine.Loaded[m.name] == 0) {
-			return m.enter(Idle, in.Now, "the unload has ended")
+			return m.enter(in.Now, Idle, in.Now, "the unload has ended")
 		}
 	}
 	return nil
@@ -278,56 +272,28 @@
 func (s *State) leaveWaiting(in step.Input, m *model, responding bool, held int64, due bool) []step.Effect {
 	v := m.newestComplete()
 	if v == nil || responding && v.number == held {
-		return m.enter(Idle, in.Now, "nothing to load")
+		return m.enter(in.Now, Idle, in.Now, "nothing to load")
+	}
+	if m.plan.Load == 0 {
+		m.turnOf = 0
+		return nil
 	}
-	if !responding || s.engine.Busy || !due || s.notWorthLoading(in.Now, m, v, held) {
+	if m.turnOf != m.plan.Load {
+		m.turnOf, m.nextAt = m.plan.Load, in.Now.Add(s.turnDelay(in.Now, m, held))
+		due = !in.Now.Before(m.nextAt)
+	}
+	if v = m.version(m.plan.Load); v == nil || !responding || s.engine.Busy || !due {
 		return nil
 	}
 	m.target = v.number
 	if held != m.target && s.engine.Loaded[m.name] == m.target {
 		return s.unload(in, m)
 	}
-	return append(m.enter(Preparing, in.Now, "its turn"), Prepare{Model: m.name, Version: v.number, Digest: v.digest})
-}
-
-// supersededVersionWait is how long an engine that skips a version still waits for the next one, from the time at which entries stop
-// sending requests to the version that it holds.
-const supersededVersionWait = time.Second
-
-// minUse is the minimum time for which a version must be usable for its load to be worthwhile. During a load, an engine accepts no
-// requests for about usualLoadTime. A version that is superseded sooner costs more capacity than it adds.
-const minUse = 2500 * time.Millisecond
-
-// idleLoadTime is the approximate load time of an engine without running requests. minIdleUse is the minimum time for which a version
-// must be usable after such a load for it to be worthwhile. It is shorter than minUse, because such a load costs no capacity.
-const (
-	idleLoadTime = 500 * time.Millisecond
-	minIdleUse   = 500 * time.Millisecond
-)
-
-// notWorthLoading reports whether a newer version is required so soon that the engine should skip v and wait for that one. For an
-// engine that receives no requests, a shorter use is enough. There are two such cases: the engine holds no version, or the version that
-// it holds is no longer usable.
-func (s *State) notWorthLoading(now time.Time, m *model, v *version, held int64) bool {
-	until := s.usableUntil(m, v.number)
-	if until.IsZero() || !now.Before(until.Add(loadAnywayAfter)) {
-		return false
-	}
-	heldUntil := s.usableUntil(m, held)
-	if held == 0 || !heldUntil.IsZero() && !now.Before(heldUntil) {
-		return until.Sub(now.Add(idleLoadTime)) < minIdleUse
-	}
-	from := now.Add(usualLoadTime)
-	if heldUntil.After(from) {
-		from = heldUntil
-	}
-	return until.Sub(from) < minUse
+	return append(m.enter(in.Now, Preparing, in.Now, "its turn"), Prepare{Model: m.name, Version: v.number, Digest: v.digest})
 }
 
-// loadAnywayAfter is how long after the end of its usable time an old version is loaded after all. The newer version may not arrive, for
-// example while the origin is down. This host may then drop the newer version in favour of a still newer one (see retained), or hold only
-// a part of its chunks. The engine shouldn't stay empty until a newer version is complete.
-const loadAnywayAfter = 10 * time.Second
+// idleLoadTime is the approximate load time of an engine without running requests.
+const idleLoadTime = 500 * time.Millisecond
 
 // usualLoadTime is the approximate time that an engine takes to complete its running requests and to load.
 const usualLoadTime = 2 * time.Second
@@ -341,30 +307,33 @@
 // The delay is 0 where there is nothing to take turns for: the engine holds no version, entries no longer send requests to the version
 // that it holds, or no other peer is known. It is also 0 while this host isn't among the known peers, because it then has no rank.
 //
-// When a still newer version has been activated, only half of the engines load this one. The others serve their version as long as it
-// is usable and then load the newer one directly, because each load costs an engine the time to complete its running requests.
+// When a still newer version has been activated, the engines that load this one must accept requests again when the others stop. These are
+// all of them or one half; see package versionplan.
 func (s *State) turnDelay(now time.Time, m *model, held int64) time.Duration {
-	best := m.newestComplete()
-	until := s.usableUntil(m, held)
-	window := until.Sub(now)
-	position, n := step.Position(m.name, s.Self, s.peers), len(s.peers)
+	window := s.usableUntil(m, held).Sub(now)
+	position, n := s.turn(m)
 	if held == 0 || window <= 0 || n < 2 || position < 0 {
 		return 0
 	}
-	if best.number%2 == 1 {
-		position = n - 1 - position
+	if m.newestComplete() != m.newest() {
+		window = max(0, window-usualLoadTime)
 	}
-	if best != m.newest() {
+	if m.plan.Half {
 		n = (n + 1) / 2
-		if position >= n {
-			return window + supersededVersionWait
-		}
-		// These engines must accept requests again when the others stop.
-		window = max(0, window-usualLoadTime)
 	}
 	return window * time.Duration(position) / time.Duration(n)
 }
 
+// turn returns this engine's position in the order in which the engines load the newest complete version, and the number of engines. The
+// position is negative while this host isn't among the known peers.
+func (s *State) turn(m *model) (position, n int) {
+	position, n = step.Position(m.name, s.Self, s.peers), len(s.peers)
+	if best := m.newestComplete(); position >= 0 && best != nil && best.number%2 == 1 {
+		position = n - 1 - position
+	}
+	return position, n
+}
+
 // usableUntil returns until when entries send requests to an engine that holds the version with this number: until they require the
 // newer version that was activated first. This engine need not hold the version yet. The number 0 stands for no version. The zero time
 // means that no end is known.
@@ -382,9 +351,10 @@
 }
 
 // enter sets the engine's phase for the model, and nextAt to next.
-func (m *model) enter(p Phase, next time.Time, why string) []step.Effect {
+func (m *model) enter(now time.Time, p Phase, next time.Time, why string) []step.Effect {
 	m.phase = p
 	m.nextAt = next
+	m.phaseSince = now
 	return []step.Effect{m.phaseChanged(m.target, p, why)}
 }
 
--- a/internal/core/weights/burst.go
+++ b/internal/core/weights/burst.go
@@ -28,6 +28,11 @@
 	self       Peer
 	selfHash   uint64
 	fetchCount *uint64
+	origin     *originMeter
+	// siblings are the bursts of this host, by digest. rank is the burst's own rank among them, since rankedAt.
+	siblings map[string]*Burst
+	rank     int
+	rankedAt time.Time
 
 	// peers are all other hosts that have wanted the version since the burst began. Those that no
 	// longer want it stay in the slice, so that indexes never change.
@@ -82,8 +87,16 @@
 	originRetryAt  time.Time
 	originFailures int
 	outage         outage
-	startedAt      time.Time
-	completedAt    time.Time
+	// lastOriginProgress is when this host last learned that a chunk of this version had come from the origin.
+	lastOriginProgress time.Time
+	// originGone is set once the origin has answered that it no longer sends the version.
+	originGone bool
+	// reservedAt is when a burst of an earlier rank last had the origin for itself.
+	reservedAt time.Time
+	// listing is set while a complete list of a peer's chunks is read. It says nothing about when they came from the origin.
+	listing     bool
+	startedAt   time.Time
+	completedAt time.Time
 	// fallbackTurns is the number of idle turns after which this host began to fetch any missing
 	// chunk from the origin; 0 while it does not. See fetchFallback.
 	fallbackTurns int
@@ -141,6 +154,7 @@
 func newBurst(s *State, in step.Input, w Want) *Burst {
 	return &Burst{
 		Ref: w.Ref, Digest: w.Digest, mode: s.Mode, self: s.Self, selfHash: hostHash(s.Self.Address), fetchCount: &s.fetchCount,
+		origin: &s.origin, siblings: s.Bursts, rank: w.Rank, rankedAt: in.Now,
 		index: map[string]int{}, inFlight: map[uint64]*chunkFetch{}, pendingAnnouncements: map[int][]int{}, tookOverPart: map[int]bool{},
 		startedAt: in.Now, timing: newTiming(in.Now), outage: outage{lastOriginChunkAt: in.Now},
 	}
@@ -167,6 +181,7 @@
 	for _, i := range ev.Held {
 		b.markHeld(i)
 	}
+	b.listing = true
 	for i, p := range b.peers {
 		for c, has := range p.have {
 			if has && c < n {
@@ -174,6 +189,7 @@
 			}
 		}
 	}
+	b.listing = false
 	if b.complete() {
 		b.completedAt = in.Now
 	}
@@ -254,6 +270,7 @@
 		b.originFailures = 0
 		b.blockedBy = 0
 		b.recordOriginChunk(in.Now, true)
+		b.recordOriginProgress(in.Now, size)
 		b.recordPartChunk(in, ev.Index)
 		b.queueForCandidates(ev.Index)
 	}
--- a/internal/core/weights/fetch.go
+++ b/internal/core/weights/fetch.go
@@ -44,7 +44,8 @@
 	if b.mode == Tiers {
 		effects = b.fetchAsDelegate(in, &r)
 	}
-	for b.peerFetches < b.peerFetchLimit() {
+	limit := b.peerFetchLimit(in.Now)
+	for b.peerFetches < limit {
 		c, p, found := b.pickRarest(in, &r)
 		if !found {
 			break
@@ -56,8 +57,11 @@
 
 // peerFetchLimit is the number of concurrent fetches from peers allowed now, at least 1. A burst
 // begins with few, because the capacity of the link to this host is not yet known.
-func (b *Burst) peerFetchLimit() int {
+func (b *Burst) peerFetchLimit(now time.Time) int {
 	limit := min(maxPeerFetches, initialPeerFetches+len(b.arrivalOrder)/2)
+	if b.peersReserved(now) {
+		return laterPeerFetches
+	}
 	slowdown := float64(b.timing.peerFetchTime) / float64(expectedFetchTime)
 	if slowdown <= 1 {
 		return limit
@@ -123,7 +127,11 @@
 	}
 	candidates := append([]int(nil), b.farChunks.items...)
 	start := r.intN(n)
-	for k := 0; k < n && b.peerFetches < b.peerFetchLimit()+extraDelegateFetches; k++ {
+	limit := b.peerFetchLimit(in.Now)
+	if limit > laterPeerFetches || b.rank == 0 {
+		limit += extraDelegateFetches
+	}
+	for k := 0; k < n && b.peerFetches < limit; k++ {
 		c := candidates[(start+k)%n]
 		if b.available(in, b.chunks[c].nearHolders) {
 			continue
--- /dev/null
+++ b/internal/core/weights/order.go
@@ -0,0 +1,217 @@
+package weights
+
+import (
+	"time"
+
+	"samphireweir.example/samphireweir/internal/core/step"
+)
+
+const (
+	// laterPeerFetches bounds the fetches from peers of a burst while one of an earlier rank can fetch from peers.
+	laterPeerFetches = 1
+	// baseReservation is how long, beyond the time that its chunks should take, the origin is reserved for a burst of an earlier rank
+	// without a new chunk. Its chunks may be out of reach for their fetchers alone, and the later burst must not wait for good.
+	baseReservation = 300 * time.Millisecond
+	// reservationFactor multiplies the time that the chunks which the fetchers fetch at the same time should take.
+	reservationFactor = 1.5
+	// probeInterval is the time between two origin fetches of a later burst on this host during an outage. The earlier burst's fetchers ask
+	// more often, and get the origin first when it is back.
+	probeInterval = 2 * time.Second
+	// minRateWindow is the minimum time over which the origin's rate is measured, and maxRateGap the maximum time between two chunks of
+	// one measurement. All origin fetchers share the origin's link, so their chunks often arrive together.
+	minRateWindow = 400 * time.Millisecond
+	maxRateGap    = 1500 * time.Millisecond
+)
+
+// originMeter measures the rate at which chunks come from the origin to any host of the fleet, as far as this host learns of them.
+type originMeter struct {
+	// rate is in bytes per second; 0 until it is measured.
+	rate float64
+	// windowAt is the beginning of the present measurement, bytes what has arrived since, and lastAt when a chunk last arrived.
+	windowAt, lastAt time.Time
+	bytes            int64
+}
+
+// add records a chunk that came from the origin.
+func (m *originMeter) add(now time.Time, size int64) {
+	if now.Sub(m.lastAt) > maxRateGap {
+		m.windowAt, m.bytes = now, 0
+		m.lastAt = now
+		return // The time that this chunk took is not known.
+	}
+	m.bytes += size
+	m.lastAt = now
+	elapsed := now.Sub(m.windowAt)
+	if elapsed < minRateWindow {
+		return
+	}
+	sample := float64(m.bytes) / elapsed.Seconds()
+	if m.rate == 0 {
+		m.rate = sample
+	}
+	m.rate += (sample - m.rate) / 2
+	m.windowAt, m.bytes = now, 0
+}
+
+// Transfer is what remains to be transferred of a version.
+type Transfer struct {
+	// Size is the size of the version, HostLacks that of the chunks that this host does not have, and FleetLacks that of those that no
+	// reachable host has. They are in bytes; all are 0 until the manifest is read.
+	Size, HostLacks, FleetLacks int64
+	// Chunks is the number of chunks, Held how many this host has, and Known how many it or a reachable peer has.
+	Chunks, Held, Known int
+	// Gone is set when the origin no longer sends the version.
+	Gone bool
+	// Stalled is set when the fleet lacks chunks and none has come from the origin for longer than the origin should take.
+	Stalled bool
+}
+
+// Transfers returns what remains of each wanted version, by digest.
+func (s *State) Transfers(now time.Time) map[string]Transfer {
+	list := make(map[string]Transfer, len(s.Bursts))
+	for digest, b := range s.Bursts {
+		list[digest] = b.transfer(now)
+	}
+	return list
+}
+
+func (b *Burst) transfer(now time.Time) Transfer {
+	if b.Manifest == nil {
+		return Transfer{}
+	}
+	t := Transfer{Size: b.Manifest.Size, Chunks: len(b.chunks), Held: len(b.chunks) - b.missing.len(), Known: len(b.chunks), Gone: b.originGone}
+	for _, c := range b.missing.items {
+		size := b.Manifest.Chunks[c].Size
+		t.HostLacks += size
+		if !b.reachable(now, c) {
+			t.FleetLacks += size
+			t.Known--
+		}
+	}
+	t.Stalled = t.Known < t.Chunks && !b.originReserved(now) && !now.Before(b.reservedUntil(now))
+	return t
+}
+
+// reachable reports whether a reachable peer is known to have the chunk.
+func (b *Burst) reachable(now time.Time, c int) bool {
+	return b.availableAt(now, b.chunks[c].nearHolders) || b.availableAt(now, b.chunks[c].farHolders)
+}
+
+// OriginRate returns the measured rate of the origin in bytes per second; 0 until it is measured.
+func (s *State) OriginRate() float64 { return s.origin.rate }
+
+// OriginAway reports whether the origin is considered unavailable.
+func (s *State) OriginAway(now time.Time) bool { return originAway(s.Bursts, now) }
+
+func originAway(bursts map[string]*Burst, now time.Time) bool {
+	for _, b := range bursts {
+		if !b.complete() && b.outage.ongoing(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// shareOriginState lets the other bursts know that the origin answers, after a chunk of the burst came from it.
+func (s *State) shareOriginState(in step.Input, from *Burst) []step.Effect {
+	if !from.lastOriginProgress.Equal(in.Now) {
+		return nil
+	}
+	var effects []step.Effect
+	for _, digest := range sortedDigests(s.Bursts) {
+		if b := s.Bursts[digest]; b != from && !b.complete() && b.outage.ongoing(in.Now) {
+			b.recordOriginChunk(in.Now, from.outage.ownFetchSucceeded)
+			effects = append(effects, b.scheduleFetches(in)...)
+		}
+	}
+	return effects
+}
+
+// setRank sets the burst's rank among the wanted versions.
+func (b *Burst) setRank(now time.Time, rank int) {
+	if b.rank != rank {
+		b.rank, b.rankedAt = rank, now
+	}
+}
+
+// earlierBursts returns the incomplete bursts of an earlier rank.
+func (b *Burst) earlierBursts() []*Burst {
+	if b.rank == 0 {
+		return nil
+	}
+	var list []*Burst
+	for _, other := range b.siblings {
+		if other.rank < b.rank && !other.complete() {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
+// originReserved reports whether a burst of an earlier rank has the origin for itself. During an outage this burst still asks now and then,
+// because it may learn first that the origin is back.
+func (b *Burst) originReserved(now time.Time) bool {
+	for _, earlier := range b.earlierBursts() {
+		if earlier.originGone || !earlier.needsOrigin(now) {
+			continue
+		}
+		reserved := now.Before(earlier.reservedUntil(now))
+		if originAway(b.siblings, now) {
+			reserved = now.Sub(b.outage.lastOwnFailure) < probeInterval
+		}
+		if reserved {
+			b.reservedAt = now
+			return true
+		}
+	}
+	return false
+}
+
+// needsOrigin reports whether no reachable host has some chunk of the burst.
+func (b *Burst) needsOrigin(now time.Time) bool {
+	if b.Manifest == nil {
+		return true
+	}
+	for _, c := range b.missing.items {
+		if !b.reachable(now, c) {
+			return true
+		}
+	}
+	return false
+}
+
+// reservedUntil is until when the origin should have sent the next chunk of the burst to some host.
+func (b *Burst) reservedUntil(now time.Time) time.Time {
+	since := b.startedAt
+	for _, at := range []time.Time{b.lastOriginProgress, b.outage.endedAt, b.rankedAt, b.reservedAt} {
+		if at.After(since) {
+			since = at
+		}
+	}
+	if b.Manifest == nil || b.origin.rate <= 0 {
+		return since.Add(max(2*b.partTimeout(), firstOriginChunkTimeout))
+	}
+	bytes, chunks := int64(0), 0
+	for _, c := range b.missing.items {
+		if chunks < originPartCount && !b.reachable(now, c) {
+			bytes += b.Manifest.Chunks[c].Size
+			chunks++
+		}
+	}
+	return since.Add(baseReservation + time.Duration(reservationFactor*float64(bytes)/b.origin.rate*float64(time.Second)))
+}
+
+// peersReserved reports whether a burst of an earlier rank can fetch from peers.
+func (b *Burst) peersReserved(now time.Time) bool {
+	for _, earlier := range b.earlierBursts() {
+		if earlier.peerFetches > 0 {
+			return true
+		}
+		for _, c := range earlier.nearChunks.items {
+			if earlier.availableAt(now, earlier.chunks[c].nearHolders) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/core/weights/origin.go
+++ b/internal/core/weights/origin.go
@@ -43,7 +43,7 @@
 
 // fetchFromOrigin starts the fetches from the weight store or the origin that this host may make.
 func (b *Burst) fetchFromOrigin(in step.Input, r *random) []step.Effect {
-	if in.Now.Before(b.originRetryAt) {
+	if b.originGone || in.Now.Before(b.originRetryAt) || b.originReserved(in.Now) {
 		return nil
 	}
 	switch b.mode {
@@ -219,6 +219,9 @@
 	case NoMemory:
 		b.recordMemoryFull(in, ev.Index)
 		return
+	case Gone:
+		b.originGone = true
+		return
 	case Corrupt, Changed:
 		b.Counts.Corrupt++
 		b.Counts.Wasted += b.Manifest.Chunks[ev.Index].Size
--- a/internal/core/weights/state.go
+++ b/internal/core/weights/state.go
@@ -25,6 +25,8 @@
 	earlyPeers map[string][]string
 	// fetchCount is the number of fetches so far; it is also the ID of the last one.
 	fetchCount uint64
+	// origin measures the origin's rate.
+	origin originMeter
 	// nextBlockedReport is the earliest time of the next report of blocked bursts.
 	nextBlockedReport time.Time
 }
@@ -68,6 +70,7 @@
 	b := s.Bursts[w.Digest]
 	if b != nil {
 		b.Policy = w.Policy
+		b.setRank(in.Now, w.Rank)
 		return b.setPeers(in, w.Peers)
 	}
 	var effects []step.Effect
@@ -116,17 +119,17 @@
 		}
 		s.Yield.disabled = ev.NoYield
 	case ManifestRead:
-		return s.withBurst(ev.Digest, func(b *Burst) []step.Effect { return b.start(in, ev) })
+		return s.withBurst(in, ev.Digest, func(b *Burst) []step.Effect { return b.start(in, ev) })
 	case ManifestFailed:
-		return s.withBurst(ev.Digest, func(b *Burst) []step.Effect { return b.manifestFailed(in, ev) })
+		return s.withBurst(in, ev.Digest, func(b *Burst) []step.Effect { return b.manifestFailed(in, ev) })
 	case ChunkStored:
-		return s.withBurst(ev.Digest, func(b *Burst) []step.Effect { return b.chunkStored(in, ev) })
+		return s.withBurst(in, ev.Digest, func(b *Burst) []step.Effect { return b.chunkStored(in, ev) })
 	case ChunkFailed:
-		return s.withBurst(ev.Digest, func(b *Burst) []step.Effect { return b.chunkFailed(in, ev) })
+		return s.withBurst(in, ev.Digest, func(b *Burst) []step.Effect { return b.chunkFailed(in, ev) })
 	case PeerHas:
 		return s.peerHas(in, ev)
 	case PeerSilent:
-		return s.withBurst(ev.Digest, func(b *Burst) []step.Effect { return b.peerSilent(in, ev.From) })
+		return s.withBurst(in, ev.Digest, func(b *Burst) []step.Effect { return b.peerSilent(in, ev.From) })
 	case UploadRequested:
 		return s.Uploads.request(ev, s.tierOf(ev.From))
 	case UploadEnded:
@@ -149,13 +152,13 @@
 
 // withBurst passes an event to the burst with the given digest. If the event completes the burst,
 // retired versions that were kept for their shared chunks may be dropped.
-func (s *State) withBurst(digest string, f func(*Burst) []step.Effect) []step.Effect {
+func (s *State) withBurst(in step.Input, digest string, f func(*Burst) []step.Effect) []step.Effect {
 	b := s.Bursts[digest]
 	if b == nil {
 		return nil
 	}
 	before := b.complete()
-	effects := f(b)
+	effects := append(f(b), s.shareOriginState(in, b)...)
 	if !before && b.complete() {
 		effects = append(effects, Completed{Digest: digest, Took: b.completedAt.Sub(b.startedAt), Counts: b.Counts})
 		effects = append(effects, s.dropRetired()...)
@@ -168,7 +171,7 @@
 		s.rememberEarlyPeer(ev)
 		return nil
 	}
-	return s.withBurst(ev.Digest, func(b *Burst) []step.Effect { return b.peerHas(in, ev) })
+	return s.withBurst(in, ev.Digest, func(b *Burst) []step.Effect { return b.peerHas(in, ev) })
 }
 
 func (s *State) rememberEarlyPeer(ev PeerHas) {
--- a/internal/core/weights/weights.go
+++ b/internal/core/weights/weights.go
@@ -71,6 +71,8 @@
 	Digest string
 	Policy setting.Policy
 	Peers  []Peer
+	// Rank orders the wanted versions; 0 comes first. Bursts of the same rank don't wait for each other.
+	Rank int
 }
 
 // Event is an input event of this reducer.
@@ -143,6 +145,8 @@
 	NoMemory
 	// Missing means that the sender does not have the chunk.
 	Missing
+	// Gone means that the source no longer sends the version.
+	Gone
 )
 
 // ChunkFailed reports that a chunk could not be fetched from its source, or did not match its
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -111,6 +111,7 @@
 		install:  install.NewState(self, host.VersionLifetime),
 		reporter: newReporter(), timeouts: defaultTimeouts(), ownDelay: owndelay.New(log, m, step.TickInterval, nil),
 	}
+	a.install.ChunkMemory = host.MemoryBytes / chunkMemoryDivisor
 	a.catalog.ListedActivatedAt = time.Now().Add(-host.AssumedVersionAge())
 	a.origin = platform.NewOrigin(originClient, a.originParams)
 	a.fetcher = &transfer.Fetcher{
@@ -170,6 +171,9 @@
 	in := step.Input{Now: time.Now(), Rand: rand.Uint64(), Event: ev}
 	effects := a.catalog.Reduce(in)
 	effects = append(effects, a.weights.Reduce(in)...)
+	if _, ok := ev.(step.Tick); ok {
+		a.reduce(a.transfersRead(in.Now))
+	}
 	effects = append(effects, a.install.Reduce(in)...)
 	for _, e := range effects {
 		a.execute(in, e)
@@ -187,10 +191,13 @@
 	}
 	switch e := e.(type) {
 	case catalog.ActivationChanged:
+		a.reduce(a.transfersRead(in.Now))
 		a.reduce(install.VersionActivated{Model: e.Activation.Model, Version: e.Activation.Version, Age: in.Now.Sub(e.Activation.ActivatedAt)})
 	case install.PhaseChanged:
 		logevent.Info(a.log, logevent.InstallPhaseChanged).Str("model", e.Model).Int64("version", e.Version).Str("phase", string(e.Phase)).
 			Str("why", e.Reason).Msg("install phase changed")
+	case install.PlanChanged, install.VersionDropped:
+		a.logPlan(e)
 	case install.Resolve:
 		go a.resolve(e)
 	case install.WantedChanged:
@@ -203,6 +210,7 @@
 		go a.orderUnload(e)
 	case weights.Completed:
 		a.fetcher.Execute(e)
+		a.countCompleted(e.Digest)
 		a.reduce(install.ContentComplete{Digest: e.Digest})
 	default:
 		a.fetcher.Execute(e)
@@ -227,7 +235,7 @@
 	peers := a.peers()
 	for _, w := range a.install.Wanted() {
 		wants = append(wants, weights.Want{
-			Ref: ref(w.Model, w.Version), Digest: w.Digest, Policy: setting.TimeFirst, Peers: peers,
+			Ref: ref(w.Model, w.Version), Digest: w.Digest, Policy: setting.TimeFirst, Peers: peers, Rank: w.Rank,
 		})
 	}
 	for _, e := range a.weights.SetWants(in, wants) {
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -46,6 +46,8 @@
 	InstallPhaseChanged    ID = 3012
 	EngineCallFailed       ID = 3013
 	UnloadOrdered          ID = 3014
+	VersionPlanChanged     ID = 3015
+	VersionDropped         ID = 3016
 	RequestRefused         ID = 4001
 	AttemptFailed          ID = 4002
 	StreamResumed          ID = 4003
@@ -108,6 +110,8 @@
 	{InstallPhaseChanged, "install phase changed", "The installation of a version of weights on this host's engine entered another phase; the field why gives the reason."},
 	{EngineCallFailed, "engine call failed", "A call to this host's engine failed; it is retried."},
 	{UnloadOrdered, "unload ordered", "The agent sent an engine the order to drop weights that it did not load from checked chunks. It gets no requests until it has loaded the version again."},
+	{VersionPlanChanged, "version plan changed", "The agent changed the order in which it fetches the versions of a model, or the version that its engine is to load (load, 0 for none; half: only by half of the engines); why gives the reason. held is the version that the engine holds, held_for_ms how long requests are still sent to it, versions the bytes that the fleet and this host lack of each version, origin_rate and link_rate bytes per second. ready_version is the version with which the engine is expected to accept requests again, 0 while it accepts them or if that is unknown."},
+	{VersionDropped, "version dropped", "An incomplete version is no longer wanted on this host. chunks is the number of its chunks, held how many this host has, known how many it or a reachable host has; why gives the reason. Expected when versions are activated quickly after each other; if known is nearly chunks, the version could have been used."},
 	{RequestRefused, "request refused", "A request was refused; the field code is the result code, ran says whether an upstream ran it."},
 	{AttemptFailed, "attempt failed", "One attempt of a request failed; the request may be retried at another upstream."},
 	{StreamResumed, "stream resumed", "A stream was resumed over a new connection."},
--- a/internal/source/client.go
+++ b/internal/source/client.go
@@ -19,6 +19,9 @@
 // ErrNotFound means that the source does not have the version.
 var ErrNotFound = errors.New("version not found at the source")
 
+// ErrGone means that the source no longer has the version, because later ones have replaced it.
+var ErrGone = errors.New("version no longer at the source")
+
 // BusyError means that the source rejected a call because of a rate limit. RetryAfter is the delay before the next try.
 type BusyError struct{ RetryAfter time.Duration }
 
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -71,6 +71,10 @@
 		"Failed fetches of chunks, by cause: broken, busy, corrupt, changed, no-memory or missing; the source origin includes the weight store."}
 	loadsDefinition = Definition{"samphireweir_loads_total", CounterKind, []string{"result"},
 		"Load and role orders to this agent's engines: ordered, done, failed, or refused because of an old fencing number."}
+	versionsDefinition = Definition{"samphireweir_versions_total", CounterKind, []string{"result"},
+		"Versions of weights on this host that a newer one had superseded: completed all the same, or dropped incomplete."}
+	engineReadyDefinition = Definition{"samphireweir_engine_ready_seconds", GaugeKind, nil,
+		"Predicted time until this host's engine accepts requests again; 0 while it does and if the time is unknown."}
 	settingsDefinition = Definition{"samphireweir_settings_applied_total", CounterKind, nil,
 		"Revisions of settings that came into force in this process."}
 	panicsDefinition = Definition{"samphireweir_panics_total", CounterKind, []string{"where"},
@@ -89,6 +93,6 @@
 	requestsDefinition, refusalsDefinition, inFlightDefinition, firstByteDefinition, totalDefinition,
 	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
-	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, settingsDefinition,
+	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, versionsDefinition, engineReadyDefinition, settingsDefinition,
 	panicsDefinition, storeRestoresDefinition, ownDelayDefinition, lateReadsDefinition, goroutinesDefinition, memoryDefinition,
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -21,9 +21,9 @@
 	Records, RecordBytes                      Counter
 	ControlCalls, ControlBytes, PlatformCalls Counter
 	Chunks, ChunkBytes, ChunksRefused         Counter
-	Loads, Settings, Panics                   Counter
+	Loads, Versions, Settings, Panics         Counter
 	StoreRestores                             Counter
-	OwnDelay                                  DurationGauge
+	OwnDelay, EngineReady                     DurationGauge
 	LateReads                                 Counter
 
 	// exposed lists the metrics in the order in which Write writes them.
@@ -54,6 +54,8 @@
 	m.ChunkBytes = m.counter(chunkBytesDefinition)
 	m.ChunksRefused = m.counter(chunksRefusedDefinition)
 	m.Loads = m.counter(loadsDefinition)
+	m.Versions = m.counter(versionsDefinition)
+	m.EngineReady = m.durationGauge(engineReadyDefinition)
 	m.Settings = m.counter(settingsDefinition)
 	m.Panics = m.counter(panicsDefinition)
 	m.StoreRestores = m.counter(storeRestoresDefinition)
--- a/internal/transfer/chunk.go
+++ b/internal/transfer/chunk.go
@@ -65,6 +65,8 @@
 		return weights.Busy
 	case errors.Is(err, errNotHeld):
 		return weights.Missing
+	case errors.Is(err, source.ErrGone):
+		return weights.Gone
 	case !errors.As(err, &coded):
 		return weights.ExchangeFailed
 	case coded.Code == code.ChunkCorrupt:
