versionplan: predict when the engine accepts requests again

The load report carries the time and the version. A chunk that is on its way from the origin counts as sent for the time that has passed: all fetchers share the origin's link, so the first 24 chunks arrive together after 1 s, and the prediction would slip by that and jump back. The rates of origin and link are measured; the configured link counts until then. Near entries learn at once of a change of more than 0.3 s and of a change from or to unknown.

--- a/internal/core/install/install_test.go
+++ b/internal/core/install/install_test.go
@@ -212,6 +212,7 @@
 func TestNearlyCompleteVersionIsCompletedFirst(t *testing.T) {
 	for _, away := range []bool{false, true} {
 		h := newHarness()
+		h.state.VersionLifetime = 9700 * time.Millisecond
 		h.engine.Loaded["m"], h.engine.RequestCount = 1, 3
 		h.read()
 		h.step(install.VersionActivated{Model: "m", Version: 2})
--- a/internal/core/versionplan/load.go
+++ b/internal/core/versionplan/load.go
@@ -51,8 +51,6 @@
 	switch {
 	case v.UsableUntil.Sub(now.Add(in.IdleLoadTime)) < minIdleUse:
 		return false, false, "the complete version can't be used long enough"
-	case !next.IsZero() && next.Sub(now) <= soon:
-		return false, false, "the engine waits for a version that is nearly complete"
 	case in.SecondHalf && next.IsZero() && !in.OriginAway && in.Held > 0 && now.Before(in.HeldUntil.Add(skipWait)):
 		return false, true, "half of the engines skip the complete version"
 	}
@@ -72,12 +70,16 @@
 	if !next.IsZero() {
 		bridged = min(use, next.Add(in.IdleLoadTime).Sub(in.HeldUntil))
 	}
+	needed := minUse
+	if !next.IsZero() {
+		needed = minTurnUse
+	}
 	switch {
 	case bridged >= minBridge && (!next.IsZero() || unreachable):
 		return true, false, "the complete version bridges the time until the next one"
-	case !next.IsZero() && in.HeldUntil.Sub(next) >= 2*in.LoadTime:
+	case !next.IsZero() && in.HeldUntil.Sub(next) >= in.LoadTime:
 		return false, false, "the next version will be complete well before the held one ends"
-	case use < minUse || unreachable:
+	case use < needed || unreachable:
 		return false, false, "the complete version can't be used long enough"
 	}
 	return !in.SecondHalf, true, "half of the engines load the complete version"
--- a/internal/core/versionplan/versionplan.go
+++ b/internal/core/versionplan/versionplan.go
@@ -84,13 +84,14 @@
 	// minUse is the minimum time for which a version must be usable for its load to be worth the capacity that half of the engines lose
 	// by it, when no time without a usable version is predicted.
 	minUse = 2500 * time.Millisecond
+	// minTurnUse is the same where the next version is predicted to be complete so late that all engines would have to load it at the same
+	// time. The engines that load the older version then load the next one in turns later.
+	minTurnUse = 1500 * time.Millisecond
 	// minIdleUse is the same for an engine that holds nothing usable. Its load costs no capacity.
 	minIdleUse = 500 * time.Millisecond
 	// minBridge is the minimum time without a usable version for which all engines load a version that is superseded already. Such loads
 	// are taken in turns, and a load costs an engine up to 2 s.
 	minBridge = 800 * time.Millisecond
-	// soon is how long an engine without a usable version waits for a newer version rather than load the one that it could.
-	soon = 400 * time.Millisecond
 	// skipWait is how long an engine that skips a version waits for the next one after the end of the version that it holds.
 	skipWait = time.Second
 	// loadAnywayAfter is how long after its end an old version is loaded after all. The newer one may never arrive, and an engine
--- a/internal/core/weights/burst.go
+++ b/internal/core/weights/burst.go
@@ -28,7 +28,7 @@
 	self       Peer
 	selfHash   uint64
 	fetchCount *uint64
-	origin     *originMeter
+	rates      *rates
 	// siblings are the bursts of this host, by digest. rank is the burst's own rank among them, since rankedAt.
 	siblings map[string]*Burst
 	rank     int
@@ -154,7 +154,7 @@
 func newBurst(s *State, in step.Input, w Want) *Burst {
 	return &Burst{
 		Ref: w.Ref, Digest: w.Digest, mode: s.Mode, self: s.Self, selfHash: hostHash(s.Self.Address), fetchCount: &s.fetchCount,
-		origin: &s.origin, siblings: s.Bursts, rank: w.Rank, rankedAt: in.Now,
+		rates: &s.rates, siblings: s.Bursts, rank: w.Rank, rankedAt: in.Now,
 		index: map[string]int{}, inFlight: map[uint64]*chunkFetch{}, pendingAnnouncements: map[int][]int{}, tookOverPart: map[int]bool{},
 		startedAt: in.Now, timing: newTiming(in.Now), outage: outage{lastOriginChunkAt: in.Now},
 	}
@@ -265,6 +265,7 @@
 	}
 	b.timing.addChunk(in.Now, ev.Took, tier)
 	b.markHeld(ev.Index)
+	b.measureLink(in.Now, size)
 	effects := b.cancelDuplicates(ev.Index)
 	if tier == FromOrigin {
 		b.originFailures = 0
--- a/internal/core/weights/order.go
+++ b/internal/core/weights/order.go
@@ -23,8 +23,8 @@
 	maxRateGap    = 1500 * time.Millisecond
 )
 
-// originMeter measures the rate at which chunks come from the origin to any host of the fleet, as far as this host learns of them.
-type originMeter struct {
+// rateMeter measures the rate at which chunks arrive while they arrive continuously.
+type rateMeter struct {
 	// rate is in bytes per second; 0 until it is measured.
 	rate float64
 	// windowAt is the beginning of the present measurement, bytes what has arrived since, and lastAt when a chunk last arrived.
@@ -32,11 +32,10 @@
 	bytes            int64
 }
 
-// add records a chunk that came from the origin.
-func (m *originMeter) add(now time.Time, size int64) {
+// add records a chunk that arrived.
+func (m *rateMeter) add(now time.Time, size int64) {
 	if now.Sub(m.lastAt) > maxRateGap {
-		m.windowAt, m.bytes = now, 0
-		m.lastAt = now
+		m.windowAt, m.bytes, m.lastAt = now, 0, now
 		return // The time that this chunk took is not known.
 	}
 	m.bytes += size
@@ -53,10 +52,14 @@
 	m.windowAt, m.bytes = now, 0
 }
 
+// pause ends the present measurement, because nothing more is to arrive now.
+func (m *rateMeter) pause() { m.lastAt = time.Time{} }
+
 // Transfer is what remains to be transferred of a version.
 type Transfer struct {
 	// Size is the size of the version, HostLacks that of the chunks that this host does not have, and FleetLacks that of those that no
-	// reachable host has. They are in bytes; all are 0 until the manifest is read.
+	// reachable host has. What the origin should have sent of the latter by now is subtracted from FleetLacks, which is at least 1 while
+	// there are any. They are in bytes; all are 0 until the manifest is read.
 	Size, HostLacks, FleetLacks int64
 	// Chunks is the number of chunks, Held how many this host has, and Known how many it or a reachable peer has.
 	Chunks, Held, Known int
@@ -88,17 +91,63 @@
 			t.Known--
 		}
 	}
-	t.Stalled = t.Known < t.Chunks && !b.originReserved(now) && !now.Before(b.reservedUntil(now))
+	if t.FleetLacks == 0 {
+		return t
+	}
+	t.Stalled = !b.originReserved(now) && !now.Before(b.reservedUntil(now))
+	if !t.Stalled && !originAway(b.siblings, now) {
+		t.FleetLacks = max(1, t.FleetLacks-b.inTransit(now))
+	}
 	return t
 }
 
+// inTransit returns how many bytes of the chunks that are being fetched the origin should have sent by now. All fetchers share its link,
+// so their chunks arrive about the same time, and until then none is known to be held.
+func (b *Burst) inTransit(now time.Time) int64 {
+	elapsed := now.Sub(b.awaitedSince())
+	if b.originReserved(now) || elapsed <= 0 {
+		return 0
+	}
+	bytes := b.nextOriginChunks(now)
+	return min(bytes, int64(b.rates.originRate()*elapsed.Seconds()))
+}
+
 // reachable reports whether a reachable peer is known to have the chunk.
 func (b *Burst) reachable(now time.Time, c int) bool {
 	return b.availableAt(now, b.chunks[c].nearHolders) || b.availableAt(now, b.chunks[c].farHolders)
 }
 
-// OriginRate returns the measured rate of the origin in bytes per second; 0 until it is measured.
-func (s *State) OriginRate() float64 { return s.origin.rate }
+// rates are the rates of the origin and of this host's link.
+type rates struct {
+	// origin measures how fast chunks come from the origin to any host of the fleet, as far as this host learns of them. link measures how
+	// fast chunks come to this host while peers have missing ones.
+	origin, link rateMeter
+	// assumedOrigin and assumedLink are the rates until they are measured, in bytes per second.
+	assumedOrigin, assumedLink float64
+}
+
+func (r *rates) originRate() float64 {
+	if r.origin.rate > 0 {
+		return r.origin.rate
+	}
+	return r.assumedOrigin
+}
+
+// AssumeRates sets the rates in bytes per second that count until the origin's rate and that of the link to this host are measured.
+func (s *State) AssumeRates(origin, link float64) {
+	s.rates.assumedOrigin, s.rates.assumedLink = origin, link
+}
+
+// OriginRate returns the rate of the origin in bytes per second; 0 if it is not known.
+func (s *State) OriginRate() float64 { return s.rates.originRate() }
+
+// LinkRate returns the rate at which peers send to this host in bytes per second; 0 if it is not known.
+func (s *State) LinkRate() float64 {
+	if s.rates.link.rate > 0 {
+		return s.rates.link.rate
+	}
+	return s.rates.assumedLink
+}
 
 // OriginAway reports whether the origin is considered unavailable.
 func (s *State) OriginAway(now time.Time) bool { return originAway(s.Bursts, now) }
@@ -180,17 +229,30 @@
 	return false
 }
 
-// reservedUntil is until when the origin should have sent the next chunk of the burst to some host.
-func (b *Burst) reservedUntil(now time.Time) time.Time {
-	since := b.startedAt
+// measureLink records a chunk that arrived at this host. The link's rate is measured while more chunks are on their way from peers.
+func (b *Burst) measureLink(now time.Time, size int64) {
+	b.rates.link.add(now, size)
+	for _, other := range b.siblings {
+		if other.peerFetches > 0 {
+			return
+		}
+	}
+	b.rates.link.pause()
+}
+
+// awaitedSince is the time from which the next chunk from the origin is awaited.
+func (b *Burst) awaitedSince() time.Time {
+	since := b.startedAt.Add(helloAnswerTimeout)
 	for _, at := range []time.Time{b.lastOriginProgress, b.outage.endedAt, b.rankedAt, b.reservedAt} {
 		if at.After(since) {
 			since = at
 		}
 	}
-	if b.Manifest == nil || b.origin.rate <= 0 {
-		return since.Add(max(2*b.partTimeout(), firstOriginChunkTimeout))
-	}
+	return since
+}
+
+// nextOriginChunks returns the size of the chunks that the origin fetchers fetch next at the same time.
+func (b *Burst) nextOriginChunks(now time.Time) int64 {
 	bytes, chunks := int64(0), 0
 	for _, c := range b.missing.items {
 		if chunks < originPartCount && !b.reachable(now, c) {
@@ -198,7 +260,17 @@
 			chunks++
 		}
 	}
-	return since.Add(baseReservation + time.Duration(reservationFactor*float64(bytes)/b.origin.rate*float64(time.Second)))
+	return bytes
+}
+
+// reservedUntil is until when the origin should have sent the next chunk of the burst to some host.
+func (b *Burst) reservedUntil(now time.Time) time.Time {
+	since := b.awaitedSince()
+	if b.Manifest == nil || b.rates.origin.rate <= 0 {
+		return since.Add(max(2*b.partTimeout(), firstOriginChunkTimeout))
+	}
+	bytes := b.nextOriginChunks(now)
+	return since.Add(baseReservation + time.Duration(reservationFactor*float64(bytes)/b.rates.origin.rate*float64(time.Second)))
 }
 
 // peersReserved reports whether a burst of an earlier rank can fetch from peers.
--- a/internal/core/weights/outage.go
+++ b/internal/core/weights/outage.go
@@ -156,7 +156,7 @@
 func (b *Burst) recordOriginProgress(now time.Time, size int64) {
 	b.lastOriginProgress = now
 	if !b.listing {
-		b.origin.add(now, size)
+		b.rates.origin.add(now, size)
 	}
 }
 
--- a/internal/core/weights/state.go
+++ b/internal/core/weights/state.go
@@ -25,8 +25,8 @@
 	earlyPeers map[string][]string
 	// fetchCount is the number of fetches so far; it is also the ID of the last one.
 	fetchCount uint64
-	// origin measures the origin's rate.
-	origin originMeter
+	// rates are the rates of the origin and of the link.
+	rates rates
 	// nextBlockedReport is the earliest time of the next report of blocked bursts.
 	nextBlockedReport time.Time
 }
--- a/internal/hostagent/plan.go
+++ b/internal/hostagent/plan.go
@@ -9,15 +9,11 @@
 	"samphireweir.example/samphireweir/internal/logevent"
 )
 
-// transfersRead returns what remains to be transferred to this host, for the plan of versions. Until the origin's rate is measured, it is
-// taken to be that of this host's link. The caller holds the lock.
+// transfersRead returns what remains to be transferred to this host, for the plan of versions. The caller holds the lock.
 func (a *Agent) transfersRead(now time.Time) install.TransfersRead {
 	ev := install.TransfersRead{
-		Transfers: map[string]install.Transfer{}, OriginRate: a.weights.OriginRate(), OriginAway: a.weights.OriginAway(now),
-		LinkRate: float64(a.host.LinkBytesPerSecond) * a.install.LinkShare(),
-	}
-	if ev.OriginRate <= 0 {
-		ev.OriginRate = float64(a.host.LinkBytesPerSecond)
+		Transfers: map[string]install.Transfer{}, OriginRate: a.weights.OriginRate(), LinkRate: a.weights.LinkRate(),
+		OriginAway: a.weights.OriginAway(now),
 	}
 	for digest, t := range a.weights.Transfers(now) {
 		ev.OriginAway = ev.OriginAway || t.Stalled
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -188,16 +188,50 @@
 
 // needsImmediateReport reports whether a change from the previous to the current load report must be sent at once. Otherwise an entry may send
 // requests that the engine does not accept, or none to an engine that accepts them.
-func needsImmediateReport(previous, current loadreport.Load) bool {
+func needsImmediateReport(previous, current loadreport.Load, near bool) bool {
 	limited := (current.RateLimit != nil) != (previous.RateLimit != nil)
 	cold := (current.ColdMS > 0) != (previous.ColdMS > 0)
-	return limited || cold || current.StartedAt != previous.StartedAt || current.NotAccepting != previous.NotAccepting || current.Leaving != previous.Leaving
+	ready := readyChanged(previous, current)
+	return limited || cold || near && ready || current.StartedAt != previous.StartedAt || current.NotAccepting != previous.NotAccepting || current.Leaving != previous.Leaving
+}
+
+// maxReadyChange is the change of the predicted time at which the engine accepts requests that is reported to near entries at once. The entries
+// let callers wait or return by it.
+const maxReadyChange = 300 * time.Millisecond
+
+// readyChanged reports whether the prediction has changed by more than maxReadyChange, or to or from unknown.
+func readyChanged(previous, current loadreport.Load) bool {
+	if (previous.ReadyMS > 0) != (current.ReadyMS > 0) {
+		return true
+	}
+	return time.Duration(max(current.ReadyMS-previous.ReadyMS, previous.ReadyMS-current.ReadyMS))*time.Millisecond > maxReadyChange
+}
+
+// aged returns a load report whose prediction is counted from now, for one that was sent the given time ago.
+func aged(load loadreport.Load, elapsed time.Duration) loadreport.Load {
+	if load.ReadyMS > 0 {
+		load.ReadyMS = max(1, load.ReadyMS-elapsed.Milliseconds())
+	}
+	return load
+}
+
+// readiness returns in how many milliseconds the engine is expected to accept requests again, and with which version. Both are 0 while it
+// accepts requests and if the time is unknown. The caller holds the lock.
+func (a *Agent) readiness(now time.Time) (ms, version int64) {
+	at, version, ok := a.install.Ready(now)
+	if !ok {
+		a.metrics.EngineReady.Set(0)
+		return 0, 0
+	}
+	remaining := max(time.Millisecond, at.Sub(now))
+	a.metrics.EngineReady.Set(remaining)
+	return remaining.Milliseconds(), version
 }
 
 // reportDue reports whether a load report is to be sent to the entry now.
 func (s *subscriber) reportDue(now time.Time, load loadreport.Load) bool {
 	elapsed := now.Sub(s.reportedAt)
-	if elapsed >= s.maxInterval() || needsImmediateReport(s.lastLoad, load) {
+	if elapsed >= s.maxInterval() || needsImmediateReport(aged(s.lastLoad, elapsed), load, s.near) {
 		return true
 	}
 	if load.RequestCount == s.lastLoad.RequestCount {
@@ -219,9 +253,10 @@
 func (a *Agent) currentLoad(now time.Time) (loadreport.Load, []loadreport.Activation) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	readyMS, readyVersion := a.readiness(now)
 	load := loadreport.Load{
 		Address: a.host.Engine, StartedAt: a.install.StartedAt(), RequestCount: a.install.RequestCount(), NotAccepting: a.install.NotAccepting(), Versions: a.install.Loaded(),
-		RateLimit: a.install.RateLimit(), Leaving: a.install.Leaving(), ColdMS: a.install.ColdRemaining().Milliseconds(), Slowdown: a.install.Slowdown(),
+		ReadyMS: readyMS, ReadyVersion: readyVersion, RateLimit: a.install.RateLimit(), Leaving: a.install.Leaving(), ColdMS: a.install.ColdRemaining().Milliseconds(), Slowdown: a.install.Slowdown(),
 	}
 	return load, loadreport.Activations(now, a.catalog.ReportedActivations(now, a.host.VersionLifetime))
 }
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -68,7 +68,7 @@
 	chunkBytesDefinition = Definition{"samphireweir_chunk_bytes_total", CounterKind, []string{"source"},
 		"Bytes of chunks of weights that were read, by source: peer, store or origin."}
 	chunksRefusedDefinition = Definition{"samphireweir_chunks_refused_total", CounterKind, []string{"source", "cause"},
-		"Failed fetches of chunks, by cause: broken, busy, corrupt, changed, no-memory or missing; the source origin includes the weight store."}
+		"Failed fetches of chunks, by cause: broken, busy, corrupt, changed, no-memory, missing or gone (the origin no longer sends the version); the source origin includes the weight store."}
 	loadsDefinition = Definition{"samphireweir_loads_total", CounterKind, []string{"result"},
 		"Load and role orders to this agent's engines: ordered, done, failed, or refused because of an old fencing number."}
 	versionsDefinition = Definition{"samphireweir_versions_total", CounterKind, []string{"result"},
--- a/internal/telemetry/watcher.go
+++ b/internal/telemetry/watcher.go
@@ -143,6 +143,8 @@
 		return "no-memory"
 	case weights.Missing:
 		return "missing"
+	case weights.Gone:
+		return "gone"
 	}
 	return "broken"
 }
