--- a/internal/core/versionplan/load.go
+++ b/internal/core/versionplan/load.go
@@ -101,6 +101,9 @@
 		if !v.UsableUntil.IsZero() && v.UsableUntil.Sub(at) < minIdleUse {
 			continue
 		}
+		if in.Serving && in.Held > 0 {
+			at = later(at, in.drained(whole[v.Number], in.HeldUntil))
+		}
 		if before(at, first) {
 			first, number = at, v.Number
 		}
--- a/internal/core/versionplan/versionplan.go
+++ b/internal/core/versionplan/versionplan.go
@@ -97,6 +97,8 @@
 	// loadAnywayAfter is how long after its end an old version is loaded after all. The newer one may never arrive, and an engine
 	// shouldn't stay empty until then.
 	loadAnywayAfter = 10 * time.Second
+	// drainShare is the part of LoadTime that an engine with requests usually takes for a load. LoadTime counts its longest requests.
+	drainShare = 0.75
 	// gainShare is the part of a version's additional use by which it may delay the newest version when no time without a usable version
 	// is predicted. The use is needed only if the origin becomes unreachable.
 	gainShare = 0.5
@@ -207,6 +209,8 @@
 	a, b := in.wholeTimes(now, olderFirst, true), in.wholeTimes(now, newestFirst, true)
 	gapA, gapB := in.gapOf(now, olderFirst), in.gapOf(now, newestFirst)
 	switch {
+	case in.OriginAway && older.Resolved && older.FleetLacks == 0 && (newest.FleetLacks > 0 || !newest.Resolved):
+		return olderFirst, "the older version first: peers can complete it while the origin is away"
 	case gapA < gapB-equalGap:
 		return olderFirst, "the older version first: less time without a usable version"
 	case gapB < gapA-equalGap:
@@ -281,44 +285,58 @@
 	return b
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // gapOf returns the predicted time within the horizon in which no version is usable, if the incomplete versions are fetched in the given
 // order and the origin answers.
 func (in Inputs) gapOf(now time.Time, order []Version) time.Duration {
 	whole := in.wholeTimes(now, order, true)
 	end := now.Add(horizon)
-	covered := now
+	covered, lastRequests := now, time.Time{}
 	if in.Held > 0 {
-		covered = end
+		covered, lastRequests = end, end
 		if !in.HeldUntil.IsZero() {
-			covered = later(now, in.HeldUntil)
+			covered, lastRequests = later(now, in.HeldUntil), in.HeldUntil
 		}
 	}
 	gap := time.Duration(0)
-	for _, use := range in.uses(whole, end) {
-		if use.from.After(covered) {
-			gap += use.from.Sub(covered)
+	for _, v := range in.usable(whole) {
+		// Engines that still have requests when the version is complete load it later.
+		at, until := whole[v.Number], end
+		from := at.Add(in.IdleLoadTime)
+		if !lastRequests.IsZero() {
+			from = later(from, in.drained(at, lastRequests))
+		}
+		if !v.UsableUntil.IsZero() {
+			until = earlier(v.UsableUntil, end)
+		}
+		if from.Before(until) {
+			gap += max(0, from.Sub(covered))
+			covered, lastRequests = later(covered, until), later(lastRequests, until)
 		}
-		covered = later(covered, use.until)
 	}
 	return gap + max(0, end.Sub(covered))
 }
 
-// use is a time in which a version can be used.
-type use struct{ from, until time.Time }
+// drained returns when an engine that gets its last requests at one of two times, the earlier one, has usually loaded.
+func (in Inputs) drained(complete, lastRequests time.Time) time.Time {
+	return earlier(complete, lastRequests).Add(time.Duration(drainShare * float64(in.LoadTime)))
+}
 
-// uses returns when the versions can be used, by the beginning.
-func (in Inputs) uses(whole map[int64]time.Time, end time.Time) []use {
-	var list []use
+// usable returns the versions that can be used at least for minIdleUse once they are complete, by that time.
+func (in Inputs) usable(whole map[int64]time.Time) []Version {
+	var list []Version
 	for _, v := range in.Versions {
 		at, known := whole[v.Number]
-		until := end
-		if !v.UsableUntil.IsZero() && v.UsableUntil.Before(end) {
-			until = v.UsableUntil
-		}
-		if from := at.Add(in.IdleLoadTime); known && v.Number > in.Held && until.Sub(from) >= minIdleUse {
-			list = append(list, use{from, until})
+		if known && v.Number > in.Held && (v.UsableUntil.IsZero() || v.UsableUntil.Sub(at.Add(in.IdleLoadTime)) >= minIdleUse) {
+			list = append(list, v)
 		}
 	}
-	slices.SortFunc(list, func(a, b use) int { return a.from.Compare(b.from) })
+	slices.SortStableFunc(list, func(a, b Version) int { return whole[a.Number].Compare(whole[b.Number]) })
 	return list
 }
