versionplan: keep the estimate of what the origin has sent when the order changes

Cause: a host whose measured link rate was low (9.6 to 17.9 k of 23.9 k bytes a second in the emulation: chunks arrive slowly while few hosts have them) put the newest version first, and its estimate of the earlier version was then reset, so that it stayed so.

Change: the estimate is integrated over the time in which the origin serves a version. The link counts with its configured rate and the share that transfers may use.

--- a/internal/core/weights/burst.go
+++ b/internal/core/weights/burst.go
@@ -96,6 +96,9 @@
 	// servedFrom is when the origin began to serve the burst last, and knownBefore the size of the chunks that were known in the fleet then.
 	servedFrom  time.Time
 	knownBefore int64
+	// sent is how much the origin should have sent of the version at estimatedAt, as far as this host can tell; see unseen.
+	sent        int64
+	estimatedAt time.Time
 	// originMeasured is set once the fleet has had a complete copy.
 	originMeasured bool
 	startedAt      time.Time
@@ -266,7 +269,6 @@
 	}
 	b.timing.addChunk(in.Now, ev.Took, tier)
 	b.markHeld(ev.Index)
-	b.measureLink(in.Now, size)
 	effects := b.cancelDuplicates(ev.Index)
 	if tier == FromOrigin {
 		b.originFailures = 0
--- a/internal/core/weights/order.go
+++ b/internal/core/weights/order.go
@@ -1,6 +1,8 @@
 package weights
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/step"
@@ -23,45 +25,9 @@
 	// usualLag is how long it usually takes until a host learns that the last chunk has come from the origin.
 	usualLag = 400 * time.Millisecond
 	// sendMargin is how long the origin remains reserved after it should have sent all chunks of the earlier burst.
-	sendMargin = 200 * time.Millisecond
-	// minRateWindow is the minimum time over which the link's rate is measured, and maxRateGap the maximum time between two chunks of one
-	// measurement.
-	minRateWindow = 400 * time.Millisecond
-	maxRateGap    = 1500 * time.Millisecond
+	sendMargin = 100 * time.Millisecond
 )
 
-// rateMeter measures the rate at which chunks arrive while they arrive continuously.
-type rateMeter struct {
-	// rate is in bytes per second; 0 until it is measured.
-	rate float64
-	// windowAt is the beginning of the present measurement, bytes what has arrived since, and lastAt when a chunk last arrived.
-	windowAt, lastAt time.Time
-	bytes            int64
-}
-
-// add records a chunk that arrived.
-func (m *rateMeter) add(now time.Time, size int64) {
-	if now.Sub(m.lastAt) > maxRateGap {
-		m.windowAt, m.bytes, m.lastAt = now, 0, now
-		return // The time that this chunk took is not known.
-	}
-	m.bytes += size
-	m.lastAt = now
-	elapsed := now.Sub(m.windowAt)
-	if elapsed < minRateWindow {
-		return
-	}
-	sample := float64(m.bytes) / elapsed.Seconds()
-	if m.rate == 0 {
-		m.rate = sample
-	}
-	m.rate += (sample - m.rate) / 2
-	m.windowAt, m.bytes = now, 0
-}
-
-// pause ends the present measurement, because nothing more is to arrive now.
-func (m *rateMeter) pause() { m.lastAt = time.Time{} }
-
 // Transfer is what remains to be transferred of a version.
 type Transfer struct {
 	// Size is the size of the version, HostLacks that of the chunks that this host does not have, and FleetLacks that of those that no
@@ -102,18 +68,23 @@
 		return t
 	}
 	t.Stalled = !b.originReserved(now) && !now.Before(b.reservedUntil(now))
-	if !t.Stalled && !originAway(b.siblings, now) && !b.originReserved(now) {
-		t.FleetLacks = max(1, t.FleetLacks-b.unseen(now, t.Size-t.FleetLacks))
-	}
+	t.FleetLacks = max(1, t.FleetLacks-b.unseen(now, t.Size-t.FleetLacks))
 	return t
 }
 
 // unseen returns how many bytes of the chunks that no reachable host is known to have the origin should have sent by now. All fetchers share
 // its link, so their chunks arrive about the same time, and it takes some hops until this host learns of them.
 func (b *Burst) unseen(now time.Time, known int64) int64 {
-	rate := b.originRate(now, known)
-	sent := int64(rate*now.Sub(b.servedFrom).Seconds()) - (known - b.knownBefore)
-	return max(0, min(sent, int64(rate*maxUnseen.Seconds())))
+	rate, elapsed := b.originRate(now, known), now.Sub(b.estimatedAt)
+	b.estimatedAt = now
+	switch {
+	case originAway(b.siblings, now):
+		b.sent = 0 // What was on its way is lost.
+	case !b.originReserved(now) && now.After(b.servedFrom):
+		b.sent += int64(rate * min(elapsed, now.Sub(b.servedFrom)).Seconds())
+	}
+	b.sent = min(max(b.sent, known), known+int64(rate*maxUnseen.Seconds()))
+	return b.sent - known
 }
 
 // originRate returns the rate at which the origin serves the burst, in bytes per second. It is the usual one of the origin, or less if this
@@ -135,7 +106,7 @@
 		return
 	}
 	lacks := b.unheld(now)
-	b.originRate(now, b.Manifest.Size-lacks)
+	b.unseen(now, b.Manifest.Size-lacks)
 	if lacks > 0 {
 		return
 	}
@@ -163,14 +134,11 @@
 	return b.availableAt(now, b.chunks[c].nearHolders) || b.availableAt(now, b.chunks[c].farHolders)
 }
 
-// rates are the rates of the origin and of this host's link.
+// rates are what is known about the origin's rate, in bytes per second.
 type rates struct {
-	// origin is the rate at which the first copy of the last version came from the origin; 0 until it is measured. link measures how fast
-	// chunks come to this host while peers have missing ones.
-	origin float64
-	link   rateMeter
-	// assumedOrigin and assumedLink are the rates until they are measured, in bytes per second.
-	assumedOrigin, assumedLink float64
+	// origin is the rate at which the first copy of the last version came from the origin; 0 until it is measured. assumedOrigin counts
+	// until then.
+	origin, assumedOrigin float64
 }
 
 func (r *rates) originRate() float64 {
@@ -180,10 +148,8 @@
 	return r.assumedOrigin
 }
 
-// AssumeRates sets the rates in bytes per second that count until the origin's rate and that of the link to this host are measured.
-func (s *State) AssumeRates(origin, link float64) {
-	s.rates.assumedOrigin, s.rates.assumedLink = origin, link
-}
+// AssumeOriginRate sets the rate in bytes per second that counts until the origin's rate is measured.
+func (s *State) AssumeOriginRate(rate float64) { s.rates.assumedOrigin = rate }
 
 // OriginRate returns the rate of the origin in bytes per second; 0 if it is not known.
 func (s *State) OriginRate(now time.Time) float64 {
@@ -199,14 +165,6 @@
 	return rate
 }
 
-// LinkRate returns the rate at which peers send to this host in bytes per second; 0 if it is not known.
-func (s *State) LinkRate() float64 {
-	if s.rates.link.rate > 0 {
-		return s.rates.link.rate
-	}
-	return s.rates.assumedLink
-}
-
 // OriginAway reports whether the origin is considered unavailable.
 func (s *State) OriginAway(now time.Time) bool { return originAway(s.Bursts, now) }
 
@@ -252,6 +210,7 @@
 			list = append(list, other)
 		}
 	}
+	slices.SortFunc(list, func(x, y *Burst) int { return cmp.Compare(x.Digest, y.Digest) })
 	return list
 }
 
@@ -297,17 +256,6 @@
 	return false
 }
 
-// measureLink records a chunk that arrived at this host. The link's rate is measured while more chunks are on their way from peers.
-func (b *Burst) measureLink(now time.Time, size int64) {
-	b.rates.link.add(now, size)
-	for _, other := range b.siblings {
-		if other.peerFetches > 0 {
-			return
-		}
-	}
-	b.rates.link.pause()
-}
-
 // servedSince is the time since which the origin serves the burst.
 func (b *Burst) servedSince() time.Time {
 	since := b.startedAt.Add(helloAnswerTimeout)
--- a/internal/core/weights/order_test.go
+++ b/internal/core/weights/order_test.go
@@ -47,7 +47,7 @@
 		}
 	}
 	for _, h := range p.hosts {
-		h.state.AssumeRates(chunkBytes/hostChunkTime.Seconds(), chunkBytes/hostChunkTime.Seconds())
+		h.state.AssumeOriginRate(chunkBytes / hostChunkTime.Seconds())
 		h.share = float64(chunkTime) / float64(hostChunkTime)
 		p.after(firstActivation+time.Duration(p.random.Int64N(int64(100*time.Millisecond))), func() { p.replanEvery(h) })
 	}
@@ -66,7 +66,7 @@
 	now := p.now
 	transfers := h.state.Transfers(now)
 	in := versionplan.Inputs{
-		Held: 1, HeldUntil: time.Unix(0, 0).Add(p.activatedAt[0] + lifetime), OriginRate: h.state.OriginRate(now), LinkRate: h.state.LinkRate(),
+		Held: 1, HeldUntil: time.Unix(0, 0).Add(p.activatedAt[0] + lifetime), OriginRate: h.state.OriginRate(now), LinkRate: chunkBytes / hostChunkTime.Seconds(),
 		OriginAway: h.state.OriginAway(now), LoadTime: 2 * time.Second, IdleLoadTime: 500 * time.Millisecond, Serving: true,
 	}
 	for i, v := range p.versions[:p.known[h]] {
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -112,7 +112,7 @@
 		reporter: newReporter(), timeouts: defaultTimeouts(), ownDelay: owndelay.New(log, m, step.TickInterval, nil),
 	}
 	// Until it is measured, the origin's rate is taken to be that of this host's link.
-	a.weights.AssumeRates(float64(host.LinkBytesPerSecond), float64(host.LinkBytesPerSecond))
+	a.weights.AssumeOriginRate(float64(host.LinkBytesPerSecond))
 	a.install.ChunkMemory = host.MemoryBytes / chunkMemoryDivisor
 	a.catalog.ListedActivatedAt = time.Now().Add(-host.AssumedVersionAge())
 	a.origin = platform.NewOrigin(originClient, a.originParams)
--- a/internal/hostagent/plan.go
+++ b/internal/hostagent/plan.go
@@ -9,10 +9,11 @@
 	"samphireweir.example/samphireweir/internal/logevent"
 )
 
-// transfersRead returns what remains to be transferred to this host, for the plan of versions. The caller holds the lock.
+// transfersRead returns what remains to be transferred to this host, for the plan of versions. The link's rate is
+// the configured one: chunks from peers often arrive more slowly because few hosts have them yet. The caller holds the lock.
 func (a *Agent) transfersRead(now time.Time) install.TransfersRead {
 	ev := install.TransfersRead{
-		Transfers: map[string]install.Transfer{}, OriginRate: a.weights.OriginRate(now), LinkRate: a.weights.LinkRate(),
+		Transfers: map[string]install.Transfer{}, OriginRate: a.weights.OriginRate(now), LinkRate: float64(a.host.LinkBytesPerSecond) * a.install.LinkShare(),
 		OriginAway: a.weights.OriginAway(now),
 	}
 	for digest, t := range a.weights.Transfers(now) {
