--- a/internal/core/install/install_test.go
+++ b/internal/core/install/install_test.go
@@ -1,6 +1,7 @@
 package install_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -229,6 +230,49 @@
 	}
 }
 
+// TestEnginesLoadABridgingVersionInTurns guards against engines that all load a superseded version at the same time, or so late that none
+// accepts requests when the held one ends. Version 2 is whole when the origin goes away, with version 3 activated.
+func TestEnginesLoadABridgingVersionInTurns(t *testing.T) {
+	hosts := strings.Split("a b c d e f g h i j", " ")
+	perSecond := map[time.Duration]int{}
+	for _, host := range hosts {
+		h := &harness{state: install.NewState(host, versionLifetime), engine: install.EngineRead{Loaded: map[string]int64{"m": 1}, RequestCount: 3}}
+		h.step(install.PeersChanged{Peers: hosts})
+		h.read()
+		h.fetch(2, "d2")
+		h.now = 2 * time.Second
+		h.transfers(true, map[string][2]int64{"d2": {0, 0}})
+		h.step(install.VersionActivated{Model: "m", Version: 3})
+		for !hasPrepare(h.pass(100 * time.Millisecond)) {
+			require.Less(t, h.now, 4800*time.Millisecond, "a load takes up to 2 s, and requests are sent to version 1 until 6.7 s")
+		}
+		perSecond[h.now.Truncate(time.Second)]++
+	}
+	for _, n := range perSecond {
+		require.LessOrEqual(t, n, 5, "%v", perSecond)
+	}
+}
+
+// TestRestartedAgentTakesTheOlderVersionToo guards against a process that starts, learns of the newest version first, and leaves out the one
+// that its peers can complete while the origin is away. It must tell entries when its engine will accept requests, and not before it knows.
+func TestRestartedAgentTakesTheOlderVersionToo(t *testing.T) {
+	h := newHarness()
+	h.read()
+	h.step(install.VersionActivated{Model: "m", Version: 3, Age: time.Second})
+	h.step(install.Resolved{Model: "m", Version: 3, Digest: "d3"})
+	h.transfers(true, map[string][2]int64{"d3": {46, 48}})
+	_, _, known := h.state.Ready(begin)
+	require.False(t, known, "nobody has the chunks and the origin is away")
+	require.Contains(t, h.step(install.VersionActivated{Model: "m", Version: 2, Age: 3 * time.Second}), install.Resolve{Model: "m", Version: 2})
+	h.step(install.Resolved{Model: "m", Version: 2, Digest: "d2"})
+	h.transfers(true, map[string][2]int64{"d2": {0, 12}, "d3": {46, 48}})
+	require.Equal(t, []install.Want{{Model: "m", Version: 2, Digest: "d2"}, {Model: "m", Version: 3, Digest: "d3", Rank: 1}}, h.state.Wanted())
+	at, version, _ := h.state.Ready(begin)
+	require.Equal(t, int64(2), version)
+	require.InDelta(t, 1.0, at.Sub(begin).Seconds(), 0.1, "12 of 48 chunks take 0.5 s, the load takes 0.5 s")
+	require.True(t, hasPrepare(append(h.step(install.ContentComplete{Digest: "d2"}), h.pass(200*time.Millisecond)...)))
+}
+
 // TestFirstRequiredVersionIsFetchedToTheEnd activates three versions during an origin outage. The first one, most of which has arrived,
 // must be completed and loaded; the second is skipped. If each activation dropped the version being fetched, none would arrive in time.
 func TestFirstRequiredVersionIsFetchedToTheEnd(t *testing.T) {
--- a/internal/core/install/plan.go
+++ b/internal/core/install/plan.go
@@ -60,10 +60,14 @@
 	if held > 0 {
 		heldUntil = s.usableUntil(m, held)
 	}
-	position, n := s.turn(m)
+	secondHalf := false
+	if best := m.newestComplete(); best != nil && best != m.newest() && best.number != held {
+		position, n := s.turn(m)
+		secondHalf = position >= (n+1)/2
+	}
 	inputs := versionplan.Inputs{
 		Held: held, HeldUntil: heldUntil, OriginRate: s.transfers.OriginRate, LinkRate: s.transfers.LinkRate, OriginAway: s.transfers.OriginAway,
-		LoadTime: usualLoadTime, IdleLoadTime: idleLoadTime, Serving: s.engine.RequestCount > 0, SecondHalf: position >= (n+1)/2, Memory: s.ChunkMemory,
+		LoadTime: usualLoadTime, IdleLoadTime: idleLoadTime, Serving: s.engine.RequestCount > 0, SecondHalf: secondHalf, Memory: s.ChunkMemory,
 	}
 	for _, v := range m.versions {
 		t, known := s.transfers.Transfers[v.digest]
--- a/internal/core/weights/order.go
+++ b/internal/core/weights/order.go
@@ -102,7 +102,7 @@
 
 // measureOrigin measures the origin's rate when the fleet has the first copy of the version, unless other transfers or an outage delayed it.
 func (b *Burst) measureOrigin(now time.Time) {
-	if b.Manifest == nil || b.originMeasured {
+	if b.Manifest == nil || b.originMeasured || b.rates.assumedOrigin == 0 {
 		return
 	}
 	lacks := b.unheld(now)
@@ -148,7 +148,7 @@
 	return r.assumedOrigin
 }
 
-// AssumeOriginRate sets the rate in bytes per second that counts until the origin's rate is measured.
+// AssumeOriginRate sets the rate in bytes per second that counts until the origin's rate is measured. Without it, it is not measured.
 func (s *State) AssumeOriginRate(rate float64) { s.rates.assumedOrigin = rate }
 
 // OriginRate returns the rate of the origin in bytes per second; 0 if it is not known.
@@ -177,14 +177,14 @@
 	return false
 }
 
-// shareOriginState lets the other bursts know that the origin answers, after a chunk of the burst came from it.
+// shareOriginState lets the bursts of other ranks know that the origin answers, after a chunk of the burst came from it.
 func (s *State) shareOriginState(in step.Input, from *Burst) []step.Effect {
 	if !from.lastOriginProgress.Equal(in.Now) {
 		return nil
 	}
 	var effects []step.Effect
 	for _, digest := range sortedDigests(s.Bursts) {
-		if b := s.Bursts[digest]; b != from && !b.complete() && b.outage.ongoing(in.Now) {
+		if b := s.Bursts[digest]; b.rank != from.rank && !b.complete() && b.outage.ongoing(in.Now) {
 			b.recordOriginChunk(in.Now, from.outage.ownFetchSucceeded)
 			effects = append(effects, b.scheduleFetches(in)...)
 		}
@@ -199,14 +199,14 @@
 	}
 }
 
-// earlierBursts returns the incomplete bursts of an earlier rank.
+// earlierBursts returns the incomplete bursts of an earlier rank for the same model.
 func (b *Burst) earlierBursts() []*Burst {
 	if b.rank == 0 {
 		return nil
 	}
 	var list []*Burst
 	for _, other := range b.siblings {
-		if other.rank < b.rank && !other.complete() {
+		if other.rank < b.rank && other.Ref.Model == b.Ref.Model && !other.complete() {
 			list = append(list, other)
 		}
 	}
--- a/internal/core/weights/weights.go
+++ b/internal/core/weights/weights.go
@@ -71,7 +71,7 @@
 	Digest string
 	Policy setting.Policy
 	Peers  []Peer
-	// Rank orders the wanted versions; 0 comes first. Bursts of the same rank don't wait for each other.
+	// Rank orders the wanted versions of a model; 0 comes first. Bursts of the same rank don't wait for each other.
 	Rank int
 }
 
--- a/internal/hostagent/export_test.go
+++ b/internal/hostagent/export_test.go
@@ -53,3 +53,8 @@
 
 // SetTimeouts replaces the timeouts for other hosts and for the origin.
 func (a *Agent) SetTimeouts(d time.Duration) { a.timeouts = timeouts{discovery: d, origin: d} }
+
+// ReportedAtOnce reports whether a load report is sent at once that follows an earlier one after the given time.
+func ReportedAtOnce(previous, current loadreport.Load, elapsed time.Duration, near bool) bool {
+	return needsImmediateReport(aged(previous, elapsed), current, near)
+}
--- a/internal/hostagent/resolve.go
+++ b/internal/hostagent/resolve.go
@@ -15,6 +15,7 @@
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/manifest"
 	"samphireweir.example/samphireweir/internal/periodic"
+	"samphireweir.example/samphireweir/internal/source"
 )
 
 const (
@@ -90,7 +91,23 @@
 	if position >= originRequestersAt(e.EarlierAttempts) {
 		return nil, errOriginNotPermitted
 	}
-	return a.queryOrigin(e, peers)
+	raw, err := a.queryOrigin(e, peers)
+	if errors.Is(err, source.ErrGone) {
+		// Peers that have the version since before still have the list. Those before this host in the order may have lost it with it.
+		if raw := a.queryPeers(a.firstPeers(e.Model, e.Version), e.Model, e.Version); raw != nil {
+			return raw, nil
+		}
+	}
+	return raw, err
+}
+
+// firstPeers returns the first other hosts in a version's rendezvous order.
+func (a *Agent) firstPeers(model string, version int64) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ranked := step.Rank(model+"/"+strconv.FormatInt(version, 10), a.peerAddresses())
+	ranked = slices.DeleteFunc(ranked, func(peer string) bool { return peer == a.self })
+	return ranked[:min(treeFanOut, len(ranked))]
 }
 
 // originRequestersAt returns how many hosts may ask the origin at a try. The first try has number 0.
