versionplan: an origin that lists no chunks counts as away

Cause: if the origin goes away before the newest version's list of chunks is known, no transfer of it exists that could notice. The version was then predicted for 2.9 s later for ever, and engines waited for it with a complete version at hand until just before the held one ended.

Change: a list that is missing for 1 s means that the origin is away. An older version comes first for its earlier end only if it leads by 0.3 s, since predictions differ by as much (after a power loss the lists arrive one after the other), and not if the newest could be loaded in turns otherwise: the engines would load twice.

TestHalfOfTheEnginesSkipASupersededVersion now has the list of version 3, as its load says that version 3 is coming.

--- a/internal/core/install/install_test.go
+++ b/internal/core/install/install_test.go
@@ -331,6 +331,7 @@
 		if supersededVersion {
 			done = hasPrepare(h.pass(600*time.Millisecond)) || done
 			done = hasPrepare(h.step(install.VersionActivated{Model: "m", Version: 3})) || done
+			h.step(install.Resolved{Model: "m", Version: 3, Digest: "d3"})
 		}
 		for !done && !hasPrepare(h.pass(100*time.Millisecond)) {
 			require.Less(t, h.now, 30*time.Second)
--- a/internal/core/install/plan.go
+++ b/internal/core/install/plan.go
@@ -13,6 +13,8 @@
 	originVersions = 2
 	// planLogInterval is the minimum time between two logged changes of a plan. Predicted times may move it back and forth.
 	planLogInterval = 200 * time.Millisecond
+	// maxResolveTime is how long after its activation the chunk manifest of a version is expected at the latest from an origin that answers.
+	maxResolveTime = time.Second
 	// maxOverdue is how long after its expected end a load is still expected to end at any moment.
 	maxOverdue = time.Second
 	// readInterval is the approximate time after which the end of a load is noticed.
@@ -66,7 +68,7 @@
 		secondHalf = position >= (n+1)/2
 	}
 	inputs := versionplan.Inputs{
-		Held: held, HeldUntil: heldUntil, OriginRate: s.transfers.OriginRate, LinkRate: s.transfers.LinkRate, OriginAway: s.transfers.OriginAway,
+		Held: held, HeldUntil: heldUntil, OriginRate: s.transfers.OriginRate, LinkRate: s.transfers.LinkRate, OriginAway: s.transfers.OriginAway || m.unresolved(now),
 		LoadTime: usualLoadTime, IdleLoadTime: idleLoadTime, Serving: s.engine.RequestCount > 0, SecondHalf: secondHalf, Memory: s.ChunkMemory,
 	}
 	for _, v := range m.versions {
@@ -79,6 +81,12 @@
 	return inputs
 }
 
+// unresolved reports whether the newest version's chunk manifest has been missing for so long that the origin is probably unreachable.
+func (m *model) unresolved(now time.Time) bool {
+	newest := m.newest()
+	return newest.phase == Resolving && now.Sub(m.activatedAt[newest.number]) > maxResolveTime
+}
+
 // newerThan returns the number of activated versions that are newer than the given one.
 func (m *model) newerThan(number int64) int {
 	n := 0
--- a/internal/core/versionplan/load.go
+++ b/internal/core/versionplan/load.go
@@ -77,7 +77,7 @@
 	switch {
 	case bridged >= minBridge && (!next.IsZero() || unreachable):
 		return true, false, "the complete version bridges the time until the next one"
-	case !next.IsZero() && in.HeldUntil.Sub(next) >= in.LoadTime:
+	case !next.IsZero() && in.wellBefore(next):
 		return false, false, "the next version will be complete well before the held one ends"
 	case use < needed || unreachable:
 		return false, false, "the complete version can't be used long enough"
--- a/internal/core/versionplan/versionplan.go
+++ b/internal/core/versionplan/versionplan.go
@@ -81,6 +81,9 @@
 	spreadTime = 800 * time.Millisecond
 	// resolveTime is the assumed time until the chunks of a version are known.
 	resolveTime = 200 * time.Millisecond
+	// minLead is by how much sooner an older version must be complete to come first when no time without a usable version is predicted.
+	// The hosts' predictions differ by as much.
+	minLead = 300 * time.Millisecond
 	// minUse is the minimum time for which a version must be usable for its load to be worth the capacity that half of the engines lose
 	// by it, when no time without a usable version is predicted.
 	minUse = 2500 * time.Millisecond
@@ -221,12 +224,20 @@
 	}
 	gain := in.additionalUse(now, older, a[older.Number])
 	delay := a[newest.Number].Sub(b[newest.Number])
-	if a[older.Number].Before(b[newest.Number]) && gain >= minIdleUse && delay <= time.Duration(gainShare*float64(gain)) {
+	if in.heldUsable(now) && in.wellBefore(b[newest.Number]) && !in.wellBefore(a[newest.Number]) {
+		return newestFirst, "the newest version first: with the older one first, engines would load both"
+	}
+	if b[newest.Number].Sub(a[older.Number]) >= minLead && gain >= minIdleUse && delay <= time.Duration(gainShare*float64(gain)) {
 		return olderFirst, "the older version first: it can be complete sooner"
 	}
 	return newestFirst, "the newest version first: it can be complete soon enough"
 }
 
+// wellBefore reports whether a version that is complete at the given time can be loaded in turns before the held one ends.
+func (in Inputs) wellBefore(complete time.Time) bool {
+	return in.HeldUntil.IsZero() || in.HeldUntil.Sub(complete) >= in.LoadTime
+}
+
 func (in Inputs) heldUsable(now time.Time) bool {
 	return in.Held > 0 && (in.HeldUntil.IsZero() || now.Before(in.HeldUntil))
 }
