--- a/internal/core/weights/burst.go
+++ b/internal/core/weights/burst.go
@@ -28,6 +28,11 @@
 	self       Peer
 	selfHash   uint64
 	fetchCount *uint64
+	rates      *rates
+	// siblings are the bursts of this host, by digest. rank is the burst's own rank among them, since rankedAt.
+	siblings map[string]*Burst
+	rank     int
+	rankedAt time.Time
 
 	// peers are all other hosts that have wanted the version since the burst began. Those that no
 	// longer want it stay in the slice, so that indexes never change.
@@ -82,6 +87,20 @@
 	originRetryAt  time.Time
 	originFailures int
 	outage         outage
+	// lastOriginProgress is when this host last learned that a chunk of this version had come from the origin.
+	lastOriginProgress time.Time
+	// originGone is set once the origin has answered that it no longer sends the version.
+	originGone bool
+	// reservedAt is when a burst of an earlier rank last had the origin for itself.
+	reservedAt time.Time
+	// servedFrom is when the origin began to serve the burst last, and knownBefore the size of the chunks that were known in the fleet then.
+	servedFrom  time.Time
+	knownBefore int64
+	// sent is how much the origin should have sent of the version at estimatedAt, as far as this host can tell; see unseen.
+	sent        int64
+	estimatedAt time.Time
+	// originMeasured is set once the fleet has had a complete copy.
+	originMeasured bool
 	startedAt      time.Time
 	completedAt    time.Time
 	// fallbackTurns is the number of idle turns after which this host began to fetch any missing
@@ -141,6 +160,7 @@
 func newBurst(s *State, in step.Input, w Want) *Burst {
 	return &Burst{
 		Ref: w.Ref, Digest: w.Digest, mode: s.Mode, self: s.Self, selfHash: hostHash(s.Self.Address), fetchCount: &s.fetchCount,
+		rates: &s.rates, siblings: s.Bursts, rank: w.Rank, rankedAt: in.Now,
 		index: map[string]int{}, inFlight: map[uint64]*chunkFetch{}, pendingAnnouncements: map[int][]int{}, tookOverPart: map[int]bool{},
 		startedAt: in.Now, timing: newTiming(in.Now), outage: outage{lastOriginChunkAt: in.Now},
 	}
@@ -254,6 +274,7 @@
 		b.originFailures = 0
 		b.blockedBy = 0
 		b.recordOriginChunk(in.Now, true)
+		b.lastOriginProgress = in.Now
 		b.recordPartChunk(in, ev.Index)
 		b.queueForCandidates(ev.Index)
 	}
@@ -365,6 +386,7 @@
 	if b.Manifest == nil {
 		return append(b.sendHellos(in), b.requestManifest(in)...)
 	}
+	b.measureOrigin(in.Now)
 	effects := append(b.sendHellos(in), b.announce(in)...)
 	effects = append(effects, b.reportOutage(in.Now)...)
 	if b.complete() {
--- a/internal/core/weights/mesh.go
+++ b/internal/core/weights/mesh.go
@@ -237,6 +237,7 @@
 	chunk := &b.chunks[c]
 	if len(chunk.nearHolders)+len(chunk.farHolders) == 0 && !chunk.have {
 		b.recordOriginChunk(in.Now, false)
+		b.lastOriginProgress = in.Now
 		b.recordPartChunk(in, c)
 		delete(b.tookOverPart, c%originPartCount)
 	}
--- a/internal/hostagent/export_test.go
+++ b/internal/hostagent/export_test.go
@@ -61,3 +61,8 @@
 	a.updateDemandSums(now)
 	return a.reporter.demand.sumsFor(a.reporter.subscribers[address])
 }
+
+// ReportedAtOnce reports whether a load report is sent at once that follows an earlier one after the given time.
+func ReportedAtOnce(previous, current loadreport.Load, elapsed time.Duration, near bool) bool {
+	return needsImmediateReport(aged(previous, elapsed), current, near)
+}
