forecast: simulation bounded by its horizon

Cause: the simulation kept one value for each step of the mean run time and summed all of them in each step, so that long streams made it slow and large: 1.45 MB and 0.36 s for a mean of one hour. Change: requests that end beyond the horizon are not followed. Results for run times up to the horizon are the same. Result: TestLongRunTimesTakeNoMoreMemory failed before, and passes.

--- a/internal/core/forecast/forecast.go
+++ b/internal/core/forecast/forecast.go
@@ -269,13 +269,22 @@
 		}
 	}
 	run := max(1, int(runTime/stepLength))
+	// lookahead is the run time as far as it is simulated: streams may take minutes.
+	lookahead := min(run, steps)
 	// leaving is how many requests are complete in each step.
-	leaving := make([]float64, steps+run)
-	for i := range min(run, steps) {
+	leaving := make([]float64, steps+lookahead)
+	for i := range lookahead {
 		leaving[i] = occupied / float64(run)
 	}
 	var total, rate, backlog, all, waiting float64
 	arriving := firstTries * stepLength.Seconds()
+	take := func(at int, requests float64) {
+		occupied += requests
+		all += requests
+		if end := at + run; end < len(leaving) {
+			leaving[end] += requests
+		}
+	}
 	c := &curve{}
 	for i := range steps {
 		total += slots[i]
@@ -284,22 +293,18 @@
 		backlog = math.Min(backlog+arriving, firstTries*firstTryWait.Seconds())
 		first := math.Min(math.Min(math.Max(0, total-occupied), rate), backlog)
 		backlog -= first
-		occupied += first
-		leaving[i+run] += first
+		take(i, first)
 		if rest := math.Min(total-occupied, rate-first); rest > 0 && backlog < 1 {
 			expected, most := occupied, occupied
-			for k := 1; k <= run; k++ {
+			for k := 1; k <= lookahead; k++ {
 				expected += arriving - leaving[i+k]
 				most = math.Max(most, expected)
 			}
 			if rest = math.Min(rest, usableSlots(total, firstTries)-most); rest > 0 {
-				occupied += rest
-				leaving[i+run] += rest
+				take(i, rest)
 				waiting += rest
-				all += rest
 			}
 		}
-		all += first
 		c.all[i], c.waiting[i] = all, waiting
 	}
 	return c
--- a/internal/core/forecast/forecast_test.go
+++ b/internal/core/forecast/forecast_test.go
@@ -1,6 +1,7 @@
 package forecast_test
 
 import (
+	"runtime"
 	"testing"
 	"time"
 
@@ -56,6 +57,20 @@
 	require.Less(t, room(5, 5), 2*time.Second)
 }
 
+// TestLongRunTimesTakeNoMoreMemory guards against a simulation that grows with the run time: streams may take minutes.
+func TestLongRunTimesTakeNoMoreMemory(t *testing.T) {
+	var c forecast.Capacity
+	c.Completed(time.Hour)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	c.Update(begin, []forecast.Engine{{Slots: 12, Occupied: 12, PerSecond: 25}, {ReadyAt: begin.Add(time.Second), Slots: 12, PerSecond: 25}})
+	at, known := c.RoomAt(forecast.Candidate, 0, 0)
+	runtime.ReadMemStats(&after)
+	require.True(t, known)
+	require.InDelta(t, 1, at.Sub(begin).Seconds(), 0.05)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(100_000))
+}
+
 // TestRoomByRateFollowsCompletions guards against a predicted wait from less than a second of measurements, or from old ones.
 func TestRoomByRateFollowsCompletions(t *testing.T) {
 	var c forecast.Capacity
