forward: waits that can't be served or needn't be refused in an outage

Causes: a returning caller's request that fits into no engine's memory waited for the end of an outage and blocked those behind it after the end. With no engine registered, a returning caller's request waited for one tick before its refusal. A first try to a route without an objective was refused though there was room, if a more urgent request waited for its turn. Change: the first two are refused on arrival, and the last one waits until the next tick. Result: TestOversizedRequestBlocksNoOthers, TestNoRequestWaitsWithoutEngines and TestRequestWithoutObjectiveYieldsForOneTick failed before, and pass.

--- a/internal/core/forward/by_rate.go
+++ b/internal/core/forward/by_rate.go
@@ -60,6 +60,10 @@
 		return nil, false
 	}
 	first := r.queueDeadline.IsZero()
+	if first {
+		// Without an objective a request has no time to wait, and would be refused though there is room.
+		r.queueDeadline = in.Now.Add(max(s.maxWait(r), outlookLifetime))
+	}
 	effects := s.enqueue(in, r)
 	if first {
 		effects = append(effects, Yielded{ID: r.id, Priority: r.priority})
--- a/internal/core/forward/by_rate_test.go
+++ b/internal/core/forward/by_rate_test.go
@@ -73,3 +73,19 @@
 	require.Empty(t, arrive(3, "/9/x", 6*time.Second), "it yields until the next tick")
 	require.Equal(t, []uint64{2, 3}, sentIDs(r.tick()))
 }
+
+// TestRequestWithoutObjectiveYieldsForOneTick guards against refusing a first try while there is room: a route without an objective has no
+// time to wait, and a more urgent request that waits for the end of the outage has its turn with the next tick only.
+func TestRequestWithoutObjectiveYieldsForOneTick(t *testing.T) {
+	r := newPriorityRig(true, 1)
+	r.state.Catalog.Manifest.Route("h", "/9/x").Objective = 0
+	r.add("m1", "model", "perth-a", 16)
+	r.step(forward.LoadReported{Address: "m1", ReadyIn: 500 * time.Millisecond, ReadyVersion: 1, Entries: 1, NearEntries: 1})
+	r.arriveFrom(1, 0, 0, 0)
+	r.step(forward.Arrived{ID: 2, Host: "h", Path: "/0/x", Key: "0", Model: "m", Budget: 4 * time.Second})
+	require.Equal(t, 1, r.state.WaitingForEnd())
+	r.now += 505 * time.Millisecond
+	r.step(forward.LoadReported{Address: "m1", Versions: map[string]int64{"m": 1}, Entries: 1, NearEntries: 1})
+	require.Empty(t, refusals(r.arriveFrom(3, 9, 0, 0)))
+	require.Equal(t, []uint64{2, 3}, sentIDs(r.tick()))
+}
--- a/internal/core/forward/capacity.go
+++ b/internal/core/forward/capacity.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"samphireweir.example/samphireweir/internal/core/catalog"
 )
 
 const (
@@ -29,10 +31,13 @@
 	return v.occupied(now, r) < v.maxRequests(r) && !v.shareUsedUp(now, r) && v.rateAllowed(now) && !v.load.reserved.excludes(r) && !v.beyondLimit(now, r)
 }
 
-// fitsMemory reports whether an engine's memory holds that many tokens. An engine that runs out of memory evicts a request that it
-// has started, or crashes.
-func (v *upstreamView) fitsMemory(tokens int) bool {
-	return v.engine == nil || v.engine.MemoryTokens <= 0 || tokens <= v.engine.MemoryTokens
+// fitsMemory reports whether an engine's memory holds that many tokens.
+func (v *upstreamView) fitsMemory(tokens int) bool { return fitsMemory(v.engine, tokens) }
+
+// fitsMemory reports whether the memory of an engine holds that many tokens; e is nil for an upstream of a plain service. An engine that
+// runs out of memory evicts a request that it has started, or crashes.
+func fitsMemory(e *catalog.Engine, tokens int) bool {
+	return e == nil || e.MemoryTokens <= 0 || tokens <= e.MemoryTokens
 }
 
 // occupied returns how many requests the upstream has, as far as this entry knows. Of a plain upstream it knows only its own.
--- a/internal/core/forward/held.go
+++ b/internal/core/forward/held.go
@@ -110,7 +110,10 @@
 	r.hold.until = q.LatestSend(r.arrived)
 	ahead, _ := slices.BinarySearchFunc(o.held, r, s.compareHeld)
 	r.hold.until = time.Time{}
-	firstTryAt, _ := o.capacity.RoomAt(forecast.FirstTry, s.urgency(r), 0)
+	firstTryAt, known := o.capacity.RoomAt(forecast.FirstTry, s.urgency(r), 0)
+	if !known {
+		return nil, false // No engine is registered.
+	}
 	roomAt, _ := o.capacity.RoomAt(forecast.Candidate, s.urgency(r), ahead)
 	d := forecast.Decide(in.Now, q, firstTryAt, roomAt, in.Rand)
 	switch {
--- a/internal/core/forward/outage_test.go
+++ b/internal/core/forward/outage_test.go
@@ -196,6 +196,33 @@
 	require.Equal(t, 2, r.state.WaitingForEnd())
 }
 
+// TestOversizedRequestBlocksNoOthers guards against a request that fits into no engine's memory and waits for the end of an outage: it
+// would be refused at the end, and the requests behind it would not be sent though engines are back.
+func TestOversizedRequestBlocksNoOthers(t *testing.T) {
+	r := newOutageRig()
+	r.state.Catalog.Manifest.Services["model"].Engine.MemoryTokens = 2000
+	r.arriveWithTimeout(1, 6*time.Second)
+	r.reportAll(forward.LoadReported{ReadyIn: 200 * time.Millisecond, ReadyVersion: 1})
+	oversized := r.step(forward.Arrived{ID: 2, Host: "h", Path: resumableStream, Key: "key-1", Model: "m", Budget: 4 * time.Second, PromptTokens: 3000})
+	require.Empty(t, refusals(r.arriveWithTimeout(3, 4500*time.Millisecond)))
+	r.now += 200 * time.Millisecond
+	r.reportAll(forward.LoadReported{Versions: map[string]int64{"m": 1}})
+	require.Equal(t, []uint64{3}, sentIDs(r.tick()))
+	require.Len(t, refusals(oversized), 1)
+}
+
+// TestNoRequestWaitsWithoutEngines guards against requests that begin to wait for the end of an outage when no engine is registered any
+// more, and are refused with the next tick only.
+func TestNoRequestWaitsWithoutEngines(t *testing.T) {
+	r := newWaitingRig(t)
+	for i := range outageEngines {
+		r.applyCatalog(catalog.UpstreamRemoved{ID: fmt.Sprint(i), Revision: storerev.Revision{Number: 1000}})
+	}
+	r.now += 20 * time.Millisecond
+	require.Equal(t, code.NoUpstream, only[forward.Refuse](t, r.arriveWithTimeout(3, 4*time.Second)).Code)
+	require.Len(t, refusals(r.tick()), 1, "the request that waited")
+}
+
 // decisions returns the decisions among effects in words.
 func decisions(effects []step.Effect) (list []string) {
 	for _, e := range effects {
--- a/internal/core/forward/outlook.go
+++ b/internal/core/forward/outlook.go
@@ -57,13 +57,14 @@
 }
 
 // outlookOf returns the outlook for a request. It returns nil for a request to a model that the service does not have, since callers name
-// the model and their choice must not add state, and for one to a plain service without priorities.
+// the model and their choice must not add state; for one that fits into no engine's memory, since it would wait in vain; and for one to a
+// plain service without priorities.
 func (s *State) outlookOf(now time.Time, r *request) *outlook {
 	key := outlookKey{service: r.service}
 	service := r.manifest.Services[r.service]
 	switch {
 	case service != nil && service.Engine != nil:
-		if !slices.Contains(service.Engine.Models, r.model) {
+		if !slices.Contains(service.Engine.Models, r.model) || !fitsMemory(service.Engine, r.tokens) {
 			return nil
 		}
 		key.model = r.model
--- a/internal/core/forward/pass.go
+++ b/internal/core/forward/pass.go
@@ -104,14 +104,11 @@
 func (s *State) searchKey(r *request) searchKey {
 	k := searchKey{
 		service: r.service, model: r.model, moveTo: r.moveTo, kind: r.route.Kind, objective: r.route.Objective, repeatable: r.route.Repeatable(),
-		returning: r.returning, priority: r.priority, fitsMemory: true,
+		returning: r.returning, priority: r.priority, fitsMemory: fitsMemory(s.engine(r.service), r.tokens),
 	}
 	if !r.homes.Unrestricted() {
 		k.homes = r.homes.String()
 	}
-	if e := s.engine(r.service); e != nil && e.MemoryTokens > 0 {
-		k.fitsMemory = r.tokens <= e.MemoryTokens
-	}
 	return k
 }
 
