forward: time of the last wait forgotten once it has no effect

Cause: lastQueuedAt kept one entry for each service that was ever full, also after it left the manifest. Change: entries older than ReserveFor, which have no effect, are dropped once a second. Result: TestServicesWithoutWaitsAreForgotten failed before, and passes.

--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -209,6 +210,7 @@
 	s.forgotAt = now
 	s.forgetSpeeds(now)
 	s.forgetOutlooks(now)
+	maps.DeleteFunc(s.lastQueuedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= s.Self.Policy.ReserveFor })
 	for instance, l := range s.loadStates {
 		u := s.Catalog.Upstreams[instance.ID]
 		if (u == nil || u.StartedAt != instance.StartedAt) && l.inFlight == 0 && now.Sub(l.reportedAt) > reportLifetime && !l.keepsState(now) {
