schedule, forecast, forward: one place for what stood twice

Cause: the bounds of priorities, the floor of a priority, the shortest Retry-After and the time for a prompt were written twice or more; serveOutlook did four things; Queue.Contains had no caller; a request kept its place in a queue only if the manifest stayed the same. Change: schedule.ClampPriority, schedule.PriorityFloor, forecast.RetryAfterMin and promptTime are used throughout, serveOutlook is split, Contains is gone, and a waiting request is updated in its place.

--- a/internal/core/forecast/forecast.go
+++ b/internal/core/forecast/forecast.go
@@ -10,11 +10,11 @@
 	"math"
 	"sort"
 	"time"
+
+	"samphireweir.example/samphireweir/internal/core/schedule"
 )
 
 const (
-	// Priorities is the number of priorities; 0 is the most urgent.
-	Priorities = 10
 	// maxOverdue is how long after its predicted time an engine that still does not accept requests is expected at any moment. After
 	// that its return is unknown. Reports are up to 0.9 s late, and one or two may be lost.
 	maxOverdue = 2 * time.Second
@@ -43,10 +43,10 @@
 type Capacity struct {
 	// freed is the work that was completed, in seconds, completed the number of its requests, and sent that of the requests sent.
 	freed, completed, sent meter
-	arrivals               [Priorities]meter
+	arrivals               [schedule.Priorities]meter
 	runTime                time.Duration
 	// rates are the results of rateFor at ratesAt.
-	rates   [Priorities]float64
+	rates   [schedule.Priorities]float64
 	ratesAt time.Time
 	// perRequest is the mean work of a completed request, in seconds, as of ratesAt.
 	perRequest float64
@@ -54,7 +54,7 @@
 	// updatedAt is when engines was set, and predicted the number of engines in it whose return is predicted.
 	updatedAt time.Time
 	predicted int
-	curves    [Priorities][2]*curve
+	curves    [schedule.Priorities][2]*curve
 }
 
 // Observe records that work worth this much engine time was completed, so that capacity for as much more is free.
@@ -81,13 +81,13 @@
 
 // Arrived records the arrival of a first try.
 func (c *Capacity) Arrived(now time.Time, priority int) {
-	c.arrivals[min(max(priority, 0), Priorities-1)].add(now, 1)
+	c.arrivals[schedule.ClampPriority(priority)].add(now, 1)
 }
 
 // FirstTries returns how many first tries of this priority or a more urgent one arrive per second.
 func (c *Capacity) FirstTries(now time.Time, priority int) float64 {
 	var sum float64
-	for i := range c.arrivals[:min(max(priority, 0), Priorities-1)+1] {
+	for i := range c.arrivals[:schedule.ClampPriority(priority)+1] {
 		sum += c.arrivals[i].rate(now, keptBuckets)
 	}
 	return sum
@@ -106,7 +106,7 @@
 		}
 		c.engines = append(c.engines, e)
 	}
-	c.curves = [Priorities][2]*curve{}
+	c.curves = [schedule.Priorities][2]*curve{}
 }
 
 // Predicted returns the number of engines whose return is predicted.
@@ -148,7 +148,7 @@
 	if len(c.engines) == 0 {
 		return time.Time{}, false
 	}
-	priority = min(max(priority, 0), Priorities-1)
+	priority = schedule.ClampPriority(priority)
 	firstTries, at := c.FirstTries(c.updatedAt, priority)*candidateFactor, &c.curves[priority][0]
 	if kind == Waiting {
 		firstTries, at = c.FirstTries(c.updatedAt, priority)*waitingFactor, &c.curves[priority][1]
@@ -169,10 +169,10 @@
 }
 
 // RoomByRate returns when work of a priority that waits behind this much other work gets room: at the rate at which capacity became free
-// in the last second, less what more urgent first tries take of it, but at least lowestShare. The result is false if nothing became
+// in the last second, less what more urgent first tries take of it, but at least schedule.PriorityFloor. The result is false if nothing became
 // free or less than a second was observed.
 func (c *Capacity) RoomByRate(now time.Time, priority int, ahead time.Duration) (time.Time, bool) {
-	rate := c.rateFor(now, min(max(priority, 0), Priorities-1))
+	rate := c.rateFor(now, schedule.ClampPriority(priority))
 	if rate <= 0 {
 		return time.Time{}, false
 	}
@@ -183,7 +183,7 @@
 // that some more of them than expected are counted on (reachDeviations). Without that, few waits of some hundred milliseconds would
 // begin at all, and slots that become free by chance would have no request. The result is true if the rate is unknown.
 func (c *Capacity) InReachByRate(now time.Time, priority int, ahead, within time.Duration) bool {
-	rate := c.rateFor(now, min(max(priority, 0), Priorities-1))
+	rate := c.rateFor(now, schedule.ClampPriority(priority))
 	if rate <= 0 {
 		return true
 	}
@@ -194,7 +194,7 @@
 // least share of its priority.
 func (c *Capacity) InReachByFloor(now time.Time, others int, within time.Duration) bool {
 	rate := c.rateFor(now, 0)
-	return rate <= 0 || inReach(float64(others), lowestShare*rate*within.Seconds()/c.perRequest)
+	return rate <= 0 || inReach(float64(others), schedule.PriorityFloor*rate*within.Seconds()/c.perRequest)
 }
 
 // inReach reports whether the turn of a request behind others may well come if so many completions are expected.
@@ -209,13 +209,13 @@
 // it is needed for each waiting request.
 func (c *Capacity) rateFor(now time.Time, priority int) float64 {
 	if age := now.Sub(c.ratesAt); c.ratesAt.IsZero() || age < 0 || age >= stepLength {
-		c.ratesAt, c.rates = now, [Priorities]float64{}
+		c.ratesAt, c.rates = now, [schedule.Priorities]float64{}
 		rate := c.freed.rate(now, rateBuckets)
 		if rate > 0 && c.freed.complete(now) {
 			c.perRequest = rate / c.completed.rate(now, rateBuckets)
 			urgent := 0.0
 			for p := range c.rates {
-				c.rates[p] = math.Max(rate-urgent, lowestShare*rate)
+				c.rates[p] = math.Max(rate-urgent, schedule.PriorityFloor*rate)
 				urgent += c.arrivals[p].rate(now, keptBuckets) * c.perRequest
 			}
 		}
@@ -223,9 +223,6 @@
 	return c.rates[priority]
 }
 
-// lowestShare is the part of the capacity that becomes free which each lower priority gets at least; see package schedule.
-const lowestShare = 0.05
-
 // Sent records that this entry sent a request to an engine of the service.
 func (c *Capacity) Sent(now time.Time) { c.sent.add(now, 1) }
 
@@ -242,9 +239,9 @@
 	return most+1 <= usableSlots(slots, firstTries)
 }
 
-// usableSlots returns how many slots may be taken so that first tries do not wait for longer than firstTryPatience.
+// usableSlots returns how many slots may be taken so that first tries do not wait for longer than maxFirstTryDelay.
 func usableSlots(slots, firstTries float64) float64 {
-	return slots + firstTries*firstTryPatience.Seconds()
+	return slots + firstTries*maxFirstTryDelay.Seconds()
 }
 
 // curve holds how many requests get a slot until each step of the simulation: all of them, and the waiting ones alone.
@@ -311,9 +308,9 @@
 }
 
 const (
-	// firstTryPatience is for how long first tries may wait for the slots that others took; it is a part of firstTryWait. With 60 ms, 44
+	// maxFirstTryDelay is for how long first tries may wait for the slots that others took; it is a part of firstTryWait. With 60 ms, 44
 	// more first tries were in time in simulated outages at 0.47 to 0.93 of the capacity, and 46 fewer callers were answered.
-	firstTryPatience = 100 * time.Millisecond
+	maxFirstTryDelay = 100 * time.Millisecond
 	// firstTryWait is about how long a first try waits for room before it is refused: 0.4 of the objectives of the users' streams.
 	firstTryWait = 330 * time.Millisecond
 )
--- a/internal/core/forward/by_rate.go
+++ b/internal/core/forward/by_rate.go
@@ -40,7 +40,7 @@
 	if o.capacity.InReachByRate(now, r.priority, ahead, within) {
 		return true
 	}
-	others := s.queue(r.service).Waiting()[min(max(r.priority, 0), schedule.Priorities-1)]
+	others := s.queue(r.service).Waiting()[schedule.ClampPriority(r.priority)]
 	return o.capacity.InReachByFloor(now, others, within)
 }
 
--- a/internal/core/forward/held.go
+++ b/internal/core/forward/held.go
@@ -9,6 +9,7 @@
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forecast"
+	"samphireweir.example/samphireweir/internal/core/schedule"
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
@@ -145,22 +146,10 @@
 
 // forecastRequest returns what the decision on a request depends on.
 func (s *State) forecastRequest(r *request, o *outlook) forecast.Request {
-	firstEvent := s.Self.Policy.PrefillAhead
-	if rate := s.readingRate(r); rate > 0 {
-		firstEvent += time.Duration(float64(r.prompt) / rate * float64(time.Second))
-	}
 	return forecast.Request{
 		Arrived: r.arrived, Deadline: r.deadline, CallerTimeout: r.route.CallerTimeout, WaitLimit: s.maxWait(r),
-		RunTime: o.capacity.RunTime(), FirstEvent: firstEvent, Returning: r.returning, Outage: true,
-	}
-}
-
-// readingRate returns how many prompt tokens per second the manifest declares for the engines of a request's service.
-func (s *State) readingRate(r *request) float64 {
-	if service := r.manifest.Services[r.service]; service != nil && service.Engine != nil && service.Engine.PromptTokensPerSecond > 0 {
-		return service.Engine.PromptTokensPerSecond
+		RunTime: o.capacity.RunTime(), FirstEvent: s.Self.Policy.PrefillAhead + promptTime(s.engine(r.service), r.prompt), Returning: r.returning, Outage: true,
 	}
-	return defaultPrefillRate
 }
 
 // markEarly records whether a caller returned sooner than any caller was told to.
@@ -267,6 +256,7 @@
 	return effects
 }
 
+// serveOutlook is serveHeld for one outlook.
 func (s *State) serveOutlook(in step.Input, o *outlook) []step.Effect {
 	s.updateOutlook(in.Now, o)
 	list := o.held
@@ -275,18 +265,8 @@
 	var effects []step.Effect
 	blocked := false
 	for _, r := range list {
-		if s.requests[r.id] != r {
-			s.unhold(r)
-			continue // Its caller is gone or its deadline has passed.
-		}
-		if end, forbidden := s.refreshAndCheck(in, r); forbidden {
-			s.unhold(r)
-			effects = append(effects, s.endRequest(in, r, end)...)
-			continue
-		}
-		if s.outlookOf(in.Now, r) != o {
-			s.unhold(r)
-			effects = append(effects, s.dispatch(in, r)...)
+		if left, end := s.leaveOutlook(in, o, r); left {
+			effects = append(effects, end...)
 			continue
 		}
 		if !blocked && s.spare(in.Now, o, r) {
@@ -298,18 +278,41 @@
 			}
 		}
 		blocked = true
-		roomAt, known := o.capacity.RoomAt(forecast.Waiting, s.urgency(r), len(o.held))
-		if !known || !o.endKnown() || roomAt.After(r.hold.until) || in.Now.Add(outlookLifetime).After(r.hold.until) {
-			d := forecast.Decision{RetryAfter: s.clampedRetryAfter(in, r, o), Reason: fmt.Sprintf("its turn no longer comes within %v", r.hold.until.Sub(in.Now).Round(time.Millisecond))}
-			s.unhold(r)
-			effects = append(effects, s.refuseByForecast(in, r, WaitEnded, full, roomAt, d, o.describe(in.Now))...)
-			continue
-		}
-		o.held = append(o.held, r)
+		effects = append(effects, s.reviewHold(in, o, r)...)
 	}
 	return effects
 }
 
+// leaveOutlook ends the wait of a request that is gone, that the manifest forbids, or that the engines of the outlook no longer serve. The
+// first result is false if it goes on.
+func (s *State) leaveOutlook(in step.Input, o *outlook, r *request) (bool, []step.Effect) {
+	if s.requests[r.id] != r {
+		s.unhold(r)
+		return true, nil // Its caller is gone or its deadline has passed.
+	}
+	if end, forbidden := s.refreshAndCheck(in, r); forbidden {
+		s.unhold(r)
+		return true, s.endRequest(in, r, end)
+	}
+	if s.outlookOf(in.Now, r) != o {
+		s.unhold(r)
+		return true, s.dispatch(in, r)
+	}
+	return false, nil
+}
+
+// reviewHold lets a request wait behind those in o.held, or refuses it if its turn no longer comes in time.
+func (s *State) reviewHold(in step.Input, o *outlook, r *request) []step.Effect {
+	roomAt, known := o.capacity.RoomAt(forecast.Waiting, s.urgency(r), len(o.held))
+	if known && o.endKnown() && !roomAt.After(r.hold.until) && !in.Now.Add(outlookLifetime).After(r.hold.until) {
+		o.held = append(o.held, r)
+		return nil
+	}
+	d := forecast.Decision{RetryAfter: s.clampedRetryAfter(in, r, o), Reason: fmt.Sprintf("its turn no longer comes within %v", r.hold.until.Sub(in.Now).Round(time.Millisecond))}
+	s.unhold(r)
+	return s.refuseByForecast(in, r, WaitEnded, full, roomAt, d, o.describe(in.Now))
+}
+
 // refuseByForecast refuses a request for its predicted wait. inputs are what the prediction is based on.
 func (s *State) refuseByForecast(in step.Input, r *request, decision WaitDecision, found availability, roomAt time.Time, d forecast.Decision, inputs string) []step.Effect {
 	c := code.Overloaded
@@ -323,5 +326,5 @@
 // describe describes, for the log, what the predictions of an outlook are based on.
 func (o *outlook) describe(now time.Time) string {
 	return fmt.Sprintf("%d of %d engines of %s usable, %d predicted by reports of up to %v, %d requests waiting, %.1f first tries/s",
-		o.usable, o.total, o.key.service, o.capacity.Predicted(), o.oldestReport.Round(time.Millisecond), len(o.held), o.capacity.FirstTries(now, forecast.Priorities-1))
+		o.usable, o.total, o.key.service, o.capacity.Predicted(), o.oldestReport.Round(time.Millisecond), len(o.held), o.capacity.FirstTries(now, schedule.Priorities-1))
 }
--- a/internal/core/forward/outlook.go
+++ b/internal/core/forward/outlook.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/forecast"
+	"samphireweir.example/samphireweir/internal/core/schedule"
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
@@ -242,7 +243,7 @@
 	ready, known := o.capacity.FirstReady(now)
 	e := ForecastChanged{
 		Service: o.key.service, Model: o.key.model, Homes: o.key.homes, Outage: o.outage, Usable: o.usable, Total: o.total, Predicted: o.capacity.Predicted(),
-		OldestReport: o.oldestReport, FirstTries: o.capacity.FirstTries(now, forecast.Priorities-1), Waiting: len(o.held),
+		OldestReport: o.oldestReport, FirstTries: o.capacity.FirstTries(now, schedule.Priorities-1), Waiting: len(o.held),
 	}
 	if known {
 		e.ReadyIn = ready.Sub(now)
--- a/internal/core/forward/queue.go
+++ b/internal/core/forward/queue.go
@@ -41,7 +41,9 @@
 	if r.queue == q && r.queuedUnder == r.manifest {
 		return // Nothing of its item has changed.
 	}
-	s.leaveQueue(r)
+	if r.queue != q {
+		s.leaveQueue(r)
+	}
 	r.queue, r.queuedUnder = q, r.manifest
 	q.Add(s.item(r))
 }
--- a/internal/core/forward/retry_after.go
+++ b/internal/core/forward/retry_after.go
@@ -11,7 +11,7 @@
 	// retryAfterMin and retryAfterSpread set the Retry-After delay of a refused caller, which is drawn from retryAfterMin up to
 	// retryAfterMin + retryAfterSpread. That is one to two times as long as a loaded engine takes for an answer. Before a retry,
 	// callers wait for at most a third of their remaining time; for the users' streams that is at most two seconds.
-	retryAfterMin    = 950 * time.Millisecond
+	retryAfterMin    = forecast.RetryAfterMin
 	retryAfterSpread = 900 * time.Millisecond
 	// retryAfterMinOutage replaces retryAfterMin while most upstreams of a service are unusable, for example after engines lost
 	// their weights. Recovery takes seconds, and a caller that returns sooner is refused again. It equals the longest time that
--- a/internal/core/forward/work.go
+++ b/internal/core/forward/work.go
@@ -45,10 +45,10 @@
 	return promptTime(e, r.prompt) + time.Duration(answer*float64(stepTime))
 }
 
-// promptTime returns how long an engine takes for a prompt.
+// promptTime returns how long an engine takes for a prompt; e is nil for a plain service.
 func promptTime(e *catalog.Engine, tokens int) time.Duration {
 	rate := defaultPrefillRate
-	if e.PromptTokensPerSecond > 0 {
+	if e != nil && e.PromptTokensPerSecond > 0 {
 		rate = e.PromptTokensPerSecond
 	}
 	return time.Duration(float64(tokens) / rate * float64(time.Second))
--- a/internal/core/schedule/floors.go
+++ b/internal/core/schedule/floors.go
@@ -11,8 +11,8 @@
 	// rateHalfLife is the time in which work counts half in the rate at which work is served. It is short, since the rate follows the
 	// number of usable engines.
 	rateHalfLife = time.Second
-	// priorityFloor is the part of the work served that goes at least to each lower priority that waits.
-	priorityFloor = 0.05
+	// PriorityFloor is the part of the work served that goes at least to each lower priority that waits.
+	PriorityFloor = 0.05
 	// accountFloor is the part of its share by weight that an account that waits gets at least within its priority.
 	accountFloor = 0.5
 	// maxCredit bounds a floor credit in seconds of work. It is several times the work of a usual request, which is 0.5 to 1.3 s, so
@@ -68,7 +68,7 @@
 			continue
 		}
 		if moreUrgent {
-			c[p] = min(maxCredit, c[p]+priorityFloor*work)
+			c[p] = min(maxCredit, c[p]+PriorityFloor*work)
 		}
 		moreUrgent = true
 	}
--- a/internal/core/schedule/schedule.go
+++ b/internal/core/schedule/schedule.go
@@ -14,6 +14,9 @@
 // Priorities is the number of priorities. 0 is the most urgent.
 const Priorities = 10
 
+// ClampPriority returns the priority nearest to the given one.
+func ClampPriority(priority int) int { return min(max(priority, 0), Priorities-1) }
+
 // Item is a waiting request.
 type Item struct {
 	ID      uint64
@@ -55,7 +58,7 @@
 
 func newEntry(it Item, seq uint64) *entry {
 	e := &entry{
-		Item: it, seq: seq, priority: min(max(it.Priority, 0), Priorities-1), weight: 1, work: max(minWork, it.Work.Seconds()),
+		Item: it, seq: seq, priority: ClampPriority(it.Priority), weight: 1, work: max(minWork, it.Work.Seconds()),
 		arrived: nanos(it.Arrived), inTimeUntil: nanos(it.InTimeUntil),
 	}
 	if it.Weight > 0 {
@@ -99,9 +102,6 @@
 // Waiting returns the number of waiting requests by priority.
 func (q *Queue) Waiting() [Priorities]int { return q.waiting }
 
-// Contains reports whether the request waits.
-func (q *Queue) Contains(id uint64) bool { return q.items[id] != nil }
-
 // Add lets a request wait. A request that waits already gets the new values and keeps its place among equal ones.
 func (q *Queue) Add(it Item) {
 	seq := q.nextSeq
