forward: requests that leave no longer count as waiting for the end of an outage

Cause: a request whose caller was gone or whose deadline had passed stayed in the list and the counts until the next tick, and others could be refused for it meanwhile. Change: drop takes it out of its list at once.

--- a/internal/core/forward/held.go
+++ b/internal/core/forward/held.go
@@ -25,6 +25,8 @@
 
 // hold is the wait of a request for the end of an outage.
 type hold struct {
+	// outlook is the one in whose list the request waits; nil if it does not wait.
+	outlook *outlook
 	// until is the latest time at which the request can be sent; zero if it does not wait.
 	until time.Time
 	// predicted is set for a first try whose wait was decided by a forecast, whatever its length.
@@ -189,7 +191,7 @@
 
 // holdRequest lets a request wait for the end of an outage. If too many wait, the least urgent one is refused.
 func (s *State) holdRequest(in step.Input, r *request, o *outlook, until, roomAt time.Time) []step.Effect {
-	r.hold.until = until
+	r.hold.outlook, r.hold.until = o, until
 	at, _ := slices.BinarySearchFunc(o.held, r, s.compareHeld)
 	o.held = slices.Insert(o.held, at, r)
 	s.heldCount++
@@ -213,17 +215,23 @@
 	r := from.held[len(from.held)-1]
 	from.held = from.held[:len(from.held)-1]
 	s.unhold(r)
-	if s.requests[r.id] != r {
-		return nil
-	}
 	why := fmt.Sprintf("%d requests with %d bytes wait for the end of the outage, and this is the least urgent", s.heldCount, s.heldBytes)
 	return s.refuseByForecast(in, r, WaitShed, full, in.Now, forecast.Decision{RetryAfter: s.clampedRetryAfter(in, r, from), Reason: why}, from.describe(in.Now))
 }
 
+// unhold records that a request no longer waits for the end of an outage. It is not in its outlook's list any more.
 func (s *State) unhold(r *request) {
 	s.heldCount--
 	s.heldBytes -= r.hold.size
-	r.hold.until = time.Time{}
+	r.hold.outlook, r.hold.until = nil, time.Time{}
+}
+
+// leaveHeld ends the wait of a request for the end of an outage, if it waits for one.
+func (s *State) leaveHeld(r *request) {
+	if o := r.hold.outlook; o != nil {
+		o.held = slices.DeleteFunc(o.held, func(other *request) bool { return other == r })
+		s.unhold(r)
+	}
 }
 
 // WaitingForEnd returns the number of requests that wait for the end of an outage.
@@ -283,13 +291,9 @@
 	return effects
 }
 
-// leaveOutlook ends the wait of a request that is gone, that the manifest forbids, or that the engines of the outlook no longer serve. The
-// first result is false if it goes on.
+// leaveOutlook ends the wait of a request that the manifest forbids, or that the engines of the outlook no longer serve. The first result
+// is false if it goes on.
 func (s *State) leaveOutlook(in step.Input, o *outlook, r *request) (bool, []step.Effect) {
-	if s.requests[r.id] != r {
-		s.unhold(r)
-		return true, nil // Its caller is gone or its deadline has passed.
-	}
 	if end, forbidden := s.refreshAndCheck(in, r); forbidden {
 		s.unhold(r)
 		return true, s.endRequest(in, r, end)
--- a/internal/core/forward/outage_test.go
+++ b/internal/core/forward/outage_test.go
@@ -211,6 +211,23 @@
 	require.Len(t, refusals(oversized), 1)
 }
 
+// TestGoneRequestsWaitNoLonger guards against requests that are refused because others, whose callers are gone or whose deadline has
+// passed, still count as waiting until the next tick.
+func TestGoneRequestsWaitNoLonger(t *testing.T) {
+	for _, ev := range []step.Event{forward.CallerGone{ID: 3}, forward.TimedOut{ID: 3}} {
+		r := newWaitingRig(t)
+		r.state.Self.MaxHeldBytes = 1000
+		arrived := forward.Arrived{ID: 3, Host: "h", Path: resumableStream, Key: "key-1", Model: "m", Budget: 4 * time.Second, Size: 600}
+		require.Empty(t, refusals(r.step(arrived)))
+		r.step(ev)
+		require.Equal(t, 1, r.state.WaitingForEnd())
+		r.now += time.Millisecond
+		arrived.ID = 4
+		require.Empty(t, refusals(r.step(arrived)))
+		require.Equal(t, 2, r.state.WaitingForEnd())
+	}
+}
+
 // TestNoRequestWaitsWithoutEngines guards against requests that begin to wait for the end of an outage when no engine is registered any
 // more, and are refused with the next tick only.
 func TestNoRequestWaitsWithoutEngines(t *testing.T) {
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -305,6 +305,7 @@
 // drop forgets a request.
 func (s *State) drop(r *request) {
 	s.leaveQueue(r)
+	s.leaveHeld(r)
 	delete(s.requests, r.id)
 }
 
