forward: Retry-After that callers follow in prioritized services

Cause: at the end of a wait in a prioritized service the delay could exceed a third of the caller's remaining time (up to 1.85 s where a caller with 4 s follows 1.27 s), and all waits that ended with one tick got the same delay. Change: there the delay is limited to what the caller follows, spread below that limit, and drawn by the request's ID. Other services keep their delays. Result: TestRefusedCallersCanFollowTheirDelays failed before (20 callers, one delay), and passes.

--- a/internal/core/forward/priority_test.go
+++ b/internal/core/forward/priority_test.go
@@ -137,6 +137,26 @@
 	require.Contains(t, refused[1].Reason, "(priority 9, 1 requests with 525ms of work ahead)")
 }
 
+// TestRefusedCallersCanFollowTheirDelays guards against delays that are longer than callers wait, a third of the time that they have left,
+// and against callers who return at the same moment because their waits ended with the same tick.
+func TestRefusedCallersCanFollowTheirDelays(t *testing.T) {
+	r := newPriorityRig(true, 1)
+	r.addFull("m1", "perth-a", 0)
+	for id := uint64(1); id <= 20; id++ {
+		r.step(forward.Arrived{ID: id, Host: "h", Path: "/0/x", Key: "0", Model: "m", Budget: 4 * time.Second})
+	}
+	r.now += 201 * time.Millisecond
+	refused := refusals(r.step(step.Tick{}))
+	require.Len(t, refused, 20)
+	delays := map[time.Duration]bool{}
+	for _, refuse := range refused {
+		require.GreaterOrEqual(t, refuse.RetryAfter, 950*time.Millisecond)
+		require.LessOrEqual(t, refuse.RetryAfter, (4*time.Second-r.now)/3)
+		delays[refuse.RetryAfter] = true
+	}
+	require.Greater(t, len(delays), 15)
+}
+
 // TestMaximumAnswerSaysLittleAboutWork guards against charging an account for the highest answer length that its callers allow, instead
 // of the usual one: it would get a fraction of its share.
 func TestMaximumAnswerSaysLittleAboutWork(t *testing.T) {
--- a/internal/core/forward/retry_after.go
+++ b/internal/core/forward/retry_after.go
@@ -17,6 +17,9 @@
 	// their weights. Recovery takes seconds, and a caller that returns sooner is refused again. It equals the longest time that
 	// callers of the users' streams wait before a retry.
 	retryAfterMinOutage = 2 * time.Second
+	// limitSpread is the time below the longest delay that callers follow over which longer ones are spread, so that callers with the same
+	// timeout do not return at the same moment.
+	limitSpread = 300 * time.Millisecond
 )
 
 // retryAfter returns a randomized Retry-After delay, so that refused callers do not return at the same moment.
@@ -24,8 +27,23 @@
 	return retryAfterMin + time.Duration(in.Rand%uint64(retryAfterSpread))
 }
 
-// retryAfterFor returns the Retry-After delay for a request whose service has no capacity for it.
+// retryAfterFor returns the Retry-After delay for a request whose service has no capacity for it. In a service whose requests have different
+// priorities it is limited to what the caller follows, and differs by the request's ID, since several waits may end with one input.
 func (s *State) retryAfterFor(in step.Input, r *request) time.Duration {
+	if !s.prioritized(r.service) {
+		return s.unlimitedRetryAfter(in, r)
+	}
+	in.Rand = mix(in.Rand ^ mix(r.id))
+	after := s.unlimitedRetryAfter(in, r)
+	limit := forecast.ClampRetry(after, r.deadline.Sub(in.Now))
+	if after > limit {
+		limit -= time.Duration(in.Rand % uint64(min(limit-retryAfterMin, limitSpread)+1))
+	}
+	return limit
+}
+
+// unlimitedRetryAfter returns the Retry-After delay after which there may be capacity for a request, whether its caller follows it or not.
+func (s *State) unlimitedRetryAfter(in step.Input, r *request) time.Duration {
 	after := s.retryAfter(in)
 	if s.outage(in.Now, r) {
 		after += retryAfterMinOutage - retryAfterMin
