forward: refusals of one pass examine the upstreams once for each kind

Cause: at the end of a wait each refusal scanned all upstreams three times, two of them for its Retry-After. Change: within a pass the results of these two are kept by kind of request until something is sent. Decisions are the same.

--- a/internal/core/forward/pass.go
+++ b/internal/core/forward/pass.go
@@ -25,6 +25,8 @@
 	ahead   time.Duration
 	// full are the results of the searches since the last send that found all upstreams full.
 	full []fullResult
+	// delayInputs are those of the requests refused since the last send, by kind.
+	delayInputs map[searchKey]delayInputs
 	// reserved are the upstreams that are reserved for requests that had their turn; see reserve.
 	reserved []*loadState
 }
@@ -49,7 +51,7 @@
 }
 
 func newPass(q *schedule.Queue, prioritized bool) *pass {
-	p := &pass{prioritized: prioritized}
+	p := &pass{prioritized: prioritized, delayInputs: map[searchKey]delayInputs{}}
 	for priority, n := range q.Waiting() {
 		if n > 0 {
 			p.leastUrgent = priority
--- a/internal/core/forward/queue.go
+++ b/internal/core/forward/queue.go
@@ -162,6 +162,7 @@
 	}
 	if s.pass != nil {
 		s.pass.full = s.pass.full[:0]
+		clear(s.pass.delayInputs)
 	}
 }
 
--- a/internal/core/forward/retry_after.go
+++ b/internal/core/forward/retry_after.go
@@ -44,11 +44,32 @@
 
 // unlimitedRetryAfter returns the Retry-After delay after which there may be capacity for a request, whether its caller follows it or not.
 func (s *State) unlimitedRetryAfter(in step.Input, r *request) time.Duration {
-	after := s.retryAfter(in)
-	if s.outage(in.Now, r) {
+	after, inputs := s.retryAfter(in), s.delayInputs(in.Now, r)
+	if inputs.outage {
 		after += retryAfterMinOutage - retryAfterMin
 	}
-	return max(after, s.shortestBackoff(in.Now, r)+after-retryAfterMin)
+	return max(after, inputs.shortestBackoff+after-retryAfterMin)
+}
+
+// delayInputs are what the Retry-After delay of a request depends on, besides chance; see State.outage and State.shortestBackoff.
+type delayInputs struct {
+	outage          bool
+	shortestBackoff time.Duration
+}
+
+// delayInputs returns the inputs of the Retry-After delay of a request. Within a pass over a queue, in which thousands of requests may be
+// refused, the upstreams are examined once for each kind of request.
+func (s *State) delayInputs(now time.Time, r *request) delayInputs {
+	if s.pass == nil || r.attempts > 0 {
+		return delayInputs{outage: s.outage(now, r), shortestBackoff: s.shortestBackoff(now, r)}
+	}
+	key := s.searchKey(r)
+	inputs, known := s.pass.delayInputs[key]
+	if !known {
+		inputs = delayInputs{outage: s.outage(now, r), shortestBackoff: s.shortestBackoff(now, r)}
+		s.pass.delayInputs[key] = inputs
+	}
+	return inputs
 }
 
 // clampedRetryAfter returns the Retry-After delay for a request whose wait was ended, limited to what its caller follows. Several waits may
