--- a/internal/core/forward/outlook.go
+++ b/internal/core/forward/outlook.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/forecast"
+	"samphireweir.example/samphireweir/internal/core/schedule"
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
@@ -57,13 +58,14 @@
 }
 
 // outlookOf returns the outlook for a request. It returns nil for a request to a model that the service does not have, since callers name
-// the model and their choice must not add state, and for one to a plain service without priorities.
+// the model and their choice must not add state; for one that fits into no engine's memory, since it would wait in vain; and for one to a
+// plain service without priorities.
 func (s *State) outlookOf(now time.Time, r *request) *outlook {
 	key := outlookKey{service: r.service}
 	service := r.manifest.Services[r.service]
 	switch {
 	case service != nil && service.Engine != nil:
-		if !slices.Contains(service.Engine.Models, r.model) {
+		if !slices.Contains(service.Engine.Models, r.model) || !fitsMemory(service.Engine, r.tokens) {
 			return nil
 		}
 		key.model = r.model
@@ -241,7 +243,7 @@
 	ready, known := o.capacity.FirstReady(now)
 	e := ForecastChanged{
 		Service: o.key.service, Model: o.key.model, Homes: o.key.homes, Outage: o.outage, Usable: o.usable, Total: o.total, Predicted: o.capacity.Predicted(),
-		OldestReport: o.oldestReport, FirstTries: o.capacity.FirstTries(now, forecast.Priorities-1), Waiting: len(o.held),
+		OldestReport: o.oldestReport, FirstTries: o.capacity.FirstTries(now, schedule.Priorities-1), Waiting: len(o.held),
 	}
 	if known {
 		e.ReadyIn = ready.Sub(now)
--- a/internal/core/forward/pass.go
+++ b/internal/core/forward/pass.go
@@ -25,6 +25,8 @@
 	ahead   time.Duration
 	// full are the results of the searches since the last send that found all upstreams full.
 	full []fullResult
+	// delayInputs are those of the requests refused since the last send, by kind.
+	delayInputs map[searchKey]delayInputs
 	// reserved are the upstreams that are reserved for requests that had their turn; see reserve.
 	reserved []*loadState
 }
@@ -49,7 +51,7 @@
 }
 
 func newPass(q *schedule.Queue, prioritized bool) *pass {
-	p := &pass{prioritized: prioritized}
+	p := &pass{prioritized: prioritized, delayInputs: map[searchKey]delayInputs{}}
 	for priority, n := range q.Waiting() {
 		if n > 0 {
 			p.leastUrgent = priority
@@ -104,14 +106,11 @@
 func (s *State) searchKey(r *request) searchKey {
 	k := searchKey{
 		service: r.service, model: r.model, moveTo: r.moveTo, kind: r.route.Kind, objective: r.route.Objective, repeatable: r.route.Repeatable(),
-		returning: r.returning, priority: r.priority, fitsMemory: true,
+		returning: r.returning, priority: r.priority, fitsMemory: fitsMemory(s.engine(r.service), r.tokens),
 	}
 	if !r.homes.Unrestricted() {
 		k.homes = r.homes.String()
 	}
-	if e := s.engine(r.service); e != nil && e.MemoryTokens > 0 {
-		k.fitsMemory = r.tokens <= e.MemoryTokens
-	}
 	return k
 }
 
--- a/internal/core/forward/retry_after.go
+++ b/internal/core/forward/retry_after.go
@@ -11,12 +11,15 @@
 	// retryAfterMin and retryAfterSpread set the Retry-After delay of a refused caller, which is drawn from retryAfterMin up to
 	// retryAfterMin + retryAfterSpread. That is one to two times as long as a loaded engine takes for an answer. Before a retry,
 	// callers wait for at most a third of their remaining time; for the users' streams that is at most two seconds.
-	retryAfterMin    = 950 * time.Millisecond
+	retryAfterMin    = forecast.RetryAfterMin
 	retryAfterSpread = 900 * time.Millisecond
 	// retryAfterMinOutage replaces retryAfterMin while most upstreams of a service are unusable, for example after engines lost
 	// their weights. Recovery takes seconds, and a caller that returns sooner is refused again. It equals the longest time that
 	// callers of the users' streams wait before a retry.
 	retryAfterMinOutage = 2 * time.Second
+	// limitSpread is the time below the longest delay that callers follow over which longer ones are spread, so that callers with the same
+	// timeout do not return at the same moment.
+	limitSpread = 300 * time.Millisecond
 )
 
 // retryAfter returns a randomized Retry-After delay, so that refused callers do not return at the same moment.
@@ -24,13 +27,49 @@
 	return retryAfterMin + time.Duration(in.Rand%uint64(retryAfterSpread))
 }
 
-// retryAfterFor returns the Retry-After delay for a request whose service has no capacity for it.
+// retryAfterFor returns the Retry-After delay for a request whose service has no capacity for it. In a service whose requests have different
+// priorities it is limited to what the caller follows, and differs by the request's ID, since several waits may end with one input.
 func (s *State) retryAfterFor(in step.Input, r *request) time.Duration {
-	after := s.retryAfter(in)
-	if s.outage(in.Now, r) {
+	if !s.prioritized(r.service) {
+		return s.unlimitedRetryAfter(in, r)
+	}
+	in.Rand = mix(in.Rand ^ mix(r.id))
+	after := s.unlimitedRetryAfter(in, r)
+	limit := forecast.ClampRetry(after, r.deadline.Sub(in.Now))
+	if after > limit {
+		limit -= time.Duration(in.Rand % uint64(min(limit-retryAfterMin, limitSpread)+1))
+	}
+	return limit
+}
+
+// unlimitedRetryAfter returns the Retry-After delay after which there may be capacity for a request, whether its caller follows it or not.
+func (s *State) unlimitedRetryAfter(in step.Input, r *request) time.Duration {
+	after, inputs := s.retryAfter(in), s.delayInputs(in.Now, r)
+	if inputs.outage {
 		after += retryAfterMinOutage - retryAfterMin
 	}
-	return max(after, s.shortestBackoff(in.Now, r)+after-retryAfterMin)
+	return max(after, inputs.shortestBackoff+after-retryAfterMin)
+}
+
+// delayInputs are what the Retry-After delay of a request depends on, besides chance; see State.outage and State.shortestBackoff.
+type delayInputs struct {
+	outage          bool
+	shortestBackoff time.Duration
+}
+
+// delayInputs returns the inputs of the Retry-After delay of a request. Within a pass over a queue, in which thousands of requests may be
+// refused, the upstreams are examined once for each kind of request.
+func (s *State) delayInputs(now time.Time, r *request) delayInputs {
+	if s.pass == nil || r.attempts > 0 {
+		return delayInputs{outage: s.outage(now, r), shortestBackoff: s.shortestBackoff(now, r)}
+	}
+	key := s.searchKey(r)
+	inputs, known := s.pass.delayInputs[key]
+	if !known {
+		inputs = delayInputs{outage: s.outage(now, r), shortestBackoff: s.shortestBackoff(now, r)}
+		s.pass.delayInputs[key] = inputs
+	}
+	return inputs
 }
 
 // clampedRetryAfter returns the Retry-After delay for a request whose wait was ended, limited to what its caller follows. Several waits may
