install: load turns by load time, with at most half of the engines away

Cause: turns were spread over the window less 2 s for a superseded version, and over the whole window for the newest one, whatever a load takes. The turns also began 1 s after the version was complete, since the next one was still expected in time.

Change: one rule (turnDelay). Engines start at the interval at which the last load ends with the held version, but no more than half of them are away at a time; the rest load when the held version has ended. Turns count from when the version may first be loaded by some engines, so a later decision for the second half continues the order in place of starting it anew. One half of the engines loads a complete superseded version also where the next one is expected, if too little time would be left for all to load that one in turns.

Ruled out: a quarter of the engines at a time.

--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -305,10 +305,16 @@
 	// plan is the last plan. turnOf is the version for whose load nextAt is this engine's turn.
 	plan   versionplan.Plan
 	turnOf int64
+	// turnsFrom is when the version turnsOf could first be loaded by some engines of the service, which take turns from then on.
+	turnsOf   int64
+	turnsFrom time.Time
 	// loggedAt is when a change of the plan was last logged.
 	loggedAt time.Time
 	// phaseSince is when the engine entered its phase.
 	phaseSince time.Time
+	// orderedAt is when the last load was ordered, and orderedBusy is set if the engine had requests then.
+	orderedAt   time.Time
+	orderedBusy bool
 	// order is the last load order; nil once its weights are verified, and after a restart of the engine.
 	order *sentOrder
 }
@@ -339,6 +345,8 @@
 	complete map[string]bool
 	// transfers is the last reading of the transfers.
 	transfers TransfersRead
+	// measuredLoadTime is the measured load time of this engine while it has requests; 0 until a load is measured.
+	measuredLoadTime time.Duration
 }
 
 // NewState returns the state of an agent that knows nothing about its engine yet.
--- a/internal/core/install/plan.go
+++ b/internal/core/install/plan.go
@@ -43,6 +43,7 @@
 		m.turnOf = 0
 	}
 	m.plan = plan
+	m.startTurns(in.Now)
 	return effects
 }
 
@@ -69,7 +70,7 @@
 	}
 	inputs := versionplan.Inputs{
 		Held: held, HeldUntil: heldUntil, OriginRate: s.transfers.OriginRate, LinkRate: s.transfers.LinkRate, OriginAway: s.transfers.OriginAway || m.unresolved(now),
-		LoadTime: usualLoadTime, IdleLoadTime: idleLoadTime, Serving: s.engine.RequestCount > 0, SecondHalf: secondHalf, Memory: s.ChunkMemory,
+		LoadTime: s.loadTime(), IdleLoadTime: idleLoadTime, TurnTime: s.turnTime(), Serving: s.engine.RequestCount > 0, SecondHalf: secondHalf, Memory: s.ChunkMemory,
 	}
 	for _, v := range m.versions {
 		t, known := s.transfers.Transfers[v.digest]
@@ -126,7 +127,7 @@
 	}
 	end := m.phaseSince.Add(idleLoadTime)
 	if s.engine.RequestCount > 0 {
-		end = m.phaseSince.Add(usualLoadTime)
+		end = m.phaseSince.Add(s.loadTime())
 	}
 	if now.Sub(end) > maxOverdue {
 		return time.Time{}, 0
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -172,6 +172,7 @@
 	if !s.responding(in.Now) {
 		return m.enter(in.Now, Waiting, in.Now.Add(prepareRetry), "the engine does not respond")
 	}
+	m.orderedAt, m.orderedBusy = in.Now, s.engine.RequestCount > 0
 	return append(m.enter(in.Now, Ordering, in.Now.Add(orderTimeout), "chunks read back"), s.newOrder(m, ev.CheckedAt))
 }
 
@@ -248,6 +249,9 @@
 		}
 	case Loading:
 		if responding && !s.engine.Busy && (due || held == m.target) {
+			if held == m.target {
+				s.measureLoad(in.Now, m)
+			}
 			return m.enter(in.Now, Idle, in.Now, "the load has ended")
 		}
 	case Unloading:
@@ -292,48 +296,6 @@
 	return append(m.enter(in.Now, Preparing, in.Now, "its turn"), Prepare{Model: m.name, Version: v.number, Digest: v.digest})
 }
 
-// idleLoadTime is the approximate load time of an engine without running requests.
-const idleLoadTime = 500 * time.Millisecond
-
-// usualLoadTime is the approximate time that an engine takes to complete its running requests and to load.
-const usualLoadTime = 2 * time.Second
-
-// turnDelay returns how long this engine waits before it loads a version, so that the engines of a service don't all stop accepting
-// requests at once. The time for which entries still send requests to the version that it holds is divided among the peers by rank.
-//
-// The ranks are the same for all versions of a model. For versions with an odd number, the order is reversed: an engine that loads an
-// even version first loads the odd version after it last.
-//
-// The delay is 0 where there is nothing to take turns for: the engine holds no version, entries no longer send requests to the version
-// that it holds, or no other peer is known. It is also 0 while this host isn't among the known peers, because it then has no rank.
-//
-// When a still newer version has been activated, the engines that load this one must accept requests again when the others stop. These are
-// all of them or one half; see package versionplan.
-func (s *State) turnDelay(now time.Time, m *model, held int64) time.Duration {
-	window := s.usableUntil(m, held).Sub(now)
-	position, n := s.turn(m)
-	if held == 0 || window <= 0 || n < 2 || position < 0 {
-		return 0
-	}
-	if m.newestComplete() != m.newest() {
-		window = max(0, window-usualLoadTime)
-	}
-	if m.plan.Half {
-		n = (n + 1) / 2
-	}
-	return window * time.Duration(position) / time.Duration(n)
-}
-
-// turn returns this engine's position in the order in which the engines load the newest complete version, and the number of engines. The
-// position is negative while this host isn't among the known peers.
-func (s *State) turn(m *model) (position, n int) {
-	position, n = step.Position(m.name, s.Self, s.peers), len(s.peers)
-	if best := m.newestComplete(); position >= 0 && best != nil && best.number%2 == 1 {
-		position = n - 1 - position
-	}
-	return position, n
-}
-
 // usableUntil returns until when entries send requests to an engine that holds the version with this number: until they require the
 // newer version that was activated first. This engine need not hold the version yet. The number 0 stands for no version. The zero time
 // means that no end is known.
--- a/internal/core/versionplan/load.go
+++ b/internal/core/versionplan/load.go
@@ -59,7 +59,8 @@
 
 // loadServing decides for an engine whose version is still usable. All engines load an older version if it is needed to bridge a predicted
 // time without any usable one. Otherwise the load costs more than it brings if the next version is complete long enough before the held
-// one ends for the engines to load that one in turns.
+// one ends for all engines to load that one in turns. If it isn't, one half loads the older version, since these can load the next one
+// after the others, and since the origin may go away before the next one is complete.
 func (in Inputs) loadServing(now time.Time, v Version, next time.Time) (loads, half bool, reason string) {
 	use := time.Duration(0)
 	if !in.HeldUntil.IsZero() {
@@ -77,7 +78,7 @@
 	switch {
 	case bridged >= minBridge && (!next.IsZero() || unreachable):
 		return true, false, "the complete version bridges the time until the next one"
-	case !next.IsZero() && in.wellBefore(next):
+	case !next.IsZero() && in.wellBefore(next) && in.HeldUntil.Sub(next) >= in.TurnTime:
 		return false, false, "the next version will be complete well before the held one ends"
 	case use < needed || unreachable:
 		return false, false, "the complete version can't be used long enough"
--- a/internal/core/versionplan/versionplan.go
+++ b/internal/core/versionplan/versionplan.go
@@ -42,6 +42,8 @@
 	// LoadTime is how long an engine that has requests accepts no new ones because of a load. IdleLoadTime is the same for an engine
 	// without requests.
 	LoadTime, IdleLoadTime time.Duration
+	// TurnTime is how long the engines of the service need to load in turns; 0 if this is the only one.
+	TurnTime time.Duration
 	// Serving is set while the engine has requests.
 	Serving bool
 	// SecondHalf is set on one half of the hosts. Their engines leave out a version whose load is worth its cost only for some engines.
