install: mend two cases in which the time of readiness was unknown

Cause: while an engine loads, its end was counted from the order: 0.5 s once it has no more requests. With requests that take 1.5 s or more, that time was over by more than a second when the load itself began, and the load report said that the time is unknown. An agent that restarts learns of versions some seconds after their activation; it took the origin for unreachable at once, since no chunk manifest had arrived within 1 s of the activation.

Change: count from when the engine was first read without requests, and the wait for the chunk manifest from when the process learned of the version.

--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -281,6 +281,8 @@
 	number int64
 	digest string
 	phase  Phase
+	// knownSince is when this process learned of the version.
+	knownSince time.Time
 	// nextAt is when the request for the chunk manifest is repeated if it failed or is unanswered. attempts counts these repetitions.
 	nextAt   time.Time
 	attempts int
@@ -331,6 +333,8 @@
 	models map[string]*model
 	peers  []string
 	engine EngineRead
+	// idleSince is when the engine was first read without requests after it had some.
+	idleSince time.Time
 	// readAt is when the engine last answered, and failedReads counts the readings that have failed since.
 	readAt      time.Time
 	failedReads int
--- a/internal/core/install/plan.go
+++ b/internal/core/install/plan.go
@@ -13,7 +13,7 @@
 	originVersions = 2
 	// planLogInterval is the minimum time between two logged changes of a plan. Predicted times may move it back and forth.
 	planLogInterval = 200 * time.Millisecond
-	// maxResolveTime is how long after its activation the chunk manifest of a version is expected at the latest from an origin that answers.
+	// maxResolveTime is how long after this host learned of a version its chunk manifest is expected at the latest from an origin that answers.
 	maxResolveTime = time.Second
 	// maxOverdue is how long after its expected end a load is still expected to end at any moment.
 	maxOverdue = time.Second
@@ -85,7 +85,7 @@
 // unresolved reports whether the newest version's chunk manifest has been missing for so long that the origin is probably unreachable.
 func (m *model) unresolved(now time.Time) bool {
 	newest := m.newest()
-	return newest.phase == Resolving && now.Sub(m.activatedAt[newest.number]) > maxResolveTime
+	return newest.phase == Resolving && now.Sub(newest.knownSince) > maxResolveTime
 }
 
 // newerThan returns the number of activated versions that are newer than the given one.
@@ -125,7 +125,7 @@
 	if !loading && (m.phase != Preparing || m.plan.ReadyVersion == 0) {
 		return m.plan.ReadyAt, m.plan.ReadyVersion
 	}
-	end := m.phaseSince.Add(idleLoadTime)
+	end := later(m.phaseSince, s.idleSince).Add(idleLoadTime)
 	if s.engine.RequestCount > 0 {
 		end = m.phaseSince.Add(s.loadTime())
 	}
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -20,7 +20,7 @@
 	m.recordActivation(ev.Version, in.Now.Add(-ev.Age))
 	var effects []step.Effect
 	if s.mayBeNeeded(in.Now, m, ev.Version) {
-		v := &version{number: ev.Version, phase: Resolving, nextAt: in.Now.Add(resolveTimeout)}
+		v := &version{number: ev.Version, phase: Resolving, knownSince: in.Now, nextAt: in.Now.Add(resolveTimeout)}
 		m.versions = append(m.versions, v)
 		slices.SortFunc(m.versions, func(a, b *version) int { return cmp.Compare(a.number, b.number) })
 		// The reason "named" means that the version was activated. It is logged, so it stays.
@@ -119,6 +119,9 @@
 // engineRead stores a reading. A restarted engine holds no weights, and any load started on its previous instance is abandoned.
 func (s *State) engineRead(in step.Input, ev EngineRead) []step.Effect {
 	restarted := s.startedAt > 0 && ev.StartedAt > 0 && ev.StartedAt != s.startedAt
+	if s.engine.RequestCount > 0 && ev.RequestCount == 0 {
+		s.idleSince = in.Now
+	}
 	s.engine, s.readAt, s.failedReads = ev, in.Now, 0
 	if ev.StartedAt > 0 {
 		s.startedAt = ev.StartedAt // It is earlier than the last one if the host's clock was set back.
--- a/internal/core/install/turns_test.go
+++ b/internal/core/install/turns_test.go
@@ -226,3 +226,44 @@
 	}
 	require.Greater(t, delay(3400*time.Millisecond), delay(2500*time.Millisecond)+300*time.Millisecond)
 }
+
+// TestReadinessIsKnownThroughoutALoad guards against a load report without the time at which the engine accepts requests again, once the
+// requests that delayed its load are complete. Entries then take the time as unknown, and refuse callers who could wait.
+func TestReadinessIsKnownThroughoutALoad(t *testing.T) {
+	h := newHarness()
+	h.engine.Loaded["m"], h.engine.RequestCount = 0, 6
+	h.read()
+	h.fetch(1, "d1")
+	h.pass(100 * time.Millisecond)
+	h.step(install.Prepared{Model: "m", Version: 1, OK: true, CheckedAt: begin.Add(h.now)})
+	h.step(install.LoadOrderEnded{Model: "m", Version: 1, Accepted: true})
+	ordered := h.now
+	h.engine.Busy, h.engine.OrderCount = true, 1
+	for h.now < ordered+2400*time.Millisecond {
+		if h.now >= ordered+1900*time.Millisecond {
+			h.engine.RequestCount = 0
+		}
+		h.pass(100 * time.Millisecond)
+		at, version, known := h.state.Ready(begin.Add(h.now))
+		require.True(t, known, "%v after the order", h.now-ordered)
+		require.Equal(t, int64(1), version)
+		require.InDelta(t, (ordered + 2400*time.Millisecond).Seconds(), at.Sub(begin).Seconds(), 0.2, "%v after the order", h.now-ordered)
+	}
+}
+
+// TestRestartedAgentExpectsAnOriginThatAnswers guards against an agent that starts and takes the origin for unreachable, because it learns of
+// a version long after its activation and has not requested its chunk manifest yet. It could not tell entries when its engine is ready.
+func TestRestartedAgentExpectsAnOriginThatAnswers(t *testing.T) {
+	h := newHarness()
+	h.read()
+	h.step(install.VersionActivated{Model: "m", Version: 2, Age: 4 * time.Second})
+	h.step(install.Resolved{Model: "m", Version: 2, Digest: "d2"})
+	h.step(install.VersionActivated{Model: "m", Version: 3, Age: 2 * time.Second})
+	h.transfers(false, map[string][2]int64{"d2": {4, 12}})
+	_, _, known := h.state.Ready(begin)
+	require.True(t, known)
+	h.pass(1100 * time.Millisecond)
+	h.transfers(false, map[string][2]int64{"d2": {4, 12}})
+	_, _, known = h.state.Ready(begin.Add(h.now))
+	require.False(t, known, "the chunk manifest is overdue")
+}
