weights: a version that the origin no longer sends is no outage

Cause: the fleet may lack chunks of a version that the origin answers 410 for. Nothing more comes from the origin for it, so its transfer counted as stalled and its measured rate went to 0, for all versions: the host took the origin for unreachable and the times of later versions as unknown.

Change: such a transfer tells nothing about the origin's rate and reachability.

Measured: TestGoneVersionDoesNotCountAsAnOutage failed before (rate 0 from 1.7 s) and passes now; the tests of fleets in order_test.go pass.

--- a/internal/core/weights/order.go
+++ b/internal/core/weights/order.go
@@ -64,7 +64,7 @@
 			t.Known--
 		}
 	}
-	if t.FleetLacks == 0 {
+	if t.FleetLacks == 0 || b.originGone {
 		return t
 	}
 	t.Stalled = !b.originReserved(now) && !now.Before(b.reservedUntil(now))
@@ -155,7 +155,7 @@
 func (s *State) OriginRate(now time.Time) float64 {
 	rate := s.rates.originRate()
 	for _, b := range s.Bursts {
-		if b.Manifest == nil || b.originReserved(now) {
+		if b.Manifest == nil || b.originGone || b.originReserved(now) {
 			continue
 		}
 		if lacks := b.unheld(now); lacks > 0 {
@@ -170,7 +170,7 @@
 
 func originAway(bursts map[string]*Burst, now time.Time) bool {
 	for _, b := range bursts {
-		if !b.complete() && b.outage.ongoing(now) {
+		if !b.complete() && !b.originGone && b.outage.ongoing(now) {
 			return true
 		}
 	}
--- a/internal/core/weights/state_test.go
+++ b/internal/core/weights/state_test.go
@@ -146,3 +146,23 @@
 	pass(200, constant(40*time.Millisecond))
 	require.Equal(t, 1.0, s.Yield.Share, "the share does not shrink again immediately")
 }
+
+// TestGoneVersionDoesNotCountAsAnOutage guards against an origin that counts as slow or unreachable because it no longer sends one version. The
+// versions that it sends were then predicted as unknown, and never waited for.
+func TestGoneVersionDoesNotCountAsAnOutage(t *testing.T) {
+	const rate = 50000
+	v := newVersion("v1", 4, 0)
+	s, effects := singleHost(t, v)
+	s.AssumeOriginRate(rate)
+	fetch := effects[0].(weights.FetchChunk)
+	s.Reduce(at(time.Second, weights.ChunkFailed{Digest: v.digest, Index: fetch.Index, Fetch: fetch.ID, From: weights.Origin, Reason: weights.Gone}))
+	for now := time.Second; now < 10*time.Second; now += 100 * time.Millisecond {
+		input := at(now, step.Tick{})
+		s.Reduce(input)
+		transfer := s.Transfers(input.Now)[v.digest]
+		require.True(t, transfer.Gone)
+		require.Positive(t, transfer.FleetLacks)
+		require.False(t, transfer.Stalled || s.OriginAway(input.Now), "%v", now)
+		require.InDelta(t, rate, s.OriginRate(input.Now), 0, "%v", now)
+	}
+}
