--- a/internal/core/weights/order_test.go
+++ b/internal/core/weights/order_test.go
@@ -22,6 +22,8 @@
 	wholeAt []map[*fakeHost]time.Duration
 	known   map[*fakeHost]int
 	order   map[*fakeHost]string
+	// reversed is set for hosts that fetch in the opposite order of their plan; nil for none.
+	reversed func(h *fakeHost) bool
 }
 
 const (
@@ -35,6 +37,13 @@
 
 // playPlanned activates versions 2, 3, ... at the given times, with an origin that is unreachable from down to up, until the given time.
 func playPlanned(seed uint64, hosts int, activatedAt []time.Duration, down, up, until time.Duration) *planned {
+	p := newPlanned(seed, hosts, activatedAt)
+	p.play(down, up, until)
+	return p
+}
+
+// newPlanned returns a fleet in which versions 2, 3, ... are activated at the given times.
+func newPlanned(seed uint64, hosts int, activatedAt []time.Duration) *planned {
 	p := &planned{fleet: newFleet(seed, hosts, setting.TimeFirst), activatedAt: activatedAt, known: map[*fakeHost]int{}, order: map[*fakeHost]string{}}
 	p.shared = &sharedOrigin{fleet: p.fleet, perChunk: originChunkTime, refused: map[*fakeHost]bool{}}
 	p.originFault = func(int) (bool, weights.Reason, time.Duration) { return p.shared.down, weights.ExchangeFailed, 0 }
@@ -51,10 +60,13 @@
 		h.share = float64(chunkTime) / float64(hostChunkTime)
 		p.after(firstActivation+time.Duration(p.random.Int64N(int64(100*time.Millisecond))), func() { p.replanEvery(h) })
 	}
+	return p
+}
+
+func (p *planned) play(down, up, until time.Duration) {
 	p.after(down, func() { p.shared.setDown(true) })
 	p.after(up, func() { p.shared.setDown(false) })
 	p.run(until, func() bool { return false })
-	return p
 }
 
 func (p *planned) replanEvery(h *fakeHost) {
@@ -82,6 +94,9 @@
 		in.Versions = append(in.Versions, pv)
 	}
 	plan := versionplan.Decide(now, in)
+	if p.reversed != nil && p.reversed(h) {
+		slices.Reverse(plan.FetchOrder)
+	}
 	var wants []weights.Want
 	order := ""
 	for _, v := range in.Versions {
@@ -146,3 +161,15 @@
 		require.LessOrEqual(t, p.wholeOn(3, 0.9), alone.wholeOn(2, 0.9)+400*time.Millisecond, "seed %d", seed)
 	}
 }
+
+// TestHostsWithOppositeOrdersCompleteTheNewestVersion guards against hosts that wait for each other at the origin: half of them reserve it for
+// version 2 and the others for version 3, which is activated at 18.5 s. Two copies take 4.2 s from the origin, and their spread up to 2 s.
+func TestHostsWithOppositeOrdersCompleteTheNewestVersion(t *testing.T) {
+	for seed, hosts := range fleetSizes[:3] {
+		p := newPlanned(uint64(seed), hosts, []time.Duration{firstActivation, firstActivation + 500*time.Millisecond})
+		p.reversed = func(h *fakeHost) bool { return h.region == "region-1" }
+		p.play(time.Minute, time.Minute, 26*time.Second)
+		t.Logf("seed %d, %d hosts: version 3 on all at %v, %.2f copies from the origin", seed, hosts, p.wholeOn(3, 1), p.shared.sentChunks/48)
+		require.LessOrEqual(t, p.wholeOn(3, 1), 24700*time.Millisecond, "seed %d", seed)
+	}
+}
