install: an engine that loses its weights while it waits loads at once

Cause: the time of an engine's turn was kept when it lost the version that it held, unless its start time showed a restart. It stayed empty until its turn, for seconds beside a complete version.

Change: the turn is computed anew when the held version changes. A test of versionplan covers the half of the engines that load an older version if the time for turns is too short.

--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -304,9 +304,9 @@
 	nextAt time.Time
 	// dropped holds the versions that were dropped before they were complete.
 	dropped map[int64]bool
-	// plan is the last plan. turnOf is the version for whose load nextAt is this engine's turn.
-	plan   versionplan.Plan
-	turnOf int64
+	// plan is the last plan. turnOf is the version for whose load nextAt is this engine's turn, and turnHeld the one held by the engine then.
+	plan             versionplan.Plan
+	turnOf, turnHeld int64
 	// turnsFrom is when the version turnsOf could first be loaded by some engines of the service, which take turns from then on.
 	turnsOf   int64
 	turnsFrom time.Time
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -285,8 +285,8 @@
 		m.turnOf = 0
 		return nil
 	}
-	if m.turnOf != m.plan.Load {
-		m.turnOf, m.nextAt = m.plan.Load, in.Now.Add(s.turnDelay(in.Now, m, held))
+	if m.turnOf != m.plan.Load || m.turnHeld != held {
+		m.turnOf, m.turnHeld, m.nextAt = m.plan.Load, held, in.Now.Add(s.turnDelay(in.Now, m, held))
 		due = !in.Now.Before(m.nextAt)
 	}
 	if v = m.version(m.plan.Load); v == nil || !responding || s.engine.Busy || !due {
--- a/internal/core/install/turns_test.go
+++ b/internal/core/install/turns_test.go
@@ -267,3 +267,22 @@
 	_, _, known = h.state.Ready(begin.Add(h.now))
 	require.False(t, known, "the chunk manifest is overdue")
 }
+
+// TestEngineThatLosesItsWeightsLoadsBeforeItsTurn guards against an engine that stays empty until the turn that it had while it held a usable
+// version, for seconds beside a complete version. It tells no start time, so its restart shows by its weights only.
+func TestEngineThatLosesItsWeightsLoadsBeforeItsTurn(t *testing.T) {
+	prepared := 0
+	for _, other := range []string{"10.0.0.2:7700", "10.0.0.3:7700", "10.0.0.4:7700", "10.0.0.5:7700"} {
+		h := newHarness(other)
+		h.engine.Loaded["m"] = 1
+		h.read()
+		h.fetch(2, "d2")
+		if hasPrepare(h.pass(500 * time.Millisecond)) {
+			continue // It is the first in the order.
+		}
+		h.engine.Loaded = map[string]int64{}
+		require.True(t, hasPrepare(h.pass(200*time.Millisecond)))
+		prepared++
+	}
+	require.Positive(t, prepared)
+}
--- a/internal/core/versionplan/faults_test.go
+++ b/internal/core/versionplan/faults_test.go
@@ -70,3 +70,23 @@
 		}
 	}
 }
+
+// TestHalfLoadAVersionWhenTurnsAreTooShort guards against engines that all wait for a version which leaves too little time to load it in turns:
+// nearly all would be away together. Turns take 5 s, and the held version can be used for 5 s.
+func TestHalfLoadAVersionWhenTurnsAreTooShort(t *testing.T) {
+	for _, c := range []struct {
+		heldFor    time.Duration
+		secondHalf bool
+		want       int64
+	}{{5 * s, false, 2}, {5 * s, true, 0}, {8 * s, false, 0}, {8 * s, true, 0}} {
+		in := versionplan.Inputs{
+			Versions: []versionplan.Version{
+				{Number: 2, UsableUntil: begin.Add(c.heldFor + 2*s), Complete: true, Size: size, Resolved: true},
+				{Number: 3, FleetLacks: size / 2, HostLacks: size / 2, Size: size, Resolved: true},
+			},
+			Held: 1, HeldUntil: begin.Add(c.heldFor), OriginRate: originRate, LinkRate: linkRate, LoadTime: 2500 * ms, IdleLoadTime: idleLoadTime, TurnTime: 5 * s,
+			Serving: true, SecondHalf: c.secondHalf,
+		}
+		assert.Equal(t, c.want, versionplan.Decide(begin, in).Load, "%+v", c)
+	}
+}
--- a/internal/core/versionplan/versionplan.go
+++ b/internal/core/versionplan/versionplan.go
@@ -95,7 +95,7 @@
 	// minIdleUse is the same for an engine that holds nothing usable. Its load costs no capacity.
 	minIdleUse = 500 * time.Millisecond
 	// minBridge is the minimum time without a usable version for which all engines load a version that is superseded already. Such loads
-	// are taken in turns, and a load costs an engine up to 2 s.
+	// are taken in turns, and a load costs an engine 2.5 s.
 	minBridge = 800 * time.Millisecond
 	// skipWait is how long an engine that skips a version waits for the next one after the end of the version that it holds.
 	skipWait = time.Second
