install: transfers use most of the link when the next version would come too late

Cause: while an engine answers requests, transfers keep to 0.8 of the host's link, also when the version that it holds goes out of use before the next one is complete. Change: the share of an idle engine, 0.92, applies then as well.

--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -371,14 +371,29 @@
 	return s.engine.Busy
 }
 
-// LinkShare returns the fraction of the host's link that transfers may use, above 0 up to 1. It is higher while the engine is idle.
+// LinkShare returns the fraction of the host's link that transfers may use, above 0 up to 1. It is higher while the engine is idle, and while
+// the engine would be without a usable version otherwise.
 func (s *State) LinkShare() float64 {
-	if s.engine.RequestCount > 0 {
+	if s.engine.RequestCount > 0 && !slices.ContainsFunc(s.Models(), func(name string) bool { return s.tooLate(s.models[name]) }) {
 		return servingShare
 	}
 	return idleShare
 }
 
+// spreadTime is how much longer the last chunks of a version take to reach a host than its own link needs for what it lacks.
+const spreadTime = time.Second
+
+// tooLate reports whether the newest version is expected to be complete only after the version that the engine holds has gone out of use.
+func (s *State) tooLate(m *model) bool {
+	newest, until := m.newest(), s.usableUntil(m, s.usableVersion(m.name))
+	t := s.transfers.Transfers[newest.digest]
+	if newest.phase != Fetching || until.IsZero() || t.Size == 0 || s.transfers.LinkRate <= 0 {
+		return false
+	}
+	left := time.Duration(float64(t.HostLacks) / s.transfers.LinkRate * float64(time.Second))
+	return s.readAt.Add(left + spreadTime).After(until)
+}
+
 // Answered reports whether the engine has ever answered.
 func (s *State) Answered() bool { return !s.readAt.IsZero() }
 
--- a/internal/core/install/install_test.go
+++ b/internal/core/install/install_test.go
@@ -468,3 +468,20 @@
 	h.read()
 	require.InDelta(t, 0.92, h.state.LinkShare(), 0)
 }
+
+// TestTransfersUseMostOfTheLinkWhenTheNextVersionIsLate guards against an engine that runs out of usable weights while the next version is
+// still transferred with the part of the link that is left beside answers.
+func TestTransfersUseMostOfTheLinkWhenTheNextVersionIsLate(t *testing.T) {
+	h := newHarness()
+	h.engine.Loaded["m"], h.engine.RequestCount = 1, 2
+	h.read()
+	h.step(install.VersionActivated{Model: "m", Version: 2})
+	h.step(install.Resolved{Model: "m", Version: 2, Digest: "d2"})
+	h.transfers(false, map[string][2]int64{"d2": {48, 48}})
+	require.InDelta(t, 0.8, h.state.LinkShare(), 0, "there is time enough")
+	h.pass(versionLifetime - 1300*time.Millisecond - 3*time.Second)
+	h.read()
+	require.InDelta(t, 0.92, h.state.LinkShare(), 0)
+	h.step(install.ContentComplete{Digest: "d2"})
+	require.InDelta(t, 0.8, h.state.LinkShare(), 0, "the version is complete")
+}
