versionplan: the origin first sends the little that the fleet lacks of an older version

Cause: two versions 2 s apart, and an origin that went away 0.5 s after the second: hosts put the newest one first, since it would have been whole well before the held version ended, and the fleet was left with 47 of 48 chunks of the older one. No engine had a usable version for 3 s. Change: an older version of which the origin needs at most 0.5 s to send the rest is fetched first; the newest one waits for the origin no longer than that. Once the fleet holds all of it, the order is decided as before.

--- a/internal/core/versionplan/faults_test.go
+++ b/internal/core/versionplan/faults_test.go
@@ -90,3 +90,24 @@
 		assert.Equal(t, c.want, versionplan.Decide(begin, in).Load, "%+v", c)
 	}
 }
+
+// TestFleetGetsTheRestOfAnOlderVersionFirst guards against a version of which the fleet lacks a single chunk when the origin goes away, since the
+// newest version came first for the few tenths of a second in which the origin could have sent the rest.
+func TestFleetGetsTheRestOfAnOlderVersionFirst(t *testing.T) {
+	const chunk, chunks = 49152, 48
+	now := time.Unix(1000, 0)
+	in := versionplan.Inputs{
+		Held: 1, HeldUntil: now.Add(6400 * time.Millisecond), OriginRate: 9e6 / 8, LinkRate: 0.8 * 9.4e6 / 8, LoadTime: 2500 * time.Millisecond,
+		IdleLoadTime: 500 * time.Millisecond, TurnTime: 5 * time.Second, Serving: true,
+		Versions: []versionplan.Version{
+			{Number: 1, ActivatedAt: now.Add(-time.Minute), UsableUntil: now.Add(6400 * time.Millisecond), Complete: true, Resolved: true, Size: chunks * chunk},
+			{Number: 2, ActivatedAt: now.Add(-2 * time.Second), UsableUntil: now.Add(8400 * time.Millisecond), FleetLacks: 6 * chunk, HostLacks: 29 * chunk, Resolved: true, Size: chunks * chunk},
+			{Number: 3, ActivatedAt: now},
+		},
+	}
+	assert.Equal(t, []int64{2, 3}, versionplan.Decide(now, in).FetchOrder)
+	in.Versions[1].FleetLacks = 0
+	assert.Equal(t, []int64{3, 2}, versionplan.Decide(now, in).FetchOrder, "the fleet holds it, and the newest is whole soon enough")
+	in.OriginAway = true
+	assert.Equal(t, []int64{2, 3}, versionplan.Decide(now, in).FetchOrder, "the hosts complete it without the origin")
+}
--- a/internal/core/versionplan/versionplan.go
+++ b/internal/core/versionplan/versionplan.go
@@ -221,6 +221,9 @@
 	case gapB < gapA-equalGap:
 		return newestFirst, "the newest version first: less time without a usable version"
 	}
+	if in.nearlyInFleet(older) && in.additionalUse(now, older, now) >= minIdleUse {
+		return olderFirst, "the older version first: the fleet lacks little of it, and the origin may go away"
+	}
 	if a[older.Number].IsZero() || b[newest.Number].IsZero() {
 		return newestFirst, "the newest version first: times are unknown"
 	}
@@ -235,6 +238,15 @@
 	return newestFirst, "the newest version first: it can be complete soon enough"
 }
 
+// maxInsuranceTime is how long the newest version may wait for the origin so that the fleet holds all of an older one. Once it does, the
+// hosts can complete the older one without the origin, whenever that turns out to be of use.
+const maxInsuranceTime = 500 * time.Millisecond
+
+// nearlyInFleet reports whether the origin needs only a short time to send what the fleet lacks of a version.
+func (in Inputs) nearlyInFleet(v Version) bool {
+	return v.Resolved && !v.Gone && v.FleetLacks > 0 && float64(v.FleetLacks) <= in.OriginRate*maxInsuranceTime.Seconds()
+}
+
 // wellBefore reports whether a version that is complete at the given time can be loaded in turns before the held one ends.
 func (in Inputs) wellBefore(complete time.Time) bool {
 	return in.HeldUntil.IsZero() || in.HeldUntil.Sub(complete) >= in.LoadTime
