--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -281,6 +281,8 @@
 	number int64
 	digest string
 	phase  Phase
+	// knownSince is when this process learned of the version.
+	knownSince time.Time
 	// nextAt is when the request for the chunk manifest is repeated if it failed or is unanswered. attempts counts these repetitions.
 	nextAt   time.Time
 	attempts int
@@ -302,13 +304,19 @@
 	nextAt time.Time
 	// dropped holds the versions that were dropped before they were complete.
 	dropped map[int64]bool
-	// plan is the last plan. turnOf is the version for whose load nextAt is this engine's turn.
-	plan   versionplan.Plan
-	turnOf int64
+	// plan is the last plan. turnOf is the version for whose load nextAt is this engine's turn, and turnHeld the one held by the engine then.
+	plan             versionplan.Plan
+	turnOf, turnHeld int64
+	// turnsFrom is when the version turnsOf could first be loaded by some engines of the service, which take turns from then on.
+	turnsOf   int64
+	turnsFrom time.Time
 	// loggedAt is when a change of the plan was last logged.
 	loggedAt time.Time
 	// phaseSince is when the engine entered its phase.
 	phaseSince time.Time
+	// orderedAt is when the last load was ordered, and orderedBusy is set if the engine had requests then.
+	orderedAt   time.Time
+	orderedBusy bool
 	// order is the last load order; nil once its weights are verified, and after a restart of the engine.
 	order *sentOrder
 }
@@ -325,6 +333,8 @@
 	models map[string]*model
 	peers  []string
 	engine EngineRead
+	// idleSince is when the engine was first read without requests after it had some.
+	idleSince time.Time
 	// readAt is when the engine last answered, and failedReads counts the readings that have failed since.
 	readAt      time.Time
 	failedReads int
@@ -339,6 +349,8 @@
 	complete map[string]bool
 	// transfers is the last reading of the transfers.
 	transfers TransfersRead
+	// measuredLoadTime is the measured load time of this engine while it has requests; 0 until a load is measured.
+	measuredLoadTime time.Duration
 }
 
 // NewState returns the state of an agent that knows nothing about its engine yet.
@@ -359,14 +371,29 @@
 	return s.engine.Busy
 }
 
-// LinkShare returns the fraction of the host's link that transfers may use, above 0 up to 1. It is higher while the engine is idle.
+// LinkShare returns the fraction of the host's link that transfers may use, above 0 up to 1. It is higher while the engine is idle, and while
+// the engine would be without a usable version otherwise.
 func (s *State) LinkShare() float64 {
-	if s.engine.RequestCount > 0 {
+	if s.engine.RequestCount > 0 && !slices.ContainsFunc(s.Models(), func(name string) bool { return s.tooLate(s.models[name]) }) {
 		return servingShare
 	}
 	return idleShare
 }
 
+// spreadTime is how much longer the last chunks of a version take to reach a host than its own link needs for what it lacks.
+const spreadTime = time.Second
+
+// tooLate reports whether the newest version is expected to be complete only after the version that the engine holds has gone out of use.
+func (s *State) tooLate(m *model) bool {
+	newest, until := m.newest(), s.usableUntil(m, s.usableVersion(m.name))
+	t := s.transfers.Transfers[newest.digest]
+	if newest.phase != Fetching || until.IsZero() || t.Size == 0 || s.transfers.LinkRate <= 0 {
+		return false
+	}
+	left := time.Duration(float64(t.HostLacks) / s.transfers.LinkRate * float64(time.Second))
+	return s.readAt.Add(left + spreadTime).After(until)
+}
+
 // Answered reports whether the engine has ever answered.
 func (s *State) Answered() bool { return !s.readAt.IsZero() }
 
