explain: why a request found no capacity, and what was sent before

A refusal's line names the predicted wait and the work ahead within its reason only, and who got the capacity had to be searched for by hand.

-request now prints priority, account, predicted wait, possible wait and work ahead of a refusal that depends on the upstreams, and the requests of the same service that its entry sent in the second before: counts by priority and account, and the last five with their ids. Lines name no service, so routes count as of one service if they share an upstream; accounts and priorities come from the lines of the requests' ends.

-losses counts by class the refusals on arrival and the waits that a forecast ended. Waits that ended with an answer have no line of their own.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -45,9 +45,11 @@
   explain -losses FILE...
   explain -install MODEL/VERSION FILE...
   Reads log files, or standard input if no file is given. -request prints the lines of one request, related events at its entry in
-  the 10 seconds before its end, and which lines are missing. -belief prints when the processes learned of a change of the manifest,
-  an upstream or a version. -sample draws failed and refused requests and prints the outcome and the cause of each. -losses counts
-  the requests that were not answered in time, by reason. -install prints when hosts reached each step of a version's installation.
+  the 10 seconds before its end, and which lines are missing. For a request that found no capacity it prints the predicted wait and the
+  work ahead, and which requests its entry sent in the second before. -belief prints when the processes learned of a change of the
+  manifest, an upstream or a version. -sample draws failed and refused requests and prints the outcome and the cause of each. -losses
+  counts the requests that were not answered in time, by reason, and all by priority, account and data centre. -install prints when
+  hosts reached each step of a version's installation.
   Malformed lines are counted.
 `
 }
--- a/internal/explain/class_losses.go
+++ b/internal/explain/class_losses.go
@@ -29,6 +29,9 @@
 type ClassLosses struct {
 	Class
 	Ended, InTime, Late, Refused, RefusedAgain, Failed int
+	// OnArrival and WaitsEnded count the refusals by a predicted wait: at once, and of requests that waited, for example for the end of an
+	// outage. Waits that ended with an answer have no line of their own.
+	OnArrival, WaitsEnded int
 }
 
 // lossesByClass counts the accepted requests by class, ordered by property and value. Requests that were refused before they were
@@ -89,6 +92,12 @@
 // add counts a request, given by the line of its end and its last attempt.
 func (c *ClassLosses) add(end, attempt Line) {
 	c.Ended++
+	if end.Event == logevent.RequestRefused && end.refusedOnArrival() {
+		c.OnArrival++
+	}
+	if end.Event == logevent.RequestRefused && end.waitEnded() {
+		c.WaitsEnded++
+	}
 	switch {
 	case end.Event == logevent.RequestRefused && end.Ran == "not run" && end.Returning:
 		c.RefusedAgain++
@@ -108,9 +117,10 @@
 	if len(l.ByClass) == 0 {
 		return
 	}
-	fmt.Fprintf(out, "\n%-12s %-24s %7s %8s %6s %8s %14s %7s\n", "class", "", "ended", "in time", "late", "refused", "refused again", "failed")
+	fmt.Fprintf(out, "\n%-12s %-24s %7s %8s %6s %8s %14s %11s %11s %7s\n",
+		"class", "", "ended", "in time", "late", "refused", "refused again", "on arrival", "waits ended", "failed")
 	for _, c := range l.ByClass {
-		fmt.Fprintf(out, "%-12s %-24s %7d %7.1f%% %6d %8d %14d %7d\n",
-			c.Property, c.Value, c.Ended, 100*float64(c.InTime)/float64(c.Ended), c.Late, c.Refused, c.RefusedAgain, c.Failed)
+		fmt.Fprintf(out, "%-12s %-24s %7d %7.1f%% %6d %8d %14d %11d %11d %7d\n",
+			c.Property, c.Value, c.Ended, 100*float64(c.InTime)/float64(c.Ended), c.Late, c.Refused, c.RefusedAgain, c.OnArrival, c.WaitsEnded, c.Failed)
 	}
 }
--- a/internal/explain/read.go
+++ b/internal/explain/read.go
@@ -70,6 +70,8 @@
 	// TookMS is how long an answered request took, HeldMS how long a refused one was held, in milliseconds.
 	TookMS float64 `json:"took_ms"`
 	HeldMS float64 `json:"held_ms"`
+	// RetryAfterMS is the delay after which the caller of a refused request may return, in milliseconds.
+	RetryAfterMS float64 `json:"retry_after_ms"`
 	// LateFrom, LateUntil, DelayMS, MaxDelayMS and OwnShare describe a spell of a process that is late; see Spell.
 	LateFrom   time.Time `json:"late_from"`
 	LateUntil  time.Time `json:"late_until"`
--- a/internal/explain/request.go
+++ b/internal/explain/request.go
@@ -32,6 +32,8 @@
 	Related []Line
 	// Spells are the times during the request in which a process that logged a line of it was late itself.
 	Spells []Spell
+	// Refusal says why there was no capacity; nil unless the request was refused because of the state of the upstreams.
+	Refusal *Refusal
 }
 
 // Failed reports whether the request ended without a complete answer from an upstream, unless its caller disconnected.
@@ -55,6 +57,9 @@
 	case logevent.RequestRefused:
 		v.Outcome = fmt.Sprintf("refused with code %d (%s), ran: %s", last.Code, code.Code(last.Code).Describe().Name, last.Ran)
 		v.Cause = last.Why
+		if causedByUpstreams(last.Code) {
+			v.Refusal = l.refusal(last)
+		}
 	case logevent.RequestEnded:
 		v.Outcome, v.Cause = last.Outcome, last.Why
 	}
@@ -175,6 +180,9 @@
 			fmt.Fprintf(&b, "  %s\n", s.text())
 		}
 	}
+	if v.Refusal != nil {
+		v.Refusal.print(&b)
+	}
 	b.WriteString("\n")
 	for _, m := range v.Missing {
 		fmt.Fprintf(&b, "missing: %s\n", m)
