--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -157,7 +157,7 @@
 func (s *soak) call(c *standin.Caller, q standin.Request) standin.Reply {
 	path, entry, sent := q.Path, s.entryIndex(c.Address), time.Now()
 	q.Header = requestHeader(entry, sent)
-	if path == homePath {
+	if path == homePath || path == boundStreamPath {
 		q.Header.Set(homeHeader, "1")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -185,7 +185,7 @@
 	if r.Seal == "" {
 		s.t.Errorf("%s: successful response without an upstream's seal", r.ID)
 	}
-	if path == "/stream/1" {
+	if strings.HasPrefix(path, "/stream/") {
 		if r.Body != completeStream {
 			s.t.Errorf("%s: stream ended cleanly but is incomplete: %q", r.ID, r.Body)
 		}
