forward: quotas need planned work and a known demand; speeds of services end with them

Cause: a data centre with supply and no planned work got the quota 0/0. The NaN was converted to the smallest integer, and the difference to the requests in flight overflowed: an entry could take all free slots of an engine there. An entry that had not heard the demand of its own data centre (after its restart, or as long as no agent there reports) had quotas of 0, so that it got no slot of a contended data centre. The usual times of a service were kept after the service had left the manifest.

Change: no quota without moved work, none at all while the own demand is unknown. Services that the manifest does not have are dropped once a second.

--- a/internal/core/forward/balance_capacity.go
+++ b/internal/core/forward/balance_capacity.go
@@ -33,15 +33,15 @@
 func (s *State) updateQuotas(now time.Time, engines engineCounts) {
 	b := &s.balance
 	b.quotas = nil
-	if !b.shares.Known() {
-		return
+	if !b.shares.Known() || !b.heard.knows(s.Self.DataCentre) {
+		return // Without the demand of its own data centre, the plan says nothing about this entry's part.
 	}
 	own := s.Demand(now)
 	// The plan rests on aged demand, so this entry's fresh demand has to age like that of its data centre.
 	aged := balance.Aged(now.Sub(b.heard.estimates[s.Self.DataCentre].at))
 	for dataCentre, inside := range engines.byDataCentre {
 		load := b.shares.Load(dataCentre)
-		if load.Supply <= 0 || load.Moved < minMovedPart*(load.Own+load.Moved) {
+		if load.Supply <= 0 || load.Moved <= 0 || load.Moved < minMovedPart*(load.Own+load.Moved) {
 			continue
 		}
 		mine := 0.0
--- a/internal/core/forward/uneven.go
+++ b/internal/core/forward/uneven.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
@@ -276,6 +277,9 @@
 	if s.uneven.startedAt.IsZero() {
 		s.uneven.startedAt = now
 	}
+	if m := s.Catalog.Manifest; m != nil {
+		maps.DeleteFunc(s.uneven.services, func(name string, _ *serviceSpeed) bool { return m.Services[name] == nil })
+	}
 	for _, l := range s.loadStates {
 		if m := l.speed.firstEvent; m != nil && m.Expired(now) {
 			l.speed.firstEvent = nil
