balance: demand in order, heard without agents nearby, and forgotten in time

Cause, each found in review: - A reordered heartbeat or load report replaced newer demand or sums. - An entry in a data centre without engines, or whose agents are silent, never learned the demand of its own data centre: agents of others send it only their own sum. It had no plan for its callers, and the choice of before. - While no plan was in effect, the sums of every engine address that ever reported were kept. - Sums of an unknown agent were dropped without being counted.

Change: messages with demand or sums carry the sender's start time and a counter (q); older ones are dropped and counted with event 2021. An entry that hears no agent of its own data centre asks for its sum with its heartbeat (o), and estimates its demand by all agents that it hears. Sums and estimates expire with the other state, once a second. Ruled out: sending that sum to every entry, because of the traffic between regions.

Result: the tests of the own sum at the entry and of the expiry failed before. Both tests of the order fail if Sequence.Follows always holds. Tests of forward, balance, hostagent, gateway and loadreport pass.

--- a/internal/core/forward/balance_demand.go
+++ b/internal/core/forward/balance_demand.go
@@ -130,10 +130,17 @@
 // DemandReported is the event that an agent's sums of the demand were received.
 type DemandReported struct {
 	// Address is the address of the agent's engine.
-	Address string
-	Sums    []DemandSum
+	Address  string
+	Sequence balance.Sequence
+	Sums     []DemandSum
 }
 
+// DemandDropped has the shell count sums that were dropped: the agent is unknown, or newer ones were received before.
+type DemandDropped struct{}
+
+// Effect marks the type as an effect.
+func (DemandDropped) Effect() {}
+
 // DemandSum is the demand of the entries of one data centre from which an agent gets heartbeats.
 type DemandSum struct {
 	DataCentre string
@@ -157,6 +164,7 @@
 type agentSums struct {
 	dataCentre string
 	at         time.Time
+	sequence   balance.Sequence
 	sums       map[string]agentSum
 }
 
@@ -175,10 +183,10 @@
 	return heardDemand{agents: map[string]*agentSums{}, estimates: map[string]estimate{}}
 }
 
-func (s *State) demandReported(in step.Input, ev DemandReported) {
+func (s *State) demandReported(in step.Input, ev DemandReported) []step.Effect {
 	u := s.Catalog.UpstreamAt(ev.Address, 0)
 	if u == nil {
-		return
+		return []step.Effect{DemandDropped{}}
 	}
 	h := &s.balance.heard
 	a := h.agents[ev.Address]
@@ -186,10 +194,26 @@
 		a = &agentSums{dataCentre: u.DataCentre, sums: map[string]agentSum{}}
 		h.agents[ev.Address] = a
 	}
-	a.at = in.Now
+	// An agent whose clock was set back during its restart is believed again once its earlier sums are too old to be used.
+	if in.Now.Sub(a.at) <= freshSums && !ev.Sequence.Follows(a.sequence) {
+		return []step.Effect{DemandDropped{}}
+	}
+	a.at, a.sequence = in.Now, ev.Sequence
 	for _, sum := range ev.Sums {
 		a.sums[sum.DataCentre] = agentSum{at: in.Now.Add(-sum.Age), sets: sum.Sets}
 	}
+	return nil
+}
+
+// HearsOwnDemand reports whether an agent of this entry's data centre said lately what the demand there is. If none did, because the data
+// centre has no engines or its agents are silent, the entry asks the other agents for it.
+func (s *State) HearsOwnDemand(now time.Time) bool {
+	for _, a := range s.balance.heard.agents {
+		if a.dataCentre == s.Self.DataCentre && now.Sub(a.at) <= freshSums {
+			return true
+		}
+	}
+	return false
 }
 
 // knows reports whether the demand of a data centre was heard.
@@ -201,30 +225,26 @@
 // estimate returns the demand of all data centres. An agent hears only the entries that send it heartbeats: a fraction of those of its own
 // data centre and a smaller one of the others, which follow from the numbers of engines; see ChooseHeartbeatTargets. The sum over some
 // agents, divided by the sum of these fractions, is an estimate of the whole. Agents of the data centre itself hear the most of it. Where
-// none of them is heard, those of this entry's data centre are used.
+// none of them is heard, those of this entry's data centre are used, and for the demand of this one all others; see HearsOwnDemand.
 func (h *heardDemand) estimate(now time.Time, here string, engines engineCounts) []balance.Demand {
+	h.expire(now)
 	names := map[string]bool{}
-	for address, a := range h.agents {
-		if now.Sub(a.at) > sumsLifetime {
-			delete(h.agents, address)
-			continue
-		}
+	for _, a := range h.agents {
 		for name := range a.sums {
 			names[name] = true
 		}
 	}
 	for name := range names {
 		inside := engines.byDataCentre[name]
-		if !h.estimateFrom(now, name, name, fraction(maxNearAgents, inside)) && name != here {
-			h.estimateFrom(now, name, here, fraction(maxFarAgents, engines.total-inside))
+		in := func(dataCentre string) bool { return dataCentre == name }
+		if h.estimateFrom(now, name, in, fraction(maxNearAgents, inside)) {
+			continue
 		}
+		elsewhere := func(dataCentre string) bool { return dataCentre != name && (name == here || dataCentre == here) }
+		h.estimateFrom(now, name, elsewhere, fraction(maxFarAgents, engines.total-inside))
 	}
 	var list []balance.Demand
 	for _, name := range slices.Sorted(maps.Keys(h.estimates)) {
-		if now.Sub(h.estimates[name].at) > estimateLifetime {
-			delete(h.estimates, name)
-			continue
-		}
 		for _, d := range h.estimates[name].sets {
 			list = append(list, balance.Demand{DataCentre: name, Homes: d.Homes, Work: d.Work, At: h.estimates[name].at})
 		}
@@ -232,14 +252,20 @@
 	return list
 }
 
-// estimateFrom estimates the demand of a data centre from what the agents of another said lately, or of the same one. heardPart is the part
-// of its entries that each of them hears. It reports whether there is any such agent.
-func (h *heardDemand) estimateFrom(now time.Time, name, agentsIn string, heardPart float64) bool {
+// expire drops the sums and the estimates that are too old to be used, also while no plan is in effect.
+func (h *heardDemand) expire(now time.Time) {
+	maps.DeleteFunc(h.agents, func(_ string, a *agentSums) bool { return now.Sub(a.at) > sumsLifetime })
+	maps.DeleteFunc(h.estimates, func(_ string, e estimate) bool { return now.Sub(e.at) > estimateLifetime })
+}
+
+// estimateFrom estimates the demand of a data centre from what the agents of the data centres that in selects said lately. heardPart is the
+// part of its entries that each of them hears. It reports whether any of them heard one.
+func (h *heardDemand) estimateFrom(now time.Time, name string, in func(dataCentre string) bool, heardPart float64) bool {
 	total, heard, e := 0.0, false, estimate{}
 	byHomes := map[string]int{}
 	for _, address := range slices.Sorted(maps.Keys(h.agents)) {
 		a := h.agents[address]
-		if a.dataCentre != agentsIn || now.Sub(a.at) > freshSums {
+		if !in(a.dataCentre) || now.Sub(a.at) > freshSums {
 			continue
 		}
 		total += heardPart // Agents that heard none of the entries count too, or the estimate would be too large.
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -408,7 +408,7 @@
 	case LoadReported:
 		return s.loadReported(in, ev)
 	case DemandReported:
-		s.demandReported(in, ev)
+		return s.demandReported(in, ev)
 	case CrashesReported:
 		return s.crashesReported(in, ev)
 	case AnswerHeadReceived:
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -209,6 +209,7 @@
 	s.forgotAt = now
 	s.forgetSpeeds(now)
 	s.forgetOutlooks(now)
+	s.balance.heard.expire(now)
 	for instance, l := range s.loadStates {
 		u := s.Catalog.Upstreams[instance.ID]
 		if (u == nil || u.StartedAt != instance.StartedAt) && l.inFlight == 0 && now.Sub(l.reportedAt) > reportLifetime && !l.keepsState(now) {
--- a/internal/core/forward/quota_internal_test.go
+++ b/internal/core/forward/quota_internal_test.go
@@ -83,6 +83,36 @@
 	require.Empty(t, s.balance.quotas)
 }
 
+// TestDemandOfADataCentreWithoutAgentsIsHeardElsewhere guards against entries that never learn the demand of their own data centre, and so
+// have neither a plan nor quotas for their callers, because it has no engines or its agents are silent.
+func TestDemandOfADataCentreWithoutAgentsIsHeardElsewhere(t *testing.T) {
+	s := newPlanningEntry(residency.Regions{"ra"}, "b", "c")
+	for i := range 10 {
+		now := start.Add(time.Duration(i) * 500 * time.Millisecond)
+		for _, agent := range []string{"b0", "b1"} {
+			s.hear(now, agent, map[string]float64{"a": 8, "b": 22})
+		}
+		s.hear(now, "c0", map[string]float64{"a": 8, "c": 4})
+		s.updateBalance(now)
+	}
+	b, c := s.balance.shares.Fraction("a", nil, "b"), s.balance.shares.Fraction("a", nil, "c")
+	require.InDelta(t, 1, b+c, .01)
+	require.Greater(t, c, b, "b is nearly full")
+	require.InDelta(t, 8, s.balance.shares.Load("b").Moved+s.balance.shares.Load("c").Moved, .1)
+}
+
+// TestSumsOfAgentsThatVanishAreDropped guards against memory that grows with each engine that ever reported, while no plan is in effect.
+func TestSumsOfAgentsThatVanishAreDropped(t *testing.T) {
+	s := newPlanningEntry(nil, "a", "b")
+	for _, agent := range []string{"a0", "a1", "b0"} {
+		s.hear(start, agent, map[string]float64{"a": 1})
+	}
+	s.forget(start.Add(time.Second))
+	require.Len(t, s.balance.heard.agents, 3)
+	s.forget(start.Add(20 * time.Second))
+	require.Empty(t, s.balance.heard.agents)
+}
+
 // TestSpeedsOfServicesThatVanishAreDropped guards against memory that grows with each service that was ever in a manifest.
 func TestSpeedsOfServicesThatVanishAreDropped(t *testing.T) {
 	s := newPlanningEntry(nil, "a")
@@ -91,3 +121,32 @@
 	require.Len(t, s.uneven.services, 1)
 	require.Contains(t, s.uneven.services, "model")
 }
+
+// TestLateSumsAreDropped guards against a reordered load report that replaces newer sums, against sums of an unknown agent, and against
+// either of them passing unnoticed.
+func TestLateSumsAreDropped(t *testing.T) {
+	s := newPlanningEntry(nil, "a")
+	report := func(now time.Time, agent string, q balance.Sequence, work float64) (dropped bool, known float64) {
+		effects := s.demandReported(step.Input{Now: now}, DemandReported{Address: agent, Sequence: q, Sums: []DemandSum{{DataCentre: "a", Sets: []balance.Demand{{Work: work}}}}})
+		return len(effects) > 0, s.balance.heard.agents["a0"].sums["a"].sets[0].Work
+	}
+	for i, c := range []struct {
+		after   time.Duration
+		agent   string
+		q       balance.Sequence
+		dropped bool
+	}{
+		{0, "a0", balance.Sequence{Start: 5, Number: 2}, false},
+		{0, "a0", balance.Sequence{Start: 5, Number: 1}, true},
+		{0, "unknown", balance.Sequence{Start: 5, Number: 3}, true},
+		{time.Second, "a0", balance.Sequence{Start: 6, Number: 1}, false},
+		{2 * time.Second, "a0", balance.Sequence{Start: 5, Number: 3}, true},
+		{5 * time.Second, "a0", balance.Sequence{Start: 4, Number: 1}, false},
+		{5 * time.Second, "a0", balance.Sequence{}, false},
+	} {
+		dropped, known := report(start.Add(c.after), c.agent, c.q, float64(i+1))
+		require.Equal(t, c.dropped, dropped, i)
+		require.Equal(t, !c.dropped, known == float64(i+1), i)
+	}
+	require.Len(t, s.balance.heard.agents, 1)
+}
--- a/internal/gateway/balance.go
+++ b/internal/gateway/balance.go
@@ -20,6 +20,17 @@
 	loggedAt time.Time
 }
 
+// addDemand adds the demand at this entry to a heartbeat, and asks for the sum of its data centre where that is needed. The caller holds the
+// lock.
+func (g *Gateway) addDemand(now time.Time, m *loadreport.Message) {
+	m.Demand = g.demand(now)
+	if len(m.Demand) == 0 {
+		return
+	}
+	g.demandSequence = g.demandSequence.Next()
+	m.DemandSequence, m.WantsOwnSum = g.demandSequence, !g.forward.HearsOwnDemand(now)
+}
+
 // demand returns the demand at this entry for its heartbeats. The caller holds the lock.
 func (g *Gateway) demand(now time.Time) []loadreport.Demand {
 	var list []loadreport.Demand
@@ -45,7 +56,7 @@
 	if len(m.DemandSums) == 0 {
 		return
 	}
-	ev := forward.DemandReported{Address: m.Load.Address}
+	ev := forward.DemandReported{Address: m.Load.Address, Sequence: m.DemandSequence}
 	for _, s := range m.DemandSums {
 		if !g.host.KnowsDataCentre(s.DataCentre) || !s.Valid(g.host.KnowsRegion) {
 			g.countDroppedDemand(time.Now())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"samphireweir.example/samphireweir/internal/control"
+	"samphireweir.example/samphireweir/internal/core/balance"
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/quarantine"
@@ -82,6 +83,8 @@
 	secondAttemptLog, limitLog lineRate
 
 	droppedDemand droppedDemand
+	// demandSequence is that of the last heartbeat with demand.
+	demandSequence balance.Sequence
 
 	nextID   atomic.Uint64
 	ready    atomic.Bool
@@ -106,7 +109,8 @@
 			Retries: host.Retries, VersionLifetime: host.VersionLifetime, UnevenEngines: host.UnevenEngines,
 			MaxHeldBytes: callerMemoryLimit(host) / heldMemoryDivisor,
 		}, catalogState),
-		exchanges: map[uint64]*exchange{}, memory: membudget.New(callerMemoryLimit(host), time.Now),
+		demandSequence: balance.Sequence{Start: time.Now().UnixMilli()},
+		exchanges:      map[uint64]*exchange{}, memory: membudget.New(callerMemoryLimit(host), time.Now),
 		upstreamTransport: upstreamClient.Transport, traces: traces,
 		store:    storePeers.Reader(platform.NewStore(host.Store, &http.Client{Transport: storeTransport}), control.NewPool(self, "", dialPeer), cache),
 		dialPeer: dialPeer,
@@ -209,6 +213,8 @@
 		g.metrics.Yielded.Add(1, strconv.Itoa(min(max(e.Priority, 0), schedule.Priorities-1)))
 	case forward.BalanceChanged:
 		logevent.Info(g.log, logevent.BalanceChanged).Str("plan", e.Plan).Str("demand", e.Demand).Str("supply", e.Supply).Dur("age_ms", e.OldestDemand).Msg("balance changed")
+	case forward.DemandDropped:
+		g.countDroppedDemand(time.Now())
 	case forward.SecondAttempt:
 		g.recordSecondAttempt(e)
 	case forward.LimitLowered:
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -39,7 +39,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	message := loadreport.Message{DataCentre: g.host.DataCentre, Crashes: g.forward.Crashes.Reports(now)}
-	message.Demand = g.demand(now)
+	g.addDemand(now, &message)
 	message.Activations = loadreport.Activations(now, g.catalog.ReportedActivations(now, g.host.VersionLifetime))
 	var agents []netip.AddrPort
 	for _, u := range g.forward.ChooseHeartbeatTargets() {
--- a/internal/hostagent/demand.go
+++ b/internal/hostagent/demand.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"samphireweir.example/samphireweir/internal/core/balance"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/logevent"
 )
@@ -27,6 +28,8 @@
 	// dropped counts the demand that was dropped since the last log line about it, which was written at loggedAt.
 	dropped  int
 	loggedAt time.Time
+	// sequence is that of the last report with sums.
+	sequence balance.Sequence
 }
 
 // recordDemand keeps what an entry said of its demand. Demand that can't be used is dropped; the rest of the heartbeat is used. The caller
@@ -39,7 +42,12 @@
 		a.reporter.demand.dropped++
 		return
 	}
-	s.demand, s.demandAt = m.Demand, now
+	// An entry whose clock was set back during its restart is believed again once its earlier demand has no effect.
+	if now.Sub(s.demandAt) <= subscriberTimeout && !m.DemandSequence.Follows(s.demandSequence) {
+		a.reporter.demand.dropped++
+		return
+	}
+	s.demand, s.demandAt, s.demandSequence, s.wantsOwnSum = m.Demand, now, m.DemandSequence, m.WantsOwnSum
 }
 
 // updateDemandSums computes the sums, this data centre's first, and logs what was dropped. The caller holds the lock.
@@ -78,11 +86,26 @@
 	d.sums = loadreport.FitSums(d.sums)
 }
 
+// addSums adds the sums for an entry to a load report. The caller holds the lock.
+func (d *demandSums) addSums(s *subscriber, m *loadreport.Message) {
+	if m.DemandSums = d.sumsFor(s); len(m.DemandSums) > 0 {
+		d.sequence = d.sequence.Next()
+		m.DemandSequence = d.sequence
+	}
+}
+
 // sumsFor returns the sums for an entry. One of another data centre gets the sum of this one only, to spare the links between regions: it
-// hears agents of the other data centres itself. The caller holds the lock.
+// hears agents of the other data centres itself. If it hears none of its own data centre, it gets the sum of that, too. The caller holds
+// the lock.
 func (d *demandSums) sumsFor(s *subscriber) []loadreport.DemandSum {
-	if !s.near && len(d.sums) > 1 {
-		return d.sums[:1]
+	if s.near || len(d.sums) <= 1 {
+		return d.sums
+	}
+	sums := slices.Clone(d.sums[:1])
+	for _, sum := range d.sums[1:] {
+		if s.wantsOwnSum && sum.DataCentre == s.dataCentre {
+			sums = append(sums, sum)
+		}
 	}
-	return d.sums
+	return sums
 }
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"samphireweir.example/samphireweir/internal/core/balance"
 	"samphireweir.example/samphireweir/internal/core/install"
 	"samphireweir.example/samphireweir/internal/core/quarantine"
 	"samphireweir.example/samphireweir/internal/core/weights"
@@ -42,8 +43,11 @@
 	// entriesSentAt is when the list of entries of its data centre was last sent to it.
 	entriesSentAt time.Time
 	// demand is what the entry last said of its demand, at demandAt.
-	demand   []loadreport.Demand
-	demandAt time.Time
+	demand         []loadreport.Demand
+	demandAt       time.Time
+	demandSequence balance.Sequence
+	// wantsOwnSum is set if the entry asked for the sum of its own data centre.
+	wantsOwnSum bool
 }
 
 // reporter holds the subscribers, and what is passed on to all of them.
@@ -56,7 +60,10 @@
 }
 
 func newReporter() reporter {
-	return reporter{subscribers: map[netip.AddrPort]*subscriber{}, crashes: quarantine.NewTable()}
+	return reporter{
+		subscribers: map[netip.AddrPort]*subscriber{}, crashes: quarantine.NewTable(),
+		demand: demandSums{sequence: balance.Sequence{Start: time.Now().UnixMilli()}},
+	}
 }
 
 // handleHeartbeat handles an entry's heartbeat, with the versions and crashes that the entry knows.
@@ -177,7 +184,7 @@
 		if now.Sub(s.entriesSentAt) >= idleInterval { // Sent with each report, the entries would take up much of it.
 			s.entriesSentAt = now
 			a.storePeers.AddEntries(s.dataCentre, &m)
-			m.DemandSums = a.reporter.demand.sumsFor(s)
+			a.reporter.demand.addSums(s, &m)
 		}
 		if err := a.socket.Send(address, m); err != nil {
 			logevent.Info(a.log, logevent.PeerFailed).Str("peer", address.String()).Err(err).Msg("peer failed")
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"samphireweir.example/samphireweir/internal/core/balance"
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/quarantine"
 	"samphireweir.example/samphireweir/internal/core/storerev"
@@ -102,6 +103,10 @@
 	// agent heard it. A process that doesn't know these fields ignores them.
 	Demand     []Demand    `json:"m,omitempty"`
 	DemandSums []DemandSum `json:"s,omitempty"`
+	// DemandSequence orders the sender's messages with Demand or DemandSums; zero from a process that doesn't know the field.
+	DemandSequence balance.Sequence `json:"q,omitzero"`
+	// WantsOwnSum is set in heartbeats of an entry that hears no agent of its own data centre: it asks for that data centre's sum.
+	WantsOwnSum bool `json:"o,omitempty"`
 }
 
 // Socket sends and receives messages.
