forward: the manifest in force decides on a second attempt

Cause: whether a late attempt may be withdrawn for a second one was decided by the manifest under which the first was sent, but the retry that follows goes by the manifest in force. A request whose route had become non-repeatable, whose homes had moved or whose key had been withdrawn in the meantime was withdrawn and then refused, although its first attempt could still have answered.

Change: the decision and the search use a copy of the request as the manifest in force has it. The request itself stays unchanged until its attempt ends.

Result: three new cases of TestNoSecondAttemptWhereNoneMayBe failed before and pass; the other tests of second attempts pass.

--- a/internal/core/forward/second_attempt.go
+++ b/internal/core/forward/second_attempt.go
@@ -128,24 +128,37 @@
 	return predicted > 0 && waited > lateFactor*predicted && waited-predicted >= lateMargin
 }
 
+// underManifest returns a request as the manifest in force has it, without changing it while its attempt is in progress. It reports false if
+// that manifest does not allow it to be sent to its service again.
+func (s *State) underManifest(in step.Input, r *request) (*request, bool) {
+	if r.manifest == s.Catalog.Manifest {
+		return r, true
+	}
+	current := *r
+	_, forbidden := s.applyManifest(in, &current)
+	return &current, !forbidden && current.service == r.service
+}
+
 // maySendSecond reports whether the request's kind, its limits and the retry budget allow a second attempt: the request must be allowed to
-// run once more although the first attempt may have run.
+// run once more although the first attempt may have run. The manifest in force decides, as it does for the retry that follows.
 func (s *State) maySendSecond(in step.Input, r *request) bool {
-	if r.speed.second.decided || r.partial || !r.route.Repeatable() || r.possibleRuns+1 >= r.route.MaxUpstreams || r.attempts+1 > maxAttempts {
+	r, allowed := s.underManifest(in, r)
+	if !allowed || r.speed.second.decided || r.partial || !r.route.Repeatable() || r.possibleRuns+1 >= r.route.MaxUpstreams || r.attempts+1 > maxAttempts {
 		return false
 	}
-	retries, allowed := s.retryBudget(r.service).usage(in.Now, s.Self.Retries, s.recentEntries.value())
-	return float64(retries+s.uneven.withdrawing+1) <= secondBudgetShare*allowed
+	retries, budget := s.retryBudget(r.service).usage(in.Now, s.Self.Retries, s.recentEntries.value())
+	return float64(retries+s.uneven.withdrawing+1) <= secondBudgetShare*budget
 }
 
 // reserveSecond looks for an engine for a second attempt and reserves a slot there.
 func (s *State) reserveSecond(in step.Input, r *request) bool {
-	u, found := s.pick(in, r)
+	current, _ := s.underManifest(in, r)
+	u, found := s.pick(in, current)
 	if found != available {
 		return false
 	}
 	v := s.view(u)
-	predicted, known := v.predict(in.Now, r)
+	predicted, known := v.predict(in.Now, current)
 	if !known || predicted >= s.remainingWait(in.Now, r) {
 		return false
 	}
--- a/internal/core/forward/uneven_test.go
+++ b/internal/core/forward/uneven_test.go
@@ -9,7 +9,9 @@
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
+	"samphireweir.example/samphireweir/internal/core/residency"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 const ms = time.Millisecond
@@ -266,6 +268,16 @@
 	}
 }
 
+// changeRoute puts a manifest in force that differs in one route and has a client account for one key only.
+func (r *unevenRig) changeRoute(path, key string, change func(*catalog.Route)) {
+	old := r.state.Catalog.Manifest
+	route := *old.Route("h", path)
+	change(&route)
+	m := catalog.NewManifest(old.Version+1, []*catalog.Route{&route}, map[string]*catalog.ClientAccount{key: {Name: "karrakin"}})
+	m.HasAccounts, m.Services = true, old.Services
+	r.applyCatalog(catalog.ManifestRead{Revision: storerev.Revision{Number: 2}, Manifest: m})
+}
+
 // TestNoSecondAttemptWhereNoneMayBe guards against a second run of a request that must run at most once, a run beyond the route's
 // upstreams, and an attempt after the first event.
 func TestNoSecondAttemptWhereNoneMayBe(t *testing.T) {
@@ -281,6 +293,15 @@
 		"at most one upstream": {path: resumableStream, prepare: func(r *unevenRig) {
 			r.state.Catalog.Manifest.Route("h", resumableStream).MaxUpstreams = 1
 		}},
+		"made non-repeatable meanwhile": {path: resumableStream, sent: func(r *unevenRig, _ uint64) {
+			r.changeRoute(resumableStream, "key-1", func(route *catalog.Route) { route.Resumable = false })
+		}},
+		"bound to another region meanwhile": {path: resumableStream, sent: func(r *unevenRig, _ uint64) {
+			r.changeRoute(resumableStream, "key-1", func(route *catalog.Route) { route.HomeRegions = residency.Regions{"southwest"} })
+		}},
+		"key withdrawn meanwhile": {path: resumableStream, sent: func(r *unevenRig, _ uint64) {
+			r.changeRoute(resumableStream, "key-2", func(*catalog.Route) {})
+		}},
 		"no retry budget": {path: resumableStream, prepare: func(r *unevenRig) { r.state.Self.Retries.Ratio, r.state.Self.Retries.Base = 0, 0 }},
 	} {
 		r := newUnevenRig(4, !c.off)
