forward: demand that no agent has told of yet has a part of its own slots

Cause: an entry's quota of contended slots is its part of the planned work, and demand that the plan does not cover yet counted with 0. The first callers of a data centre got no slot there for a second or more while others moved work to it.

Change: such demand counts in full for the own data centre, if its homes allow that. Ruled out: the same in Shares.Fraction, because it then names data centres outside the homes (TestEqualPartsWithinHomes failed). The rule for demand without a plan stood twice in package balance and now stands once.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -100,6 +100,19 @@
 	return s.splits[origin{from, homesKey(homes)}].at(to)
 }
 
+// Covers reports whether the plan has an opinion on the demand of a data centre and a set of homes.
+func (s Shares) Covers(from string, homes []string) bool {
+	return len(s.splits[origin{from, homesKey(homes)}]) > 0
+}
+
+// splitOf returns the split of one kind of demand: without a plan, it stays in its own data centre.
+func (s Shares) splitOf(o origin) split {
+	if parts := s.splits[o]; len(parts) > 0 {
+		return parts
+	}
+	return split{{o.dataCentre, 1}}
+}
+
 // Choose returns the data centre that a request is to be tried at first. draw is a random number. The result is false if the plan has
 // no opinion.
 func (s Shares) Choose(dataCentre string, homes []string, draw uint64) (string, bool) {
@@ -121,10 +134,7 @@
 	most := 0.0
 	for _, pair := range [][2]Shares{{s, o}, {o, s}} {
 		for k, parts := range pair[0].splits {
-			other, known := pair[1].splits[k]
-			if !known {
-				other = split{{k.dataCentre, 1}}
-			}
+			other := pair[1].splitOf(k)
 			for _, p := range parts {
 				most = math.Max(most, math.Abs(p.fraction-other.at(p.dataCentre)))
 			}
@@ -166,7 +176,7 @@
 		if target[i] == nil {
 			continue // Nothing of it can be served.
 		}
-		next.splits[o.origin] = p.damp(o, previous.splits[o.origin], target[i], step)
+		next.splits[o.origin] = p.damp(o, previous.splitOf(o.origin), target[i], step)
 	}
 	for _, c := range p.centres {
 		next.loads[c.name] = Load{Supply: c.supply}
@@ -186,12 +196,9 @@
 	return next
 }
 
-// damp returns the parts that lie a step from the previous ones towards the target. An origin without previous parts starts with today's
-// choice, its own data centre. Parts at data centres that can't be used now follow the target at once.
+// damp returns the parts that lie a step from the previous ones towards the target. Parts at data centres that can't be used now follow the
+// target at once.
 func (p *problem) damp(o *demandOrigin, previous split, target []float64, step float64) split {
-	if previous == nil {
-		previous = split{{o.dataCentre, 1}}
-	}
 	kept := 0.0
 	for i, c := range p.centres {
 		if p.usable(o, i) {
--- a/internal/core/forward/balance_capacity.go
+++ b/internal/core/forward/balance_capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/balance"
@@ -46,7 +47,7 @@
 		}
 		mine := 0.0
 		for _, d := range own {
-			mine += aged * d.Work * b.shares.Fraction(s.Self.DataCentre, d.Homes, dataCentre)
+			mine += aged * d.Work * s.plannedPart(d.Homes, dataCentre)
 		}
 		if b.quotas == nil {
 			b.quotas = map[string]slotQuota{}
@@ -55,6 +56,15 @@
 	}
 }
 
+// plannedPart returns the part of this entry's demand with a set of homes that goes to a data centre. Demand that the plan doesn't cover yet,
+// since no agent has told of it, stays here if it may.
+func (s *State) plannedPart(homes []string, dataCentre string) float64 {
+	if !s.balance.shares.Covers(s.Self.DataCentre, homes) && dataCentre == s.Self.DataCentre && (len(homes) == 0 || slices.Contains(homes, s.Self.Region)) {
+		return 1
+	}
+	return s.balance.shares.Fraction(s.Self.DataCentre, homes, dataCentre)
+}
+
 // heardWork returns the planned work for a data centre of the entries that send heartbeats to one engine there.
 func (s *State) heardWork(load balance.Load, inside, total int) float64 {
 	return load.Own*fraction(maxNearAgents, inside) + load.Moved*fraction(maxFarAgents, total-inside)
--- a/internal/core/forward/quota_internal_test.go
+++ b/internal/core/forward/quota_internal_test.go
@@ -150,3 +150,23 @@
 	}
 	require.Len(t, s.balance.heard.agents, 1)
 }
+
+// TestNewDemandHasQuotasBeforeThePlanCoversIt guards against an entry that gets no slots of its own data centre while its first callers
+// arrive, because agents have not heard of them yet and other data centres move their work there.
+func TestNewDemandHasQuotasBeforeThePlanCoversIt(t *testing.T) {
+	s := newPlanningEntry(residency.Regions{"ra"}, "a", "b")
+	for i := range 10 {
+		now := start.Add(time.Duration(i) * 500 * time.Millisecond)
+		s.hear(now, "a0", map[string]float64{"a": 0})
+		s.hear(now, "b0", map[string]float64{"b": 60})
+		if i == 9 {
+			for id := range uint64(20) {
+				s.Reduce(step.Input{Now: now, Event: Arrived{ID: id + 1, Host: "h", Path: "/x", Model: "m"}})
+			}
+		}
+		s.updateBalance(now)
+	}
+	q := s.balance.quotas["a"]
+	require.True(t, q.contended)
+	require.Greater(t, q.part, .2, "12 of some 30 plus 12")
+}
