balance: split the longest functions, one rule for priorities

Cause: Plan and flow.place did two things each, Plan shadowed its receiver's name, and the waiting requests of the demand computed a request's priority a second time, with a third constant for the number of priorities.

Change: Plan computes its loads and place its path in functions of their own; the demand uses the request's priority and schedule.Priorities. No decision changes.

Result: tests of balance, loadreport and those of demand, quotas, priorities, evacuation and overload in forward pass.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -164,7 +164,7 @@
 	if p == nil {
 		return Shares{}
 	}
-	next := Shares{at: now, splits: map[origin]split{}, loads: map[string]Load{}}
+	next := Shares{at: now, splits: map[origin]split{}}
 	step := 1 - math.Pow(1-dampingFactor, now.Sub(previous.at).Seconds()/dampingInterval.Seconds())
 	if previous.at.IsZero() {
 		step = dampingFactor
@@ -178,22 +178,28 @@
 		}
 		next.splits[o.origin] = p.damp(o, previous.splitOf(o.origin), target[i], step)
 	}
+	next.loads = p.loads(next.splits)
+	return next
+}
+
+// loads returns what the splits send to each data centre.
+func (p *problem) loads(splits map[origin]split) map[string]Load {
+	loads := map[string]Load{}
 	for _, c := range p.centres {
-		next.loads[c.name] = Load{Supply: c.supply}
+		loads[c.name] = Load{Supply: c.supply}
 	}
-	for i := range p.origins {
-		o := &p.origins[i]
-		for _, p := range next.splits[o.origin] {
-			l := next.loads[p.dataCentre]
-			if p.dataCentre == o.dataCentre {
-				l.Own += o.work * p.fraction
+	for _, o := range p.origins {
+		for _, to := range splits[o.origin] {
+			l := loads[to.dataCentre]
+			if to.dataCentre == o.dataCentre {
+				l.Own += o.work * to.fraction
 			} else {
-				l.Moved += o.work * p.fraction
+				l.Moved += o.work * to.fraction
 			}
-			next.loads[p.dataCentre] = l
+			loads[to.dataCentre] = l
 		}
 	}
-	return next
+	return loads
 }
 
 // damp returns the parts that lie a step from the previous ones towards the target. Parts at data centres that can't be used now follow the
--- a/internal/core/balance/flow.go
+++ b/internal/core/balance/flow.go
@@ -96,45 +96,24 @@
 // place places at most left of a group's work along the cheapest path, and no more than step outside the group's region. It returns how
 // much it placed.
 func (f *flow) place(g groupKey, left, step float64) float64 {
-	n := len(f.supply)
 	if room := f.supply[g.region] - f.used[g.region]; room > minFlow && g.mask&(1<<g.region) != 0 {
 		amount := math.Min(left, room) // No path costs less than the group's own region.
 		f.used[g.region] += amount
 		f.placed[g][g.region] += amount
 		return amount
 	}
-	cost, hops := make([]float64, n), make([]hop, n)
-	for r := range n {
-		cost[r], hops[r] = math.Inf(1), hop{from: -1}
-		if g.mask&(1<<r) != 0 {
-			cost[r] = g.cost(r, n)
-		}
-	}
-	for range n {
-		if !f.relax(cost, hops) {
-			break
-		}
-	}
-	end, best := -1, math.Inf(1)
-	for r := range n {
-		if f.supply[r]-f.used[r] <= minFlow {
-			continue
-		}
-		if c := cost[r] + usedCost*f.used[r]/f.supply[r]; c < best {
-			end, best = r, c
-		}
-	}
+	end, cost, hops := f.cheapestPath(g)
 	if end < 0 {
 		return 0
 	}
 	amount := math.Min(left, f.supply[end]-f.used[end])
-	if best >= movedCost/2 {
+	if cost >= movedCost/2 {
 		amount = math.Min(amount, step)
 	}
 	visited := 0
 	for r := end; hops[r].from >= 0; r = hops[r].from {
 		amount = math.Min(amount, f.placed[hops[r].group][hops[r].from])
-		if visited++; visited > n {
+		if visited++; visited > len(f.supply) {
 			return 0 // Rounding made a cycle.
 		}
 	}
@@ -150,6 +129,34 @@
 	}
 }
 
+// cheapestPath returns the region with room at which the cheapest path for a group's work ends, its cost, and the last hop to each region.
+// The region is -1 if no region that the group's work can reach has room.
+func (f *flow) cheapestPath(g groupKey) (int, float64, []hop) {
+	n := len(f.supply)
+	cost, hops := make([]float64, n), make([]hop, n)
+	for r := range n {
+		cost[r], hops[r] = math.Inf(1), hop{from: -1}
+		if g.mask&(1<<r) != 0 {
+			cost[r] = g.cost(r, n)
+		}
+	}
+	for range n {
+		if !f.relax(cost, hops) {
+			break
+		}
+	}
+	end, best := -1, math.Inf(1)
+	for r := range n {
+		if f.supply[r]-f.used[r] <= minFlow {
+			continue
+		}
+		if c := cost[r] + usedCost*f.used[r]/f.supply[r]; c < best {
+			end, best = r, c
+		}
+	}
+	return end, best, hops
+}
+
 // relax shortens the paths to all regions by one hop, and reports whether it changed any.
 func (f *flow) relax(cost []float64, hops []hop) bool {
 	changed := false
--- a/internal/core/forward/balance_demand.go
+++ b/internal/core/forward/balance_demand.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/balance"
+	"samphireweir.example/samphireweir/internal/core/schedule"
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
@@ -85,31 +86,24 @@
 	// Work is the work that arrives per second, in seconds of a slot.
 	Work float64
 	// Waiting are the requests that wait for capacity, by priority.
-	Waiting [priorityCount]int
+	Waiting [schedule.Priorities]int
 }
 
-// priorityCount is the number of priorities; the most urgent is 0.
-const priorityCount = 10
-
 // Demand returns the demand at this entry by homes, in a fixed order. It is empty where no plan can come into effect.
 func (s *State) Demand(now time.Time) []EntryDemand {
 	if s.Catalog.Manifest == nil || !s.Catalog.FollowsEvacuations && !s.balanceInEffect() {
 		return nil
 	}
-	waiting := map[string]*[priorityCount]int{}
+	waiting := map[string]*[schedule.Priorities]int{}
 	for _, r := range s.requests {
 		if r.instance.ID != "" || r.queueDeadline.IsZero() || !s.planned(r) {
 			continue
 		}
 		key := strings.Join(s.homesOf(r), "\n")
 		if waiting[key] == nil {
-			waiting[key] = &[priorityCount]int{}
-		}
-		priority := r.route.Priority
-		if r.account != nil && r.account.Priority != nil {
-			priority = *r.account.Priority
+			waiting[key] = &[schedule.Priorities]int{}
 		}
-		waiting[key][min(max(priority, 0), priorityCount-1)]++
+		waiting[key][min(max(r.priority, 0), schedule.Priorities-1)]++
 	}
 	var list []EntryDemand
 	for _, key := range slices.Sorted(maps.Keys(s.balance.own.arrivals)) {
--- a/internal/loadreport/demand.go
+++ b/internal/loadreport/demand.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"math"
 	"slices"
+
+	"samphireweir.example/samphireweir/internal/core/schedule"
 )
 
 const (
@@ -22,8 +24,6 @@
 	maxDemandName  = 64
 	// maxDemandAgeMS is the maximum age of a sum in milliseconds.
 	maxDemandAgeMS = 60000
-	// priorities is the number of priorities.
-	priorities = 10
 )
 
 // Demand is the demand at one entry of the requests that are bound to one set of home regions, or unbound.
@@ -142,7 +142,7 @@
 }
 
 func (d Demand) valid(known func(region string) bool) bool {
-	if !(d.Work >= 0 && d.Work <= maxDemandWork) || d.Waiting < 0 || d.Waiting > maxDemandCount || len(d.Homes) > maxDemandHomes || len(d.WaitingByPriority) > priorities {
+	if !(d.Work >= 0 && d.Work <= maxDemandWork) || d.Waiting < 0 || d.Waiting > maxDemandCount || len(d.Homes) > maxDemandHomes || len(d.WaitingByPriority) > schedule.Priorities {
 		return false
 	}
 	if slices.ContainsFunc(d.WaitingByPriority, func(n int) bool { return n < 0 || n > maxDemandCount }) {
