--- a/internal/core/forward/uneven_test.go
+++ b/internal/core/forward/uneven_test.go
@@ -268,6 +268,27 @@
 	}
 }
 
+// TestSecondAttemptIsBoundLikeAnyOther guards against a second attempt at the engine that was reserved for it, although the manifest or an
+// evacuation forbids that engine since the decision.
+func TestSecondAttemptIsBoundLikeAnyOther(t *testing.T) {
+	for name, forbid := range map[string]func(r *unevenRig){
+		"evacuated": func(r *unevenRig) { r.evacuate("perth-a") },
+		"bound elsewhere": func(r *unevenRig) {
+			r.changeRoute(resumableStream, "key-1", func(route *catalog.Route) { route.HomeRegions = residency.Regions{"southwest"} })
+		},
+	} {
+		r := newUnevenRig(4, true)
+		r.serve(10*time.Second, steadyEngine)
+		id, _ := r.send(resumableStream)
+		r.now += 600 * ms
+		require.Equal(t, []uint64{id}, withdrawn(r.step(step.Tick{})), name)
+		r.add("far", "model", "bunbury-a", 12)
+		forbid(r)
+		r.reportLoad("far")
+		require.Equal(t, "far", only[forward.Send](t, r.step(forward.AttemptEnded{ID: id, Outcome: forward.Withdrawn})).Upstream.ID, name)
+	}
+}
+
 // changeRoute puts a manifest in force that differs in one route and has a client account for one key only.
 func (r *unevenRig) changeRoute(path, key string, change func(*catalog.Route)) {
 	old := r.state.Catalog.Manifest
