routing: run times end with their agent

Cause: after the restart of an agent in an earlier release, which reports no run times, the mean of its predecessor stayed and stood for the upstream. A slow engine kept its share by the fast times from before. Besides, the agent took both times of a first byte from the wall clock, so that a step of the clock counted as run time.

Change: the mean is dropped when the agent's incarnation changes; the agent measures with the monotonic clock.

There is no test of the clock.

--- a/internal/agent/first_byte.go
+++ b/internal/agent/first_byte.go
@@ -10,7 +10,7 @@
 // firstByteTimer measures how long an upstream takes for the first byte of its response. It counts from the end of the write of the
 // request to the read of the first byte, so that waits of this process before and after count as little as possible.
 type firstByteTimer struct {
-	// wroteAt and readAt are in nanoseconds since 1970; 0 until then.
+	// wroteAt and readAt are in nanoseconds since the start of the process, so that a step of the clock does not count; 0 until then.
 	wroteAt, readAt atomic.Int64
 }
 
@@ -20,10 +20,10 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteRequest: func(httptrace.WroteRequestInfo) {
 			if t.readAt.Load() == 0 {
-				t.wroteAt.Store(time.Now().UnixNano())
+				t.wroteAt.Store(monotonic())
 			}
 		},
-		GotFirstResponseByte: func() { t.readAt.Store(time.Now().UnixNano()) },
+		GotFirstResponseByte: func() { t.readAt.Store(monotonic()) },
 	})
 }
 
@@ -35,3 +35,8 @@
 	}
 	return max(0, time.Duration(read-wrote))
 }
+
+var processStart = time.Now()
+
+// monotonic returns the time since the start of the process in nanoseconds.
+func monotonic() int64 { return int64(time.Since(processStart)) }
--- a/internal/core/routing/run_time_test.go
+++ b/internal/core/routing/run_time_test.go
@@ -85,3 +85,28 @@
 	require.Zero(t, (&Report{FirstByteUS: 1 << 62}).FirstByteTime())
 	require.Equal(t, 3*time.Millisecond, (&Report{FirstByteUS: 3000}).FirstByteTime())
 }
+
+// TestRunTimesEndWithTheirAgent guards against the run times of an agent that stand for those of its successor: one of an earlier release
+// reports none, and its slow engine would keep its share by the fast times from before.
+func TestRunTimesEndWithTheirAgent(t *testing.T) {
+	all := candidates("perth-a", "west", 6)
+	d := newDriver(t, all)
+	brief := func(member.Candidate) time.Duration { return 5 * time.Millisecond }
+	sendAll(d, 200, brief, brief)
+	d.all = append([]member.Candidate(nil), all...)
+	d.all[0].Incarnation++
+	own := func(c member.Candidate) time.Duration {
+		if c.Address == all[0].Address {
+			return 200 * time.Millisecond
+		}
+		return 5 * time.Millisecond
+	}
+	run := func(c member.Candidate) time.Duration {
+		if c.Address == all[0].Address {
+			return 0
+		}
+		return 5 * time.Millisecond
+	}
+	sent := sendAll(d, 400, own, run)
+	require.Less(t, sent[all[0].Address], 30, "%v", sent)
+}
--- a/internal/core/routing/service.go
+++ b/internal/core/routing/service.go
@@ -93,6 +93,9 @@
 		if reloaded(u.candidate, c) || u.candidate.Incarnation != c.Incarnation {
 			u.leavingUntil = time.Time{}
 		}
+		if u.candidate.Incarnation != c.Incarnation {
+			u.runTime = latency{} // The agent measured it, and the new one may be of a release that doesn't.
+		}
 		u.candidate = c
 		switch {
 		case c.Place == s.Self.Place:
