loadreport: one log line in 10 s about malformed datagrams

Cause: each datagram that is malformed or too large was logged, so that a faulty sender could fill the log of every process that it reaches.

Change: the first is logged at once, and then one line at most each 10 s with the number since the last (field count).

Result: 20 malformed and oversized datagrams wrote 20 lines before, one now.

--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -135,10 +135,20 @@
 	return errors.Wrapf(err, "sending datagram to %s", to)
 }
 
-// Run calls handle for each message received until the socket is closed. It logs and skips datagrams that can't be
-// decoded.
+// failureLogInterval is the minimum time between two log lines about datagrams that can't be read or decoded.
+const failureLogInterval = 10 * time.Second
+
+// Run calls handle for each message received until the socket is closed. It skips datagrams that can't be decoded, and logs how many.
 func (s *Socket) Run(handle func(from netip.AddrPort, m Message), log zerolog.Logger) {
-	logFailure := func(err error) { logevent.Warn(log, logevent.MalformedObject).Err(err).Msg("failed to read datagram") }
+	var failures int
+	var loggedAt time.Time
+	logFailure := func(err error) {
+		failures++
+		if now := time.Now(); now.Sub(loggedAt) >= failureLogInterval {
+			logevent.Warn(log, logevent.MalformedObject).Int("count", failures).Err(err).Msg("failed to read datagram")
+			failures, loggedAt = 0, now
+		}
+	}
 	buffer := make([]byte, maxDatagram)
 	for {
 		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
--- a/internal/loadreport/loadreport_test.go
+++ b/internal/loadreport/loadreport_test.go
@@ -1,10 +1,12 @@
 package loadreport_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"math"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,3 +90,36 @@
 		require.Equal(t, catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 9}, Age: 3 * time.Second, Assumed: assumed}, decoded[0].Event())
 	}
 }
+
+// TestMalformedDatagramsDoNotFillTheLog guards against a sender of malformed or oversized datagrams that costs a log line with each.
+func TestMalformedDatagramsDoNotFillTheLog(t *testing.T) {
+	free, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	address := free.LocalAddr().(*net.UDPAddr)
+	require.NoError(t, free.Close())
+	socket, err := loadreport.Listen("127.0.0.1", address.Port)
+	require.NoError(t, err)
+	sender, err := net.Dial("udp4", address.String())
+	require.NoError(t, err)
+	defer func() { _ = sender.Close() }()
+	var log bytes.Buffer
+	received, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		socket.Run(func(netip.AddrPort, loadreport.Message) { close(received) }, zerolog.New(&log))
+	}()
+	for i := range 20 {
+		datagram := []byte(`{"m":`)
+		if i%2 == 0 {
+			datagram = []byte(`{"d":"` + strings.Repeat("x", 5000) + `"}`)
+		}
+		_, err = sender.Write(datagram)
+		require.NoError(t, err)
+	}
+	_, err = sender.Write([]byte(`{"d":"perth-a"}`))
+	require.NoError(t, err)
+	<-received
+	socket.Close()
+	<-done
+	require.Equal(t, 1, strings.Count(log.String(), "\n"), log.String())
+}
