--- a/internal/gateway/balance_test.go
+++ b/internal/gateway/balance_test.go
@@ -31,6 +31,9 @@
 		fleet.Run(g.Run)
 		require.Eventually(t, func() bool { return strings.Contains(log.String(), `"message":"ready"`) }, testTimeout, pollInterval)
 		require.Equal(t, evacuations, len(g.Heartbeat().Demand) > 0)
+		first, second := g.Heartbeat(), g.Heartbeat()
+		require.Equal(t, evacuations, first.WantsOwnSum, "no agent is heard")
+		require.False(t, first.DemandSequence.Follows(second.DemandSequence) && evacuations, "a late heartbeat is known as such")
 		for range 30 {
 			g.Receive(netip.AddrPort{}, loadreport.Message{Load: &loadreport.Load{Address: "10.0.0.1:80"}, DemandSums: []loadreport.DemandSum{{DataCentre: "nowhere"}}})
 			g.Receive(netip.AddrPort{}, loadreport.Message{Load: &loadreport.Load{Address: "10.0.0.1:80"}, DemandSums: []loadreport.DemandSum{{DataCentre: host.DataCentre, Sets: []loadreport.Demand{{Work: -1}}}}})
