--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -100,6 +100,19 @@
 	return s.splits[origin{from, homesKey(homes)}].at(to)
 }
 
+// Covers reports whether the plan has an opinion on the demand of a data centre and a set of homes.
+func (s Shares) Covers(from string, homes []string) bool {
+	return len(s.splits[origin{from, homesKey(homes)}]) > 0
+}
+
+// splitOf returns the split of one kind of demand: without a plan, it stays in its own data centre.
+func (s Shares) splitOf(o origin) split {
+	if parts := s.splits[o]; len(parts) > 0 {
+		return parts
+	}
+	return split{{o.dataCentre, 1}}
+}
+
 // Choose returns the data centre that a request is to be tried at first. draw is a random number. The result is false if the plan has
 // no opinion.
 func (s Shares) Choose(dataCentre string, homes []string, draw uint64) (string, bool) {
@@ -121,10 +134,7 @@
 	most := 0.0
 	for _, pair := range [][2]Shares{{s, o}, {o, s}} {
 		for k, parts := range pair[0].splits {
-			other, known := pair[1].splits[k]
-			if !known {
-				other = split{{k.dataCentre, 1}}
-			}
+			other := pair[1].splitOf(k)
 			for _, p := range parts {
 				most = math.Max(most, math.Abs(p.fraction-other.at(p.dataCentre)))
 			}
@@ -154,7 +164,7 @@
 	if p == nil {
 		return Shares{}
 	}
-	next := Shares{at: now, splits: map[origin]split{}, loads: map[string]Load{}}
+	next := Shares{at: now, splits: map[origin]split{}}
 	step := 1 - math.Pow(1-dampingFactor, now.Sub(previous.at).Seconds()/dampingInterval.Seconds())
 	if previous.at.IsZero() {
 		step = dampingFactor
@@ -166,32 +176,35 @@
 		if target[i] == nil {
 			continue // Nothing of it can be served.
 		}
-		next.splits[o.origin] = p.damp(o, previous.splits[o.origin], target[i], step)
+		next.splits[o.origin] = p.damp(o, previous.splitOf(o.origin), target[i], step)
 	}
+	next.loads = p.loads(next.splits)
+	return next
+}
+
+// loads returns what the splits send to each data centre.
+func (p *problem) loads(splits map[origin]split) map[string]Load {
+	loads := map[string]Load{}
 	for _, c := range p.centres {
-		next.loads[c.name] = Load{Supply: c.supply}
+		loads[c.name] = Load{Supply: c.supply}
 	}
-	for i := range p.origins {
-		o := &p.origins[i]
-		for _, p := range next.splits[o.origin] {
-			l := next.loads[p.dataCentre]
-			if p.dataCentre == o.dataCentre {
-				l.Own += o.work * p.fraction
+	for _, o := range p.origins {
+		for _, to := range splits[o.origin] {
+			l := loads[to.dataCentre]
+			if to.dataCentre == o.dataCentre {
+				l.Own += o.work * to.fraction
 			} else {
-				l.Moved += o.work * p.fraction
+				l.Moved += o.work * to.fraction
 			}
-			next.loads[p.dataCentre] = l
+			loads[to.dataCentre] = l
 		}
 	}
-	return next
+	return loads
 }
 
-// damp returns the parts that lie a step from the previous ones towards the target. An origin without previous parts starts with today's
-// choice, its own data centre. Parts at data centres that can't be used now follow the target at once.
+// damp returns the parts that lie a step from the previous ones towards the target. Parts at data centres that can't be used now follow the
+// target at once.
 func (p *problem) damp(o *demandOrigin, previous split, target []float64, step float64) split {
-	if previous == nil {
-		previous = split{{o.dataCentre, 1}}
-	}
 	kept := 0.0
 	for i, c := range p.centres {
 		if p.usable(o, i) {
--- a/internal/core/forward/balance_capacity.go
+++ b/internal/core/forward/balance_capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/balance"
@@ -33,20 +34,20 @@
 func (s *State) updateQuotas(now time.Time, engines engineCounts) {
 	b := &s.balance
 	b.quotas = nil
-	if !b.shares.Known() {
-		return
+	if !b.shares.Known() || !b.heard.knows(s.Self.DataCentre) {
+		return // Without the demand of its own data centre, the plan says nothing about this entry's part.
 	}
 	own := s.Demand(now)
 	// The plan rests on aged demand, so this entry's fresh demand has to age like that of its data centre.
 	aged := balance.Aged(now.Sub(b.heard.estimates[s.Self.DataCentre].at))
 	for dataCentre, inside := range engines.byDataCentre {
 		load := b.shares.Load(dataCentre)
-		if load.Supply <= 0 || load.Moved < minMovedPart*(load.Own+load.Moved) {
+		if load.Supply <= 0 || load.Moved <= 0 || load.Moved < minMovedPart*(load.Own+load.Moved) {
 			continue
 		}
 		mine := 0.0
 		for _, d := range own {
-			mine += aged * d.Work * b.shares.Fraction(s.Self.DataCentre, d.Homes, dataCentre)
+			mine += aged * d.Work * s.plannedPart(d.Homes, dataCentre)
 		}
 		if b.quotas == nil {
 			b.quotas = map[string]slotQuota{}
@@ -55,6 +56,15 @@
 	}
 }
 
+// plannedPart returns the part of this entry's demand with a set of homes that goes to a data centre. Demand that the plan doesn't cover yet,
+// since no agent has told of it, stays here if it may.
+func (s *State) plannedPart(homes []string, dataCentre string) float64 {
+	if !s.balance.shares.Covers(s.Self.DataCentre, homes) && dataCentre == s.Self.DataCentre && (len(homes) == 0 || slices.Contains(homes, s.Self.Region)) {
+		return 1
+	}
+	return s.balance.shares.Fraction(s.Self.DataCentre, homes, dataCentre)
+}
+
 // heardWork returns the planned work for a data centre of the entries that send heartbeats to one engine there.
 func (s *State) heardWork(load balance.Load, inside, total int) float64 {
 	return load.Own*fraction(maxNearAgents, inside) + load.Moved*fraction(maxFarAgents, total-inside)
--- a/internal/core/forward/uneven_test.go
+++ b/internal/core/forward/uneven_test.go
@@ -9,7 +9,9 @@
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
+	"samphireweir.example/samphireweir/internal/core/residency"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 const ms = time.Millisecond
@@ -266,6 +268,37 @@
 	}
 }
 
+// TestSecondAttemptIsBoundLikeAnyOther guards against a second attempt at the engine that was reserved for it, although the manifest or an
+// evacuation forbids that engine since the decision.
+func TestSecondAttemptIsBoundLikeAnyOther(t *testing.T) {
+	for name, forbid := range map[string]func(r *unevenRig){
+		"evacuated": func(r *unevenRig) { r.evacuate("perth-a") },
+		"bound elsewhere": func(r *unevenRig) {
+			r.changeRoute(resumableStream, "key-1", func(route *catalog.Route) { route.HomeRegions = residency.Regions{"southwest"} })
+		},
+	} {
+		r := newUnevenRig(4, true)
+		r.serve(10*time.Second, steadyEngine)
+		id, _ := r.send(resumableStream)
+		r.now += 600 * ms
+		require.Equal(t, []uint64{id}, withdrawn(r.step(step.Tick{})), name)
+		r.add("far", "model", "bunbury-a", 12)
+		forbid(r)
+		r.reportLoad("far")
+		require.Equal(t, "far", only[forward.Send](t, r.step(forward.AttemptEnded{ID: id, Outcome: forward.Withdrawn})).Upstream.ID, name)
+	}
+}
+
+// changeRoute puts a manifest in force that differs in one route and has a client account for one key only.
+func (r *unevenRig) changeRoute(path, key string, change func(*catalog.Route)) {
+	old := r.state.Catalog.Manifest
+	route := *old.Route("h", path)
+	change(&route)
+	m := catalog.NewManifest(old.Version+1, []*catalog.Route{&route}, map[string]*catalog.ClientAccount{key: {Name: "karrakin"}})
+	m.HasAccounts, m.Services = true, old.Services
+	r.applyCatalog(catalog.ManifestRead{Revision: storerev.Revision{Number: 2}, Manifest: m})
+}
+
 // TestNoSecondAttemptWhereNoneMayBe guards against a second run of a request that must run at most once, a run beyond the route's
 // upstreams, and an attempt after the first event.
 func TestNoSecondAttemptWhereNoneMayBe(t *testing.T) {
@@ -281,6 +314,15 @@
 		"at most one upstream": {path: resumableStream, prepare: func(r *unevenRig) {
 			r.state.Catalog.Manifest.Route("h", resumableStream).MaxUpstreams = 1
 		}},
+		"made non-repeatable meanwhile": {path: resumableStream, sent: func(r *unevenRig, _ uint64) {
+			r.changeRoute(resumableStream, "key-1", func(route *catalog.Route) { route.Resumable = false })
+		}},
+		"bound to another region meanwhile": {path: resumableStream, sent: func(r *unevenRig, _ uint64) {
+			r.changeRoute(resumableStream, "key-1", func(route *catalog.Route) { route.HomeRegions = residency.Regions{"southwest"} })
+		}},
+		"key withdrawn meanwhile": {path: resumableStream, sent: func(r *unevenRig, _ uint64) {
+			r.changeRoute(resumableStream, "key-2", func(*catalog.Route) {})
+		}},
 		"no retry budget": {path: resumableStream, prepare: func(r *unevenRig) { r.state.Self.Retries.Ratio, r.state.Self.Retries.Base = 0, 0 }},
 	} {
 		r := newUnevenRig(4, !c.off)
