forward: waits for the end of an outage end when the process shuts down

Cause: a request that waits for the end of an outage when its entry stops went on waiting, at most until the caller's timeout; with a shorter grace its connection would have been closed without an answer. Change: the start of the shutdown refuses them as not run, to return at once, as it does new requests.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -415,6 +415,7 @@
 		return s.answerHeadReceived(in, ev)
 	case ShutdownStarted:
 		s.stopping = true
+		return s.refuseHeld(in)
 	case selflimit.OwnDelay:
 		s.ownWork.Measured(ev, len(s.requests))
 	case step.Tick:
--- a/internal/core/forward/held.go
+++ b/internal/core/forward/held.go
@@ -234,6 +234,18 @@
 	}
 }
 
+// refuseHeld ends all waits for the end of an outage when this process begins to shut down. Otherwise a wait may last longer than the
+// shutdown, and its connection would be closed without an answer. The callers return to another entry at once.
+func (s *State) refuseHeld(in step.Input) []step.Effect {
+	var effects []step.Effect
+	for _, key := range s.outlookKeys() {
+		for _, r := range slices.Clone(s.outlooks[key].held) { // Its end takes a request off the list.
+			effects = append(effects, s.endRequest(in, r, ending{code: code.Stopping, reason: "this process is shutting down", retryAfter: time.Millisecond})...)
+		}
+	}
+	return effects
+}
+
 // WaitingForEnd returns the number of requests that wait for the end of an outage.
 func (s *State) WaitingForEnd() int { return s.heldCount }
 
--- a/internal/core/forward/outage_test.go
+++ b/internal/core/forward/outage_test.go
@@ -228,6 +228,18 @@
 	}
 }
 
+// TestShutdownEndsWaits guards against a caller who waits for the end of an outage at a process that shuts down, until its connection is
+// closed without an answer.
+func TestShutdownEndsWaits(t *testing.T) {
+	r := newWaitingRig(t)
+	refuse := only[forward.Refuse](t, r.step(forward.ShutdownStarted{}))
+	require.Equal(t, code.Stopping, refuse.Code)
+	require.Equal(t, code.NotRun, refuse.Ran)
+	require.Positive(t, refuse.RetryAfter)
+	require.Zero(t, r.state.WaitingForEnd())
+	require.Zero(t, r.state.InFlight())
+}
+
 // TestNoRequestWaitsWithoutEngines guards against requests that begin to wait for the end of an outage when no engine is registered any
 // more, and are refused with the next tick only.
 func TestNoRequestWaitsWithoutEngines(t *testing.T) {
