--- a/internal/core/versionplan/versionplan.go
+++ b/internal/core/versionplan/versionplan.go
@@ -81,9 +81,6 @@
 	// spreadTime is how long the last chunks from the origin take to reach the hosts over the links of others, as played with 34 to 48 hosts
 	// in the tests of package weights.
 	spreadTime = 800 * time.Millisecond
-	// minSpreadTime is the same for a single chunk, and spreadPart the part of a version from which on its chunks take spreadTime.
-	minSpreadTime = 300 * time.Millisecond
-	spreadPart    = 0.25
 	// resolveTime is the assumed time until the chunks of a version are known.
 	resolveTime = 200 * time.Millisecond
 	// minLead is by how much sooner an older version must be complete to come first when no time without a usable version is predicted.
@@ -295,22 +292,13 @@
 		at := link
 		if fleetLacks > 0 {
 			origin = later(origin, start).Add(transferTime(fleetLacks, in.OriginRate))
-			at = later(at, origin.Add(spreadOf(fleetLacks, in.sizeOf(v))))
+			at = later(at, origin.Add(spreadTime))
 		}
 		times[v.Number] = at
 	}
 	return times
 }
 
-// spreadOf returns how long the last chunks from the origin take to reach the hosts. A few chunks take only the time to pass from host to host.
-func spreadOf(fleetLacks, size int64) time.Duration {
-	if size <= 0 {
-		return spreadTime
-	}
-	part := min(1, float64(fleetLacks)/(spreadPart*float64(size)))
-	return minSpreadTime + time.Duration(part*float64(spreadTime-minSpreadTime))
-}
-
 func transferTime(bytes int64, rate float64) time.Duration {
 	return time.Duration(float64(bytes) / rate * float64(time.Second))
 }
--- a/internal/core/weights/order.go
+++ b/internal/core/weights/order.go
@@ -158,9 +158,6 @@
 		if b.Manifest == nil || b.originGone || b.originReserved(now) {
 			continue
 		}
-		if b.outage.ongoing(now) {
-			continue // An outage says nothing about the rate of an origin that answers.
-		}
 		if lacks := b.unheld(now); lacks > 0 {
 			rate = min(rate, b.originRate(now, b.Manifest.Size-lacks))
 		}
