--- a/internal/core/forecast/forecast.go
+++ b/internal/core/forecast/forecast.go
@@ -254,7 +254,7 @@
 	var slots, perStep [steps]float64
 	var occupied float64
 	for _, e := range engines {
-		// ReadyAt is rounded up, so that nobody is told a time at which the engine is not ready yet.
+		// ReadyAt is rounded up, so that the engine is ready at the reported time.
 		at := int((max(0, e.ReadyAt.Sub(now)) + stepLength - 1) / stepLength)
 		if at >= steps {
 			continue
