platform, gateway, forward: logs show a request's prompt parts and which upstreams were found crashed

A request's parts were read nowhere, and an upstream that was found down after attempts broke there was not logged. Event 4002 has the parts and whether the head of the answer had come, event 4022 and a counter the crash and how many attempts broke. No decision changes.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"samphireweir.example/samphireweir/internal/code"
+	"samphireweir.example/samphireweir/internal/core/attribution"
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/quarantine"
 	"samphireweir.example/samphireweir/internal/core/residency"
@@ -96,6 +97,8 @@
 	// Fingerprint identifies the request's content and its caller, independent of the request's ID; 0 if unknown. It differs from
 	// the fingerprint of the first product's path (package entry), which is independent of the caller.
 	Fingerprint uint64
+	// SharedParts are the parts of the prompt that other requests may share.
+	SharedParts []attribution.Part
 }
 
 // Started is the event that the first event of an answer was received: the upstream has processed the prompt.
@@ -332,6 +335,8 @@
 	callerTimeouts callerTimeouts
 	// breaks are the recent broken attempts by the request's fingerprint, the oldest first.
 	breaks map[uint64][]breakRecord
+	// crashReports are the crashes to report to the shell with the next tick.
+	crashReports []step.Effect
 	// queues are the requests that wait for capacity, by service, and pass is the present pass over one of them; nil for none.
 	queues map[string]*schedule.Queue
 	pass   *pass
--- a/internal/core/forward/quarantine.go
+++ b/internal/core/forward/quarantine.go
@@ -50,6 +50,16 @@
 // Effect marks the type as an effect.
 func (Quarantined) Effect() {}
 
+// UpstreamCrashed reports to the shell that an upstream was found down to which attempts of requests had broken shortly before.
+type UpstreamCrashed struct {
+	Upstream string
+	// Broken is the number of attempts that broke there.
+	Broken int
+}
+
+// Effect marks the type as an effect.
+func (UpstreamCrashed) Effect() {}
+
 // brokenRequest is a request whose attempt ended as Broken at an upstream, and when.
 type brokenRequest struct {
 	fingerprint uint64
@@ -198,7 +208,11 @@
 	l := s.loadState(upstream)
 	l.foundDownAt = in.Now
 	var effects []step.Effect
-	for _, b := range withoutOldRequests(l.brokenRequests, in.Now) {
+	broken := withoutOldRequests(l.brokenRequests, in.Now)
+	if len(broken) > 0 {
+		s.crashReports = append(s.crashReports, UpstreamCrashed{Upstream: upstream.ID, Broken: len(broken)})
+	}
+	for _, b := range broken {
 		effects = append(effects, s.recordCrash(in, b.fingerprint, upstream)...)
 	}
 	l.brokenRequests = nil
@@ -223,10 +237,12 @@
 			delete(s.breaks, fingerprint)
 		}
 	}
+	effects := s.crashReports
+	s.crashReports = nil
 	if n := s.Crashes.TakeDropped(); n > 0 {
-		return []step.Effect{CrashesDropped{Count: n}}
+		effects = append(effects, CrashesDropped{Count: n})
 	}
-	return nil
+	return effects
 }
 
 // lostWeights reports whether an engine that held weights holds none now, as after a crash.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -81,7 +82,8 @@
 	if err != nil {
 		// The log field sends is Send.Attempt.
 		logevent.Warn(x.gateway.log, logevent.AttemptFailed).Str("request", x.call.CallerAttemptID).Str("upstream", e.Upstream.ID).Int("sends", e.Attempt).
-			Str("outcome", string(outcome)).Uint64("fingerprint", x.fingerprint).Str("last_event", x.lastEventID).Err(err).Msg("attempt failed")
+			Str("outcome", string(outcome)).Uint64("fingerprint", x.fingerprint).Str("last_event", x.lastEventID).Bool("answering", a.sent).
+			Stringers("parts", stringers(x.call.SharedParts)).Err(err).Msg("attempt failed")
 		x.gateway.metrics.AttemptsFailed.Add(1, string(outcome))
 	}
 	x.reportAttemptEnd(outcome)
@@ -92,6 +94,15 @@
 	return false
 }
 
+// stringers returns a list as the type that the log takes.
+func stringers[T fmt.Stringer](list []T) []fmt.Stringer {
+	out := make([]fmt.Stringer, len(list))
+	for i, v := range list {
+		out[i] = v
+	}
+	return out
+}
+
 // do sends the request and passes the response on. It returns the attempt's outcome, and an error unless that is forward.Answered.
 func (a *attempt) do(ctx context.Context) (forward.Outcome, error) {
 	defer a.silence.Stop()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -126,9 +126,13 @@
 func (x *exchange) run() {
 	defer func() { x.cancel() }()
 	x.fingerprint = fingerprint(x.r, x.call.APIKey, x.body)
+	if x.call.MalformedParts {
+		x.gateway.logMalformedParts(x.call.CallerAttemptID)
+	}
 	x.gateway.step(forward.Arrived{
 		ID: x.id, Host: x.r.Host, Path: x.r.URL.EscapedPath(), Key: x.call.APIKey, Model: x.call.Model, PromptTokens: x.call.PromptTokens, MaxAnswerTokens: x.call.MaxAnswerTokens,
 		Budget: x.call.TimeLeft, BodyReadTime: time.Since(x.arrivedAt), Size: int64(len(x.body)), Fingerprint: x.fingerprint,
+		SharedParts: x.call.SharedParts,
 	})
 	for {
 		select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,7 @@
 	waiting   [schedule.Priorities]int // As last counted in the metrics.
 	exchanges map[uint64]*exchange
 	// secondAttemptLog and limitLog bound the rates of these log lines.
-	secondAttemptLog, limitLog lineRate
+	secondAttemptLog, limitLog, malformedPartsLog lineRate
 
 	droppedDemand droppedDemand
 	// demandSequence is that of the last heartbeat with demand.
@@ -198,6 +198,9 @@
 		go g.sendHeartbeats()
 	case forward.Quarantined:
 		g.logQuarantine(e.Fingerprint, e.Remaining, "")
+	case forward.UpstreamCrashed:
+		g.metrics.UpstreamCrashes.Add(1)
+		logevent.Warn(g.log, logevent.UpstreamCrashed).Str("upstream", e.Upstream).Int("broken", e.Broken).Msg("upstream crashed")
 	case forward.CrashesDropped:
 		logevent.Warn(g.log, logevent.CrashesDropped).Int("count", e.Count).Msg("crashes dropped")
 	case forward.StartedLate:
--- a/internal/gateway/uneven.go
+++ b/internal/gateway/uneven.go
@@ -29,6 +29,15 @@
 	return leftOut, true
 }
 
+// logMalformedParts logs that the list of a request's parts can't be read.
+func (g *Gateway) logMalformedParts(request string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if leftOut, ok := g.malformedPartsLog.next(time.Now()); ok {
+		logevent.Warn(g.log, logevent.MalformedParts).Str("request", request).Int("left_out", leftOut).Msg("malformed prompt parts")
+	}
+}
+
 // recordSecondAttempt counts a stage of a second attempt, and logs the decision for it.
 func (g *Gateway) recordSecondAttempt(e forward.SecondAttempt) {
 	g.metrics.SecondAttempts.Add(1, string(e.Stage))
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -66,6 +66,8 @@
 	ForecastChanged        ID = 4014
 	SecondAttempt          ID = 4020
 	LimitLowered           ID = 4021
+	UpstreamCrashed        ID = 4022
+	MalformedParts         ID = 4023
 )
 
 // Entry describes an event for the catalogue.
@@ -122,7 +124,7 @@
 	{VersionPlanChanged, "version plan changed", "The agent changed the order in which it fetches the versions of a model, or the version that its engine is to load (load, 0 for none; half: only by half of the engines); why gives the reason. held is the version that the engine holds, held_for_ms how long requests are still sent to it, versions the bytes that the fleet and this host lack of each version, origin_rate and link_rate bytes per second. ready_version is the version with which the engine is expected to accept requests again, 0 while it accepts them or if that is unknown."},
 	{VersionDropped, "version dropped", "An incomplete version is no longer wanted on this host. chunks is the number of its chunks, held how many this host has, known how many it or a reachable host has; why gives the reason. Expected when versions are activated quickly after each other; if known is nearly chunks, the version could have been used."},
 	{RequestRefused, "request refused", "A request was refused; the field code is the result code, ran says whether an upstream ran it."},
-	{AttemptFailed, "attempt failed", "One attempt of a request failed; the request may be retried at another upstream."},
+	{AttemptFailed, "attempt failed", "One attempt of a request failed; the request may be retried at another upstream. answering is set when the head of the upstream's answer was received; parts are the parts of the prompt that other requests may share."},
 	{StreamResumed, "stream resumed", "A stream was resumed over a new connection."},
 	{AnswerWithheld, "answer withheld", "The weights changed while a request ran; its answer was withheld from the caller."},
 	{ClaimFailed, "claim failed", "A claim could not be recorded in the object API."},
@@ -136,6 +138,8 @@
 	{ForecastChanged, "forecast changed", "What this entry expects of a service's engines has changed, in an outage or at its end; at most one line a second for a service, model and homes. usable and total count its engines; predicted those whose agents predict when they accept requests; ready_ms is the time until the first engine does, oldest_ms the age of the oldest report used; first_tries is the number of first tries a second, and waiting the number of requests that wait for the end."},
 	{SecondAttempt, "second attempt", "An attempt was withdrawn after waited_ms milliseconds without a first event, far beyond its predicted time predicted_ms, and the request goes to the engine second, whose prediction is second_predicted_ms. observed_ago_ms is the age of the last observation of that engine, negative if it has none; left_out counts the lines left out since the last one."},
 	{LimitLowered, "concurrency limit lowered", "An engine gets at most limit requests instead of its slots, because one more was predicted to make the running ones miss the objective objective_ms: predicted_ms is the predicted time to the first event with all slots in use, 0 if the gaps of streams led to the limit. observed_ago_ms is the age of the latest observation before; left_out counts the lines left out since the last one."},
+	{UpstreamCrashed, "upstream crashed", "An upstream was found down shortly after attempts of this entry's requests broke there; broken is their number. Each of them has an event 4002 with its parts."},
+	{MalformedParts, "malformed prompt parts", "A request's list of the parts of its prompt can't be read, and none of them is used; left_out counts the lines left out since the last one."},
 }
 
 // Debug starts a log line of level debug for event id.
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -45,6 +45,8 @@
 		"Attempts to send a request to an upstream: first, retry, or resume for an answer that was resumed over a new connection."}
 	attemptsFailedDefinition = Definition{"samphireweir_attempts_failed_total", CounterKind, []string{"cause"},
 		"Attempts that ended without an answer, by result code."}
+	upstreamCrashesDefinition = Definition{"samphireweir_upstream_crashes_total", CounterKind, nil,
+		"Upstreams that were found down shortly after attempts of this entry's requests broke there."}
 	upstreamCallsDefinition = Definition{"samphireweir_upstream_calls_total", CounterKind, []string{"team", "service", "upstream", "cause"},
 		"Calls of this agent to its upstreams, by the class of the answer's status, or error when no answer came."}
 	upstreamFirstByteDefinition = Definition{"samphireweir_upstream_first_byte_seconds", HistogramKind, []string{"team", "service", "upstream"},
@@ -107,7 +109,7 @@
 // Catalogue lists every metric, in the order of docs/METRICS.md.
 var Catalogue = []Definition{
 	requestsDefinition, refusalsDefinition, inFlightDefinition, waitingDefinition, yieldedDefinition, firstByteDefinition, totalDefinition,
-	attemptsDefinition, attemptsFailedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, movedRequestsDefinition, secondAttemptsDefinition, limitsLoweredDefinition,
+	attemptsDefinition, attemptsFailedDefinition, upstreamCrashesDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, movedRequestsDefinition, secondAttemptsDefinition, limitsLoweredDefinition,
 	waitDecisionsDefinition, predictedWaitDefinition, waitingForEndDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, versionsDefinition, engineReadyDefinition, settingsDefinition,
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -15,7 +15,7 @@
 	Requests, Refusals, InFlight              Counter
 	Waiting, Yielded                          Counter
 	FirstByte, Total                          Histogram
-	Attempts, AttemptsFailed                  Counter
+	Attempts, AttemptsFailed, UpstreamCrashes Counter
 	UpstreamCalls                             Counter
 	UpstreamFirstByte                         Histogram
 	StartedLate, RunsRefused, UpstreamNotices Counter
@@ -47,6 +47,7 @@
 	m.Total = m.histogram(totalDefinition)
 	m.Attempts = m.counter(attemptsDefinition)
 	m.AttemptsFailed = m.counter(attemptsFailedDefinition)
+	m.UpstreamCrashes = m.counter(upstreamCrashesDefinition)
 	m.UpstreamCalls = m.counter(upstreamCallsDefinition)
 	m.UpstreamFirstByte = m.histogram(upstreamFirstByteDefinition)
 	m.StartedLate = m.counter(startedLateDefinition)
