gateway: the end of an answer without a length or chunks is confirmed at the upstream

What callers saw: streams that a crash had cut between two events ended as complete, calls that were cut came as a success of a part of the answer, and a stream whose engine crashed at its begin as an empty success.

Cause: the end of a connection was taken for the end of the answer. For an answer without a length or chunks it says nothing: a process that ends closes its connections in the same way. It was also counted as a whole answer, which cleared the crashes of the request's parts.

Change: after such an end the upstream is asked for a connection; if it refuses, the attempt is broken (resumed, retried or aborted as usual). Without any event it is no answer. Answers with a length or chunks are as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -200,6 +200,9 @@
 		return errors.Wrap(err, "reading the upstream's response")
 	}
 	a.silence.Stop()
+	if err := a.confirmEnd(ctx, resp, true); err != nil {
+		return err
+	}
 	if a.x.r.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
@@ -219,6 +222,9 @@
 	for {
 		ev, err := events.pop()
 		if errors.Is(err, io.EOF) {
+			if err := a.confirmEnd(ctx, resp, a.x.headerSent); err != nil {
+				return err
+			}
 			a.x.writeHeader(resp.StatusCode, header)
 			return nil
 		}
