--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -34,7 +34,10 @@
 	next  uint64
 }
 
-func newRig() *rig {
+func newRig() *rig { return newNamedRig("") }
+
+// newNamedRig returns the rig of an entry with a name.
+func newNamedRig(name string) *rig {
 	routes := []*catalog.Route{
 		{Name: "bookings", Host: "h", Prefix: nonIdempotentCall, Kind: catalog.NonIdempotent, MaxUpstreams: 2, Shares: share("desk"), Timeout: time.Second, Objective: 300 * time.Millisecond},
 		{Name: "lookups", Host: "h", Prefix: idempotentCall, Kind: catalog.Idempotent, MaxUpstreams: 2, Shares: share("desk"), Timeout: time.Second, Objective: 300 * time.Millisecond},
@@ -46,7 +49,7 @@
 	m.HasAccounts = true
 	c := catalog.NewState()
 	self := forward.Self{
-		DataCentre: "perth-a", Region: "perth", Regions: map[string]string{"perth-a": "perth", "bunbury-a": "southwest"},
+		Name: name, DataCentre: "perth-a", Region: "perth", Regions: map[string]string{"perth-a": "perth", "bunbury-a": "southwest"},
 		Retries: hostconfig.RetryBudget{Ratio: 0.2, Base: 100, Window: 10 * time.Second}, VersionLifetime: 8 * time.Second,
 	}
 	r := &rig{state: forward.NewState(self, c)}
