forward, attribution: a request that crashes engines stays quarantined while it comes

What callers saw: a request that crashes each engine was sent again whenever its quarantine of 30 s had ended, however long it had been coming; each time it crashed up to three engines more. Cause: the quarantine had a fixed length that nothing renewed. Change: the third crash also starts a lasting quarantine, kept, reported, tried, lifted and ended by the same code as that of a part (a second attribution.Table, by fingerprint). What is known of crashes now goes into datagrams of its own, so that it fits beside full crash reports.

--- a/internal/core/attribution/decide.go
+++ b/internal/core/attribution/decide.go
@@ -141,7 +141,7 @@
 			return changes
 		}
 		for _, y := range blamed {
-			changes = append(changes, t.start(now, y))
+			changes = append(changes, t.start(now, y.part, len(y.crashes)))
 		}
 	}
 }
--- a/internal/core/attribution/quarantine.go
+++ b/internal/core/attribution/quarantine.go
@@ -88,16 +88,24 @@
 	return n
 }
 
-// start starts the quarantine of a part by the evidence against it.
-func (t *Table) start(now time.Time, y *tally) Change {
-	q := &quarantine{generation: 1, owner: t.observer.ID, startedAt: now, crashes: len(y.crashes), seenAt: now}
-	if before := t.quarantines[y.part]; before != nil {
+// Hold starts the quarantine of a part that was found to crash upstreams by another rule than the one of this package.
+func (t *Table) Hold(now time.Time, p Part, crashes int) []Change {
+	if t.Quarantined(p) {
+		return nil
+	}
+	return []Change{t.start(now, p, crashes)}
+}
+
+// start starts the quarantine of a part.
+func (t *Table) start(now time.Time, p Part, crashes int) Change {
+	q := &quarantine{generation: 1, owner: t.observer.ID, startedAt: now, crashes: crashes, seenAt: now}
+	if before := t.quarantines[p]; before != nil {
 		q.generation = before.generation + 1
 	}
-	t.quarantines[y.part] = q
+	t.quarantines[p] = q
 	t.changes++
-	t.dropOtherSuspects(y.part)
-	return Change{Part: y.part, Kind: Started, Crashes: q.crashes}
+	t.dropOtherSuspects(p)
+	return Change{Part: p, Kind: Started, Crashes: crashes}
 }
 
 // dropOtherSuspects drops the suspects of the crashes that a quarantined part explains.
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -332,6 +332,8 @@
 	// other processes.
 	Crashes *quarantine.Table
 	Parts   *attribution.Table
+	// HeldRequests are the quarantines of requests as a whole, by fingerprint, which last while the requests come. Crashes decides on them.
+	HeldRequests *attribution.Table
 
 	requests       map[uint64]*request
 	loadStates     map[catalog.Instance]*loadState
@@ -387,6 +389,7 @@
 	if self.Policy == (Policy{}) {
 		self.Policy = DefaultPolicy()
 	}
+	observer := attribution.Observer{ID: uint32(step.Score("attribution", self.Name)), Decides: true}
 	if self.MaxHeldBytes <= 0 {
 		self.MaxHeldBytes = defaultMaxHeldBytes
 	}
@@ -394,7 +397,7 @@
 		outlooks: map[outlookKey]*outlook{},
 		Self:     self, Catalog: c, requests: map[uint64]*request{}, loadStates: map[catalog.Instance]*loadState{},
 		retryBudgets: map[string]*retryBudget{}, callerTimeouts: callerTimeouts{}, Crashes: quarantine.NewTable(),
-		Parts:  attribution.NewTable(attribution.Observer{ID: uint32(step.Score("attribution", self.Name)), Decides: true}),
+		Parts: attribution.NewTable(observer), HeldRequests: attribution.NewTable(observer),
 		breaks: map[uint64][]breakRecord{}, queues: map[string]*schedule.Queue{}, lastQueuedAt: map[string]time.Time{},
 		balance: newBalanceState(self),
 		uneven:  newUnevenEngines(self),
@@ -423,7 +426,8 @@
 	case CrashesReported:
 		return s.crashesReported(in, ev)
 	case PartsReported:
-		return s.partsChanged(in, s.Parts.Merge(in.Now, ev.Report))
+		effects := s.partsChanged(in, s.Parts.Merge(in.Now, ev.Parts))
+		return append(effects, s.heldRequestsChanged(in, s.HeldRequests.Merge(in.Now, ev.Requests))...)
 	case PartLifted:
 		return s.partsChanged(in, s.Parts.Lift(ev.Part))
 	case UpstreamDown:
--- a/internal/core/forward/part_simulation_test.go
+++ b/internal/core/forward/part_simulation_test.go
@@ -249,7 +249,7 @@
 	for _, e := range c.entries {
 		c.datagram(func() {
 			c.step(e, report)
-			c.step(e, forward.PartsReported{Report: known})
+			c.step(e, forward.PartsReported{Parts: known})
 		})
 	}
 }
--- a/internal/core/forward/parts.go
+++ b/internal/core/forward/parts.go
@@ -16,8 +16,9 @@
 // takes no longer.
 const suspectRetryAfter = time.Second
 
-// PartsReported is the event that another process reported what it knows about parts of prompts that crash upstreams.
-type PartsReported struct{ Report attribution.Report }
+// PartsReported is the event that another process reported what it knows about parts of prompts that crash upstreams, and about requests
+// that are quarantined as a whole.
+type PartsReported struct{ Parts, Requests attribution.Report }
 
 // PartLifted is the event that an operator lifted the quarantine of a part.
 type PartLifted struct{ Part attribution.Part }
@@ -67,12 +68,12 @@
 
 // partsAnswered records a complete answer as evidence for the request's parts. An answer without any event is none.
 func (s *State) partsAnswered(in step.Input, r *request) []step.Effect {
-	if r.awaitingFirstEvent || len(r.parts) == 0 {
+	if r.awaitingFirstEvent {
 		return nil
 	}
 	before := s.Parts.Changes()
 	changes := s.Parts.Answered(in.Now, r.attempt())
-	return s.evidence(in, before, changes)
+	return append(s.heldRequestAnswered(in, r), s.evidence(in, before, changes)...)
 }
 
 // evidence returns the effects of an observation. before is the table's count of changes before it.
@@ -111,7 +112,7 @@
 // partQuarantined reports whether a request must not be sent because of a part of its prompt, and why.
 func (s *State) partQuarantined(in step.Input, r *request) (ending, bool) {
 	if p, found := s.Parts.FirstQuarantined(r.parts); found {
-		if s.isTrial(in.Now, r, p) {
+		if r.isTrial(in.Now, s.Parts, p) {
 			return ending{}, false
 		}
 		s.Parts.Refused(in.Now, p)
@@ -127,17 +128,18 @@
 	return ending{}, false
 }
 
-// isTrial reports whether a request is sent although one of its parts is quarantined. A trial has a single attempt.
-func (s *State) isTrial(now time.Time, r *request, p attribution.Part) bool {
+// isTrial reports whether a request is sent although it is quarantined, itself or for a part. A trial has a single attempt.
+func (r *request) isTrial(now time.Time, t *attribution.Table, p attribution.Part) bool {
 	if r.attempts > 0 {
 		return false
 	}
-	r.trial = r.trial || s.Parts.TakeTrial(now, p)
+	r.trial = r.trial || t.TakeTrial(now, p)
 	return r.trial
 }
 
 // expireParts drops evidence that is too old.
 func (s *State) expireParts(now time.Time) {
+	s.HeldRequests.Expire(now)
 	for _, c := range s.Parts.Expire(now) {
 		s.crashReports = append(s.crashReports, PartQuarantineChanged{c})
 	}
--- a/internal/core/forward/quarantine_test.go
+++ b/internal/core/forward/quarantine_test.go
@@ -335,3 +335,30 @@
 		r.now += time.Second
 	}
 }
+
+// TestRequestThatKeepsComingStaysQuarantined guards against a quarantine that ends while the request still comes, and crashes more engines each
+// time. The users allow three further sendings once it has crashed three engines, however long it comes.
+func TestRequestThatKeepsComingStaysQuarantined(t *testing.T) {
+	const maxLaterSends = 3
+	r, restarts := newEnginesRig(0), map[string]int64{}
+	for i := range 40 {
+		r.register(fmt.Sprintf("m%d", i), 1)
+	}
+	crashes, later := 0, 0
+	for id := uint64(1); id < 400; id++ {
+		for sent := sentAttempts(r.arriveCopy(id, crashingFingerprint)); len(sent) == 1; {
+			if crashes >= quarantine.CrashThreshold {
+				later++
+			}
+			at := sent[0].Upstream.ID
+			crashes++
+			restarts[at]++
+			r.step(forward.UpstreamDown{Upstream: sent[0].Upstream.Instance()})
+			sent = sentAttempts(r.step(forward.AttemptEnded{ID: id, Outcome: forward.Broken}))
+			r.register(at, 1+restarts[at])
+		}
+		r.now += 3 * time.Second
+		r.step(step.Tick{})
+	}
+	require.LessOrEqual(t, later, maxLaterSends, "%d crashes in 20 minutes", crashes)
+}
--- a/internal/core/forward/version.go
+++ b/internal/core/forward/version.go
@@ -108,7 +108,7 @@
 func (s *State) withdrawUnstarted(in step.Input) []step.Effect {
 	var ids []uint64
 	for id, r := range s.requests {
-		if r.awaitingFirstEvent && (s.mayStartExpired(in.Now, r) || s.Crashes.Remaining(in.Now, r.fingerprint) > 0) {
+		if r.awaitingFirstEvent && (s.mayStartExpired(in.Now, r) || s.mustNotStart(in.Now, r)) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -137,6 +137,14 @@
 	return true
 }
 
+// Release ends the quarantine of a request, which was found not to crash upstreams.
+func (t *Table) Release(fingerprint uint64) {
+	if r := t.records[fingerprint]; r != nil {
+		r.quarantinedUntil = time.Time{}
+		clear(r.crashes)
+	}
+}
+
 // Answered records that an upstream answered a request completely. The crashes before that no longer count, since the request is taken
 // not to have caused them.
 func (t *Table) Answered(now time.Time, fingerprint uint64) {
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -29,10 +29,10 @@
 // SetUpstreamTransport replaces the transport for requests to upstreams.
 func (g *Gateway) SetUpstreamTransport(transport http.RoundTripper) { g.upstreamTransport = transport }
 
-// Heartbeat returns the message that a heartbeat would carry now.
+// Heartbeat returns the message that a heartbeat would carry now, without the one with evidence.
 func (g *Gateway) Heartbeat() loadreport.Message {
 	_, m := g.heartbeat(time.Now())
-	return m
+	return m[0]
 }
 
 // Receive handles a message as if it had come from the socket.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -206,6 +206,9 @@
 	case forward.UpstreamCrashed:
 		g.metrics.UpstreamCrashes.Add(1)
 		logevent.Warn(g.log, logevent.UpstreamCrashed).Str("upstream", e.Upstream).Int("broken", e.Broken).Msg("upstream crashed")
+	case forward.QuarantineLifted:
+		logevent.Warn(g.log, logevent.RequestQuarantined).Uint64("fingerprint", e.Fingerprint).Bool("lifted", true).Msg("request quarantined")
+		g.evidenceUnsent = true
 	case forward.PartQuarantineChanged:
 		g.recordPartQuarantine(e)
 	case forward.CrashEvidenceFound:
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -27,19 +27,21 @@
 
 // sendHeartbeats sends one heartbeat, with the active versions, to each agent that the reducer selected.
 func (g *Gateway) sendHeartbeats() {
-	agents, message := g.heartbeat(time.Now())
+	agents, messages := g.heartbeat(time.Now())
 	for _, a := range agents {
-		if err := g.socket.Send(a, message); err != nil {
-			logevent.Info(g.log, logevent.PeerFailed).Str("peer", a.String()).Err(err).Msg("peer failed")
+		for _, m := range messages {
+			if err := g.socket.Send(a, m); err != nil {
+				logevent.Info(g.log, logevent.PeerFailed).Str("peer", a.String()).Err(err).Msg("peer failed")
+			}
 		}
 	}
 }
 
-func (g *Gateway) heartbeat(now time.Time) ([]netip.AddrPort, loadreport.Message) {
+// heartbeat returns the agents to send heartbeats to, and the messages for each of them.
+func (g *Gateway) heartbeat(now time.Time) ([]netip.AddrPort, []loadreport.Message) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	message := loadreport.Message{DataCentre: g.host.DataCentre, Crashes: g.forward.Crashes.Reports(now)}
-	message.SetParts(g.forward.Parts.Report(now))
 	g.evidenceUnsent, g.heartbeatAt = false, now
 	g.addDemand(now, &message)
 	message.Activations = loadreport.Activations(now, g.catalog.ReportedActivations(now, g.host.VersionLifetime))
@@ -49,7 +51,11 @@
 			agents = append(agents, netip.AddrPortFrom(a.Addr(), uint16(g.host.PeerPort)))
 		}
 	}
-	return agents, message
+	messages := []loadreport.Message{message}
+	if evidence, ok := loadreport.NewEvidence(g.forward.Parts.Report(now), g.forward.HeldRequests.Report(now)); ok {
+		messages = append(messages, evidence)
+	}
+	return agents, messages
 }
 
 // handleMessage applies a message from an agent or from another entry.
@@ -62,8 +68,8 @@
 	if len(m.Crashes) > 0 {
 		g.step(forward.CrashesReported{Reports: m.Crashes})
 	}
-	if m.Parts != nil {
-		g.step(forward.PartsReported{Report: *m.Parts})
+	if m.Evidence != nil {
+		g.step(forward.PartsReported{Parts: m.Evidence.Parts, Requests: m.Evidence.Requests})
 	}
 	if m.Load != nil {
 		g.step(forward.LoadReported{
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -41,9 +41,9 @@
 	// crashChanges is the value of quarantine.Table.Changes when crashes were last sent to the entry, at crashesSentAt.
 	crashChanges  uint64
 	crashesSentAt time.Time
-	// partChanges and partsSentAt are the same for attribution.Table.Changes.
-	partChanges uint64
-	partsSentAt time.Time
+	// evidenceChanges and evidenceSentAt are the same for what crashes upstreams; see reporter.evidenceChanges.
+	evidenceChanges uint64
+	evidenceSentAt  time.Time
 	// entriesSentAt is when the list of entries of its data centre was last sent to it.
 	entriesSentAt time.Time
 	// demand is what the entry last said of its demand, at demandAt.
@@ -61,13 +61,15 @@
 	// crashes holds the requests that crash upstreams, as reported in heartbeats. It is passed on to all subscribers.
 	crashes *quarantine.Table
 	// parts holds the crashes that parts of prompts may have caused. It is passed on in the same way.
-	parts  *attribution.Table
-	demand demandSums
+	parts *attribution.Table
+	// heldRequests holds the requests that are quarantined as a whole. It is passed on with parts.
+	heldRequests *attribution.Table
+	demand       demandSums
 }
 
 func newReporter() reporter {
 	return reporter{
-		subscribers: map[netip.AddrPort]*subscriber{}, crashes: quarantine.NewTable(), parts: attribution.NewTable(attribution.Observer{}),
+		subscribers: map[netip.AddrPort]*subscriber{}, crashes: quarantine.NewTable(), parts: attribution.NewTable(attribution.Observer{}), heldRequests: attribution.NewTable(attribution.Observer{}),
 		demand: demandSums{sequence: balance.Sequence{Start: time.Now().UnixMilli()}},
 	}
 }
@@ -75,8 +77,11 @@
 // handleHeartbeat handles an entry's heartbeat, with the versions and crashes that the entry knows.
 func (a *Agent) handleHeartbeat(from netip.AddrPort, m loadreport.Message) {
 	a.storePeers.HandleMessage(from, m)
+	if m.Evidence != nil {
+		a.reporter.mergeEvidence(time.Now(), *m.Evidence)
+	}
 	if m.DataCentre == "" {
-		return // A seed's response, not a heartbeat.
+		return // A seed's response or evidence, not a heartbeat.
 	}
 	for _, n := range m.Activations {
 		a.Step(n.Event())
@@ -84,9 +89,6 @@
 	a.reporter.mu.Lock()
 	defer a.reporter.mu.Unlock()
 	a.reporter.crashes.Merge(time.Now(), m.Crashes)
-	if m.Parts != nil {
-		a.reporter.parts.Merge(time.Now(), *m.Parts)
-	}
 	s := a.reporter.subscribers[from]
 	if s == nil {
 		s = &subscriber{}
@@ -177,13 +179,14 @@
 	a.updateDemandSums(now)
 	a.reporter.crashes.Expire(now)
 	a.reporter.parts.Expire(now)
+	a.reporter.heldRequests.Expire(now)
 	if n := a.reporter.crashes.TakeDropped() + a.reporter.parts.TakeDropped(); n > 0 {
 		logevent.Warn(a.log, logevent.CrashesDropped).Int("count", n).Msg("crashes dropped")
 	}
 	crashes, changes := a.reporter.crashes.Reports(now), a.reporter.crashes.Changes()
-	parts, partChanges := a.reporter.parts.Report(now), a.reporter.parts.Changes()
+	a.sendEvidence(now)
 	for address, s := range a.reporter.subscribers {
-		if !s.reportDue(now, load) && !s.crashesDue(now, changes) && !s.partsDue(now, partChanges) {
+		if !s.reportDue(now, load) && !s.crashesDue(now, changes) {
 			continue
 		}
 		s.reportedAt, s.lastLoad = now, load
@@ -192,10 +195,6 @@
 			s.crashChanges, s.crashesSentAt = changes, now
 			m.Crashes = crashes
 		}
-		if s.partsDue(now, partChanges) {
-			s.partChanges, s.partsSentAt = partChanges, now
-			m.SetParts(parts)
-		}
 		if now.Sub(s.entriesSentAt) >= idleInterval { // Sent with each report, the entries would take up much of it.
 			s.entriesSentAt = now
 			a.storePeers.AddEntries(s.dataCentre, &m)
@@ -278,11 +277,6 @@
 	return changes != s.crashChanges || now.Sub(s.crashesSentAt) >= idleInterval
 }
 
-// partsDue is crashesDue for the parts of prompts.
-func (s *subscriber) partsDue(now time.Time, changes uint64) bool {
-	return changes != s.partChanges || now.Sub(s.partsSentAt) >= idleInterval
-}
-
 // currentLoad returns the load report of the engine, and the activations to send with it.
 func (a *Agent) currentLoad(now time.Time) (loadreport.Load, []loadreport.Activation) {
 	a.mu.Lock()
--- a/internal/loadreport/loadreport.go
+++ b/internal/loadreport/loadreport.go
@@ -100,8 +100,9 @@
 	Activations []Activation `json:"w,omitempty"`
 	// Crashes holds the requests that recently crashed upstreams.
 	Crashes []quarantine.Report `json:"x,omitempty"`
-	// Parts is what the sender knows of crashes and of the parts of prompts that may have caused them.
-	Parts *attribution.Report `json:"p,omitempty"`
+	// Evidence is what the sender knows of parts of prompts and of requests that crash upstreams. A message with it carries nothing else, so
+	// that both fit into a datagram.
+	Evidence *Evidence `json:"p,omitempty"`
 	// Demand is the demand at an entry, in its heartbeats. DemandSums are the sums of the demand by data centre, as far as the sending
 	// agent heard it. A process that doesn't know these fields ignores them.
 	Demand     []Demand    `json:"m,omitempty"`
@@ -112,11 +113,16 @@
 	WantsOwnSum bool `json:"o,omitempty"`
 }
 
-// SetParts sets what the sender reports of parts of prompts, if there is anything.
-func (m *Message) SetParts(r attribution.Report) {
-	if !r.Empty() {
-		m.Parts = &r
-	}
+// Evidence is what a process knows of what crashes upstreams.
+type Evidence struct {
+	// Parts is about parts of prompts, Requests about the requests that are quarantined as a whole, by fingerprint.
+	Parts    attribution.Report `json:"p"`
+	Requests attribution.Report `json:"r"`
+}
+
+// NewEvidence returns a message with evidence; false if there is nothing to report.
+func NewEvidence(parts, requests attribution.Report) (Message, bool) {
+	return Message{Evidence: &Evidence{Parts: parts, Requests: requests}}, !parts.Empty() || !requests.Empty()
 }
 
 // Socket sends and receives messages.
