gateway, platform, cli: quarantines of parts are kept in the platform's store, where operators see and lift them

What callers and operators saw: after a start of all processes at once nobody knew the part any more, and it crashed engines again; a wrong quarantine could neither be seen nor lifted. Cause: what entries decide was held in their memories only. Change: the entry that decided writes the quarantine to the store (kind quarantines, one call for each). Entries read it at their start, and every 5 s while any is known, in the cheap way that may be seconds old. A missing record changes nothing, since the store may come back from a copy; a lift is written into the record. New command `quarantine`: lists, and lifts one.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -34,7 +34,7 @@
 		{"Read and change what services run (see docs/operators/)", []subcommands.Command{newSettingsCommand(), &checkCommand{}, &statusCommand{}, &weightsCommand{}}},
 		{"Run a process of the system", []subcommands.Command{&entryCommand{}, &agentCommand{}}},
 		{"Run a process of the system on the users' platform", []subcommands.Command{&platformEntryCommand{}, &platformAgentCommand{}}},
-		{"Operate the users' platform (see docs/operators/evacuations.md)", []subcommands.Command{&evacuateCommand{}}},
+		{"Operate the users' platform (see docs/operators/evacuations.md)", []subcommands.Command{&evacuateCommand{}, &quarantineCommand{}}},
 		{"Reference and diagnosis", []subcommands.Command{
 			&explainCommand{}, &codesCommand{}, &eventsCommand{}, &metricsCommand{}, &flagsCommand{}, &versionCommand{},
 		}},
--- a/internal/core/attribution/attribution.go
+++ b/internal/core/attribution/attribution.go
@@ -98,6 +98,8 @@
 	quarantines map[Part]*quarantine
 	// inFlight counts the attempts of this process that are in progress, by part.
 	inFlight map[Part]int
+	// expired are the parts of TakeExpired.
+	expired []Part
 	// undecided is set while a decision may become due without new evidence.
 	undecided bool
 	// changes counts the updates of the table; see Changes. round counts the calls of Report.
--- a/internal/core/attribution/quarantine_test.go
+++ b/internal/core/attribution/quarantine_test.go
@@ -273,3 +273,47 @@
 	}))
 	require.False(t, p.Quarantined(crasher))
 }
+
+// A start of everything, after which no process knows anything, must not cost crashes again: the store holds the quarantines. Neither a stale
+// read nor a store that came back from a copy may lift one.
+func TestQuarantineIsKeptInTheStore(t *testing.T) {
+	owner := newQuarantined(t, 1)
+	recorded := owner.Unrecorded(nil)
+	require.Len(t, recorded, 1)
+	require.Equal(t, crasher, recorded[0].Part)
+	require.Empty(t, owner.Unrecorded(recorded))
+	require.Empty(t, newEstablishedProcess(t, 2).Unrecorded(nil), "only the process that decided writes it")
+	started := newProcess(t, 3)
+	require.Equal(t, []attribution.Part{crasher}, parts(started.MergeRecorded(started.now, recorded), attribution.Reported))
+	require.Empty(t, started.MergeRecorded(started.now, nil))
+	require.True(t, started.Quarantined(crasher))
+	require.Empty(t, owner.MergeRecorded(owner.now, nil))
+	require.Equal(t, recorded, owner.Unrecorded(nil), "it is written again to a store that has lost it")
+	recorded[0].Lifted = true
+	require.Equal(t, []attribution.Part{crasher}, parts(owner.MergeRecorded(owner.now, recorded), attribution.Lifted))
+	require.Empty(t, owner.Unrecorded(recorded))
+	owner.request = 70
+	for upstream := uint32(30); upstream < 33; upstream++ {
+		owner.crash(upstream, crasher)
+	}
+	require.True(t, owner.Quarantined(crasher))
+	require.Empty(t, owner.MergeRecorded(owner.now, recorded), "the record is of the quarantine before")
+	require.Equal(t, uint32(2), owner.Unrecorded(recorded)[0].Generation)
+}
+
+// Reads of the store must not make a quarantine last, nor bring its trials forward; its record is removed when it has ended.
+func TestRecordsDoNotProlongAQuarantine(t *testing.T) {
+	p := newQuarantined(t, 1)
+	recorded := p.Unrecorded(nil)
+	recorded[0].StartedAt = recorded[0].StartedAt.Add(-time.Hour) // By a clock that is wrong.
+	for range 50 {
+		require.Empty(t, p.MergeRecorded(p.now, recorded))
+		require.False(t, p.TakeTrial(p.now, crasher))
+		p.now = p.now.Add(time.Second)
+	}
+	p.now = p.now.Add(10 * time.Minute)
+	require.Equal(t, []attribution.Part{crasher}, parts(p.Expire(p.now), attribution.Ended))
+	require.True(t, p.Known())
+	require.Equal(t, []attribution.Part{crasher}, p.TakeExpired())
+	require.False(t, p.Known())
+}
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -428,8 +428,8 @@
 	case PartsReported:
 		effects := s.partsChanged(in, s.Parts.Merge(in.Now, ev.Parts))
 		return append(effects, s.heldRequestsChanged(in, s.HeldRequests.Merge(in.Now, ev.Requests))...)
-	case PartLifted:
-		return s.partsChanged(in, s.Parts.Lift(ev.Part))
+	case QuarantinesRead:
+		return s.partsChanged(in, s.Parts.MergeRecorded(in.Now, ev.List))
 	case UpstreamDown:
 		return s.upstreamDown(in, ev)
 	case AnswerHeadReceived:
--- a/internal/core/forward/parts.go
+++ b/internal/core/forward/parts.go
@@ -20,8 +20,8 @@
 // that are quarantined as a whole.
 type PartsReported struct{ Parts, Requests attribution.Report }
 
-// PartLifted is the event that an operator lifted the quarantine of a part.
-type PartLifted struct{ Part attribution.Part }
+// QuarantinesRead is the event that the quarantines of parts were read from the platform's store.
+type QuarantinesRead struct{ List []attribution.Recorded }
 
 // UpstreamDown is the event that an upstream refused a connection right after an attempt broke there.
 type UpstreamDown struct{ Upstream catalog.Instance }
@@ -30,7 +30,7 @@
 func (PartsReported) Event() {}
 
 // Event marks the type as an event.
-func (PartLifted) Event() {}
+func (QuarantinesRead) Event() {}
 
 // Event marks the type as an event.
 func (UpstreamDown) Event() {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,8 @@
 	// cache holds what was read from the store, for the processes that read the store through this one. store also reads through it.
 	cache *storefeed.Cache
 	store *storefeed.Reader
+	// directStore reads and writes the store itself, never through another entry.
+	directStore *platform.Store
 	// dialPeer opens a connection to another entry.
 	dialPeer control.DialFunc
 	self     string
@@ -105,6 +107,7 @@
 	storePeers, cache := storefeed.NewPeers(host, self, false, log), storefeed.NewCache(host.ChangeTime())
 	storeTransport := newStoreTransport()
 	dialPeer := storeTransport.DialContext
+	directStore := platform.NewStore(host.Store, &http.Client{Transport: storeTransport})
 	upstreamClient := &http.Client{Transport: newUpstreamTransport()}
 	traces.Client(upstreamClient, telemetry.AttemptSpanName)
 	g := &Gateway{
@@ -117,8 +120,8 @@
 		demandSequence: balance.Sequence{Start: time.Now().UnixMilli()},
 		exchanges:      map[uint64]*exchange{}, memory: membudget.New(callerMemoryLimit(host), time.Now),
 		upstreamTransport: upstreamClient.Transport, traces: traces,
-		store:    storePeers.Reader(platform.NewStore(host.Store, &http.Client{Transport: storeTransport}), control.NewPool(self, "", dialPeer), cache),
-		dialPeer: dialPeer,
+		store:       storePeers.Reader(directStore, control.NewPool(self, "", dialPeer), cache),
+		directStore: directStore, dialPeer: dialPeer,
 	}
 	g.ownDelay = owndelay.New(log, m, tickInterval, g.step)
 	return g
@@ -338,6 +341,7 @@
 	workCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g.followStore(workCtx)
+	go g.followQuarantines(workCtx)
 	go socket.Run(g.handleMessage, g.log)
 	go g.runHeartbeats(workCtx)
 	go g.storePeers.SendSeedHeartbeats(workCtx, socket, g.ready.Load)
