attribution: trials also when the process that decided is gone; popular parts are not limited

Cause, by reading: a wrong quarantine would last as long as requests come if the process that decided is gone or gets none of them; and after a start, when no part is proven, one crash limited a popular part to two attempts at each entry until its first answer. Change: other processes make the trial later, each at a time of its own. A part with five more attempts in progress than crashed is not limited. The check of a broken attempt's upstream waits 0.15 s at most.

--- a/internal/core/attribution/attribution_test.go
+++ b/internal/core/attribution/attribution_test.go
@@ -245,6 +245,16 @@
 	require.True(t, p.MaySend(crasher), "an answer cleared the part")
 }
 
+// After a start no part is proven, and a popular one is in flight at an upstream that crashes. Its requests must not be refused for that.
+func TestPopularPartIsNotLimited(t *testing.T) {
+	p := newProcess(t, 1)
+	for range 12 {
+		p.Sent(attribution.Attempt{Parts: []attribution.Part{common}})
+	}
+	p.crash(1, common)
+	require.True(t, p.MaySend(common))
+}
+
 // The evidence and the history must stay bounded, and the operator needs to know what was left out.
 func TestTableIsBounded(t *testing.T) {
 	p := newEstablishedProcess(t, 1)
--- a/internal/core/attribution/decide.go
+++ b/internal/core/attribution/decide.go
@@ -24,6 +24,9 @@
 	// which parts are proven.
 	establishedAfter   = 3 * time.Second
 	establishedAnswers = 30
+	// popularInFlight is how many more attempts with a part must be in progress than crashed for the part not to be limited: each attempt
+	// with a part that crashes upstreams does so soon.
+	popularInFlight = 5
 )
 
 // tally is the evidence against one part.
@@ -235,7 +238,7 @@
 			n++
 		}
 	}
-	if n == 0 {
+	if n == 0 || t.inFlight[p] >= n+popularInFlight {
 		return -1
 	}
 	return max(1, CrashThreshold-n)
--- a/internal/core/attribution/quarantine.go
+++ b/internal/core/attribution/quarantine.go
@@ -1,7 +1,10 @@
 package attribution
 
 import (
+	"strconv"
 	"time"
+
+	"samphireweir.example/samphireweir/internal/core/step"
 )
 
 const (
@@ -130,10 +133,10 @@
 	}
 }
 
-// TakeTrial reports whether a request with a quarantined part is to be sent as a trial, and counts it. Only one process makes trials.
+// TakeTrial reports whether a request with a quarantined part is to be sent as a trial, and counts it.
 func (t *Table) TakeTrial(now time.Time, p Part) bool {
 	q := t.quarantines[p]
-	if q == nil || q.lifted || q.owner != t.observer.ID || q.trials >= len(trialDelays) || now.Sub(q.startedAt) < trialDelays[q.trials] {
+	if q == nil || q.lifted || q.trials >= len(trialDelays) || now.Sub(q.startedAt) < t.trialDelay(p, q) {
 		return false
 	}
 	q.trials++
@@ -141,6 +144,18 @@
 	return true
 }
 
+// trialDelay returns the time from the start of a quarantine until its next trial by this process. The owner is first. It may be gone, or get
+// no such request, so others follow, each at a time of its own, so that one of them reports its trial before the next one is due.
+func (t *Table) trialDelay(p Part, q *quarantine) time.Duration {
+	const positions = 1024
+	delay := trialDelays[q.trials]
+	if q.owner == t.observer.ID {
+		return delay
+	}
+	position := step.Score(p.String(), strconv.FormatUint(uint64(t.observer.ID), 10)) % positions
+	return 2*delay + delay*time.Duration(position)/positions
+}
+
 // liftAnswered lifts the quarantine of a part if an answer shows that the part does not crash upstreams: the answer to a request that was
 // sent after the quarantine began, or one that leaves too little evidence.
 func (t *Table) liftAnswered(p Part, sentAt time.Time) []Change {
--- a/internal/core/attribution/quarantine_test.go
+++ b/internal/core/attribution/quarantine_test.go
@@ -167,7 +167,7 @@
 	for range 12 * 60 {
 		owner.now = owner.now.Add(5 * time.Second)
 		b.now = owner.now
-		require.False(t, b.TakeTrial(b.now, crasher))
+		require.False(t, b.TakeTrial(b.now, crasher), "the owner is first")
 		if owner.TakeTrial(owner.now, crasher) {
 			trials++
 		}
@@ -194,6 +194,28 @@
 	require.False(t, a.TakeTrial(a.now, crasher))
 }
 
+// The process that decided may be gone, or may get no such request. A wrong quarantine must heal nevertheless, with few trials of all others.
+func TestOthersMakeTrialsIfTheOwnerDoesNot(t *testing.T) {
+	owner := newQuarantined(t, 1)
+	var others []*process
+	for id := range uint32(40) {
+		others = append(others, newProcess(t, 2+id))
+	}
+	owner.report(others...)
+	trials := 0
+	for now := owner.now; now.Before(owner.now.Add(9 * time.Minute)); now = now.Add(500 * time.Millisecond) {
+		for _, p := range others {
+			p.now = now
+			p.Refused(now, crasher)
+			if p.TakeTrial(now, crasher) {
+				trials++
+				p.report(others...)
+			}
+		}
+	}
+	require.Equal(t, 1, trials)
+}
+
 // Answers that were on their way when a sound part was quarantined must lift the quarantine at once.
 func TestAnswersThatWereOnTheirWayLiftAWrongQuarantine(t *testing.T) {
 	p := newQuarantined(t, 1)
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -17,7 +17,7 @@
 	// evidenceInterval is the least time between two heartbeats that are sent because this entry observed something about a crash.
 	evidenceInterval = 100 * time.Millisecond
 	// downCheckTimeout limits the check whether an upstream is down.
-	downCheckTimeout = 300 * time.Millisecond
+	downCheckTimeout = 150 * time.Millisecond
 )
 
 // sendEvidence sends heartbeats at once after this entry observed something about a crash.
