--- a/internal/gateway/crashing_part_test.go
+++ b/internal/gateway/crashing_part_test.go
@@ -118,8 +118,8 @@
 		return 0
 	}
 	n := 0
-	for _, at := range run.fleet.Crashing.Reached() {
-		if at.After(crashes[toleratedCrashes-1].At.Add(contactTime)) {
+	for _, r := range run.fleet.Crashing.Reached() {
+		if r.At.After(crashes[toleratedCrashes-1].At.Add(contactTime)) {
 			n++
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -94,6 +94,8 @@
 	places []string
 	// proxiedEntries are the addresses of the proxies in front of the entries, in the order of entries.
 	proxiedEntries []string
+	// directEngines is set if there are no proxies in front of the engines, so that a crashed engine refuses connections.
+	directEngines bool
 	// engineRestarts counts the restarts of engines by injectors.
 	engineRestarts atomic.Int64
 
@@ -124,11 +126,8 @@
 		}
 		s.upstreams = append(s.upstreams, s.fleet.AddService(fmt.Sprintf("i-desk-%d", i)))
 		s.upstreamProxies = append(s.upstreamProxies, s.lastProxy())
-		ip := standin.NextIP()
-		s.upstreams = append(s.upstreams, s.fleet.AddEngine(fmt.Sprintf("i-engine-%d", i), ip, 0))
-		s.upstreamProxies = append(s.upstreamProxies, s.lastProxy())
-		agent := s.fleet.Host(ip, true)
-		agent.Engine, agent.Store = s.lastProxy().address(), s.proxyFor(agent.Store)
+		agent := s.addEngine(i)
+		agent.Store = s.proxyFor(agent.Store)
 		s.agents = append(s.agents, &process{t: t, role: "platform-agent", settings: s.fleet.SettingsFile(dir, agent)})
 		entry := s.fleet.Host(standin.NextIP(), false)
 		entry.Store = s.proxyFor(entry.Store)
@@ -143,6 +142,22 @@
 	return s
 }
 
+// addEngine starts an engine and returns the settings of its host's agent.
+func (s *soak) addEngine(i int) hostconfig.Host {
+	ip := standin.NextIP()
+	agent := s.fleet.Host(ip, true)
+	if s.directEngines {
+		s.fleet.RegisteredAddress = nil
+		defer func() { s.fleet.RegisteredAddress = s.proxyFor }()
+	}
+	s.upstreams = append(s.upstreams, s.fleet.AddEngine(fmt.Sprintf("i-engine-%d", i), ip, 0))
+	if !s.directEngines {
+		agent.Engine = s.lastProxy().address()
+	}
+	s.upstreamProxies = append(s.upstreamProxies, s.lastProxy())
+	return agent
+}
+
 // proxyFor starts a proxy in front of an address, on the same IP address, and returns the proxy's address.
 func (s *soak) proxyFor(address string) string {
 	host, _, err := net.SplitHostPort(address)
