explain: a refusal for a part of the prompt is traced to its quarantine and the crashes before it

Cause: the decision may be minutes old and another entry's, so the lines around the refusal don't have it; -losses counted it as an invalid request.

--- a/internal/explain/losses.go
+++ b/internal/explain/losses.go
@@ -33,6 +33,7 @@
 	refusedReturned   = "refused: no capacity, caller had been refused before"
 	refusedNoUpstream = "refused: no upstream with the weights, or all are avoided"
 	refusedNotReady   = "refused: the entry is starting or stopping"
+	refusedQuarantine = "refused: the request, or a part of its prompt, crashed upstreams"
 	refusedInvalid    = "refused: invalid request (key, route, size)"
 	failedUnknown     = "failed: unknown outcome, an upstream may have run it"
 	lateReturned      = "late: caller had been refused before"
@@ -90,6 +91,8 @@
 		return refusedReturned
 	case c == code.Overloaded:
 		return refusedCapacity
+	case c == code.RequestQuarantined || c == code.PartQuarantined:
+		return refusedQuarantine
 	case line.Ran == string(code.NotRun):
 		return refusedInvalid
 	}
--- a/internal/explain/read.go
+++ b/internal/explain/read.go
@@ -80,6 +80,10 @@
 	OwnShare   float64   `json:"own_share"`
 	// Kind is the kind of an object in the store.
 	Kind string `json:"kind"`
+	// Part is a part of prompts, Change what changed about its quarantine, and Crashes how many crashes it was found to have caused.
+	Part    string `json:"part"`
+	Change  string `json:"change"`
+	Crashes int    `json:"crashes"`
 	// Raw is the JSON of the line as it was written.
 	Raw json.RawMessage `json:"-"`
 	// readOrder is the position in which the line was read; it orders lines with the same time.
--- a/internal/explain/request.go
+++ b/internal/explain/request.go
@@ -67,6 +67,7 @@
 		v.Cause = v.lastFailure()
 	}
 	l.findAround(&v, last)
+	l.findPartQuarantine(&v, last)
 	l.addSpells(&v, last)
 	return v, true
 }
@@ -85,7 +86,7 @@
 // causedByUpstreams reports whether a refusal with code c depends on the state of the upstreams, and not on the request alone.
 func causedByUpstreams(c int) bool {
 	switch code.Code(c) {
-	case code.NoUpstream, code.Overloaded, code.RetriesExhausted, code.DeadlinePassed, code.RequestQuarantined, code.PartQuarantined:
+	case code.NoUpstream, code.Overloaded, code.RetriesExhausted, code.DeadlinePassed, code.RequestQuarantined:
 		return true
 	}
 	return false
