attribution, gateway, hostagent: evidence is repeated a few times after a change, then every 20 s

Cause, by reading: each entry sent up to 2 kB to up to 96 agents each second, and each agent as much to its entries, for ten minutes after any crash; the design allows a node 7 KB a second for control. Change: a report is sent at once after a change and three times more, then every 20 s for processes that have started or were cut off. An entry repeats what it observed itself; the agents pass it on.

--- a/internal/core/attribution/attribution.go
+++ b/internal/core/attribution/attribution.go
@@ -113,6 +113,9 @@
 	return &Table{observer: o, crashes: map[uint32]*crash{}, history: map[Part]answer{}, quarantines: map[Part]*quarantine{}, inFlight: map[Part]int{}}
 }
 
+// Known reports whether there is anything to report.
+func (t *Table) Known() bool { return len(t.crashes) > 0 || len(t.quarantines) > 0 }
+
 // Changes returns a counter that increases with each change that other processes need to know.
 func (t *Table) Changes() uint64 { return t.changes }
 
--- a/internal/core/attribution/quarantine_test.go
+++ b/internal/core/attribution/quarantine_test.go
@@ -335,7 +335,7 @@
 	}
 	p.now = p.now.Add(10 * time.Minute)
 	require.Equal(t, []attribution.Part{crasher}, parts(p.Expire(p.now), attribution.Ended))
-	require.True(t, p.Known())
+	require.True(t, p.HasQuarantines())
 	require.Equal(t, []attribution.Part{crasher}, p.TakeExpired())
-	require.False(t, p.Known())
+	require.False(t, p.HasQuarantines())
 }
--- a/internal/core/attribution/recorded.go
+++ b/internal/core/attribution/recorded.go
@@ -56,5 +56,5 @@
 	return expired
 }
 
-// Known reports whether the table has any quarantine, or one whose record is to be removed.
-func (t *Table) Known() bool { return len(t.quarantines) > 0 || len(t.expired) > 0 }
+// HasQuarantines reports whether the table has any quarantine, or one whose record is to be removed.
+func (t *Table) HasQuarantines() bool { return len(t.quarantines) > 0 || len(t.expired) > 0 }
--- a/internal/core/forward/part_simulation_test.go
+++ b/internal/core/forward/part_simulation_test.go
@@ -66,6 +66,9 @@
 	inTouchFrom, frozenUntil time.Duration
 	heartbeatAt              time.Duration
 	requests                 map[uint64]*partRequest
+	// found counts what the entry observed of crashes, and schedule decides when it sends that.
+	found    uint64
+	schedule attribution.Schedule
 }
 
 type partRequest struct {
@@ -81,6 +84,8 @@
 	startedAt int64
 	down      bool
 	parts     *attribution.Table
+	// schedules decide when the agent sends what it knows to each entry.
+	schedules map[*partEntry]*attribution.Schedule
 	// running are the attempts that the engine has.
 	running map[*partRun]bool
 }
@@ -108,7 +113,7 @@
 	for i := range engines {
 		name := fmt.Sprintf("m%d", i)
 		c.names = append(c.names, name)
-		c.engines[name] = &partEngine{name: name, startedAt: 1, parts: attribution.NewTable(attribution.Observer{}), running: map[*partRun]bool{}}
+		c.engines[name] = &partEngine{name: name, startedAt: 1, parts: attribution.NewTable(attribution.Observer{}), running: map[*partRun]bool{}, schedules: map[*partEntry]*attribution.Schedule{}}
 		c.repeat(reportInterval, func() bool { c.sendReports(c.engines[name]); return true })
 	}
 	for range entries {
@@ -218,6 +223,7 @@
 	for _, effect := range e.step(ev) {
 		switch effect := effect.(type) {
 		case forward.CrashEvidenceFound:
+			e.found++
 			if c.now-e.heartbeatAt >= evidenceInterval {
 				c.sendHeartbeats(e)
 			}
@@ -226,7 +232,8 @@
 			if stops && effect.Part != crashPart {
 				c.wronglyStopped[effect.Part] = true
 			}
-			if effect.Kind == attribution.Started {
+			if effect.Kind == attribution.Started || effect.Kind == attribution.Lifted {
+				e.found++
 				c.sendHeartbeats(e)
 			}
 		case forward.Send:
@@ -247,10 +254,13 @@
 	}
 	known := g.parts.Report(begin.Add(c.now))
 	for _, e := range c.entries {
-		c.datagram(func() {
-			c.step(e, report)
-			c.step(e, forward.PartsReported{Parts: known})
-		})
+		c.datagram(func() { c.step(e, report) })
+		if g.schedules[e] == nil {
+			g.schedules[e] = &attribution.Schedule{}
+		}
+		if g.schedules[e].Due(begin.Add(c.now), g.parts.Changes()) {
+			c.datagram(func() { c.step(e, forward.PartsReported{Parts: known}) })
+		}
 	}
 }
 
@@ -260,6 +270,9 @@
 		return
 	}
 	e.heartbeatAt = c.now
+	if !e.schedule.Due(begin.Add(c.now), e.found) {
+		return
+	}
 	known := e.state.Parts.Report(begin.Add(c.now))
 	for _, name := range c.names {
 		c.datagram(func() { c.engines[name].parts.Merge(begin.Add(c.now), known) })
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"samphireweir.example/samphireweir/internal/control"
+	"samphireweir.example/samphireweir/internal/core/attribution"
 	"samphireweir.example/samphireweir/internal/core/balance"
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
@@ -84,10 +85,11 @@
 	// secondAttemptLog and limitLog bound the rates of these log lines.
 	secondAttemptLog, limitLog, malformedPartsLog lineRate
 
-	// evidenceUnsent is set while other processes have not been sent what this one observed of a crash, and heartbeatAt is when the last
-	// heartbeat was sent.
-	evidenceUnsent bool
-	heartbeatAt    time.Time
+	// evidenceFound counts what this entry observed of crashes, evidence decides when that is sent to the agents, and heartbeatAt is when the
+	// last heartbeat was sent.
+	evidenceFound uint64
+	evidence      attribution.Schedule
+	heartbeatAt   time.Time
 
 	droppedDemand droppedDemand
 	// demandSequence is that of the last heartbeat with demand.
@@ -203,6 +205,7 @@
 	switch e := e.(type) {
 	case forward.QuarantineStarted:
 		g.logQuarantine(e.Fingerprint, quarantine.QuarantineDuration, e.Upstream)
+		g.evidenceFound++
 		go g.sendHeartbeats()
 	case forward.Quarantined:
 		g.logQuarantine(e.Fingerprint, e.Remaining, "")
@@ -211,11 +214,11 @@
 		logevent.Warn(g.log, logevent.UpstreamCrashed).Str("upstream", e.Upstream).Int("broken", e.Broken).Msg("upstream crashed")
 	case forward.QuarantineLifted:
 		logevent.Warn(g.log, logevent.RequestQuarantined).Uint64("fingerprint", e.Fingerprint).Bool("lifted", true).Msg("request quarantined")
-		g.evidenceUnsent = true
+		g.evidenceFound++
 	case forward.PartQuarantineChanged:
 		g.recordPartQuarantine(e)
 	case forward.CrashEvidenceFound:
-		g.evidenceUnsent = true
+		g.evidenceFound++
 	case forward.CrashesDropped:
 		logevent.Warn(g.log, logevent.CrashesDropped).Int("count", e.Count).Msg("crashes dropped")
 	case forward.StartedLate:
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"samphireweir.example/samphireweir/internal/core/attribution"
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/logevent"
@@ -23,7 +24,7 @@
 // sendEvidence sends heartbeats at once after this entry observed something about a crash.
 func (g *Gateway) sendEvidence() {
 	g.mu.Lock()
-	due := g.evidenceUnsent && time.Since(g.heartbeatAt) >= evidenceInterval
+	due := g.evidence.Changed(g.evidenceFound) && time.Since(g.heartbeatAt) >= evidenceInterval
 	g.mu.Unlock()
 	if due {
 		g.sendHeartbeats()
@@ -34,7 +35,9 @@
 func (g *Gateway) recordPartQuarantine(e forward.PartQuarantineChanged) {
 	g.metrics.PartsQuarantined.Add(int64(g.forward.Parts.Active()) - g.metrics.PartsQuarantined.Value())
 	logevent.Warn(g.log, logevent.PartQuarantined).Stringer("part", e.Part).Str("change", string(e.Kind)).Int("crashes", e.Crashes).Msg("part quarantined")
-	g.evidenceUnsent = true
+	if e.Kind == attribution.Started || e.Kind == attribution.Lifted {
+		g.evidenceFound++
+	}
 }
 
 // checkDown finds out whether an upstream is down after an attempt broke there, and reports it to the reducer if it is. It then refuses
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -42,7 +42,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	message := loadreport.Message{DataCentre: g.host.DataCentre, Crashes: g.forward.Crashes.Reports(now)}
-	g.evidenceUnsent, g.heartbeatAt = false, now
+	g.heartbeatAt = now
 	g.addDemand(now, &message)
 	message.Activations = loadreport.Activations(now, g.catalog.ReportedActivations(now, g.host.VersionLifetime))
 	var agents []netip.AddrPort
@@ -52,8 +52,10 @@
 		}
 	}
 	messages := []loadreport.Message{message}
-	if evidence, ok := loadreport.NewEvidence(g.forward.Parts.Report(now), g.forward.HeldRequests.Report(now)); ok {
-		messages = append(messages, evidence)
+	if g.evidence.Due(now, g.evidenceFound) {
+		if evidence, ok := loadreport.NewEvidence(g.forward.Parts.Report(now), g.forward.HeldRequests.Report(now)); ok {
+			messages = append(messages, evidence)
+		}
 	}
 	return agents, messages
 }
--- a/internal/gateway/quarantines.go
+++ b/internal/gateway/quarantines.go
@@ -29,7 +29,7 @@
 	}
 	for sleep(ctx, quarantineReadInterval) {
 		g.mu.Lock()
-		known := g.forward.Parts.Known()
+		known := g.forward.Parts.HasQuarantines()
 		g.mu.Unlock()
 		if known {
 			g.syncQuarantines(ctx)
--- a/internal/hostagent/evidence.go
+++ b/internal/hostagent/evidence.go
@@ -19,14 +19,15 @@
 // evidenceChanges returns a counter that increases with each change of the evidence.
 func (r *reporter) evidenceChanges() uint64 { return r.parts.Changes() + r.heldRequests.Changes() }
 
-// sendEvidence passes on the evidence to each entry to which it is due: at once after each change, and repeatedly, because datagrams get
-// lost. The caller holds the reporter's lock.
+// sendEvidence passes on the evidence to each entry to which it is due. The caller holds the reporter's lock.
 func (a *Agent) sendEvidence(now time.Time) {
+	if !a.reporter.parts.Known() && !a.reporter.heldRequests.Known() {
+		return
+	}
 	var due []netip.AddrPort
 	changes := a.reporter.evidenceChanges()
 	for address, s := range a.reporter.subscribers {
-		if changes != s.evidenceChanges || now.Sub(s.evidenceSentAt) >= idleInterval {
-			s.evidenceChanges, s.evidenceSentAt = changes, now
+		if s.evidence.Due(now, changes) {
 			due = append(due, address)
 		}
 	}
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -41,9 +41,8 @@
 	// crashChanges is the value of quarantine.Table.Changes when crashes were last sent to the entry, at crashesSentAt.
 	crashChanges  uint64
 	crashesSentAt time.Time
-	// evidenceChanges and evidenceSentAt are the same for what crashes upstreams; see reporter.evidenceChanges.
-	evidenceChanges uint64
-	evidenceSentAt  time.Time
+	// evidence decides when the entry is sent what is known of parts and requests that crash upstreams.
+	evidence attribution.Schedule
 	// entriesSentAt is when the list of entries of its data centre was last sent to it.
 	entriesSentAt time.Time
 	// demand is what the entry last said of its demand, at demandAt.
