forward, attribution: one report of a crash, and one look at the evidence for many breaks at once

Cause, by reading: the check that finds an upstream down comes before the end of its first attempt, so event 4022 was not logged in the usual case; each of the attempts that broke there doubled the upstream's avoidance and went through all evidence again. Change: a crash is reported 0.2 s after its first break, with the number of all; the avoidance counts once; evidence is looked at once in 10 ms, and every 50 ms while time alone may decide.

--- a/internal/core/attribution/attribution.go
+++ b/internal/core/attribution/attribution.go
@@ -100,8 +100,9 @@
 	inFlight map[Part]int
 	// expired are the parts of TakeExpired.
 	expired []Part
-	// undecided is set while a decision may become due without new evidence.
+	// undecided is set while a decision may be due, and decidedAt is when that was last looked at.
 	undecided bool
+	decidedAt time.Time
 	// changes counts the updates of the table; see Changes. round counts the calls of Report.
 	changes uint64
 	round   int
@@ -293,6 +294,9 @@
 // Decide makes the decisions that have become due with time.
 func (t *Table) Decide(now time.Time) []Change {
 	t.touch(now)
+	if now.Sub(t.decidedAt) < pendingInterval {
+		return nil
+	}
 	return t.decide(now)
 }
 
--- a/internal/core/attribution/decide.go
+++ b/internal/core/attribution/decide.go
@@ -20,6 +20,10 @@
 	// such a part is usually answered.
 	settleTime       = time.Second
 	provenSettleTime = 1500 * time.Millisecond
+	// evidenceInterval and pendingInterval are the least times between two looks at the evidence, after new evidence and without any. Many
+	// attempts break at the same moment.
+	evidenceInterval = 10 * time.Millisecond
+	pendingInterval  = 50 * time.Millisecond
 	// establishedAfter and establishedAnswers are the time since its start, or the number of whole answers, after which a process knows
 	// which parts are proven.
 	establishedAfter   = 3 * time.Second
@@ -133,9 +137,10 @@
 // decide quarantines the parts to blame, the one that explains most crashes first. It looks again after each, since the crashes that a
 // quarantined part explains count against no other.
 func (t *Table) decide(now time.Time) []Change {
-	if !t.observer.Decides || !t.undecided {
+	if !t.observer.Decides || !t.undecided || now.Sub(t.decidedAt) < evidenceInterval {
 		return nil
 	}
+	t.decidedAt = now
 	var changes []Change
 	for {
 		blamed, pending := t.blame(now)
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -342,8 +342,10 @@
 	callerTimeouts callerTimeouts
 	// breaks are the recent broken attempts by the request's fingerprint, the oldest first.
 	breaks map[uint64][]breakRecord
-	// crashReports are the crashes to report to the shell with the next tick.
+	// crashReports are the changes about crashes to report to the shell with the next tick, and crashCounts the crashes that are reported a
+	// little later.
 	crashReports []step.Effect
+	crashCounts  map[catalog.Instance]*crashCount
 	// queues are the requests that wait for capacity, by service, and pass is the present pass over one of them; nil for none.
 	queues map[string]*schedule.Queue
 	pass   *pass
@@ -394,8 +396,8 @@
 		self.MaxHeldBytes = defaultMaxHeldBytes
 	}
 	return &State{
-		outlooks: map[outlookKey]*outlook{},
-		Self:     self, Catalog: c, requests: map[uint64]*request{}, loadStates: map[catalog.Instance]*loadState{},
+		outlooks: map[outlookKey]*outlook{}, crashCounts: map[catalog.Instance]*crashCount{},
+		Self: self, Catalog: c, requests: map[uint64]*request{}, loadStates: map[catalog.Instance]*loadState{},
 		retryBudgets: map[string]*retryBudget{}, callerTimeouts: callerTimeouts{}, Crashes: quarantine.NewTable(),
 		Parts: attribution.NewTable(observer), HeldRequests: attribution.NewTable(observer),
 		breaks: map[uint64][]breakRecord{}, queues: map[string]*schedule.Queue{}, lastQueuedAt: map[string]time.Time{},
--- a/internal/core/forward/parts.go
+++ b/internal/core/forward/parts.go
@@ -54,9 +54,11 @@
 
 // upstreamDown records that an upstream is down, and that it gets no requests for a while.
 func (s *State) upstreamDown(in step.Input, ev UpstreamDown) []step.Effect {
-	effects := s.foundDown(in, ev.Upstream)
-	s.loadState(ev.Upstream).recordOutcome(in.Now, NotSent)
-	return effects
+	l := s.loadState(ev.Upstream)
+	if in.Now.Sub(l.foundDownAt) > crashWindow { // Each attempt that broke there reports it.
+		l.recordOutcome(in.Now, NotSent)
+	}
+	return s.foundDown(in, ev.Upstream)
 }
 
 // partsCrashed records the crash of an upstream as evidence against the parts of a request that broke there.
--- a/internal/core/forward/quarantine.go
+++ b/internal/core/forward/quarantine.go
@@ -225,11 +225,7 @@
 	l := s.loadState(upstream)
 	l.foundDownAt = in.Now
 	var effects []step.Effect
-	broken := withoutOldRequests(l.brokenRequests, in.Now)
-	if len(broken) > 0 {
-		s.crashReports = append(s.crashReports, UpstreamCrashed{Upstream: upstream.ID, Broken: len(broken)})
-	}
-	for _, b := range broken {
+	for _, b := range withoutOldRequests(l.brokenRequests, in.Now) {
 		effects = append(effects, s.recordCrash(in, b, upstream)...)
 	}
 	l.brokenRequests = nil
@@ -237,6 +233,7 @@
 }
 
 func (s *State) recordCrash(in step.Input, b brokenRequest, upstream catalog.Instance) []step.Effect {
+	s.countCrash(in.Now, upstream)
 	effects := s.partsCrashed(in, b, upstream)
 	if b.fingerprint == 0 || !s.Crashes.Crashed(in.Now, b.fingerprint, instanceHash(upstream), in.Now) {
 		return effects
@@ -246,6 +243,39 @@
 	return append(effects, s.stopQuarantined(in, b.fingerprint)...)
 }
 
+// crashCount counts the attempts that broke when an upstream crashed.
+type crashCount struct {
+	broken int
+	since  time.Time
+}
+
+// crashReportDelay is how long after the first of its attempts broke a crash is reported. The others have broken by then.
+const crashReportDelay = 200 * time.Millisecond
+
+func (s *State) countCrash(now time.Time, upstream catalog.Instance) {
+	c := s.crashCounts[upstream]
+	if c == nil {
+		c = &crashCount{since: now}
+		s.crashCounts[upstream] = c
+	}
+	c.broken++
+}
+
+// reportCrashes returns the reports on crashes that are due.
+func (s *State) reportCrashes(now time.Time) []step.Effect {
+	var effects []step.Effect
+	for upstream, c := range s.crashCounts {
+		if now.Sub(c.since) >= crashReportDelay {
+			effects = append(effects, UpstreamCrashed{Upstream: upstream.ID, Broken: c.broken})
+			delete(s.crashCounts, upstream)
+		}
+	}
+	slices.SortFunc(effects, func(a, b step.Effect) int {
+		return cmp.Compare(a.(UpstreamCrashed).Upstream, b.(UpstreamCrashed).Upstream)
+	})
+	return effects
+}
+
 // expireCrashes drops crash records that are too old, and reports how many crashes could not be recorded.
 func (s *State) expireCrashes(now time.Time) []step.Effect {
 	s.Crashes.Expire(now)
@@ -256,7 +286,7 @@
 			delete(s.breaks, fingerprint)
 		}
 	}
-	effects := s.crashReports
+	effects := append(s.crashReports, s.reportCrashes(now)...)
 	s.crashReports = nil
 	if n := s.Crashes.TakeDropped(); n > 0 {
 		effects = append(effects, CrashesDropped{Count: n})
