--- a/internal/cli/evacuate.go
+++ b/internal/cli/evacuate.go
@@ -7,10 +7,8 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"os"
 	"slices"
 	"sort"
-	"time"
 
 	"github.com/google/subcommands"
 
@@ -19,9 +17,6 @@
 	"samphireweir.example/samphireweir/platform"
 )
 
-// evacuateTimeout is the timeout of the command.
-const evacuateTimeout = 10 * time.Second
-
 // evacuateCommand requests the evacuation of a data centre, so that no new requests are sent there, or ends it.
 type evacuateCommand struct {
 	store      string
@@ -73,15 +68,7 @@
 
 // Execute starts or ends the evacuation.
 func (c *evacuateCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if err := loadFlags(fs, c); err != nil {
-		return fail(os.Stderr, err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, evacuateTimeout)
-	defer cancel()
-	if err := c.run(ctx, os.Stdout); err != nil {
-		return fail(os.Stderr, err)
-	}
-	return subcommands.ExitSuccess
+	return runStoreCommand(ctx, fs, c)
 }
 
 // run carries the command out and writes the result to out.
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/netip"
-	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -20,9 +19,6 @@
 	"samphireweir.example/samphireweir/platform"
 )
 
-// quarantineTimeout is the timeout of the command.
-const quarantineTimeout = 10 * time.Second
-
 // quarantineCommand lists the quarantined parts of prompts, or lifts the quarantine of one.
 type quarantineCommand struct {
 	store string
@@ -65,15 +61,7 @@
 
 // Execute lists the quarantines or lifts one.
 func (c *quarantineCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if err := loadFlags(fs, c); err != nil {
-		return fail(os.Stderr, err)
-	}
-	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
-	defer cancel()
-	if err := c.run(ctx, os.Stdout); err != nil {
-		return fail(os.Stderr, err)
-	}
-	return subcommands.ExitSuccess
+	return runStoreCommand(ctx, fs, c)
 }
 
 // run carries the command out and writes the result to out.
--- a/internal/core/forward/crash_simulation_test.go
+++ b/internal/core/forward/crash_simulation_test.go
@@ -1,7 +1,6 @@
 package forward_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -38,11 +37,8 @@
 // network delays each message by a random time and loses some datagrams, so each process sees its own order of events. A seed makes
 // runs repeatable.
 type crashSimulation struct {
+	simulatedTime
 	t       *testing.T
-	rng     *rand.Rand
-	now     time.Duration
-	events  eventQueue
-	seq     int
 	entries []*crashEntry
 	engines map[string]*crashEngine
 	names   []string
@@ -72,7 +68,7 @@
 }
 
 func newCrashSimulation(t *testing.T, seed uint64, entries, engines int) *crashSimulation {
-	c := &crashSimulation{t: t, rng: rand.New(rand.NewPCG(seed, seed)), engines: map[string]*crashEngine{}}
+	c := &crashSimulation{t: t, simulatedTime: simulatedTime{rng: rand.New(rand.NewPCG(seed, seed))}, engines: map[string]*crashEngine{}}
 	for i := range engines {
 		name := fmt.Sprintf("m%d", i)
 		c.names = append(c.names, name)
@@ -97,45 +93,7 @@
 	c.repeat(heartbeatInterval, func() bool { c.sendHeartbeats(e); return !e.ended })
 }
 
-func (c *crashSimulation) after(d time.Duration, f func()) {
-	c.seq++
-	heap.Push(&c.events, event{at: c.now + d, seq: c.seq, run: f})
-}
-
-func (c *crashSimulation) randomDelay(mean time.Duration) time.Duration {
-	return time.Duration(c.rng.ExpFloat64() * float64(mean))
-}
-
-func (c *crashSimulation) deliver(f func()) { c.after(c.randomDelay(meanDelay), f) }
-
-// datagram delivers a message with a delay, or loses it.
-func (c *crashSimulation) datagram(f func()) {
-	if c.rng.IntN(100) >= lossPercent {
-		c.deliver(f)
-	}
-}
-
-// repeat calls f at an interval of d, from a random time on, until it returns false.
-func (c *crashSimulation) repeat(d time.Duration, f func() bool) {
-	var again func()
-	again = func() {
-		if f() {
-			c.after(d, again)
-		}
-	}
-	c.after(time.Duration(c.rng.Int64N(int64(d))), again)
-}
-
-func (c *crashSimulation) run() {
-	for len(c.events) > 0 {
-		ev := heap.Pop(&c.events).(event)
-		if ev.at > simulationEnd {
-			return
-		}
-		c.now = ev.at
-		ev.run()
-	}
-}
+func (c *crashSimulation) run() { c.runUntil(simulationEnd) }
 
 // sendReports has an agent send its engine's load report and the crashes that it knows of to all entries.
 func (c *crashSimulation) sendReports(g *crashEngine) {
@@ -145,7 +103,7 @@
 	}
 	known := g.crashes.Reports(begin.Add(c.now))
 	for _, e := range c.entries {
-		c.datagram(func() {
+		c.datagram(lossPercent, func() {
 			c.step(e, report)
 			c.step(e, forward.CrashesReported{Reports: known})
 		})
@@ -156,7 +114,7 @@
 func (c *crashSimulation) sendHeartbeats(e *crashEntry) {
 	known := e.state.Crashes.Reports(begin.Add(c.now))
 	for _, name := range c.names {
-		c.datagram(func() { c.engines[name].crashes.Merge(begin.Add(c.now), known) })
+		c.datagram(lossPercent, func() { c.engines[name].crashes.Merge(begin.Add(c.now), known) })
 	}
 }
 
@@ -227,32 +185,6 @@
 	})
 }
 
-// event is a function call scheduled for a time.
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-// eventQueue is a heap of events, the earliest first.
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push adds an element; see heap.Interface.
-func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
-
-// Pop removes the last element; see heap.Interface.
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
-}
-
 // checkBounds checks the limits on the damage by one request. Each entry that has not received the others' crashes crashes at most
 // three upstreams, however many copies it gets at once, and no entry sends a copy later than quarantineDelay after the third crash
 // overall.
--- a/internal/core/forward/part_simulation_test.go
+++ b/internal/core/forward/part_simulation_test.go
@@ -1,7 +1,6 @@
 package forward_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -35,11 +34,8 @@
 // their other parts with them. Messages take random times, and datagrams get lost, so each process sees a part of the crashes in an order
 // of its own. A seed makes runs repeatable.
 type partSimulation struct {
+	simulatedTime
 	t       *testing.T
-	rng     *rand.Rand
-	now     time.Duration
-	events  eventQueue
-	seq     int
 	entries []*partEntry
 	engines map[string]*partEngine
 	names   []string
@@ -109,7 +105,7 @@
 )
 
 func newPartSimulation(t *testing.T, seed uint64, entries, engines int) *partSimulation {
-	c := &partSimulation{t: t, rng: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*partEngine{}, loss: 5, subjects: 30, wronglyStopped: map[attribution.Part]bool{}}
+	c := &partSimulation{t: t, simulatedTime: simulatedTime{rng: rand.New(rand.NewPCG(seed, 1))}, engines: map[string]*partEngine{}, loss: 5, subjects: 30, wronglyStopped: map[attribution.Part]bool{}}
 	for i := range engines {
 		name := fmt.Sprintf("m%d", i)
 		c.names = append(c.names, name)
@@ -138,41 +134,13 @@
 	return e
 }
 
-func (c *partSimulation) after(d time.Duration, f func()) {
-	c.seq++
-	heap.Push(&c.events, event{at: c.now + d, seq: c.seq, run: f})
-}
-
-func (c *partSimulation) random(mean time.Duration) time.Duration {
-	return time.Duration(c.rng.ExpFloat64() * float64(mean))
-}
-
-func (c *partSimulation) deliver(f func()) { c.after(c.random(meanDelay), f) }
-
-func (c *partSimulation) datagram(f func()) {
-	if c.rng.IntN(100) >= c.loss {
-		c.deliver(f)
-	}
-}
-
-// repeat calls f at an interval of d, from a random time on, until it returns false.
-func (c *partSimulation) repeat(d time.Duration, f func() bool) {
-	var again func()
-	again = func() {
-		if f() {
-			c.after(d, again)
-		}
-	}
-	c.after(time.Duration(c.rng.Int64N(int64(d))), again)
-}
-
 // arrivals sends requests at random times with a mean rate per second, from a time until the end.
 func (c *partSimulation) arrivals(rate float64, from, to time.Duration, send func()) {
 	var next func()
 	next = func() {
 		if c.now < to {
 			send()
-			c.after(c.random(time.Duration(float64(time.Second)/rate)), next)
+			c.after(c.randomDelay(time.Duration(float64(time.Second)/rate)), next)
 		}
 	}
 	c.after(from, next)
@@ -188,14 +156,7 @@
 	c.arrivals(partCrashRate, partCrashStart, partEnd, func() {
 		c.arrive(c.entries[c.rng.IntN(len(c.entries))], crashParts(), nil)
 	})
-	for len(c.events) > 0 {
-		ev := heap.Pop(&c.events).(event)
-		if ev.at > partEnd {
-			return
-		}
-		c.now = ev.at
-		ev.run()
-	}
+	c.runUntil(partEnd)
 }
 
 func (c *partSimulation) subject() attribution.Part {
@@ -254,12 +215,12 @@
 	}
 	known := g.parts.Report(begin.Add(c.now))
 	for _, e := range c.entries {
-		c.datagram(func() { c.step(e, report) })
+		c.datagram(c.loss, func() { c.step(e, report) })
 		if g.schedules[e] == nil {
 			g.schedules[e] = &attribution.Schedule{}
 		}
 		if g.schedules[e].Due(begin.Add(c.now), g.parts.Changes()) {
-			c.datagram(func() { c.step(e, forward.PartsReported{Parts: known}) })
+			c.datagram(c.loss, func() { c.step(e, forward.PartsReported{Parts: known}) })
 		}
 	}
 }
@@ -275,7 +236,7 @@
 	}
 	known := e.state.Parts.Report(begin.Add(c.now))
 	for _, name := range c.names {
-		c.datagram(func() { c.engines[name].parts.Merge(begin.Add(c.now), known) })
+		c.datagram(c.loss, func() { c.engines[name].parts.Merge(begin.Add(c.now), known) })
 	}
 }
 
@@ -291,7 +252,7 @@
 		c.reached = append(c.reached, c.now)
 	}
 	g.running[run] = true
-	c.after(c.random(partMeanQueue), func() {
+	c.after(c.randomDelay(partMeanQueue), func() {
 		if !g.running[run] {
 			return
 		}
