--- a/internal/core/attribution/attribution.go
+++ b/internal/core/attribution/attribution.go
@@ -153,10 +153,24 @@
 	for _, p := range a.Parts {
 		h, known := t.history[p]
 		t.suspect(c, p, suspicion{sentAt: a.SentAt, request: a.Request, cleared: known && h.sentAt.After(a.SentAt), proven: known})
+		if !known && t.unclearedCrashes(p) >= CrashThreshold {
+			t.decidedAt = time.Time{} // The request may be sent again at once.
+		}
 	}
 	return t.decide(now)
 }
 
+// unclearedCrashes returns how many crashes count against a part.
+func (t *Table) unclearedCrashes(p Part) int {
+	n := 0
+	for _, c := range t.crashes {
+		if s := c.suspects[p]; s != nil && !s.cleared && !t.explained(c) {
+			n++
+		}
+	}
+	return n
+}
+
 // touch records when the table is first used.
 func (t *Table) touch(now time.Time) {
 	if t.since.IsZero() {
--- a/internal/core/attribution/decide.go
+++ b/internal/core/attribution/decide.go
@@ -234,15 +234,12 @@
 	if _, proven := t.history[p]; proven {
 		return -1
 	}
-	n := 0
 	for _, c := range t.crashes {
-		if s := c.suspects[p]; s != nil && !s.cleared && !t.explained(c) {
-			if s.proven {
-				return -1
-			}
-			n++
+		if s := c.suspects[p]; s != nil && s.proven {
+			return -1
 		}
 	}
+	n := t.unclearedCrashes(p)
 	if n == 0 || t.inFlight[p] >= n+popularInFlight {
 		return -1
 	}
