--- a/internal/core/attribution/quarantine.go
+++ b/internal/core/attribution/quarantine.go
@@ -192,15 +192,6 @@
 	return Change{Part: p, Kind: Lifted, Crashes: q.crashes}
 }
 
-// Lift lifts the quarantine of a part on an operator's order.
-func (t *Table) Lift(p Part) []Change {
-	q := t.quarantines[p]
-	if q == nil || q.lifted {
-		return nil
-	}
-	return []Change{t.lift(p, q)}
-}
-
 // expireQuarantines removes the quarantines whose part no request had for quietTime.
 func (t *Table) expireQuarantines(now time.Time) []Change {
 	var changes []Change
--- a/internal/core/attribution/quarantine_test.go
+++ b/internal/core/attribution/quarantine_test.go
@@ -235,8 +235,10 @@
 func TestOperatorLiftsAQuarantineEverywhere(t *testing.T) {
 	a, b := newQuarantined(t, 1), newEstablishedProcess(t, 2)
 	a.report(b)
-	require.Equal(t, []attribution.Part{crasher}, parts(b.Lift(crasher), attribution.Lifted))
-	require.Empty(t, b.Lift(crasher))
+	lifted := a.Unrecorded(nil)
+	lifted[0].Lifted = true
+	require.Equal(t, []attribution.Part{crasher}, parts(b.MergeRecorded(b.now, lifted), attribution.Lifted))
+	require.Empty(t, b.MergeRecorded(b.now, lifted))
 	require.Equal(t, []attribution.Part{crasher}, parts(b.report(a), attribution.Lifted))
 	require.Empty(t, a.report(b), "a report that is older must not start it again")
 	b.request = 50
