attribution: a process tells at once that it has seen answers to a part that another one suspects

Cause, by reading: a part of one customer's requests may be answered at one entry only, while requests that crash engines bring it to all. The others saw it in the same crashes as the part to blame and would quarantine both after a second; answers to requests that were sent later take as long to come. Change: the entry that knows the part as proven adds that to the reported suspect, and sends it at once. Evidence: TestPartThatIsProvenElsewhereIsNotBlamed needs the change.

--- a/internal/core/attribution/attribution.go
+++ b/internal/core/attribution/attribution.go
@@ -103,10 +103,12 @@
 	// undecided is set while a decision may be due, and decidedAt is when that was last looked at.
 	undecided bool
 	decidedAt time.Time
-	// changes counts the updates of the table; see Changes. round counts the calls of Report.
-	changes uint64
-	round   int
-	dropped int
+	// changes counts the updates of the table, and contributions those by own answers to what others reported; see Changes and
+	// Contributions. round counts the calls of Report.
+	changes       uint64
+	contributions uint64
+	round         int
+	dropped       int
 }
 
 // NewTable returns an empty table.
@@ -120,6 +122,10 @@
 // Changes returns a counter that increases with each change that other processes need to know.
 func (t *Table) Changes() uint64 { return t.changes }
 
+// Contributions returns a counter that increases when this process knew something of a reported suspect that the reporter did not. Others
+// need to know that at once: it may speak for a part that is about to be blamed.
+func (t *Table) Contributions() uint64 { return t.contributions }
+
 // TakeDropped returns how many suspects were not recorded since the last call because a crash has too many.
 func (t *Table) TakeDropped() int {
 	n := t.dropped
--- a/internal/core/attribution/quarantine_test.go
+++ b/internal/core/attribution/quarantine_test.go
@@ -86,6 +86,27 @@
 	require.Empty(t, b.wait(time.Minute))
 }
 
+// A part that some customer's requests share is answered at one process, and requests that crash upstreams bring it to another one, which has
+// never seen an answer to it. The first one must tell, before it knows of an answer that was sent after the crashes.
+func TestPartThatIsProvenElsewhereIsNotBlamed(t *testing.T) {
+	knows, sees := newEstablishedProcess(t, 1), newEstablishedProcess(t, 2)
+	require.Empty(t, knows.answer(knows.now, common, other))
+	var changes []attribution.Change
+	for upstream := range uint32(2) {
+		changes = append(changes, sees.crash(upstream, common, other, crasher)...)
+	}
+	before := knows.Contributions()
+	sees.report(knows)
+	require.Greater(t, knows.Contributions(), before)
+	told := knows.Contributions()
+	sees.report(knows)
+	require.Equal(t, told, knows.Contributions(), "it is told once")
+	changes = append(changes, sees.crash(2, common, other, crasher)...)
+	require.Empty(t, changes, "two parts explain the same crashes")
+	knows.report(sees)
+	require.Equal(t, []attribution.Part{crasher}, parts(sees.wait(time.Minute), attribution.Started))
+}
+
 // Processes receive evidence in any order, repeatedly, and some of it late. All must come to hold the same, so that they decide alike.
 func TestEvidenceMergesInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/internal/core/attribution/report.go
+++ b/internal/core/attribution/report.go
@@ -190,10 +190,7 @@
 			sentAt: at.Add(-time.Duration(units&maxSentUnits) * sentUnit), request: binary.BigEndian.Uint16(encoded[10:]),
 			cleared: units&clearedFlag != 0, proven: units&provenFlag != 0,
 		}
-		if h, known := t.history[p]; known && h.sentAt.After(s.sentAt) {
-			s.cleared = true
-		}
-		t.suspect(c, p, s)
+		t.suspect(c, p, t.addOwnKnowledge(c, p, s))
 	}
 	for p, s := range c.suspects {
 		if !s.cleared && t.Quarantined(p) {
@@ -203,6 +200,23 @@
 	}
 }
 
+// addOwnKnowledge adds to what another process reported of a part and a crash what this one knows of the part by answers.
+func (t *Table) addOwnKnowledge(c *crash, p Part, s suspicion) suspicion {
+	h, proven := t.history[p]
+	if !proven || t.explained(c) {
+		return s
+	}
+	cleared := h.sentAt.After(s.sentAt)
+	known := c.suspects[p]
+	if known == nil || !known.proven || cleared && !known.cleared {
+		if !s.proven || cleared && !s.cleared {
+			t.contributions++
+		}
+	}
+	s.proven, s.cleared = true, s.cleared || cleared
+	return s
+}
+
 func (t *Table) mergeQuarantine(now time.Time, r QuarantineReport) []Change {
 	age, seen := time.Duration(r.AgeMS)*time.Millisecond, time.Duration(r.SeenMS)*time.Millisecond
 	if age < 0 || seen < 0 || seen > quietTime-seenResolution || r.Generation == 0 || r.Generation > maxGeneration {
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -428,8 +428,7 @@
 	case CrashesReported:
 		return s.crashesReported(in, ev)
 	case PartsReported:
-		effects := s.partsChanged(in, s.Parts.Merge(in.Now, ev.Parts))
-		return append(effects, s.heldRequestsChanged(in, s.HeldRequests.Merge(in.Now, ev.Requests))...)
+		return s.partsReported(in, ev)
 	case QuarantinesRead:
 		return s.partsChanged(in, s.Parts.MergeRecorded(in.Now, ev.List))
 	case UpstreamDown:
--- a/internal/core/forward/part_simulation_test.go
+++ b/internal/core/forward/part_simulation_test.go
@@ -42,6 +42,9 @@
 	nextID  uint64
 	// loss is the percentage of datagrams that are lost. subjects is the number of subjects.
 	loss, subjects int
+	// sticky is set if all sound requests about one subject come through one entry, and all requests that crash engines are about one
+	// subject.
+	sticky bool
 	// crashes are the times of crashes, reached those at which requests with the part reached engines, by entries that had been in touch for
 	// contactTime.
 	crashes, reached []time.Duration
@@ -151,7 +154,11 @@
 	c.arrivals(partSoundRate, 0, partEnd-2*time.Second, func() {
 		r := &soundRequest{sent: c.now}
 		c.sound = append(c.sound, r)
-		c.arrive(c.entries[c.rng.IntN(len(c.entries))], []attribution.Part{commonPart, c.subject()}, r)
+		subject, entry := c.subject(), c.rng.IntN(len(c.entries))
+		if c.sticky {
+			entry = int(subject) % len(c.entries)
+		}
+		c.arrive(c.entries[entry], []attribution.Part{commonPart, subject}, r)
 	})
 	c.arrivals(partCrashRate, partCrashStart, partEnd, func() {
 		c.arrive(c.entries[c.rng.IntN(len(c.entries))], crashParts(), nil)
@@ -377,6 +384,7 @@
 		{"an entry starts", func(c *partSimulation) {
 			c.after(partCrashStart+time.Duration(c.rng.Int64N(int64(2*time.Second))), func() { c.startEntry() })
 		}},
+		{"one subject, which one entry answers", func(c *partSimulation) { c.sticky, c.subjects = true, 12 }},
 		{"many subjects, each asked for seldom", func(c *partSimulation) { c.subjects = 2000 }},
 	} {
 		t.Run(fault.name, func(t *testing.T) {
@@ -386,6 +394,9 @@
 					c := newPartSimulation(t, seed, size.entries, size.engines)
 					fault.inject(c)
 					c.play(func() []attribution.Part {
+						if c.sticky {
+							return []attribution.Part{commonPart, firstSubject, crashPart}
+						}
 						if c.rng.IntN(3) == 0 {
 							return []attribution.Part{commonPart, c.subject(), crashPart}
 						}
--- a/internal/core/forward/parts.go
+++ b/internal/core/forward/parts.go
@@ -61,6 +61,16 @@
 	return s.foundDown(in, ev.Upstream)
 }
 
+// partsReported merges another process's report.
+func (s *State) partsReported(in step.Input, ev PartsReported) []step.Effect {
+	before := s.Parts.Contributions()
+	effects := s.partsChanged(in, s.Parts.Merge(in.Now, ev.Parts))
+	if s.Parts.Contributions() != before {
+		effects = append(effects, CrashEvidenceFound{})
+	}
+	return append(effects, s.heldRequestsChanged(in, s.HeldRequests.Merge(in.Now, ev.Requests))...)
+}
+
 // partsCrashed records the crash of an upstream as evidence against the parts of a request that broke there.
 func (s *State) partsCrashed(in step.Input, b brokenRequest, upstream catalog.Instance) []step.Effect {
 	before := s.Parts.Changes()
