--- a/internal/cli/settings_read.go
+++ b/internal/cli/settings_read.go
@@ -40,12 +40,7 @@
 
 // Execute prints the setting.
 func (c *getCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	ctx, cancel, err := loadTarget(ctx, fs, &c.target)
-	defer cancel()
-	if err != nil {
-		return fail(os.Stderr, err)
-	}
-	state, err := c.target.editor().Read(ctx, c.team, c.service)
+	state, err := readState(ctx, fs, &c.target)
 	if err != nil {
 		return fail(os.Stderr, err)
 	}
@@ -55,6 +50,16 @@
 	return printJSON(setting.File{Setting: editable(state.Setting()), IfVersion: &state.Version})
 }
 
+// readState reads the state of the service's setting that the flags name.
+func readState(ctx context.Context, fs *flag.FlagSet, t *target) (*operator.State, error) {
+	ctx, cancel, err := loadTarget(ctx, fs, t)
+	defer cancel()
+	if err != nil {
+		return nil, err
+	}
+	return t.editor().Read(ctx, t.team, t.service)
+}
+
 // editable returns a copy of s without the fields that apply sets.
 func editable(s *setting.Setting) setting.Setting {
 	out := *s
@@ -101,12 +106,7 @@
 
 // Execute prints the history.
 func (c *historyCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	ctx, cancel, err := loadTarget(ctx, fs, &c.target)
-	defer cancel()
-	if err != nil {
-		return fail(os.Stderr, err)
-	}
-	state, err := c.target.editor().Read(ctx, c.team, c.service)
+	state, err := readState(ctx, fs, &c.target)
 	if err != nil {
 		return fail(os.Stderr, err)
 	}
@@ -171,12 +171,7 @@
 
 // Execute prints the difference.
 func (c *diffCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	ctx, cancel, err := loadTarget(ctx, fs, &c.target)
-	defer cancel()
-	if err != nil {
-		return fail(os.Stderr, err)
-	}
-	state, err := c.target.editor().Read(ctx, c.team, c.service)
+	state, err := readState(ctx, fs, &c.target)
 	if err != nil {
 		return fail(os.Stderr, err)
 	}
