attribution: what is known of a reported suspect is told only for parts at more than one crash

Cause, by reading: each crash has suspects, so in a fleet of 300 entries all that know one of them would have sent reports to 96 agents for each crash of any engine. A part at a single crash is not about to be blamed.

--- a/internal/core/attribution/report.go
+++ b/internal/core/attribution/report.go
@@ -208,10 +208,9 @@
 	}
 	cleared := h.sentAt.After(s.sentAt)
 	known := c.suspects[p]
-	if known == nil || !known.proven || cleared && !known.cleared {
-		if !s.proven || cleared && !s.cleared {
-			t.contributions++
-		}
+	news := known == nil || !known.proven || cleared && !known.cleared
+	if news && (!s.proven || cleared && !s.cleared) && t.unclearedCrashes(p) > 0 {
+		t.contributions++ // A part at a single crash is not about to be blamed.
 	}
 	s.proven, s.cleared = true, s.cleared || cleared
 	return s
