attribution, platform, gateway: a quarantine that ended stays ended, and a lift stays a lift

What callers and operators would have seen: a quarantine that had ended ten minutes after the last request began again at the next read of its own record, at any entry; an entry that had read old data could write its quarantine over an operator's lift; and the record of an entry that is gone was never lifted or removed, so that each process that starts began it again. Cause: each read of the store started what it held; writes were made without the revision that was read; only the process that decided kept the record. Change: only the first read of a process starts quarantines. A record is created, or replaced and removed at the revision that was read. Any process writes a lift, and removes a record a minute after its quarantine ended; a write that failed is made again after the next read.

--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/pkg/errors"
 
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/config"
@@ -112,7 +113,11 @@
 		return code.Errorf(code.SettingMissing, "-lift", "no quarantine of part %s", id)
 	}
 	list[i].Lifted = true
-	if err := store.RecordQuarantine(ctx, list[i]); err != nil {
+	err = store.RecordQuarantine(ctx, list[i])
+	if errors.Is(err, platform.ErrQuarantineChanged) {
+		return code.Errorf(code.SettingConflict, id, "the quarantine was changed meanwhile; look at it and lift it again")
+	}
+	if err != nil {
 		return code.Errorf(code.PlatformDown, id, "%v", err)
 	}
 	_, err = fmt.Fprintf(out, "%v is no longer quarantined: confirmed\n", list[i].Part)
--- a/internal/cli/quarantine_test.go
+++ b/internal/cli/quarantine_test.go
@@ -46,7 +46,7 @@
 	require.NoError(t, err)
 	q.Lifted = true
 	require.True(t, q.StartedAt.Equal(stored.StartedAt))
-	stored.StartedAt = q.StartedAt
+	stored.StartedAt, stored.Revision = q.StartedAt, q.Revision
 	require.Equal(t, q, stored)
 	require.Error(t, (&quarantineCommand{store: store, lift: "xyz"}).Check())
 	require.Error(t, (&quarantineCommand{store: "nowhere"}).Check())
--- a/internal/core/attribution/attribution.go
+++ b/internal/core/attribution/attribution.go
@@ -98,8 +98,8 @@
 	quarantines map[Part]*quarantine
 	// inFlight counts the attempts of this process that are in progress, by part.
 	inFlight map[Part]int
-	// expired are the parts of TakeExpired.
-	expired []Part
+	// ended are the quarantines whose records may be left in the store, with when they ended.
+	ended map[Part]time.Time
 	// undecided is set while a decision may be due, and decidedAt is when that was last looked at.
 	undecided bool
 	decidedAt time.Time
@@ -113,7 +113,7 @@
 
 // NewTable returns an empty table.
 func NewTable(o Observer) *Table {
-	return &Table{observer: o, crashes: map[uint32]*crash{}, history: map[Part]answer{}, quarantines: map[Part]*quarantine{}, inFlight: map[Part]int{}}
+	return &Table{observer: o, crashes: map[uint32]*crash{}, history: map[Part]answer{}, quarantines: map[Part]*quarantine{}, inFlight: map[Part]int{}, ended: map[Part]time.Time{}}
 }
 
 // Known reports whether there is anything to report.
--- a/internal/core/attribution/quarantine.go
+++ b/internal/core/attribution/quarantine.go
@@ -200,8 +200,8 @@
 			continue
 		}
 		delete(t.quarantines, p)
-		if q.owner == t.observer.ID && t.observer.Decides {
-			t.expired = append(t.expired, p)
+		if t.observer.Decides {
+			t.ended[p] = now
 		}
 		for _, c := range t.crashes {
 			delete(c.suspects, p)
--- a/internal/core/attribution/quarantine_test.go
+++ b/internal/core/attribution/quarantine_test.go
@@ -256,10 +256,10 @@
 func TestOperatorLiftsAQuarantineEverywhere(t *testing.T) {
 	a, b := newQuarantined(t, 1), newEstablishedProcess(t, 2)
 	a.report(b)
-	lifted := a.Unrecorded(nil)
+	lifted := a.records(nil)
 	lifted[0].Lifted = true
-	require.Equal(t, []attribution.Part{crasher}, parts(b.MergeRecorded(b.now, lifted), attribution.Lifted))
-	require.Empty(t, b.MergeRecorded(b.now, lifted))
+	require.Equal(t, []attribution.Part{crasher}, parts(b.MergeRecorded(b.now, lifted, false), attribution.Lifted))
+	require.Empty(t, b.MergeRecorded(b.now, lifted, false))
 	require.Equal(t, []attribution.Part{crasher}, parts(b.report(a), attribution.Lifted))
 	require.Empty(t, a.report(b), "a report that is older must not start it again")
 	b.request = 50
@@ -320,46 +320,85 @@
 	require.False(t, p.Quarantined(crasher))
 }
 
+// records returns the records that a process writes to a store that holds a list.
+func (p *process) records(list []attribution.Recorded) []attribution.Recorded {
+	writes, _ := p.RecordChanges(p.now, list)
+	return writes
+}
+
 // A start of everything, after which no process knows anything, must not cost crashes again: the store holds the quarantines. Neither a stale
 // read nor a store that came back from a copy may lift one.
 func TestQuarantineIsKeptInTheStore(t *testing.T) {
 	owner := newQuarantined(t, 1)
-	recorded := owner.Unrecorded(nil)
+	recorded := owner.records(nil)
 	require.Len(t, recorded, 1)
 	require.Equal(t, crasher, recorded[0].Part)
-	require.Empty(t, owner.Unrecorded(recorded))
-	require.Empty(t, newEstablishedProcess(t, 2).Unrecorded(nil), "only the process that decided writes it")
+	require.Empty(t, owner.records(recorded))
+	require.Empty(t, newEstablishedProcess(t, 2).records(nil), "only the process that decided writes it")
 	started := newProcess(t, 3)
-	require.Equal(t, []attribution.Part{crasher}, parts(started.MergeRecorded(started.now, recorded), attribution.Reported))
-	require.Empty(t, started.MergeRecorded(started.now, nil))
+	require.Equal(t, []attribution.Part{crasher}, parts(started.MergeRecorded(started.now, recorded, true), attribution.Reported))
+	require.Empty(t, started.MergeRecorded(started.now, nil, false))
 	require.True(t, started.Quarantined(crasher))
-	require.Empty(t, owner.MergeRecorded(owner.now, nil))
-	require.Equal(t, recorded, owner.Unrecorded(nil), "it is written again to a store that has lost it")
+	require.Empty(t, owner.MergeRecorded(owner.now, nil, false))
+	require.Equal(t, recorded, owner.records(nil), "it is written again to a store that has lost it")
 	recorded[0].Lifted = true
-	require.Equal(t, []attribution.Part{crasher}, parts(owner.MergeRecorded(owner.now, recorded), attribution.Lifted))
-	require.Empty(t, owner.Unrecorded(recorded))
+	require.Equal(t, []attribution.Part{crasher}, parts(owner.MergeRecorded(owner.now, recorded, false), attribution.Lifted))
+	require.Empty(t, owner.records(recorded))
 	owner.request = 70
 	for upstream := uint32(30); upstream < 33; upstream++ {
 		owner.crash(upstream, crasher)
 	}
 	require.True(t, owner.Quarantined(crasher))
-	require.Empty(t, owner.MergeRecorded(owner.now, recorded), "the record is of the quarantine before")
-	require.Equal(t, uint32(2), owner.Unrecorded(recorded)[0].Generation)
+	require.Empty(t, owner.MergeRecorded(owner.now, recorded, false), "the record is of the quarantine before")
+	require.Equal(t, uint32(2), owner.records(recorded)[0].Generation)
 }
 
-// Reads of the store must not make a quarantine last, nor bring its trials forward; its record is removed when it has ended.
+// Reads of the store must not make a quarantine last, nor bring its trials forward. One that has ended must not start again from its own
+// record, which is removed a little later.
 func TestRecordsDoNotProlongAQuarantine(t *testing.T) {
 	p := newQuarantined(t, 1)
-	recorded := p.Unrecorded(nil)
+	recorded := p.records(nil)
 	recorded[0].StartedAt = recorded[0].StartedAt.Add(-time.Hour) // By a clock that is wrong.
 	for range 50 {
-		require.Empty(t, p.MergeRecorded(p.now, recorded))
+		require.Empty(t, p.MergeRecorded(p.now, recorded, false))
 		require.False(t, p.TakeTrial(p.now, crasher))
 		p.now = p.now.Add(time.Second)
 	}
 	p.now = p.now.Add(10 * time.Minute)
 	require.Equal(t, []attribution.Part{crasher}, parts(p.Expire(p.now), attribution.Ended))
-	require.True(t, p.HasQuarantines())
-	require.Equal(t, []attribution.Part{crasher}, p.TakeExpired())
-	require.False(t, p.HasQuarantines())
+	for range 11 {
+		require.Empty(t, p.MergeRecorded(p.now, recorded, false))
+		require.False(t, p.Quarantined(crasher))
+		writes, removals := p.RecordChanges(p.now, recorded)
+		require.Empty(t, writes)
+		require.Empty(t, removals, "it may not have ended at all processes yet")
+		p.now = p.now.Add(5 * time.Second)
+	}
+	p.now = p.now.Add(5 * time.Second)
+	for range 2 {
+		_, removals := p.RecordChanges(p.now, recorded)
+		require.Equal(t, recorded, removals, "until the store no longer has it")
+	}
+	_, removals := p.RecordChanges(p.now, nil)
+	require.Empty(t, removals)
+	require.False(t, p.HasRecords())
+}
+
+// The process that decided may be gone when its quarantine is lifted or ends. A record that stayed as it is would start the quarantine again
+// at each process that starts.
+func TestRecordOfAProcessThatIsGoneIsBroughtUpToDate(t *testing.T) {
+	recorded := newQuarantined(t, 1).records(nil)
+	other := newProcess(t, 2)
+	other.MergeRecorded(other.now, recorded, true)
+	other.now = other.now.Add(time.Second)
+	require.Equal(t, []attribution.Part{crasher}, parts(other.answer(other.now, crasher), attribution.Lifted))
+	writes := other.records(recorded)
+	require.Len(t, writes, 1)
+	require.True(t, writes[0].Lifted)
+	ended := newProcess(t, 3)
+	ended.MergeRecorded(ended.now, recorded, true)
+	ended.now = ended.now.Add(11 * time.Minute)
+	require.Equal(t, []attribution.Part{crasher}, parts(ended.Expire(ended.now), attribution.Ended))
+	_, removals := ended.RecordChanges(ended.now.Add(time.Minute), recorded)
+	require.Equal(t, recorded, removals)
 }
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -430,7 +430,7 @@
 	case PartsReported:
 		return s.partsReported(in, ev)
 	case QuarantinesRead:
-		return s.partsChanged(in, s.Parts.MergeRecorded(in.Now, ev.List))
+		return s.partsChanged(in, s.Parts.MergeRecorded(in.Now, ev.List, ev.Starting))
 	case UpstreamDown:
 		return s.upstreamDown(in, ev)
 	case AnswerHeadReceived:
--- a/internal/core/forward/parts.go
+++ b/internal/core/forward/parts.go
@@ -21,7 +21,11 @@
 type PartsReported struct{ Parts, Requests attribution.Report }
 
 // QuarantinesRead is the event that the quarantines of parts were read from the platform's store.
-type QuarantinesRead struct{ List []attribution.Recorded }
+type QuarantinesRead struct {
+	List []attribution.Recorded
+	// Starting is set for the first read of this process.
+	Starting bool
+}
 
 // UpstreamDown is the event that an upstream refused a connection right after an attempt broke there.
 type UpstreamDown struct{ Upstream catalog.Instance }
--- a/internal/gateway/quarantines.go
+++ b/internal/gateway/quarantines.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"samphireweir.example/samphireweir/internal/core/attribution"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/logevent"
@@ -22,17 +24,17 @@
 // followQuarantines keeps the quarantines of parts in the store and those known here alike, until ctx ends. They are read at the start, and
 // then only while any is known: what others decide is reported by the agents sooner.
 func (g *Gateway) followQuarantines(ctx context.Context) {
-	for !g.syncQuarantines(ctx) {
+	for !g.syncQuarantines(ctx, true) {
 		if !sleep(ctx, quarantineRetryInterval) {
 			return
 		}
 	}
 	for sleep(ctx, quarantineReadInterval) {
 		g.mu.Lock()
-		known := g.forward.Parts.HasQuarantines()
+		known := g.forward.Parts.HasRecords()
 		g.mu.Unlock()
 		if known {
-			g.syncQuarantines(ctx)
+			g.syncQuarantines(ctx, false)
 		}
 	}
 }
@@ -47,8 +49,9 @@
 	}
 }
 
-// syncQuarantines reads the quarantines in the store, and writes those that this entry decided on. It reports whether they were read.
-func (g *Gateway) syncQuarantines(ctx context.Context) bool {
+// syncQuarantines reads the quarantines in the store and brings their records up to date. It reports whether they were read. starting is
+// set until they were read for the first time.
+func (g *Gateway) syncQuarantines(ctx context.Context, starting bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, quarantineCallTimeout)
 	defer cancel()
 	objects, _, err := g.directStore.List(ctx, platform.QuarantineKind, true)
@@ -64,22 +67,22 @@
 		}
 		list = append(list, r)
 	}
-	g.step(forward.QuarantinesRead{List: list})
+	g.step(forward.QuarantinesRead{List: list, Starting: starting})
 	g.mu.Lock()
-	unrecorded, expired := g.forward.Parts.Unrecorded(list), g.forward.Parts.TakeExpired()
+	writes, removals := g.forward.Parts.RecordChanges(time.Now(), list)
 	g.mu.Unlock()
-	for _, r := range unrecorded {
+	for _, r := range writes {
 		g.logStoreFailure(g.directStore.RecordQuarantine(ctx, r))
 	}
-	for _, p := range expired {
-		g.logStoreFailure(g.directStore.RemoveQuarantine(ctx, p))
+	for _, r := range removals {
+		g.logStoreFailure(g.directStore.RemoveQuarantine(ctx, r))
 	}
 	return true
 }
 
-// logStoreFailure logs that a write to the store failed. It is made again with the next read, or not needed any more.
+// logStoreFailure logs that a write to the store failed. What is still to be written is written after the next read.
 func (g *Gateway) logStoreFailure(err error) {
-	if err != nil {
+	if err != nil && !errors.Is(err, platform.ErrQuarantineChanged) {
 		logevent.Warn(g.log, logevent.PeerFailed).Err(err).Msg("peer failed")
 	}
 }
--- a/internal/gateway/quarantines_test.go
+++ b/internal/gateway/quarantines_test.go
@@ -32,6 +32,10 @@
 	require.NotEmpty(t, r.Header.Get("Retry-After"))
 	require.Equal(t, http.StatusOK, send("f1").Status)
 	require.Equal(t, http.StatusOK, send("f1", "d2").Status)
+	objects, _, err := fleet.Client().List(context.Background(), platform.QuarantineKind, false)
+	require.NoError(t, err)
+	q, err = platform.DecodeQuarantine(objects[0])
+	require.NoError(t, err)
 	q.Lifted = true
 	require.NoError(t, fleet.Client().RecordQuarantine(context.Background(), q))
 	require.Eventually(t, func() bool { return send("f1", "c1").Status == http.StatusOK }, testTimeout, pollInterval)
