--- a/internal/code/code.go
+++ b/internal/code/code.go
@@ -134,7 +134,7 @@
 	{RequestQuarantined, "held back", http.StatusServiceUnavailable, "Upstreams went down under this request; it is not sent to more of them until Retry-After has passed."},
 	{NoCommonHome, "no common home", http.StatusServiceUnavailable, "The route and the client account are bound to regions of which they have none in common; the request was not run. An operator must change one of the two."},
 	{MemoryFull, "memory full", http.StatusServiceUnavailable, "This process holds as much for its callers as it has memory for, and there is none to end for it; the request was not run. Come back after Retry-After, which reaches another process."},
-	{PartQuarantined, "part held back", http.StatusServiceUnavailable, "A part of the prompt that others may share crashed upstreams, or may have; requests with it are not sent, and this one was not run. Remove the part, or come back after Retry-After."},
+	{PartQuarantined, "part quarantined", http.StatusServiceUnavailable, "A part of the prompt that others may share crashed upstreams, or may have; requests with it are not sent, and this one was not run. Remove the part, or come back after Retry-After."},
 	{ClaimUnavailable, "claim unavailable", http.StatusServiceUnavailable, "The platform can't record that this request runs at most once, so it was not run; come back after Retry-After."},
 	{AlreadyRun, "already run", http.StatusConflict, "The request of this idempotency key was run, and its answer is not kept; it is not run again."},
 	{OutcomeUnknown, "outcome unknown", http.StatusConflict, "This idempotency key was claimed before and how it ended is not known; it is not run again."},
--- a/internal/core/attribution/quarantine.go
+++ b/internal/core/attribution/quarantine.go
@@ -91,8 +91,8 @@
 	return n
 }
 
-// Hold starts the quarantine of a part that was found to crash upstreams by another rule than the one of this package.
-func (t *Table) Hold(now time.Time, p Part, crashes int) []Change {
+// Quarantine starts the quarantine of a part that was found to crash upstreams by another rule than the one of this package.
+func (t *Table) Quarantine(now time.Time, p Part, crashes int) []Change {
 	if t.Quarantined(p) {
 		return nil
 	}
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -332,8 +332,8 @@
 	// other processes.
 	Crashes *quarantine.Table
 	Parts   *attribution.Table
-	// HeldRequests are the quarantines of requests as a whole, by fingerprint, which last while the requests come. Crashes decides on them.
-	HeldRequests *attribution.Table
+	// QuarantinedRequests are the quarantines of requests as a whole, by fingerprint, which last while the requests come. Crashes decides on them.
+	QuarantinedRequests *attribution.Table
 
 	requests       map[uint64]*request
 	loadStates     map[catalog.Instance]*loadState
@@ -399,7 +399,7 @@
 		outlooks: map[outlookKey]*outlook{}, crashCounts: map[catalog.Instance]*crashCount{},
 		Self: self, Catalog: c, requests: map[uint64]*request{}, loadStates: map[catalog.Instance]*loadState{},
 		retryBudgets: map[string]*retryBudget{}, callerTimeouts: callerTimeouts{}, Crashes: quarantine.NewTable(),
-		Parts: attribution.NewTable(observer), HeldRequests: attribution.NewTable(observer),
+		Parts: attribution.NewTable(observer), QuarantinedRequests: attribution.NewTable(observer),
 		breaks: map[uint64][]breakRecord{}, queues: map[string]*schedule.Queue{}, lastQueuedAt: map[string]time.Time{},
 		balance: newBalanceState(self),
 		uneven:  newUnevenEngines(self),
--- a/internal/core/forward/parts.go
+++ b/internal/core/forward/parts.go
@@ -72,7 +72,7 @@
 	if s.Parts.Contributions() != before {
 		effects = append(effects, CrashEvidenceFound{})
 	}
-	return append(effects, s.heldRequestsChanged(in, s.HeldRequests.Merge(in.Now, ev.Requests))...)
+	return append(effects, s.quarantinedRequestsChanged(in, s.QuarantinedRequests.Merge(in.Now, ev.Requests))...)
 }
 
 // partsCrashed records the crash of an upstream as evidence against the parts of a request that broke there.
@@ -89,7 +89,7 @@
 	}
 	before := s.Parts.Changes()
 	changes := s.Parts.Answered(in.Now, r.attempt())
-	return append(s.heldRequestAnswered(in, r), s.evidence(in, before, changes)...)
+	return append(s.quarantinedRequestAnswered(in, r), s.evidence(in, before, changes)...)
 }
 
 // evidence returns the effects of an observation. before is the table's count of changes before it.
@@ -155,7 +155,7 @@
 
 // expireParts drops evidence that is too old.
 func (s *State) expireParts(now time.Time) {
-	s.HeldRequests.Expire(now)
+	s.QuarantinedRequests.Expire(now)
 	for _, c := range s.Parts.Expire(now) {
 		s.crashReports = append(s.crashReports, PartQuarantineChanged{c})
 	}
--- a/internal/core/forward/quarantine.go
+++ b/internal/core/forward/quarantine.go
@@ -112,7 +112,7 @@
 
 // quarantined reports whether a request must not be sent because of the upstreams that crashed while running it, and why.
 func (s *State) quarantined(in step.Input, r *request) (ending, bool) {
-	if end, held := s.requestHeld(in, r); held {
+	if end, found := s.requestQuarantined(in, r); found {
 		return end, true
 	}
 	if r.trial && r.attempts == 0 {
@@ -238,7 +238,7 @@
 	if b.fingerprint == 0 || !s.Crashes.Crashed(in.Now, b.fingerprint, instanceHash(upstream), in.Now) {
 		return effects
 	}
-	s.HeldRequests.Hold(in.Now, whole(b.fingerprint), quarantine.CrashThreshold)
+	s.QuarantinedRequests.Quarantine(in.Now, whole(b.fingerprint), quarantine.CrashThreshold)
 	effects = append(effects, QuarantineStarted{Fingerprint: b.fingerprint, Upstream: upstream.ID})
 	return append(effects, s.stopQuarantined(in, b.fingerprint)...)
 }
--- a/internal/core/forward/quarantined_requests.go
+++ b/internal/core/forward/quarantined_requests.go
@@ -18,31 +18,31 @@
 // Effect marks the type as an effect.
 func (QuarantineLifted) Effect() {}
 
-// whole returns the identifier of a request in State.HeldRequests.
+// whole returns the identifier of a request in State.QuarantinedRequests.
 func whole(fingerprint uint64) attribution.Part { return attribution.Part(fingerprint) }
 
-// requestHeld reports whether a request must not be sent because it is quarantined as a whole, and why.
-func (s *State) requestHeld(in step.Input, r *request) (ending, bool) {
+// requestQuarantined reports whether a request must not be sent because it is quarantined as a whole, and why.
+func (s *State) requestQuarantined(in step.Input, r *request) (ending, bool) {
 	p := whole(r.fingerprint)
-	if !s.HeldRequests.Quarantined(p) || r.isTrial(in.Now, s.HeldRequests, p) {
+	if !s.QuarantinedRequests.Quarantined(p) || r.isTrial(in.Now, s.QuarantinedRequests, p) {
 		return ending{}, false
 	}
-	s.HeldRequests.Refused(in.Now, p)
+	s.QuarantinedRequests.Refused(in.Now, p)
 	why := fmt.Sprintf("requests with fingerprint %d crashed upstreams; quarantined while they come", r.fingerprint)
 	return ending{code: code.RequestQuarantined, reason: why, retryAfter: max(s.Crashes.Remaining(in.Now, r.fingerprint), suspectRetryAfter)}, true
 }
 
-// heldRequestAnswered records a complete answer, which lifts the quarantine of its request.
-func (s *State) heldRequestAnswered(in step.Input, r *request) []step.Effect {
-	if s.HeldRequests.Active() == 0 {
+// quarantinedRequestAnswered records a complete answer, which lifts the quarantine of its request.
+func (s *State) quarantinedRequestAnswered(in step.Input, r *request) []step.Effect {
+	if s.QuarantinedRequests.Active() == 0 {
 		return nil
 	}
 	a := attribution.Attempt{Parts: []attribution.Part{whole(r.fingerprint)}, SentAt: r.sentAt}
-	return s.heldRequestsChanged(in, s.HeldRequests.Answered(in.Now, a))
+	return s.quarantinedRequestsChanged(in, s.QuarantinedRequests.Answered(in.Now, a))
 }
 
-// heldRequestsChanged reports changes of the quarantines of requests, and stops the requests that are quarantined from now on.
-func (s *State) heldRequestsChanged(in step.Input, changes []attribution.Change) []step.Effect {
+// quarantinedRequestsChanged reports changes of the quarantines of requests, and stops the requests that are quarantined from now on.
+func (s *State) quarantinedRequestsChanged(in step.Input, changes []attribution.Change) []step.Effect {
 	var effects []step.Effect
 	for _, c := range changes {
 		fingerprint := uint64(c.Part)
@@ -66,5 +66,5 @@
 		return false
 	}
 	_, found := s.Parts.FirstQuarantined(r.parts)
-	return found || s.HeldRequests.Quarantined(whole(r.fingerprint)) || s.Crashes.Remaining(now, r.fingerprint) > 0
+	return found || s.QuarantinedRequests.Quarantined(whole(r.fingerprint)) || s.Crashes.Remaining(now, r.fingerprint) > 0
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -53,7 +53,7 @@
 	}
 	messages := []loadreport.Message{message}
 	if g.evidence.Due(now, g.evidenceFound) {
-		if evidence, ok := loadreport.NewEvidence(g.forward.Parts.Report(now), g.forward.HeldRequests.Report(now)); ok {
+		if evidence, ok := loadreport.NewEvidence(g.forward.Parts.Report(now), g.forward.QuarantinedRequests.Report(now)); ok {
 			messages = append(messages, evidence)
 		}
 	}
--- a/internal/hostagent/evidence.go
+++ b/internal/hostagent/evidence.go
@@ -13,15 +13,17 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.parts.Merge(now, e.Parts)
-	r.heldRequests.Merge(now, e.Requests)
+	r.quarantinedRequests.Merge(now, e.Requests)
 }
 
 // evidenceChanges returns a counter that increases with each change of the evidence.
-func (r *reporter) evidenceChanges() uint64 { return r.parts.Changes() + r.heldRequests.Changes() }
+func (r *reporter) evidenceChanges() uint64 {
+	return r.parts.Changes() + r.quarantinedRequests.Changes()
+}
 
 // sendEvidence passes on the evidence to each entry to which it is due. The caller holds the reporter's lock.
 func (a *Agent) sendEvidence(now time.Time) {
-	if !a.reporter.parts.Known() && !a.reporter.heldRequests.Known() {
+	if !a.reporter.parts.Known() && !a.reporter.quarantinedRequests.Known() {
 		return
 	}
 	var due []netip.AddrPort
@@ -34,7 +36,7 @@
 	if len(due) == 0 {
 		return
 	}
-	m, ok := loadreport.NewEvidence(a.reporter.parts.Report(now), a.reporter.heldRequests.Report(now))
+	m, ok := loadreport.NewEvidence(a.reporter.parts.Report(now), a.reporter.quarantinedRequests.Report(now))
 	if !ok {
 		return
 	}
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -61,14 +61,14 @@
 	crashes *quarantine.Table
 	// parts holds the crashes that parts of prompts may have caused. It is passed on in the same way.
 	parts *attribution.Table
-	// heldRequests holds the requests that are quarantined as a whole. It is passed on with parts.
-	heldRequests *attribution.Table
-	demand       demandSums
+	// quarantinedRequests holds the requests that are quarantined as a whole. It is passed on with parts.
+	quarantinedRequests *attribution.Table
+	demand              demandSums
 }
 
 func newReporter() reporter {
 	return reporter{
-		subscribers: map[netip.AddrPort]*subscriber{}, crashes: quarantine.NewTable(), parts: attribution.NewTable(attribution.Observer{}), heldRequests: attribution.NewTable(attribution.Observer{}),
+		subscribers: map[netip.AddrPort]*subscriber{}, crashes: quarantine.NewTable(), parts: attribution.NewTable(attribution.Observer{}), quarantinedRequests: attribution.NewTable(attribution.Observer{}),
 		demand: demandSums{sequence: balance.Sequence{Start: time.Now().UnixMilli()}},
 	}
 }
@@ -178,7 +178,7 @@
 	a.updateDemandSums(now)
 	a.reporter.crashes.Expire(now)
 	a.reporter.parts.Expire(now)
-	a.reporter.heldRequests.Expire(now)
+	a.reporter.quarantinedRequests.Expire(now)
 	if n := a.reporter.crashes.TakeDropped() + a.reporter.parts.TakeDropped(); n > 0 {
 		logevent.Warn(a.log, logevent.CrashesDropped).Int("count", n).Msg("crashes dropped")
 	}
