attribution: the part at several crashes is reported first

What callers would have seen: with hundreds of parts in play at a crash, the part to blame reached the other entries only when its turn in the reports came, seconds later. Change: those that several crashes count against come first, the others in turn. Evidence: TestPartAtSeveralCrashesIsReportedFirst failed before and passes.

--- a/internal/core/attribution/quarantine_test.go
+++ b/internal/core/attribution/quarantine_test.go
@@ -308,6 +308,22 @@
 	require.Equal(t, p.Uncleared(), o.Uncleared())
 }
 
+// Hundreds of parts may be in play at a crash. The one that is at several crashes must be reported at once, not when its turn comes: other
+// processes decide by it.
+func TestPartAtSeveralCrashesIsReportedFirst(t *testing.T) {
+	p, o := newEstablishedProcess(t, 1), newEstablishedProcess(t, 2)
+	const last attribution.Part = 1 << 60
+	for upstream := range uint32(2) {
+		var many []attribution.Part
+		for i := range 80 {
+			many = append(many, attribution.Part(1000+100*int(upstream)+i))
+		}
+		p.crash(upstream, append(many, last)...)
+	}
+	p.report(o)
+	require.Equal(t, 2, o.Uncleared()[last])
+}
+
 // Whatever another process sends must not break a table.
 func TestMalformedReportsAreIgnored(t *testing.T) {
 	p := newEstablishedProcess(t, 1)
--- a/internal/core/attribution/report.go
+++ b/internal/core/attribution/report.go
@@ -110,27 +110,18 @@
 	return out
 }
 
-// encodeSuspects encodes at most n suspects of a crash: first those that it counts against, and among these the unproven ones.
+// encodeSuspects encodes at most n suspects of a crash. If there are more, those that more crashes count against come first, and the others
+// follow in turn.
 func (t *Table) encodeSuspects(c *crash, n int) []byte {
 	parts := make([]Part, 0, len(c.suspects))
 	for p := range c.suspects {
 		parts = append(parts, p)
 	}
-	class := func(s *suspicion) int {
-		switch {
-		case s.cleared:
-			return 2
-		case s.proven:
-			return 1
-		}
-		return 0
-	}
-	slices.SortFunc(parts, func(a, b Part) int {
-		return cmp.Or(class(c.suspects[a])-class(c.suspects[b]), cmp.Compare(a, b))
-	})
+	slices.Sort(parts)
 	if len(parts) > n {
-		parts = rotated(parts, c.reported, n)
-		c.reported += n
+		repeated, others := t.repeatedSuspects(parts, n/2)
+		parts = append(repeated, rotated(others, c.reported, n-len(repeated))...)
+		c.reported += n - len(repeated)
 	}
 	var encoded []byte
 	for _, p := range parts {
@@ -149,6 +140,20 @@
 	return encoded
 }
 
+// repeatedSuspects splits parts: into at most n that several crashes count against, those with most crashes first, and the others.
+func (t *Table) repeatedSuspects(parts []Part, n int) (repeated, others []Part) {
+	crashes := map[Part]int{}
+	for _, p := range parts {
+		if crashes[p] = t.unclearedCrashes(p); crashes[p] > 1 {
+			repeated = append(repeated, p)
+		}
+	}
+	slices.SortFunc(repeated, func(a, b Part) int { return cmp.Or(cmp.Compare(crashes[b], crashes[a]), cmp.Compare(a, b)) })
+	repeated = slices.Clone(repeated[:min(n, len(repeated))])
+	others = slices.DeleteFunc(slices.Clone(parts), func(p Part) bool { return slices.Contains(repeated, p) })
+	return repeated, others
+}
+
 func (t *Table) reportedQuarantines(now time.Time) []QuarantineReport {
 	parts := make([]Part, 0, len(t.quarantines))
 	for p := range t.quarantines {
