--- a/internal/core/forward/part_simulation_test.go
+++ b/internal/core/forward/part_simulation_test.go
@@ -63,8 +63,10 @@
 	*rig
 	// inTouchFrom is when the entry has been in touch for contactTime; frozenUntil ends its freeze.
 	inTouchFrom, frozenUntil time.Duration
-	heartbeatAt              time.Duration
-	requests                 map[uint64]*partRequest
+	// cutUntil is until when all of its datagrams are lost, in both directions.
+	cutUntil    time.Duration
+	heartbeatAt time.Duration
+	requests    map[uint64]*partRequest
 	// found counts what the entry observed of crashes, and schedule decides when it sends that.
 	found    uint64
 	schedule attribution.Schedule
@@ -222,6 +224,9 @@
 	}
 	known := g.parts.Report(begin.Add(c.now))
 	for _, e := range c.entries {
+		if c.now < e.cutUntil {
+			continue
+		}
 		c.datagram(c.loss, func() { c.step(e, report) })
 		if g.schedules[e] == nil {
 			g.schedules[e] = &attribution.Schedule{}
@@ -234,7 +239,7 @@
 
 // sendHeartbeats has an entry send what it knows of crashes to all agents.
 func (c *partSimulation) sendHeartbeats(e *partEntry) {
-	if c.now < e.frozenUntil {
+	if c.now < e.frozenUntil || c.now < e.cutUntil {
 		return
 	}
 	e.heartbeatAt = c.now
@@ -381,6 +386,12 @@
 				e.inTouchFrom = e.frozenUntil + contactTime
 			})
 		}},
+		{"an entry's datagrams are all lost", func(c *partSimulation) {
+			c.after(partCrashStart, func() {
+				c.entries[0].cutUntil = c.now + 4*time.Second
+				c.entries[0].inTouchFrom = c.entries[0].cutUntil + contactTime
+			})
+		}},
 		{"an entry starts", func(c *partSimulation) {
 			c.after(partCrashStart+time.Duration(c.rng.Int64N(int64(2*time.Second))), func() { c.startEntry() })
 		}},
