gateway: a new quarantine is written to the store at once; one check for one crash

Cause, by reading: a quarantine was written up to 5 s after its start, so that a start of everything within that time lost it; a cut answer without a length had its upstream checked twice. Change: the change itself starts the write; the second check is left out. A constant no longer has the name of another one. Tests of quarantines, parts, answers without a length and heartbeats in gateway pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -86,7 +86,7 @@
 			Stringers("parts", stringers(x.call.SharedParts)).Err(err).Msg("attempt failed")
 		x.gateway.metrics.AttemptsFailed.Add(1, string(outcome))
 	}
-	if outcome == forward.Broken {
+	if outcome == forward.Broken && !errors.Is(err, errCrashedAtEnd) { // That error is the result of such a check.
 		x.gateway.checkDown(ctx, e.Upstream) // The reducer decides on the next attempt by it.
 	}
 	x.reportAttemptEnd(outcome)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,8 @@
 	evidenceFound uint64
 	evidence      attribution.Schedule
 	heartbeatAt   time.Time
+	// quarantineChanged has a value while the store is to be told of a quarantine that started or was lifted here.
+	quarantineChanged chan struct{}
 
 	droppedDemand droppedDemand
 	// demandSequence is that of the last heartbeat with demand.
@@ -123,7 +125,7 @@
 		exchanges:      map[uint64]*exchange{}, memory: membudget.New(callerMemoryLimit(host), time.Now),
 		upstreamTransport: upstreamClient.Transport, traces: traces,
 		store:       storePeers.Reader(directStore, control.NewPool(self, "", dialPeer), cache),
-		directStore: directStore, dialPeer: dialPeer,
+		directStore: directStore, dialPeer: dialPeer, quarantineChanged: make(chan struct{}, 1),
 	}
 	g.ownDelay = owndelay.New(log, m, tickInterval, g.step)
 	return g
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// evidenceInterval is the least time between two heartbeats that are sent because this entry observed something about a crash.
-	evidenceInterval = 100 * time.Millisecond
+	// evidenceSendInterval is the least time between two heartbeats that are sent because this entry observed something about a crash.
+	evidenceSendInterval = 100 * time.Millisecond
 	// downCheckTimeout limits the check whether an upstream is down.
 	downCheckTimeout = 150 * time.Millisecond
 )
@@ -24,7 +24,7 @@
 // sendEvidence sends heartbeats at once after this entry observed something about a crash.
 func (g *Gateway) sendEvidence() {
 	g.mu.Lock()
-	due := g.evidence.Changed(g.evidenceFound) && time.Since(g.heartbeatAt) >= evidenceInterval
+	due := g.evidence.Changed(g.evidenceFound) && time.Since(g.heartbeatAt) >= evidenceSendInterval
 	g.mu.Unlock()
 	if due {
 		g.sendHeartbeats()
@@ -35,8 +35,13 @@
 func (g *Gateway) recordPartQuarantine(e forward.PartQuarantineChanged) {
 	g.metrics.PartsQuarantined.Add(int64(g.forward.Parts.Active()) - g.metrics.PartsQuarantined.Value())
 	logevent.Warn(g.log, logevent.PartQuarantined).Stringer("part", e.Part).Str("change", string(e.Kind)).Int("crashes", e.Crashes).Msg("part quarantined")
-	if e.Kind == attribution.Started || e.Kind == attribution.Lifted {
-		g.evidenceFound++
+	if e.Kind != attribution.Started && e.Kind != attribution.Lifted {
+		return
+	}
+	g.evidenceFound++
+	select {
+	case g.quarantineChanged <- struct{}{}:
+	default: // The store is to be brought up to date already.
 	}
 }
 
--- a/internal/gateway/quarantines.go
+++ b/internal/gateway/quarantines.go
@@ -21,32 +21,27 @@
 	quarantineCallTimeout = 2 * time.Second
 )
 
-// followQuarantines keeps the quarantines of parts in the store and those known here alike, until ctx ends. They are read at the start, and
-// then only while any is known: what others decide is reported by the agents sooner.
+// followQuarantines keeps the quarantines of parts in the store and those known here alike, until ctx ends. They are read at the start, when one
+// has changed here, and while any is known: what others decide is reported by the agents sooner.
 func (g *Gateway) followQuarantines(ctx context.Context) {
-	for !g.syncQuarantines(ctx, true) {
-		if !sleep(ctx, quarantineRetryInterval) {
-			return
+	interval, starting := quarantineRetryInterval, true
+	for {
+		if (starting || g.hasQuarantineRecords()) && g.syncQuarantines(ctx, starting) {
+			interval, starting = quarantineReadInterval, false
 		}
-	}
-	for sleep(ctx, quarantineReadInterval) {
-		g.mu.Lock()
-		known := g.forward.Parts.HasRecords()
-		g.mu.Unlock()
-		if known {
-			g.syncQuarantines(ctx, false)
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.quarantineChanged:
+		case <-time.After(interval):
 		}
 	}
 }
 
-// sleep waits for d. It reports false if ctx ended before.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
+func (g *Gateway) hasQuarantineRecords() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.forward.Parts.HasRecords()
 }
 
 // syncQuarantines reads the quarantines in the store and brings their records up to date. It reports whether they were read. starting is
