--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -85,7 +85,7 @@
 	secondKeyAllowed bool
 	// proxies holds all proxies: one between each process and the store, one in front of each upstream, and one in front of each entry.
 	proxies []*proxy
-	// upstreamProxies are the proxies in front of the upstreams, in the order of upstreams.
+	// upstreamProxies are the proxies in front of the upstreams, in the order of upstreams; nil for one without a proxy.
 	upstreamProxies []*proxy
 	notices
 	// accounts are client accounts in addition to the default one.
@@ -146,15 +146,17 @@
 func (s *soak) addEngine(i int) hostconfig.Host {
 	ip := standin.NextIP()
 	agent := s.fleet.Host(ip, true)
+	id := fmt.Sprintf("i-engine-%d", i)
 	if s.directEngines {
 		s.fleet.RegisteredAddress = nil
 		defer func() { s.fleet.RegisteredAddress = s.proxyFor }()
+		s.upstreams = append(s.upstreams, s.fleet.AddEngine(id, ip, 0))
+		s.upstreamProxies = append(s.upstreamProxies, nil)
+		return agent
 	}
-	s.upstreams = append(s.upstreams, s.fleet.AddEngine(fmt.Sprintf("i-engine-%d", i), ip, 0))
-	if !s.directEngines {
-		agent.Engine = s.lastProxy().address()
-	}
+	s.upstreams = append(s.upstreams, s.fleet.AddEngine(id, ip, 0))
 	s.upstreamProxies = append(s.upstreamProxies, s.lastProxy())
+	agent.Engine = s.lastProxy().address()
 	return agent
 }
 
