forward: a trial that waits is not ended without a reason

What the caller would have seen: no answer, as the refusal had no code; the entry's handler panicked on the status 0. It takes a request that waits for capacity as the trial of one of its parts while another of its parts is quarantined. Cause: requests to be stopped were ended whether or not a reason was found; a trial has none. Evidence: TestWaitingTrialIsNotEndedWithoutAReason failed before and passes.

--- a/internal/core/forward/parts_test.go
+++ b/internal/core/forward/parts_test.go
@@ -171,3 +171,19 @@
 	}
 	require.Equal(t, []forward.UpstreamCrashed{{Upstream: sent.Upstream.ID, Broken: 2}}, reports)
 }
+
+// A trial may have to wait for capacity when another part of its prompt is quarantined. It must not be ended without a reason.
+func TestWaitingTrialIsNotEndedWithoutAReason(t *testing.T) {
+	r := newQuarantinedRig(1)
+	r.fill()
+	r.now += 4 * time.Minute
+	r.step(forward.LoadReported{Address: "m0", RequestCount: 6, Versions: map[string]int64{"m": 1}})
+	require.Empty(t, sentIDs(r.arriveWith(1, crashingPart, sharedPart)), "the engine is full")
+	require.Positive(t, r.state.InFlight())
+	effects := r.step(forward.PartsReported{Parts: attribution.Report{Quarantines: []attribution.QuarantineReport{{Part: sharedPart, Generation: 1, Owner: 7, Crashes: 3}}}})
+	for _, e := range effects {
+		if refuse, ok := e.(forward.Refuse); ok {
+			require.NotZero(t, refuse.Code)
+		}
+	}
+}
--- a/internal/core/forward/quarantine.go
+++ b/internal/core/forward/quarantine.go
@@ -88,11 +88,14 @@
 func (s *State) stopRequests(in step.Input, list []*request) []step.Effect {
 	var effects []step.Effect
 	for _, r := range list {
-		if r.instance == (catalog.Instance{}) {
-			end, _ := s.quarantined(in, r)
+		if r.instance != (catalog.Instance{}) {
+			if r.awaitingFirstEvent {
+				effects = append(effects, Withdraw{ID: r.id, Attempt: r.attempts})
+			}
+			continue
+		}
+		if end, found := s.quarantined(in, r); found { // A trial that waits goes on.
 			effects = append(effects, s.endRequest(in, r, end)...)
-		} else if r.awaitingFirstEvent {
-			effects = append(effects, Withdraw{ID: r.id, Attempt: r.attempts})
 		}
 	}
 	return effects
