gateway: requests that end without a complete answer are reported by cause

Cause: of the paths that close a caller's connection without an answer, four (body not read, failed write, slow caller, process end) left no event of their own, and no metric counted them. Hypotheses of the incident could not be told apart. Change: event 4025 and a metric by cause; no logic changes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -92,6 +92,7 @@
 	x.reportAttemptEnd(outcome)
 	if outcome == forward.Answered {
 		x.recordEnd("answered", "")
+		x.end.complete = true
 		return true
 	}
 	return false
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -69,6 +69,8 @@
 	// lastEventID is the id of the last event that was passed on.
 	lastEventID string
 	timing      streamTiming
+	// end is how the request ended.
+	end end
 	// upstreamFailure is the upstream's own failure, kept in case it has to be passed on.
 	upstreamFailure *response
 }
@@ -99,6 +101,7 @@
 		return false
 	case err != nil:
 		// Nothing was sent to an upstream, and the caller's connection is unusable.
+		x.endIncomplete(bodyUnread, err.Error())
 		x.logIfEvicted()
 		panic(http.ErrAbortHandler)
 	}
@@ -110,6 +113,7 @@
 func (x *exchange) abortEvicted() {
 	x.gateway.step(forward.CallerGone{ID: x.id})
 	x.recordEnd("slow caller ended", membudget.ErrEvicted.Error())
+	x.endIncomplete(slowCaller, "")
 	x.logIfEvicted()
 	panic(http.ErrAbortHandler)
 }
@@ -167,6 +171,7 @@
 	if x.r.Context().Err() != nil {
 		x.gateway.step(forward.CallerGone{ID: x.id})
 		x.recordEnd("caller gone", "")
+		x.endIncomplete(callerLeft, "")
 		return true
 	}
 	x.ctx = context.WithoutCancel(x.r.Context())
@@ -188,9 +193,11 @@
 	case forward.Deliver:
 		x.writeResponse(x.upstreamFailure)
 		x.recordEnd("failed by the upstream", "")
+		x.end.complete = true
 		return true
 	case forward.Abort:
 		x.recordEnd("aborted", e.Reason)
+		x.endIncomplete(answerAborted, e.Reason)
 		panic(http.ErrAbortHandler) // Closes the connection, so that the caller can't take the response for complete.
 	}
 	return false
@@ -217,6 +224,7 @@
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(description.Status)
 	_, _ = x.w.Write(body) // A caller that left is detected by the request's context.
+	x.end.complete = true
 	// The log field came_back is Refuse.Returning.
 	logevent.Warn(x.gateway.log, logevent.RequestRefused).Str("request", x.call.CallerAttemptID).Int("code", int(e.Code)).Str("ran", string(e.Ran)).
 		Str("why", e.Reason).Bool("came_back", e.Returning).Dur("limit_ms", x.call.TimeLeft).Dur("retry_after_ms", e.RetryAfter).Dur("held_ms", time.Since(x.arrivedAt)).
@@ -230,6 +238,7 @@
 	x.writeHeader(resp.status, resp.header)
 	for chunk := range slices.Chunk(resp.body, writeChunkBytes) {
 		if _, err := x.w.Write(chunk); err != nil {
+			x.endIncomplete(writeFailed, err.Error())
 			x.logIfEvicted()
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -70,6 +70,7 @@
 	for g.inFlight.Load() > 0 && time.Since(start) < g.host.ShutdownGrace-stopMargin {
 		time.Sleep(stopPollInterval)
 	}
+	g.reportOpen()
 	logevent.Info(g.log, logevent.Stopped).Int64("open", g.inFlight.Load()).Dur("took_ms", time.Since(start)).Msg("stopped")
 	_ = server.Close()
 }
@@ -84,6 +85,7 @@
 	}
 	x := newExchange(g, w, r, arrivedAt)
 	defer x.reservation.Close()
+	defer func() { x.reportIncomplete(x.end) }()
 	if !x.readBody() {
 		return
 	}
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -69,6 +69,7 @@
 	UpstreamCrashed        ID = 4022
 	MalformedParts         ID = 4023
 	PartQuarantined        ID = 4024
+	AnswerIncomplete       ID = 4025
 )
 
 // Entry describes an event for the catalogue.
@@ -142,6 +143,7 @@
 	{UpstreamCrashed, "upstream crashed", "An upstream was found down shortly after attempts of this entry's requests broke there; broken is their number. Each of them has an event 4002 with its parts."},
 	{MalformedParts, "malformed prompt parts", "A request's list of the parts of its prompt can't be read, and none of them is used; left_out counts the lines left out since the last one."},
 	{PartQuarantined, "part quarantined", "The quarantine of a part of prompts changed, since upstreams crash when they answer requests with it: started here, reported by another process, lifted by an answer or an operator, or ended since no request with the part came for ten minutes (change). crashes is the number of crashes of which the part was found to be the cause. Refusals have code 2013."},
+	{AnswerIncomplete, "answer incomplete", "A request ended without a complete answer: its caller got neither an upstream's whole answer nor a refusal. cause is one of caller left, body not read, slow caller, write to caller failed, answer aborted (why gives the reason), process ended, and handler failed, which is a bug. last_event is the last event of a stream that was passed on."},
 }
 
 // Debug starts a log line of level debug for event id.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -16,7 +16,7 @@
 	Waiting, Yielded                          Counter
 	FirstByte, Total                          Histogram
 	Attempts, AttemptsFailed, UpstreamCrashes Counter
-	UpstreamCalls                             Counter
+	AnswersIncomplete, UpstreamCalls          Counter
 	UpstreamFirstByte                         Histogram
 	PartsQuarantined                          Counter
 	StartedLate, RunsRefused, UpstreamNotices Counter
@@ -48,6 +48,7 @@
 	m.Total = m.histogram(totalDefinition)
 	m.Attempts = m.counter(attemptsDefinition)
 	m.AttemptsFailed = m.counter(attemptsFailedDefinition)
+	m.AnswersIncomplete = m.counter(answersIncompleteDefinition)
 	m.UpstreamCrashes = m.counter(upstreamCrashesDefinition)
 	m.PartsQuarantined = m.counter(partsQuarantinedDefinition)
 	m.UpstreamCalls = m.counter(upstreamCallsDefinition)
