--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -104,13 +104,17 @@
 // Started is the event that the first event of an answer was received: the upstream has processed the prompt.
 type Started struct {
 	ID uint64
+	// Attempt is the number of the attempt; see Send.
+	Attempt int
 	// Version is the version of the weights on which the upstream started the request; 0 if it does not say.
 	Version int64
 }
 
 // AttemptEnded is the event that an attempt ended.
 type AttemptEnded struct {
-	ID      uint64
+	ID uint64
+	// Attempt is the number of the attempt; see Send.
+	Attempt int
 	Outcome Outcome
 	// Partial is set if part of the answer was passed on to the caller, and SinceLastPart is the time since the last part.
 	Partial       bool
@@ -124,7 +128,7 @@
 	ID uint64
 	// Partial is set if part of an answer was passed on to the caller.
 	Partial bool
-	// Unsent is set if nothing of the current attempt had been sent.
+	// Unsent is set if nothing of the open attempts had been sent.
 	Unsent bool
 }
 
@@ -210,11 +214,11 @@
 	// Version is the version of weights that the upstream must hold; 0 for any.
 	Version  int64
 	Deadline time.Time
-	// FirstEventTimeout is the timeout for the first event or answer, after which the attempt counts as silent; 0 for the request's
-	// deadline.
-	FirstEventTimeout time.Duration
-	// GapTimeout is the timeout between two events of a stream; 0 for the request's deadline.
-	GapTimeout time.Duration
+	// FirstEventTimeout is the timeout for the first event or answer, and GapTimeout the one between two events of a stream. The shell
+	// reports the attempt as Stalled after that, and goes on with it.
+	FirstEventTimeout, GapTimeout time.Duration
+	// GiveUpAfter is the silence without a first event that ends the attempt as Silent; 0 for the request's deadline.
+	GiveUpAfter time.Duration
 	// Resume is set if part of an answer was passed on in an earlier attempt. Another upstream, the one of this attempt, must
 	// then continue that answer. Package core/request calls this to continue, and uses to resume for the rest of the same run. On the
 	// users' platform, the manifest and the log call it to resume.
@@ -292,20 +296,18 @@
 	queuedUnder *catalog.Manifest
 	// returning is set if the caller was probably refused before. Its answer is then late in any case, measured from its first try.
 	returning bool
-	// instance is the upstream that the request is with; zero if none.
-	instance catalog.Instance
-	// sentAt is when the current attempt was sent.
-	sentAt time.Time
-	// prompt is the length of the prompt in tokens. awaitingFirstEvent is set until the upstream sends the first event.
-	prompt             int
-	awaitingFirstEvent bool
+	// placement is the newest attempt, and beside the one before it if that is still open: its upstream is silent, and the first of the two
+	// that goes on is taken. beside is nil otherwise.
+	placement
+	beside *placement
+	// hedgeCheckedAt is when another upstream was last looked for beside one that stalls.
+	hedgeCheckedAt time.Time
+	// failed is set if an upstream failed the request while another attempt was open.
+	failed bool
+	// prompt is the length of the prompt in tokens.
+	prompt int
 	// tokens is how many tokens of an engine's memory the request may take: its prompt and the maximum answer.
 	tokens int
-	// unreported is set if the request is with an engine without a load report, and firstEventLate if the first event was late
-	// there.
-	unreported, firstEventLate bool
-	// version is the version that the current attempt requires; 0 for none.
-	version int64
 	// attempts counts all attempts, and possibleRuns those that may have run.
 	attempts     int
 	possibleRuns int
@@ -318,7 +320,6 @@
 	// random number by which it was chosen; 0 before the first choice.
 	moveTo      string
 	balanceDraw uint64
-	speed       requestSpeed
 	// hold is the request's wait for the end of an outage.
 	hold hold
 }
@@ -417,6 +418,10 @@
 		return s.started(in, ev)
 	case AttemptEnded:
 		return s.attemptEnded(in, ev)
+	case Stalled:
+		return s.attemptStalled(in, ev)
+	case Progressed:
+		s.attemptProgressed(in, ev)
 	case TimedOut:
 		return s.timedOut(in, ev)
 	case CallerGone:
@@ -448,6 +453,7 @@
 		effects = append(effects, s.withdrawUnstarted(in)...)
 		effects = append(effects, s.updateBalance(in.Now)...)
 		effects = append(effects, s.withdrawLate(in)...)
+		effects = append(effects, s.hedgeStalled(in)...)
 		effects = append(effects, s.serveHeld(in, true)...) // Those that are more urgent than what waits in the queues.
 		effects = append(effects, s.serveWaiting(in)...)
 		effects = append(append(effects, s.serveHeld(in, false)...), s.forecastChanges...)
--- /dev/null
+++ b/internal/core/forward/hedge.go
@@ -0,0 +1,143 @@
+package forward
+
+import (
+	"cmp"
+	"slices"
+
+	"samphireweir.example/samphireweir/internal/core/catalog"
+	"samphireweir.example/samphireweir/internal/core/step"
+)
+
+// maxReplacementSearches is the number of searches per tick for upstreams that could replace one that stalls. A search examines all
+// upstreams of a service, which takes 0.1 ms for 1,000.
+const maxReplacementSearches = 8
+
+// Stalled is the event that an upstream has sent nothing of an attempt for the attempt's timeout. The attempt goes on: a sound upstream may be
+// silent for a while, and a dead one is replaced by a second attempt beside it.
+type Stalled struct {
+	ID      uint64
+	Attempt int
+}
+
+// Progressed is the event that an upstream went on with an attempt that had stalled.
+type Progressed struct {
+	ID      uint64
+	Attempt int
+}
+
+// Event marks the type as an event.
+func (Stalled) Event() {}
+
+// Event marks the type as an event.
+func (Progressed) Event() {}
+
+// attemptStalled records that an upstream is silent, and sends the request to another one beside it if that is allowed.
+func (s *State) attemptStalled(in step.Input, ev Stalled) []step.Effect {
+	r := s.requests[ev.ID]
+	if r == nil {
+		return nil
+	}
+	r.withAttempt(ev.Attempt, func() {
+		if r.isOpen() {
+			r.stalled = true
+			s.loadState(r.instance).noteStalled(in.Now)
+		}
+	})
+	return s.hedge(in, r)
+}
+
+// attemptProgressed records that a silent upstream went on.
+func (s *State) attemptProgressed(in step.Input, ev Progressed) {
+	r := s.requests[ev.ID]
+	if r == nil {
+		return
+	}
+	r.withAttempt(ev.Attempt, func() {
+		r.stalled = false
+		if r.isOpen() {
+			s.loadState(r.instance).noteHeard(in.Now)
+		}
+	})
+}
+
+// hedge sends a request whose only attempt stalls to another upstream as well. The first attempt stays open: the shell takes the one that goes
+// on first and cancels the other. Without another upstream that has capacity, the request waits for the one that it is with.
+func (s *State) hedge(in step.Input, r *request) []step.Effect {
+	if !s.mayHedge(in, r) {
+		return nil
+	}
+	r.hedgeCheckedAt = in.Now
+	current, allowed := s.underManifest(in, r)
+	if !allowed {
+		return nil
+	}
+	u, found := s.pick(in, current)
+	if found != available || s.loadState(u.Instance()).silent(in.Now) {
+		return nil
+	}
+	if _, forbidden := s.refreshAndCheck(in, r); forbidden {
+		return nil
+	}
+	s.retryBudget(r.service).addRetry(in.Now)
+	first := r.placement
+	r.beside = &first
+	r.placement = placement{speed: requestSpeed{second: first.speed.second}}
+	return s.send(in, r, u)
+}
+
+// mayHedge reports whether the request may be at a second upstream while it is with the first, which may run it.
+func (s *State) mayHedge(in step.Input, r *request) bool {
+	if !r.stalled || !r.isOpen() || r.beside != nil || r.speed.second.withdrawing || r.trial || !r.route.Repeatable() {
+		return false
+	}
+	if r.possibleRuns+1 >= r.route.MaxUpstreams || r.attempts >= maxAttempts || r.deadline.Sub(in.Now) < minAttemptTime {
+		return false
+	}
+	return s.retryBudget(r.service).allows(in.Now, s.Self.Retries, s.recentEntries.value())
+}
+
+// hedgeStalled looks again for upstreams for the requests whose upstream stalls and had no replacement. Those that were sent first come first.
+func (s *State) hedgeStalled(in step.Input) []step.Effect {
+	var stalled []*request
+	for _, r := range s.requests {
+		if r.stalled && s.mayHedge(in, r) && in.Now.Sub(r.hedgeCheckedAt) >= recheckInterval {
+			stalled = append(stalled, r)
+		}
+	}
+	slices.SortFunc(stalled, func(a, b *request) int { return cmp.Or(a.sentAt.Compare(b.sentAt), cmp.Compare(a.id, b.id)) })
+	var effects []step.Effect
+	for _, r := range stalled[:min(len(stalled), maxReplacementSearches)] {
+		effects = append(effects, s.hedge(in, r)...)
+	}
+	return effects
+}
+
+// oneOfTwoEnded handles the end of one of two open attempts. The other one goes on, and nothing else is decided: the request may be sent to a
+// third upstream once that stalls.
+func (s *State) oneOfTwoEnded(in step.Input, r *request, ev AttemptEnded) []step.Effect {
+	number := ev.Attempt
+	if number != r.beside.number {
+		number = r.number
+	}
+	var effects []step.Effect
+	r.withAttempt(number, func() { effects = s.settleAttempt(in, r, ev) })
+	r.leaveAttempt(number)
+	r.failed = r.failed || ev.Outcome == ServerFailed
+	return append(effects, s.serveQueue(in, r.service)...)
+}
+
+// releaseAll frees the resources that a request takes at the upstreams that it is with.
+func (s *State) releaseAll(in step.Input, r *request) {
+	r.eachAttempt(func() { s.release(in, r, Withdrawn) })
+}
+
+// upstreamsOf returns the upstreams that a request is with.
+func (r *request) upstreamsOf() []catalog.Instance {
+	var list []catalog.Instance
+	r.eachAttempt(func() {
+		if r.isOpen() {
+			list = append(list, r.instance)
+		}
+	})
+	return list
+}
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -51,6 +51,8 @@
 	unanswered bool
 	// headAt is when the upstream last sent the head of an answer.
 	headAt time.Time
+	// stalledAt is when an attempt there last stalled; zero if the upstream was heard since.
+	stalledAt time.Time
 	// foundDownAt is when this entry last found that the upstream is down; see foundDown.
 	foundDownAt time.Time
 	// leavingAt is when the upstream last reported that it is leaving; zero if it did not. An instance does not revoke that.
@@ -174,11 +176,13 @@
 	}
 	s.overdue = s.overdue[:0]
 	for _, r := range s.requests {
-		if r.awaitingFirstEvent && r.route.Objective > 0 && now.Sub(r.sentAt) > r.route.Objective {
-			l := s.loadState(r.instance)
-			l.overdue++
-			s.overdue = append(s.overdue, l)
-		}
+		r.eachAttempt(func() {
+			if r.awaitingFirstEvent && r.route.Objective > 0 && now.Sub(r.sentAt) > r.route.Objective {
+				l := s.loadState(r.instance)
+				l.overdue++
+				s.overdue = append(s.overdue, l)
+			}
+		})
 	}
 }
 
--- a/internal/core/forward/quarantine.go
+++ b/internal/core/forward/quarantine.go
@@ -88,10 +88,12 @@
 func (s *State) stopRequests(in step.Input, list []*request) []step.Effect {
 	var effects []step.Effect
 	for _, r := range list {
-		if r.instance != (catalog.Instance{}) {
-			if r.awaitingFirstEvent {
-				effects = append(effects, Withdraw{ID: r.id, Attempt: r.attempts})
-			}
+		if r.isOpen() {
+			r.eachAttempt(func() {
+				if r.awaitingFirstEvent {
+					effects = append(effects, Withdraw{ID: r.id, Attempt: r.number})
+				}
+			})
 			continue
 		}
 		if end, found := s.quarantined(in, r); found { // A trial that waits goes on.
@@ -157,8 +159,8 @@
 	}
 	busy := map[catalog.Instance]bool{}
 	for _, other := range s.copies(r.fingerprint) {
-		if other.instance != (catalog.Instance{}) {
-			busy[other.instance] = true
+		for _, instance := range other.upstreamsOf() {
+			busy[instance] = true
 		}
 	}
 	return count + len(busy)
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -112,7 +112,7 @@
 	v := s.view(u)
 	s.noteSending(in.Now, r, v)
 	r.attempts++
-	r.instance, r.sentAt = u.Instance(), in.Now
+	r.number, r.instance, r.sentAt, r.stalled = r.attempts, u.Instance(), in.Now, false
 	r.tried[r.instance] = true
 	s.Parts.Sent(r.attempt())
 	s.loadState(r.instance).inFlight++
@@ -138,7 +138,7 @@
 		}
 	}
 	r.version = e.Version
-	e.FirstEventTimeout, e.GapTimeout = r.attemptTimeouts(in.Now)
+	r.setTimeouts(&e, in.Now)
 	r.speed.timeout = e.FirstEventTimeout
 	return []step.Effect{e}
 }
@@ -148,6 +148,17 @@
 	if r == nil {
 		return nil
 	}
+	if r.beside != nil && ev.Outcome != Answered {
+		return s.oneOfTwoEnded(in, r, ev)
+	}
+	var effects []step.Effect
+	r.withAttempt(ev.Attempt, func() { effects = s.settleAttempt(in, r, ev) })
+	effects = append(effects, s.afterAttempt(in, r, ev)...)
+	return append(effects, s.serveQueue(in, r.service)...)
+}
+
+// settleAttempt records what the end of an attempt says of its upstream, and frees its resources there.
+func (s *State) settleAttempt(in step.Input, r *request, ev AttemptEnded) []step.Effect {
 	effects := s.trackCrashes(in, r, ev)
 	s.unreportedEnded(in.Now, r, ev.Outcome)
 	s.measureSlotTime(in.Now, r, ev.Outcome)
@@ -160,14 +171,13 @@
 	if ev.Outcome.ran() {
 		r.possibleRuns++
 	}
-	effects = append(effects, s.afterAttempt(in, r, ev)...)
-	return append(effects, s.serveQueue(in, r.service)...)
+	return effects
 }
 
 // clearPendingPrompt records that the prompt of a request is no longer pending at its upstream: the upstream started the request, or the
 // attempt ended.
-func (s *State) clearPendingPrompt(id uint64) {
-	if r := s.requests[id]; r != nil && r.awaitingFirstEvent {
+func (s *State) clearPendingPrompt(r *request) {
+	if r.awaitingFirstEvent {
 		r.awaitingFirstEvent = false
 		s.loadState(r.instance).pendingPromptTokens -= r.prompt
 		if r.unreported {
@@ -179,11 +189,11 @@
 // release frees the resources that a request takes at its upstream. The slot that it frees may be used at once, so send is allowed one
 // more request before the next load report.
 func (s *State) release(in step.Input, r *request, o Outcome) {
-	if r.instance == (catalog.Instance{}) {
+	if !r.isOpen() {
 		return
 	}
 	s.attemptReleased(in.Now, r, o)
-	s.clearPendingPrompt(r.id)
+	s.clearPendingPrompt(r)
 	s.Parts.Ended(r.attempt())
 	l := s.loadState(r.instance)
 	l.inFlight--
@@ -202,6 +212,7 @@
 // afterAttempt decides what follows an attempt: the end of the request or a retry.
 func (s *State) afterAttempt(in step.Input, r *request, ev AttemptEnded) []step.Effect {
 	if ev.Outcome == Answered {
+		s.releaseAll(in, r)
 		s.drop(r)
 		return nil
 	}
@@ -209,7 +220,7 @@
 	switch {
 	case !forbidden && s.mayRetry(in, r, ev.Outcome):
 		return s.retry(in, r, ev.Outcome)
-	case ev.Outcome == ServerFailed && !r.partial:
+	case (ev.Outcome == ServerFailed || r.failed) && !r.partial:
 		s.drop(r)
 		return []step.Effect{Deliver{ID: r.id}}
 	case forbidden:
@@ -227,7 +238,7 @@
 		}
 		return s.send(in, r, u)
 	}
-	if o == ServerFailed && !r.partial {
+	if (o == ServerFailed || r.failed) && !r.partial {
 		s.drop(r)
 		return []step.Effect{Deliver{ID: r.id}}
 	}
@@ -251,10 +262,10 @@
 		return nil
 	}
 	r.partial = r.partial || ev.Partial
-	if r.instance != (catalog.Instance{}) && !ev.Unsent {
-		r.possibleRuns++ // The upstream that it was with may have run it.
+	if r.isOpen() && !ev.Unsent {
+		r.possibleRuns++ // The upstreams that it was with may have run it.
 	}
-	s.release(in, r, Withdrawn)
+	s.releaseAll(in, r)
 	effects := s.endWithRetryAfter(in, r, code.DeadlinePassed, fmt.Sprintf("no answer within %v", r.deadline.Sub(r.arrived)))
 	return append(effects, s.serveQueue(in, r.service)...)
 }
@@ -293,7 +304,7 @@
 	if r == nil {
 		return nil
 	}
-	s.release(in, r, Withdrawn)
+	s.releaseAll(in, r)
 	s.drop(r)
 	return s.serveQueue(in, r.service)
 }
--- a/internal/core/forward/second_attempt.go
+++ b/internal/core/forward/second_attempt.go
@@ -143,7 +143,7 @@
 // run once more although the first attempt may have run. The manifest in force decides, as it does for the retry that follows.
 func (s *State) maySendSecond(in step.Input, r *request) bool {
 	r, allowed := s.underManifest(in, r)
-	if !allowed || r.speed.second.decided || r.partial || !r.route.Repeatable() || r.possibleRuns+1 >= r.route.MaxUpstreams || r.attempts+1 > maxAttempts {
+	if !allowed || r.speed.second.decided || r.beside != nil || r.partial || !r.route.Repeatable() || r.possibleRuns+1 >= r.route.MaxUpstreams || r.attempts+1 > maxAttempts {
 		return false
 	}
 	retries, budget := s.retryBudget(r.service).usage(in.Now, s.Self.Retries, s.recentEntries.value())
--- a/internal/core/forward/timeouts.go
+++ b/internal/core/forward/timeouts.go
@@ -6,23 +6,20 @@
 	"samphireweir.example/samphireweir/internal/core/catalog"
 )
 
-// attemptTimeouts returns the timeouts of an attempt: for the first event or answer, and for the gap between two events; 0 means
-// the request's deadline. While another upstream may still be tried, the timeouts leave enough time for it. They count from the
-// sending of the attempt.
+// setTimeouts sets the timeouts of an attempt. They count from its sending, or from the last event.
 //
-// On the last attempt the upstream has until the caller would leave, since a later answer reaches nobody. The caller's time,
-// Route.CallerTimeout, counts from its request or from the last event that was passed on. Without that limit, callers of a data
-// centre whose engines hung left 2.4 s after their request without an answer.
-func (r *request) attemptTimeouts(now time.Time) (first, gap time.Duration) {
-	if r.route.Repeatable() && r.possibleRuns+1 < r.route.MaxUpstreams {
-		first, gap = defaultFirstEventTimeout(r.route), gapTimeout
-	}
-	if r.route.CallerTimeout <= 0 {
-		return first, gap
+// The first two are the times after which another upstream is looked for. They end nothing: a sound upstream may be silent for a second and
+// go on, so that the attempt stays open until another one has begun.
+//
+// GiveUpAfter ends an attempt without an event just before the caller would leave, so that it gets an answer. Its time,
+// Route.CallerTimeout, counts from its request. Without that limit, callers of a data centre whose engines hung left 2.4 s after their
+// request without an answer. Once a part of the answer was passed on, the entry has no answer to give, and waits as long as the caller does.
+func (r *request) setTimeouts(e *Send, now time.Time) {
+	e.FirstEventTimeout, e.GapTimeout = defaultFirstEventTimeout(r.route), gapTimeout
+	if r.route.CallerTimeout <= 0 || r.partial {
+		return
 	}
-	callerTimeout := r.route.CallerTimeout - answerMargin
-	remaining := max(minAttemptTime, r.progressAt.Add(callerTimeout).Sub(now))
-	return minTimeout(first, remaining), minTimeout(gap, callerTimeout)
+	e.GiveUpAfter = max(minAttemptTime, r.progressAt.Add(r.route.CallerTimeout-answerMargin).Sub(now))
 }
 
 func defaultFirstEventTimeout(route *catalog.Route) time.Duration {
@@ -31,11 +28,3 @@
 	}
 	return plainTimeoutObjectives * route.Objective
 }
-
-// minTimeout returns the shorter of a timeout, where 0 means none, and a duration.
-func minTimeout(timeout, d time.Duration) time.Duration {
-	if timeout == 0 {
-		return d
-	}
-	return min(timeout, d)
-}
--- a/internal/core/forward/version.go
+++ b/internal/core/forward/version.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -75,14 +76,18 @@
 
 // started handles the first event of an answer.
 func (s *State) started(in step.Input, ev Started) []step.Effect {
-	s.firstEventReceived(in.Now, s.requests[ev.ID])
-	s.clearPendingPrompt(ev.ID)
 	r := s.requests[ev.ID]
 	if r == nil {
 		return nil
 	}
-	s.unreportedStarted(in.Now, r)
-	return append(s.checkStartedVersion(in, r, ev), s.servePrioritized(in, r.service)...)
+	var effects []step.Effect
+	r.withAttempt(ev.Attempt, func() {
+		s.firstEventReceived(in.Now, r)
+		s.clearPendingPrompt(r)
+		s.unreportedStarted(in.Now, r)
+		effects = s.checkStartedVersion(in, r, ev)
+	})
+	return append(effects, s.servePrioritized(in, r.service)...)
 }
 
 // checkStartedVersion reports a request that started on an expired version of weights.
@@ -106,16 +111,18 @@
 // the attempt was sent if the engine is full or slow. When versions were compared only at that time, requests started up to 173 ms
 // late at 1.1 times the engines' capacity.
 func (s *State) withdrawUnstarted(in step.Input) []step.Effect {
-	var ids []uint64
+	var list []Withdraw
 	for id, r := range s.requests {
-		if r.awaitingFirstEvent && (s.mayStartExpired(in.Now, r) || s.mustNotStart(in.Now, r)) {
-			ids = append(ids, id)
-		}
+		r.eachAttempt(func() {
+			if r.awaitingFirstEvent && (s.mayStartExpired(in.Now, r) || s.mustNotStart(in.Now, r)) {
+				list = append(list, Withdraw{ID: id, Attempt: r.number})
+			}
+		})
 	}
-	slices.Sort(ids)
+	slices.SortFunc(list, func(a, b Withdraw) int { return cmp.Or(cmp.Compare(a.ID, b.ID), a.Attempt-b.Attempt) })
 	var effects []step.Effect
-	for _, id := range ids {
-		effects = append(effects, Withdraw{ID: id, Attempt: s.requests[id].attempts})
+	for _, e := range list {
+		effects = append(effects, e)
 	}
 	return effects
 }
--- a/internal/emulator/entry.go
+++ b/internal/emulator/entry.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"slices"
 	"time"
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
@@ -32,11 +33,8 @@
 	try   *try
 	entry *entry
 	id    uint64
-	// attempt is the current attempt, made at sentAt, and task its state at the engine. started is set with its first event.
-	attempt forward.Send
-	sentAt  time.Duration
-	task    *task
-	started bool
+	// open are the attempts that have not ended, the oldest first. There are two while the engine of the older one is silent.
+	open []*attempt
 	// partial is set once an event of any attempt was forwarded, the last of them at lastAt.
 	partial bool
 	lastAt  time.Duration
@@ -44,6 +42,15 @@
 	forwarded int
 }
 
+// attempt is an attempt made at sentAt, and task its state at the engine. started is set with its first event, and stalled while its engine is
+// reported as silent.
+type attempt struct {
+	forward.Send
+	sentAt           time.Duration
+	task             *task
+	started, stalled bool
+}
+
 func (e *entry) step(ev step.Event) {
 	w := e.fleet.simulation
 	in := step.Input{Now: w.time(), Rand: w.random.Uint64(), Event: ev}
@@ -64,8 +71,8 @@
 			x.startAttempt(eff)
 		}
 	case forward.Withdraw:
-		if x := e.inFlight[eff.ID]; x != nil && x.attempt.Attempt == eff.Attempt && !x.started {
-			x.attemptEnded(forward.Withdrawn)
+		if x := e.inFlight[eff.ID]; x != nil {
+			x.withdraw(eff.Attempt)
 		}
 	case forward.Refuse:
 		e.finish(eff.ID, func(t *try) { t.refused(eff.RetryAfter, eff.Ran) })
@@ -107,10 +114,20 @@
 	e.step(forward.CallerGone{ID: x.id})
 }
 
+// cancel cancels the open attempts.
 func (x *exchange) cancel() {
-	if x.task != nil {
-		x.task.cancelled = true
-		x.task = nil
+	for _, a := range x.open {
+		a.task.cancelled = true
+	}
+	x.open = nil
+}
+
+// withdraw ends an attempt that its engine has not started.
+func (x *exchange) withdraw(number int) {
+	for _, a := range slices.Clone(x.open) {
+		if a.Attempt == number && !a.started {
+			x.attemptEnded(a, forward.Withdrawn)
+		}
 	}
 }
 
@@ -130,73 +147,90 @@
 }
 
 // startAttempt sends the request to an upstream over a new connection.
-func (x *exchange) startAttempt(attempt forward.Send) {
-	w, engine := x.entry.fleet.simulation, x.entry.fleet.engineOf(attempt.Upstream)
-	x.attempt, x.started, x.sentAt = attempt, false, w.now
-	t := x.newTask(engine)
-	x.task = t
-	if attempt.FirstEventTimeout > 0 {
-		w.after(attempt.FirstEventTimeout, func() {
-			if x.current(t) && !x.started {
-				x.attemptEnded(forward.Silent)
+func (x *exchange) startAttempt(send forward.Send) {
+	w, engine := x.entry.fleet.simulation, x.entry.fleet.engineOf(send.Upstream)
+	a := &attempt{Send: send, sentAt: w.now}
+	a.task = x.newTask(a, engine)
+	x.open = append(x.open, a)
+	w.after(send.FirstEventTimeout, func() {
+		if x.isOpen(a) && !a.started {
+			a.stalled = true
+			x.entry.step(forward.Stalled{ID: x.id, Attempt: a.Attempt})
+		}
+	})
+	if send.GiveUpAfter > 0 {
+		w.after(send.GiveUpAfter, func() {
+			if x.isOpen(a) && !a.started {
+				x.attemptEnded(a, forward.Silent)
 			}
 		})
 	}
-	latency := x.latency(attempt.Upstream)
+	latency := x.latency(send.Upstream)
 	w.after(3*latency, func() { // A round trip to open the connection precedes the request.
-		if t.cancelled || engine.accept(t) {
+		if a.task.cancelled || engine.accept(a.task) {
 			return
 		}
 		notice := engine.notice
-		w.after(latency, func() { x.declined(t, notice) })
+		w.after(latency, func() { x.declined(a, notice) })
 	})
 }
 
-// newTask returns the current attempt as its engine sees it. What the engine does reaches the entry after the one-way latency.
-func (x *exchange) newTask(engine *engine) *task {
+// newTask returns an attempt as its engine sees it. What the engine does reaches the entry after the one-way latency.
+func (x *exchange) newTask(a *attempt, engine *engine) *task {
 	w, latency := x.entry.fleet.simulation, x.latency(engine.upstream)
 	t := &task{promptLeft: x.try.request.prompt, eventsLeft: max(1, x.try.request.events-x.forwarded)}
 	t.onEvent = func() {
 		notice := engine.notice
 		w.after(latency, func() {
-			if x.current(t) {
-				x.event(notice)
+			if x.isOpen(a) {
+				x.event(a, notice)
 			}
 		})
 	}
 	t.onEnd = func() {
 		w.after(latency, func() {
-			if x.current(t) {
-				x.answered()
+			if x.isOpen(a) {
+				x.answered(a)
 			}
 		})
 	}
 	return t
 }
 
-// current reports whether a task belongs to the current attempt.
-func (x *exchange) current(t *task) bool { return x.task == t && x.entry.inFlight[x.id] == x }
+// isOpen reports whether an attempt has not ended.
+func (x *exchange) isOpen(a *attempt) bool {
+	return x.entry.inFlight[x.id] == x && slices.Contains(x.open, a)
+}
 
 // headReceived reports the head of an answer to the reducer.
-func (x *exchange) headReceived(o forward.Outcome, notice catalog.Notice) {
-	x.entry.step(forward.AnswerHeadReceived{Upstream: x.attempt.Upstream.Instance(), Sent: epoch.Add(x.sentAt), Outcome: o, Notice: notice})
+func (x *exchange) headReceived(a *attempt, o forward.Outcome, notice catalog.Notice) {
+	x.entry.step(forward.AnswerHeadReceived{Upstream: a.Upstream.Instance(), Sent: epoch.Add(a.sentAt), Outcome: o, Notice: notice})
 }
 
 // declined ends an attempt that the engine declined.
-func (x *exchange) declined(t *task, notice catalog.Notice) {
-	if x.current(t) {
-		x.headReceived(forward.Declined, notice)
-		x.attemptEnded(forward.Declined)
+func (x *exchange) declined(a *attempt, notice catalog.Notice) {
+	if x.isOpen(a) {
+		x.headReceived(a, forward.Declined, notice)
+		x.attemptEnded(a, forward.Declined)
 	}
 }
 
-// event forwards an event to the caller.
-func (x *exchange) event(notice catalog.Notice) {
+// event forwards an event to the caller. The first of two attempts that goes on is taken.
+func (x *exchange) event(a *attempt, notice catalog.Notice) {
 	w := x.entry.fleet.simulation
-	if !x.started {
-		x.started = true
-		x.headReceived(forward.Answered, notice)
-		x.entry.step(forward.Started{ID: x.id, Version: 1})
+	if a.stalled {
+		a.stalled = false
+		x.entry.step(forward.Progressed{ID: x.id, Attempt: a.Attempt})
+	}
+	if !a.started {
+		a.started = true
+		x.headReceived(a, forward.Answered, notice)
+		x.entry.step(forward.Started{ID: x.id, Attempt: a.Attempt, Version: 1})
+	}
+	for _, other := range slices.Clone(x.open) {
+		if other != a {
+			x.attemptEnded(other, forward.Withdrawn)
+		}
 	}
 	x.partial, x.lastAt = true, w.now
 	x.forwarded++
@@ -204,17 +238,18 @@
 	w.after(callerLatency, t.event)
 }
 
-func (x *exchange) answered() {
-	x.task = nil
+func (x *exchange) answered(a *attempt) {
+	x.open = nil
 	e := x.entry
-	e.step(forward.AttemptEnded{ID: x.id, Outcome: forward.Answered, Partial: true})
+	e.step(forward.AttemptEnded{ID: x.id, Attempt: a.Attempt, Outcome: forward.Answered, Partial: true})
 	e.finish(x.id, func(t *try) { t.answered() })
 }
 
-// attemptEnded ends the current attempt without an answer.
-func (x *exchange) attemptEnded(o forward.Outcome) {
-	x.cancel()
-	ev := forward.AttemptEnded{ID: x.id, Outcome: o, Partial: x.partial}
+// attemptEnded ends an attempt without an answer.
+func (x *exchange) attemptEnded(a *attempt, o forward.Outcome) {
+	a.task.cancelled = true
+	x.open = slices.DeleteFunc(x.open, func(other *attempt) bool { return other == a })
+	ev := forward.AttemptEnded{ID: x.id, Attempt: a.Attempt, Outcome: o, Partial: x.partial}
 	if x.partial {
 		ev.SinceLastPart = x.entry.fleet.simulation.now - x.lastAt
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -14,6 +14,7 @@
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
+	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/silence"
 	"samphireweir.example/samphireweir/platform"
@@ -25,24 +26,43 @@
 // errUpstreamTimeout ends an attempt whose upstream was silent for the attempt's timeout.
 var errUpstreamTimeout = errors.New("timed out waiting for data from the upstream")
 
+// errNoStream ends an attempt whose upstream answers with something else than the rest of a stream.
+var errNoStream = errors.New("the upstream did not resume the stream")
+
 // errWithdrawn ends an attempt that its upstream has not started and must not start any more; see forward.Withdraw.
 var errWithdrawn = errors.New("withdrawn before the upstream started it: the request is quarantined, the engine's version is about to expire, or the engine takes far longer than predicted")
 
-// attempt is one attempt to have an upstream run a request.
+// errReplaced ends an attempt because another one of the same request went on first.
+var errReplaced = errors.New("another attempt went on first")
+
+// attempt is one attempt to have an upstream run a request. It runs in a goroutine of its own, which reads the upstream's answer and puts
+// it into the queue. The exchange takes it from there and passes it on.
 type attempt struct {
 	x        *exchange
 	decision forward.Send
+	queue    *answerQueue
+	// report reports an event to the reducers.
+	report func(step.Event)
 	// sent is set if bytes may have reached the upstream. It is known once the response's head has arrived or the attempt has failed.
 	sent   bool
 	cancel context.CancelCauseFunc
-	// silence cancels the attempt when its upstream was silent for the timeout in force.
+	// silence reports that the upstream is silent, and cancels the attempt when it is to be given up.
 	silence *silence.Watch
+	// stalled is set while the upstream is reported as silent.
+	stalled atomic.Bool
 	// createdAt is when the attempt was created. version is the version of the weights on which the upstream reports that it started the
 	// request; see markStarted.
 	createdAt time.Time
 	version   int64
+	// eventCount is the number of events read.
+	eventCount int
 	// stage is stagePending until the upstream has started the request or the attempt is withdrawn, whichever comes first.
 	stage atomic.Int32
+	// done is closed when the attempt has ended.
+	done chan struct{}
+	// replaced is set once another attempt went on first, and failed if an event is not the one that was due. Only the exchange uses them.
+	replaced bool
+	failed   error
 }
 
 // Stages of an attempt.
@@ -52,50 +72,48 @@
 	stageWithdrawn
 )
 
-// runAttempt makes one attempt and reports its outcome to the reducer. It returns true if the request ended with the attempt.
-func (x *exchange) runAttempt(e forward.Send) bool {
-	if !time.Now().Before(e.Deadline) {
-		return false // The request's deadline passed before the attempt was made; run reports that to the reducer.
-	}
+// startAttempt starts an attempt, beside others that are open.
+func (x *exchange) startAttempt(e forward.Send) {
 	// The log field entry_revision is the store revision of the upstream's registration, sends is Send.Attempt, and came_back is
 	// Send.Returning.
 	logevent.Info(x.gateway.log, logevent.RequestSent).Str("request", x.call.CallerAttemptID).Str("route", x.routeName()).Str("upstream", e.Upstream.ID).
-		Int64("entry_revision", e.Upstream.Revision.Number).Int("sends", e.Attempt).Bool("resume", e.Resume).
+		Int64("entry_revision", e.Upstream.Revision.Number).Int("sends", e.Attempt).Bool("resume", e.Resume).Bool("hedge", len(x.openAttempts()) > 0).
 		Int64("version", e.Version).Stringer("homes", e.Homes).Bool("came_back", e.Returning).Dur("waited_ms", time.Since(x.arrivedAt)).Msg("request sent")
 	x.gateway.metrics.Attempts.Add(1, x.routeName(), "", strconv.Itoa(e.Attempt))
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	a := &attempt{x: x, decision: e, cancel: cancel, createdAt: time.Now()}
-	a.silence = silence.NewWatch(e.FirstEventTimeout, func() { cancel(errUpstreamTimeout) })
+	a := &attempt{x: x, decision: e, cancel: cancel, createdAt: time.Now(), report: x.gateway.step, queue: newAnswerQueue(x.answered), done: make(chan struct{})}
+	a.silence = silence.NewWatch(e.GiveUpAfter, func() { cancel(errUpstreamTimeout) })
+	a.silence.Notify(e.FirstEventTimeout, a.reportStalled)
 	a.silence.OnLateRead(x.gateway.ownDelay.LateRead)
-	defer cancel(nil)
-	x.current.Store(a)
-	defer x.current.Store(nil)
-	outcome, err := a.do(ctx)
-	if outcome != forward.Answered && x.reservation.Evicted() {
-		x.abortEvicted()
-	}
-	if outcome != forward.Answered && x.ctx.Err() != nil {
-		// The caller left or the deadline passed; run reports to the reducer which.
-		x.unsent = !a.sent
-		return false
-	}
-	if err != nil {
-		// The log field sends is Send.Attempt.
-		logevent.Warn(x.gateway.log, logevent.AttemptFailed).Str("request", x.call.CallerAttemptID).Str("upstream", e.Upstream.ID).Int("sends", e.Attempt).
-			Str("outcome", string(outcome)).Uint64("fingerprint", x.fingerprint).Str("last_event", x.lastEventID).Bool("answering", a.sent).
-			Stringers("parts", stringers(x.call.SharedParts)).Err(err).Msg("attempt failed")
-		x.gateway.metrics.AttemptsFailed.Add(1, string(outcome))
-	}
-	if outcome == forward.Broken && !errors.Is(err, errCrashedAtEnd) { // That error is the result of such a check.
-		x.gateway.checkDown(ctx, e.Upstream) // The reducer decides on the next attempt by it.
+	x.addAttempt(a)
+	lastEventID := x.lastEventID
+	x.running.Go(func() { a.run(ctx, lastEventID) })
+}
+
+// run makes the attempt and ends its queue with the outcome.
+func (a *attempt) run(ctx context.Context, lastEventID string) {
+	defer close(a.done)
+	defer a.cancel(nil)
+	answer, outcome, err := a.do(ctx, lastEventID)
+	if outcome == forward.Broken && ctx.Err() == nil && !errors.Is(err, errCrashedAtEnd) { // That error is the result of such a check.
+		a.x.gateway.checkDown(ctx, a.decision.Upstream) // The reducer decides on the next attempt by it.
 	}
-	x.reportAttemptEnd(outcome)
-	if outcome == forward.Answered {
-		x.recordEnd("answered", "")
-		x.end.complete = true
-		return true
+	a.queue.close(attemptEnd{outcome: outcome, err: err, answer: answer})
+}
+
+// reportStalled reports to the reducer that the upstream is silent.
+func (a *attempt) reportStalled() {
+	a.stalled.Store(true)
+	a.report(forward.Stalled{ID: a.x.id, Attempt: a.decision.Attempt})
+}
+
+// progressed records that the upstream sent an event. What follows may take until the gap timeout before the upstream counts as silent again.
+func (a *attempt) progressed() {
+	a.silence.Progress(0)
+	a.silence.Notify(a.decision.GapTimeout, a.reportStalled)
+	if a.stalled.CompareAndSwap(true, false) {
+		a.report(forward.Progressed{ID: a.x.id, Attempt: a.decision.Attempt})
 	}
-	return false
 }
 
 // stringers returns a list as the type that the log takes.
@@ -107,43 +125,48 @@
 	return out
 }
 
-// do sends the request and passes the response on. It returns the attempt's outcome, and an error unless that is forward.Answered.
-func (a *attempt) do(ctx context.Context) (forward.Outcome, error) {
+// do sends the request and reads the response. It returns the answer if it was buffered, the attempt's outcome, and an error unless that is
+// forward.Answered.
+func (a *attempt) do(ctx context.Context, lastEventID string) (*response, forward.Outcome, error) {
 	defer a.silence.Stop()
 	ctx = silence.WithWatch(ctx, a.silence)
-	req, err := platform.NewUpstreamRequest(ctx, a.x.r, a.x.body, a.decision, a.x.lastEventID)
+	req, err := platform.NewUpstreamRequest(ctx, a.x.r, a.x.body, a.decision, lastEventID)
 	if err != nil {
-		return forward.NotSent, err
+		return nil, forward.NotSent, err
 	}
 	resp, err := a.x.gateway.upstreamTransport.RoundTrip(req)
 	if err != nil {
 		a.sent = a.silence.Abandon()
-		return a.outcomeOf(ctx, err), err
+		return nil, a.outcomeOf(ctx, err), err
 	}
 	a.sent = true
 	defer func() { _ = resp.Body.Close() }()
 	head := platform.ReadResponseHead(resp, a.x.call.CallerAttemptID)
 	a.version = head.Version
-	a.x.gateway.step(forward.AnswerHeadReceived{Upstream: a.decision.Upstream.Instance(), Sent: a.createdAt, Outcome: head.Outcome, Notice: head.Notice})
+	a.report(forward.AnswerHeadReceived{Upstream: a.decision.Upstream.Instance(), Sent: a.createdAt, Outcome: head.Outcome, Notice: head.Notice})
+	var answer *response
 	switch {
 	case head.Outcome == forward.ServerFailed:
 		return a.readFailure(ctx, resp, head)
 	case head.Outcome != forward.Answered:
-		return head.Outcome, errors.New(head.Problem)
+		return nil, head.Outcome, errors.New(head.Problem)
 	case a.isStream(resp):
-		err = a.copyStream(ctx, resp, head.Header)
+		err = a.readStream(ctx, resp, head.Header)
+	case a.decision.Resume:
+		err = errNoStream
 	default:
-		err = a.copyBuffered(ctx, resp, head.Header)
+		answer, err = a.readBuffered(ctx, resp, head.Header)
 	}
 	if err != nil {
-		return a.outcomeOf(ctx, err), err
+		return nil, a.outcomeOf(ctx, err), err
 	}
-	return forward.Answered, nil
+	return answer, forward.Answered, nil
 }
 
 // outcomeOf classifies an attempt that ended with an error.
 func (a *attempt) outcomeOf(ctx context.Context, err error) forward.Outcome {
-	isWithdrawn := errors.Is(context.Cause(ctx), errWithdrawn) || errors.Is(err, errWithdrawn)
+	cause := context.Cause(ctx)
+	isWithdrawn := errors.Is(cause, errWithdrawn) || errors.Is(cause, errReplaced) || errors.Is(err, errWithdrawn)
 	switch {
 	case isWithdrawn && !a.sent:
 		return forward.Unsent
@@ -151,7 +174,7 @@
 		return forward.Withdrawn
 	case !a.sent:
 		return forward.NotSent
-	case errors.Is(context.Cause(ctx), errUpstreamTimeout), errors.Is(err, errUpstreamTimeout):
+	case errors.Is(cause, errUpstreamTimeout), errors.Is(err, errUpstreamTimeout):
 		return forward.Silent
 	}
 	return forward.Broken
@@ -163,16 +186,17 @@
 	if !a.stage.CompareAndSwap(stagePending, stageStarted) {
 		return a.stage.Load() == stageStarted
 	}
-	a.x.startedVersion = a.version
 	a.x.gateway.metrics.UpstreamFirstByte.Observe(time.Since(a.createdAt), a.x.routeName(), "", "")
-	a.x.gateway.step(forward.Started{ID: a.x.id, Version: a.version})
+	a.report(forward.Started{ID: a.x.id, Attempt: a.decision.Attempt, Version: a.version})
 	return true
 }
 
-// withdraw cancels the current attempt if its number is e.Attempt and its upstream has not started it.
+// withdraw cancels an attempt unless its upstream has started it.
 func (x *exchange) withdraw(e forward.Withdraw) {
-	if a := x.current.Load(); a != nil && a.decision.Attempt == e.Attempt && a.stage.CompareAndSwap(stagePending, stageWithdrawn) {
-		a.cancel(errWithdrawn)
+	for _, a := range x.openAttempts() {
+		if a.decision.Attempt == e.Attempt && a.stage.CompareAndSwap(stagePending, stageWithdrawn) {
+			a.cancel(errWithdrawn)
+		}
 	}
 }
 
@@ -182,91 +206,73 @@
 }
 
 // readFailure buffers an upstream's own failure, so that it can be passed on if no other upstream is tried.
-func (a *attempt) readFailure(ctx context.Context, resp *http.Response, head platform.ResponseHead) (forward.Outcome, error) {
+func (a *attempt) readFailure(ctx context.Context, resp *http.Response, head platform.ResponseHead) (*response, forward.Outcome, error) {
 	body, err := a.readAll(ctx, resp)
 	if err != nil {
-		return a.outcomeOf(ctx, err), errors.Wrap(err, "reading the upstream's error response")
+		return nil, a.outcomeOf(ctx, err), errors.Wrap(err, "reading the upstream's error response")
 	}
-	a.x.upstreamFailure = &response{status: resp.StatusCode, header: head.Header, body: body}
-	return forward.ServerFailed, errors.New(head.Problem)
+	return &response{status: resp.StatusCode, header: head.Header, body: body}, forward.ServerFailed, errors.New(head.Problem)
 }
 
-// copyBuffered reads a complete response before it passes any of it on, so that another attempt can replace one that breaks off.
-func (a *attempt) copyBuffered(ctx context.Context, resp *http.Response, header http.Header) error {
+// readBuffered reads a complete response before any of it is passed on, so that another attempt can replace one that breaks off.
+func (a *attempt) readBuffered(ctx context.Context, resp *http.Response, header http.Header) (*response, error) {
 	if !a.markStarted() {
-		return errWithdrawn
+		return nil, errWithdrawn
 	}
 	body, err := a.readAll(ctx, resp)
 	if err != nil {
-		return errors.Wrap(err, "reading the upstream's response")
+		return nil, errors.Wrap(err, "reading the upstream's response")
 	}
 	a.silence.Stop()
 	if err := a.confirmEnd(ctx, resp, true); err != nil {
-		return err
+		return nil, err
 	}
 	if a.x.r.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	a.x.writeResponse(&response{status: resp.StatusCode, header: header, body: body})
-	return nil
+	return &response{status: resp.StatusCode, header: header, body: body}, nil
 }
 
 func (a *attempt) readAll(ctx context.Context, resp *http.Response) ([]byte, error) {
 	return io.ReadAll(accountedResponse(ctx, io.LimitReader(resp.Body, maxBufferedResponse), a.x.reservation))
 }
 
-// copyStream passes on the events of a stream as they arrive, each one complete.
-func (a *attempt) copyStream(ctx context.Context, resp *http.Response, header http.Header) error {
-	events := newEventQueue()
-	go a.readEvents(ctx, resp.Body, events)
-	callerConn := http.NewResponseController(a.x.w)
+// readStream reads a stream to its end as fast as it arrives, however slowly the caller reads. It stops when the attempt's context ends, since
+// that ends the response body.
+func (a *attempt) readStream(ctx context.Context, resp *http.Response, header http.Header) error {
+	header.Del("Content-Length") // The rest of the stream may come from another upstream.
+	a.queue.setHead(resp.StatusCode, header)
+	if err := a.readEvents(ctx, resp.Body); !errors.Is(err, io.EOF) {
+		return errors.Wrap(err, "reading the upstream's stream")
+	}
+	return a.confirmEnd(ctx, resp, a.decision.Resume || a.eventCount > 0)
+}
+
+// readEvents reads the events of a stream until an error, which is io.EOF at its end.
+func (a *attempt) readEvents(ctx context.Context, body io.Reader) error {
+	defer a.silence.Stop()
+	events := newEventReader(body)
 	for {
-		ev, err := events.pop()
-		if errors.Is(err, io.EOF) {
-			if err := a.confirmEnd(ctx, resp, a.x.headerSent); err != nil {
-				return err
-			}
-			a.x.writeHeader(resp.StatusCode, header)
-			return nil
-		}
+		e, err := events.next()
 		if err != nil {
-			return errors.Wrap(err, "reading the upstream's stream")
-		}
-		if !a.markStarted() {
-			return errWithdrawn
-		}
-		if err := a.x.checkEventOrder(ev); err != nil {
 			return err
 		}
-		a.x.timing.recordRead(ev.readAt)
-		header.Del("Content-Length") // The rest of the stream may come from another upstream.
-		a.x.writeHeader(resp.StatusCode, header)
-		writeStart := time.Now()
-		if _, err := a.x.w.Write(ev.raw); err != nil {
-			return errors.Wrap(err, "writing to the caller")
-		}
-		if err := callerConn.Flush(); err != nil {
-			return errors.Wrap(err, "writing to the caller")
-		}
-		a.x.reservation.Shrink(len(ev.raw))
-		a.x.lastWriteAt = time.Now()
-		a.x.timing.recordWrite(a.x.lastWriteAt.Sub(writeStart))
-		if ev.id != "" {
-			a.x.lastEventID = ev.id
+		if err := a.readEvent(ctx, e); err != nil {
+			return err
 		}
 	}
 }
 
-// checkEventOrder returns an error if ev does not directly follow the last event passed on: a stream that skips or repeats an event is
-// broken.
-func (x *exchange) checkEventOrder(ev event) error {
-	if x.lastEventID == "" || ev.id == "" {
-		return nil
+// readEvent puts an event into the queue once there is memory for it.
+func (a *attempt) readEvent(ctx context.Context, e event) error {
+	a.progressed()
+	if !a.markStarted() {
+		return errWithdrawn
 	}
-	last, errLast := strconv.ParseInt(x.lastEventID, 10, 64)
-	id, errID := strconv.ParseInt(ev.id, 10, 64)
-	if errLast != nil || errID != nil || id != last+1 {
-		return errors.Errorf("event %q does not follow event %q", ev.id, x.lastEventID)
+	a.eventCount++
+	if err := growWhenFree(ctx, a.x.reservation, len(e.raw)); err != nil {
+		return err
 	}
+	a.queue.push(e)
 	return nil
 }
--- a/internal/gateway/buffering.go
+++ b/internal/gateway/buffering.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -76,69 +75,3 @@
 		}
 	}
 }
-
-// eventQueue holds the events of a stream that were read but not yet passed on, so that the upstream is read at full speed however slowly
-// the caller reads.
-type eventQueue struct {
-	mu     sync.Mutex
-	events []event
-	// err is returned after the last event; it is io.EOF for a complete stream.
-	err error
-	// added holds a token when an event or the end was added.
-	added chan struct{}
-}
-
-func newEventQueue() *eventQueue { return &eventQueue{added: make(chan struct{}, 1)} }
-
-func (q *eventQueue) push(e event) { q.add(func() { q.events = append(q.events, e) }) }
-
-// close ends the queue with err after the events it holds.
-func (q *eventQueue) close(err error) { q.add(func() { q.err = err }) }
-
-func (q *eventQueue) add(change func()) {
-	q.mu.Lock()
-	change()
-	q.mu.Unlock()
-	select {
-	case q.added <- struct{}{}:
-	default:
-	}
-}
-
-// pop waits for the next event and returns it, or the error that ended the queue.
-func (q *eventQueue) pop() (event, error) {
-	for {
-		q.mu.Lock()
-		if len(q.events) > 0 {
-			e := q.events[0]
-			q.events = q.events[1:]
-			q.mu.Unlock()
-			return e, nil
-		}
-		err := q.err
-		q.mu.Unlock()
-		if err != nil {
-			return event{}, err
-		}
-		<-q.added
-	}
-}
-
-// readEvents reads a stream to its end as fast as it arrives. It stops when the attempt's context ends, since that ends the response body.
-func (a *attempt) readEvents(ctx context.Context, body io.Reader, q *eventQueue) {
-	events := newEventReader(body)
-	for {
-		e, err := events.next()
-		if err != nil {
-			a.silence.Stop()
-			q.close(err)
-			return
-		}
-		a.silence.Progress(a.decision.GapTimeout)
-		if err := growWhenFree(ctx, a.x.reservation, len(e.raw)); err != nil {
-			q.close(err)
-			return
-		}
-		q.push(e)
-	}
-}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,9 +59,15 @@
 	headerSent  bool
 	firstByteAt time.Time
 	lastWriteAt time.Time
-	// current is the attempt in progress, nil between two attempts.
-	current atomic.Pointer[attempt]
-	// unsent is true while nothing can have reached an upstream since the outcome of the last attempt was reported to the reducer.
+	// mu guards open, the attempts that have not ended.
+	mu   sync.Mutex
+	open []*attempt
+	// answered gets a token when something was added to the queue of an attempt, and running counts the goroutines of attempts.
+	answered chan struct{}
+	running  sync.WaitGroup
+	// timedOut is set once the deadline was reported to the reducer.
+	timedOut bool
+	// unsent is true while no attempt can have reached an upstream since the deadline passed; see handleDone.
 	unsent bool
 	// startedVersion is the version of the weights on which an upstream last started the request; 0 if none started it or that upstream
 	// does not report a version.
@@ -87,7 +93,7 @@
 	call := platform.ReadCallerRequest(r)
 	return &exchange{
 		gateway: g, id: g.nextID.Add(1), call: call, w: w, r: r, reservation: g.openReservation(w, call.APIKey),
-		arrivedAt: arrivedAt, effects: make(chan step.Effect, maxEffects), ctx: r.Context(), cancel: func() {}, unsent: true,
+		arrivedAt: arrivedAt, effects: make(chan step.Effect, maxEffects), answered: make(chan struct{}, 1), ctx: r.Context(), cancel: func() {},
 	}
 }
 
@@ -128,7 +134,7 @@
 
 // run carries out the reducer's decisions on the request until the request ends.
 func (x *exchange) run() {
-	defer func() { x.cancel() }()
+	defer x.endAttempts()
 	x.fingerprint = fingerprint(x.r, x.call.APIKey, x.body)
 	if x.call.MalformedParts {
 		x.gateway.logMalformedParts(x.call.CallerAttemptID)
@@ -144,6 +150,10 @@
 			if x.execute(e) {
 				return
 			}
+		case <-x.answered:
+			if x.takeAnswers() {
+				return
+			}
 		case <-x.ctx.Done():
 			if x.handleDone() {
 				return
@@ -174,11 +184,25 @@
 		x.endIncomplete(callerLeft, "")
 		return true
 	}
-	x.ctx = context.WithoutCancel(x.r.Context())
+	x.unsent = true
+	for _, a := range x.openAttempts() {
+		<-a.done
+		x.unsent = x.unsent && !a.sent
+	}
+	if x.takeAnswers() {
+		return true // The answer was there in time.
+	}
+	x.ctx, x.timedOut = context.WithoutCancel(x.r.Context()), true
 	x.gateway.step(forward.TimedOut{ID: x.id, Partial: x.headerSent, Unsent: x.unsent})
 	return false
 }
 
+// endAttempts cancels the open attempts and waits for their goroutines.
+func (x *exchange) endAttempts() {
+	x.cancel()
+	x.running.Wait()
+}
+
 // execute carries out one effect and reports whether it ended the request.
 func (x *exchange) execute(e step.Effect) bool {
 	switch e := e.(type) {
@@ -186,7 +210,9 @@
 		x.accepted = e
 		x.ctx, x.cancel = context.WithDeadline(x.r.Context(), e.Deadline)
 	case forward.Send:
-		return x.runAttempt(e)
+		if time.Now().Before(e.Deadline) { // Otherwise run reports to the reducer that the deadline passed.
+			x.startAttempt(e)
+		}
 	case forward.Refuse:
 		x.refuse(e)
 		return true
@@ -311,16 +337,3 @@
 	}
 	return x.accepted.Route.Name
 }
-
-// reportAttemptEnd reports the outcome of an attempt to the reducer.
-func (x *exchange) reportAttemptEnd(outcome forward.Outcome) {
-	attemptEnd := forward.AttemptEnded{ID: x.id, Outcome: outcome, Partial: x.headerSent}
-	if x.headerSent {
-		attemptEnd.SinceLastPart = time.Since(x.lastWriteAt)
-	}
-	if outcome == forward.Answered && x.current.Load() != nil && x.current.Load().decision.Attempt == 1 {
-		attemptEnd.MaxGap = x.timing.maxUpstreamGap
-	}
-	x.unsent = true
-	x.gateway.step(attemptEnd)
-}
--- a/internal/silence/conn.go
+++ b/internal/silence/conn.go
@@ -60,7 +60,9 @@
 			return n, err
 		}
 		w := c.endedSlice()
-		if !w.countSlice() {
+		over := w.countSlice()
+		w.takeNotice()
+		if !over {
 			continue
 		}
 		n, err = c.lastLook(p)
--- a/internal/silence/silence_test.go
+++ b/internal/silence/silence_test.go
@@ -330,3 +330,42 @@
 	require.NoError(t, call("/"))
 	require.ErrorIs(t, call("/silent"), ErrSilent)
 }
+
+// TestNoticeOfSilenceEndsNothing guards against a connection that is given up when its silence is only to be reported, a notice that comes late
+// or twice, and a limit that a notice moves.
+func TestNoticeOfSilenceEndsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const notice = 1500 * time.Millisecond
+		local, remote, w, silences := newWatchedPipe(t)
+		startedAt := time.Now()
+		var noticedAt []time.Duration
+		w.Notify(notice, func() { noticedAt = append(noticedAt, time.Since(startedAt)) })
+		time.AfterFunc(testLimit-100*time.Millisecond, func() { _, _ = remote.Write([]byte("data")) })
+		got, err := read(local)
+		require.NoError(t, err)
+		require.Equal(t, "data", got)
+		require.Equal(t, []time.Duration{notice}, noticedAt)
+		w.Progress(testLimit)
+		again := time.Now()
+		_, err = read(local)
+		require.ErrorIs(t, err, ErrSilent)
+		require.Len(t, noticedAt, 2, "once more after a progress")
+		require.Equal(t, testLimit+lastLookTimeout, time.Since(again))
+		require.Equal(t, 1, *silences)
+	})
+}
+
+// TestNoticeWithoutLimit guards against a read without a limit that is never reported as silent, or is given up.
+func TestNoticeWithoutLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		local, remote, w, silences := newWatchedPipe(t)
+		w.Progress(0)
+		notices := 0
+		w.Notify(time.Second, func() { notices++ })
+		time.AfterFunc(time.Hour, func() { _, _ = remote.Write([]byte("data")) })
+		_, err := read(local)
+		require.NoError(t, err)
+		require.Equal(t, 1, notices)
+		require.Zero(t, *silences)
+	})
+}
--- a/internal/silence/watch.go
+++ b/internal/silence/watch.go
@@ -24,6 +24,11 @@
 	giveUp func()
 	// silent is the silence counted since the last progress.
 	silent time.Duration
+	// notice is the silence after which onNotice is called, once until the next progress; 0 for never. The Watch goes on. noticed is set once
+	// it was called.
+	notice   time.Duration
+	onNotice func()
+	noticed  bool
 	// conn is the connection of the call, nil before it is known and after Stop.
 	conn *Conn
 	// sent is set once something may have been sent on the connection.
@@ -75,9 +80,18 @@
 	defer w.mu.Unlock()
 	w.limit = limit
 	w.silent = 0
+	w.noticed = false
 	w.giveUp = nil
 }
 
+// Notify sets a function that is called once the other side was silent for d since the last progress; 0 for never. It is called at most once
+// until the next progress, before the read that found the silence goes on. Unlike the limit, it ends nothing.
+func (w *Watch) Notify(d time.Duration, onNotice func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.notice, w.onNotice, w.noticed = d, onNotice, false
+}
+
 // Silence returns the silence counted since the last progress. It reports false while the Watch is attached to no connection.
 func (w *Watch) Silence() (silent time.Duration, attached bool) {
 	if w == nil {
@@ -147,12 +161,20 @@
 	return w.sliceLength()
 }
 
-// sliceLength returns the length of a slice; 0 means without a limit. The caller holds mu.
+// sliceLength returns the length of a slice; 0 means without a limit. The caller holds mu. A notice that is still to be given has slices of its
+// own length, and the last slice before the limit ends with it.
 func (w *Watch) sliceLength() time.Duration {
-	if w.counterSlice > 0 {
+	switch {
+	case w.counterSlice > 0:
 		return w.counterSlice
+	case w.notice <= 0:
+		return w.limit / slicesPerLimit
+	case w.limit <= 0 && w.noticed:
+		return 0
+	case w.limit <= 0:
+		return w.notice / slicesPerLimit
 	}
-	return w.limit / slicesPerLimit
+	return max(minSlice, min(w.notice/slicesPerLimit, w.limit-w.silent))
 }
 
 // countSlice counts a slice in which a read found nothing, and reports whether the limit is reached. Before something was sent, nothing counts:
@@ -170,6 +192,21 @@
 	return w.overLimit()
 }
 
+// takeNotice calls the function of Notify if the silence counted has reached its time. It is called at the end of a slice.
+func (w *Watch) takeNotice() {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	due := !w.stopped && !w.noticed && w.notice > 0 && w.silent >= w.notice/slicesPerLimit*slicesPerLimit
+	onNotice := w.onNotice
+	w.noticed = w.noticed || due
+	w.mu.Unlock()
+	if due {
+		onNotice()
+	}
+}
+
 // overLimit reports whether the silence counted has reached the limit, or a counter is to give up. The caller holds mu.
 func (w *Watch) overLimit() bool {
 	if w.counterSlice > 0 {
@@ -179,6 +216,9 @@
 	return !w.stopped && slice > 0 && w.silent >= slice*slicesPerLimit
 }
 
+// minSlice is the shortest slice of a Watch with a notice. Without it, the rest of a limit could be arbitrarily short.
+const minSlice = 10 * time.Millisecond
+
 // expire calls onSilent if the limit is still reached, and reports whether it did so. Progress may have been recorded, or the Watch stopped,
 // since the limit was found reached.
 func (w *Watch) expire() bool {
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -47,6 +47,8 @@
 		"Attempts that ended without an answer, by result code."}
 	answersIncompleteDefinition = Definition{"samphireweir_answers_incomplete_total", CounterKind, []string{"cause"},
 		"Requests that ended without a complete answer, that is with neither an upstream's whole answer nor a refusal, by cause; see event 4025."}
+	hedgesDefinition = Definition{"samphireweir_hedges_total", CounterKind, []string{"won"},
+		"Requests that were with two upstreams since the first was silent, by which of the two went on first: first or second."}
 	upstreamCrashesDefinition = Definition{"samphireweir_upstream_crashes_total", CounterKind, nil,
 		"Upstreams that were found down shortly after attempts of this entry's requests broke there."}
 	partsQuarantinedDefinition = Definition{"samphireweir_quarantined_parts", GaugeKind, nil,
@@ -113,7 +115,7 @@
 // Catalogue lists every metric, in the order of docs/METRICS.md.
 var Catalogue = []Definition{
 	requestsDefinition, refusalsDefinition, inFlightDefinition, waitingDefinition, yieldedDefinition, firstByteDefinition, totalDefinition,
-	attemptsDefinition, attemptsFailedDefinition, answersIncompleteDefinition, upstreamCrashesDefinition, partsQuarantinedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, movedRequestsDefinition, secondAttemptsDefinition, limitsLoweredDefinition,
+	attemptsDefinition, attemptsFailedDefinition, answersIncompleteDefinition, hedgesDefinition, upstreamCrashesDefinition, partsQuarantinedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, movedRequestsDefinition, secondAttemptsDefinition, limitsLoweredDefinition,
 	waitDecisionsDefinition, predictedWaitDefinition, waitingForEndDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, versionsDefinition, engineReadyDefinition, settingsDefinition,
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -16,7 +16,7 @@
 	Waiting, Yielded                          Counter
 	FirstByte, Total                          Histogram
 	Attempts, AttemptsFailed, UpstreamCrashes Counter
-	AnswersIncomplete, UpstreamCalls          Counter
+	AnswersIncomplete, Hedges, UpstreamCalls  Counter
 	UpstreamFirstByte                         Histogram
 	PartsQuarantined                          Counter
 	StartedLate, RunsRefused, UpstreamNotices Counter
@@ -49,6 +49,7 @@
 	m.Attempts = m.counter(attemptsDefinition)
 	m.AttemptsFailed = m.counter(attemptsFailedDefinition)
 	m.AnswersIncomplete = m.counter(answersIncompleteDefinition)
+	m.Hedges = m.counter(hedgesDefinition)
 	m.UpstreamCrashes = m.counter(upstreamCrashesDefinition)
 	m.PartsQuarantined = m.counter(partsQuarantinedDefinition)
 	m.UpstreamCalls = m.counter(upstreamCallsDefinition)
