gateway, forward: the second attempt at a begun stream resumes it

Cause: the reducer learns with the end of an attempt that a part was passed on, and a hedge is sent before that; it was sent as a first attempt, with the time left until a caller without any event would leave. Change: the report of the silence says it, and what was received is passed on before the second attempt is started. TestSilentStreamIsResumedElsewhere failed before (unexpected EOF after 4.3 s).

--- a/internal/core/forward/hedge.go
+++ b/internal/core/forward/hedge.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/step"
@@ -17,6 +18,10 @@
 type Stalled struct {
 	ID      uint64
 	Attempt int
+	// Partial is set if part of an answer was received, in this attempt or before, and SinceLastPart is the time since the last part. The
+	// shell passes it on before it carries out any effect of this event.
+	Partial       bool
+	SinceLastPart time.Duration
 }
 
 // Progressed is the event that an upstream went on with an attempt that had stalled.
@@ -43,6 +48,9 @@
 			s.loadState(r.instance).noteStalled(in.Now)
 		}
 	})
+	if ev.Partial {
+		r.partial, r.progressAt = true, in.Now.Add(-ev.SinceLastPart)
+	}
 	return s.hedge(in, r)
 }
 
--- a/internal/core/forward/hedge_test.go
+++ b/internal/core/forward/hedge_test.go
@@ -53,6 +53,17 @@
 	require.Empty(t, r.stall(1, 2), "no third upstream while two attempts are open")
 }
 
+// TestHedgeOfBegunStreamResumesIt guards against a second attempt that begins an answer anew of which a part was passed on, or that is given up
+// because its caller has waited for long before.
+func TestHedgeOfBegunStreamResumesIt(t *testing.T) {
+	r := newTimeoutRig()
+	only[forward.Send](t, r.arrive(1, resumableStream))
+	r.now = 4 * time.Second
+	second := only[forward.Send](t, r.step(forward.Stalled{ID: 1, Attempt: 1, Partial: true, SinceLastPart: 1200 * time.Millisecond}))
+	require.True(t, second.Resume)
+	require.Zero(t, second.GiveUpAfter)
+}
+
 // TestEitherOfTwoAttemptsMayAnswer guards against resources that stay taken at the upstream whose attempt was cancelled, and against a request
 // that ends with it.
 func TestEitherOfTwoAttemptsMayAnswer(t *testing.T) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,8 +54,9 @@
 	// request; see markStarted.
 	createdAt time.Time
 	version   int64
-	// eventCount is the number of events read.
+	// eventCount is the number of events read, and lastReadAt when the last one was.
 	eventCount int
+	lastReadAt time.Time
 	// stage is stagePending until the upstream has started the request or the attempt is withdrawn, whichever comes first.
 	stage atomic.Int32
 	// done is closed when the attempt has ended.
@@ -104,7 +105,11 @@
 // reportStalled reports to the reducer that the upstream is silent.
 func (a *attempt) reportStalled() {
 	a.stalled.Store(true)
-	a.report(forward.Stalled{ID: a.x.id, Attempt: a.decision.Attempt})
+	ev := forward.Stalled{ID: a.x.id, Attempt: a.decision.Attempt, Partial: a.decision.Resume || a.eventCount > 0}
+	if a.eventCount > 0 {
+		ev.SinceLastPart = time.Since(a.lastReadAt)
+	}
+	a.report(ev)
 }
 
 // progressed records that the upstream sent an event. What follows may take until the gap timeout before the upstream counts as silent again.
@@ -270,6 +275,7 @@
 		return errWithdrawn
 	}
 	a.eventCount++
+	a.lastReadAt = e.readAt
 	if err := growWhenFree(ctx, a.x.reservation, len(e.raw)); err != nil {
 		return err
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -210,6 +210,9 @@
 		x.accepted = e
 		x.ctx, x.cancel = context.WithDeadline(x.r.Context(), e.Deadline)
 	case forward.Send:
+		if x.takeAnswers() { // What was received before is passed on first, so that the attempt resumes after it.
+			return true
+		}
 		if time.Now().Before(e.Deadline) { // Otherwise run reports to the reducer that the deadline passed.
 			x.startAttempt(e)
 		}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -39,3 +39,25 @@
 		})
 	}
 }
+
+// TestSilentStreamIsResumedElsewhere guards against a stream that waits for a dead engine while another one has capacity, and against events
+// that are missing or double where it goes on.
+func TestSilentStreamIsResumedElsewhere(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	first := fleet.AddEngine("i-1", standin.NextIP(), 1)
+	e := start(t, fleet)
+	first.EventInterval = time.Minute
+	reply := make(chan standin.Reply, 1)
+	sentAt := time.Now()
+	go func() { reply <- e.Post("/stream/1") }()
+	require.Eventually(t, func() bool { return first.LastRun() != nil }, testTimeout, pollInterval)
+	second := fleet.AddEngine("i-2", standin.NextIP(), 1)
+	time.AfterFunc(2300*time.Millisecond, second.Hold()) // A caller without any event would have left by then.
+	r := <-reply
+	require.NoError(t, r.Err)
+	require.Equal(t, streamBody(second.Events), r.Body)
+	require.Equal(t, "1", second.LastRun().Header.Get("Last-Event-Id"))
+	require.Less(t, time.Since(sentAt), 3200*time.Millisecond, "the hold and the rest of the answer")
+	require.Eventually(t, func() bool { return first.CancelledRuns() == 1 }, testTimeout, pollInterval)
+}
