silence, forward, gateway: connecting to a silent upstream goes on while nothing replaces it

What callers saw: 503 (2003) after 0.4 s from the only upstream of a service, which accepted no connection for most of a second and went on. Cause: as for answers, the limit for connecting ended the attempt before another upstream was looked for. Evidence: TestUpstreamThatAcceptsLateIsWaitedFor and TestCallThatRunsOnceLeavesAnUpstreamThatDoesNotAccept both failed before (503). Why it works: at 0.4 s the entry looks for another upstream and goes on connecting, up to 1.6 s. One that is found replaces the attempt only if nothing was sent (Watch.ForbidSend is atomic with the first write), so that calls that run once can move as well. A connection that is not made in time is an outcome of its own: unlike a refused one, it is no sign that the upstream crashed.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -52,10 +52,12 @@
 	Answered Outcome = "answered"
 	// ServerFailed: the upstream answered with an error of its own; it ran the request.
 	ServerFailed Outcome = "failed by the upstream"
-	// NotSent: no connection was made, so nothing reached the upstream.
+	// NotSent: the connection was refused, so nothing reached the upstream.
 	NotSent Outcome = "not sent"
 	// Declined: the upstream says that it did not run the request.
 	Declined Outcome = "declined"
+	// Unconnected: no connection was made in time, so nothing reached the upstream. It may be silent, or its host unreachable.
+	Unconnected Outcome = "not connected"
 	// Misdirected: another upstream has the address, or this one holds another version of the weights than the attempt required. The
 	// request did not run.
 	Misdirected Outcome = "misdirected"
@@ -76,7 +78,7 @@
 }
 
 // sent reports whether any part of an attempt with this outcome may have reached its upstream.
-func (o Outcome) sent() bool { return o != NotSent && o != Unsent }
+func (o Outcome) sent() bool { return o != NotSent && o != Unconnected && o != Unsent }
 
 // Arrived is the event that a caller's request was read.
 type Arrived struct {
@@ -225,6 +227,9 @@
 	Resume bool
 	// Returning is set if the caller was probably refused before; see callerTimeouts.
 	Returning bool
+	// Replaces is the number of an open attempt that has no connection yet and is ended by this one; 0 for none. If something of it may have
+	// been sent, this attempt is not made, and ends as Unsent.
+	Replaces int
 	// Moved is set if the plan across data centres named the upstream's data centre for this first attempt, instead of this entry's own.
 	Moved bool
 }
--- a/internal/core/forward/hedge.go
+++ b/internal/core/forward/hedge.go
@@ -22,6 +22,8 @@
 	// shell passes it on before it carries out any effect of this event.
 	Partial       bool
 	SinceLastPart time.Duration
+	// Unsent is set if there is no connection to the upstream yet.
+	Unsent bool
 }
 
 // Progressed is the event that an upstream went on with an attempt that had stalled.
@@ -44,7 +46,7 @@
 	}
 	r.withAttempt(ev.Attempt, func() {
 		if r.isOpen() {
-			r.stalled = true
+			r.stalled, r.unsent = true, ev.Unsent
 			s.loadState(r.instance).noteStalled(in.Now)
 		}
 	})
@@ -86,19 +88,40 @@
 	if _, forbidden := s.refreshAndCheck(in, r); forbidden {
 		return nil
 	}
-	s.retryBudget(r.service).addRetry(in.Now)
 	first := r.placement
+	if !first.unsent {
+		s.retryBudget(r.service).addRetry(in.Now)
+	}
 	r.beside = &first
 	r.placement = placement{speed: requestSpeed{second: first.speed.second}}
-	return s.send(in, r, u)
+	effects := s.send(in, r, u)
+	if first.unsent {
+		return replacing(effects, first.number)
+	}
+	return effects
 }
 
-// mayHedge reports whether the request may be at a second upstream while it is with the first, which may run it.
+// replacing lets the Send among effects replace an attempt of which nothing was sent.
+func replacing(effects []step.Effect, number int) []step.Effect {
+	for i, e := range effects {
+		if send, ok := e.(Send); ok {
+			send.Replaces = number
+			effects[i] = send
+		}
+	}
+	return effects
+}
+
+// mayHedge reports whether the request may be at a second upstream while it is with the first, which may run it. If nothing of the first
+// attempt was sent, the second one replaces it, as a retry does.
 func (s *State) mayHedge(in step.Input, r *request) bool {
-	if !r.stalled || !r.isOpen() || r.beside != nil || r.speed.second.withdrawing || r.trial || !r.route.Repeatable() {
+	if !r.stalled || !r.isOpen() || r.beside != nil || r.speed.second.withdrawing || r.trial {
 		return false
 	}
-	if r.possibleRuns+1 >= r.route.MaxUpstreams || r.attempts >= maxAttempts || r.deadline.Sub(in.Now) < minAttemptTime {
+	if r.unsent {
+		return s.mayRetry(in, r, Unsent)
+	}
+	if !r.route.Repeatable() || r.possibleRuns+1 >= r.route.MaxUpstreams || r.attempts >= maxAttempts || r.deadline.Sub(in.Now) < minAttemptTime {
 		return false
 	}
 	return s.retryBudget(r.service).allows(in.Now, s.Self.Retries, s.recentEntries.value())
--- a/internal/core/forward/hedge_test.go
+++ b/internal/core/forward/hedge_test.go
@@ -180,3 +180,37 @@
 	only[forward.Send](t, r.arrive(2, idempotentCall))
 	only[forward.Send](t, r.arrive(3, idempotentCall))
 }
+
+// TestUnsentAttemptIsReplaced guards against a wait for an upstream that accepts no connection while another one has capacity, against a
+// refusal while there is none, and against a retry that is counted though nothing was sent.
+func TestUnsentAttemptIsReplaced(t *testing.T) {
+	for _, path := range []string{idempotentCall, nonIdempotentCall} {
+		r := newRig()
+		r.state.Self.Retries = hostconfig.RetryBudget{Window: 10 * time.Second}
+		r.add("d1", "desk", "perth-a", 1)
+		only[forward.Send](t, r.arrive(1, path))
+		r.now = 400 * time.Millisecond
+		require.Empty(t, r.step(forward.Stalled{ID: 1, Attempt: 1, Unsent: true}))
+		r.add("d2", "desk", "perth-a", 1)
+		r.now += 200 * time.Millisecond
+		second := only[forward.Send](t, r.step(step.Tick{}))
+		require.Equal(t, 1, second.Replaces)
+		require.Equal(t, "d2", second.Upstream.ID)
+		require.Empty(t, r.step(forward.AttemptEnded{ID: 1, Attempt: 1, Outcome: forward.Unsent}))
+		require.Empty(t, r.step(forward.AttemptEnded{ID: 1, Attempt: 2, Outcome: forward.Answered}))
+		require.Zero(t, r.state.InFlight())
+	}
+}
+
+// TestSentAttemptIsNotReplaced guards against the end of a request whose connection was made just before it was to be replaced.
+func TestSentAttemptIsNotReplaced(t *testing.T) {
+	r := newRig()
+	r.add("d1", "desk", "perth-a", 1)
+	r.add("d2", "desk", "perth-a", 1)
+	only[forward.Send](t, r.arrive(1, nonIdempotentCall))
+	only[forward.Send](t, r.step(forward.Stalled{ID: 1, Attempt: 1, Unsent: true}))
+	require.Empty(t, r.step(forward.AttemptEnded{ID: 1, Attempt: 2, Outcome: forward.Unsent}))
+	require.Equal(t, 1, r.state.InFlight())
+	refusal := only[forward.Refuse](t, r.step(forward.AttemptEnded{ID: 1, Attempt: 1, Outcome: forward.Broken}))
+	require.Equal(t, code.Unknown, refusal.Ran)
+}
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -85,7 +85,7 @@
 	if o == Withdrawn || o == Unsent {
 		return // The outcome says nothing about the upstream.
 	}
-	l.unanswered = o == Silent || o == NotSent
+	l.unanswered = o == Silent || o == NotSent || o == Unconnected
 	switch o {
 	case Answered:
 		l.failures, l.avoidDuration = 0, 0
@@ -97,7 +97,7 @@
 			return
 		}
 		l.failures = failuresToAvoid
-	case NotSent, Misdirected:
+	case NotSent, Unconnected, Misdirected:
 		// Nothing listens there, another upstream has the address, or the network path is blocked. One such outcome, like the silence of
 		// an upstream that answers nothing, counts like failuresToAvoid consecutive failures. A misdirected attempt that required a version may also mean that this upstream holds
 		// another version. It is not recorded at all; see release.
--- a/internal/core/forward/placement.go
+++ b/internal/core/forward/placement.go
@@ -24,6 +24,8 @@
 	speed   requestSpeed
 	// stalled is set while the upstream sends nothing of the attempt, from the attempt's timeout on.
 	stalled bool
+	// unsent is set while it stalls without a connection.
+	unsent bool
 }
 
 // withAttempt calls f with an open attempt of the request as its newest one. A number that is not that of the attempt beside the newest one
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -112,7 +112,7 @@
 	v := s.view(u)
 	s.noteSending(in.Now, r, v)
 	r.attempts++
-	r.number, r.instance, r.sentAt, r.stalled = r.attempts, u.Instance(), in.Now, false
+	r.number, r.instance, r.sentAt, r.stalled, r.unsent = r.attempts, u.Instance(), in.Now, false, false
 	r.tried[r.instance] = true
 	s.Parts.Sent(r.attempt())
 	s.loadState(r.instance).inFlight++
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -75,6 +75,10 @@
 
 // startAttempt starts an attempt, beside others that are open.
 func (x *exchange) startAttempt(e forward.Send) {
+	if e.Replaces > 0 && !x.replaceUnsent(e.Replaces) {
+		x.gateway.step(forward.AttemptEnded{ID: x.id, Attempt: e.Attempt, Outcome: forward.Unsent, Partial: x.headerSent})
+		return
+	}
 	// The log field entry_revision is the store revision of the upstream's registration, sends is Send.Attempt, and came_back is
 	// Send.Returning.
 	logevent.Info(x.gateway.log, logevent.RequestSent).Str("request", x.call.CallerAttemptID).Str("route", x.routeName()).Str("upstream", e.Upstream.ID).
@@ -85,12 +89,27 @@
 	a := &attempt{x: x, decision: e, cancel: cancel, createdAt: time.Now(), report: x.gateway.step, queue: newAnswerQueue(x.answered), done: make(chan struct{})}
 	a.silence = silence.NewWatch(e.GiveUpAfter, func() { cancel(errUpstreamTimeout) })
 	a.silence.Notify(e.FirstEventTimeout, a.reportStalled)
+	a.silence.NotifyConnecting(upstreamConnectTimeout, a.reportUnconnected, a.reportProgress)
 	a.silence.OnLateRead(x.gateway.ownDelay.LateRead)
 	x.addAttempt(a)
 	lastEventID := x.lastEventID
 	x.running.Go(func() { a.run(ctx, lastEventID) })
 }
 
+// replaceUnsent cancels an attempt of which nothing was sent. It reports false if something may have been.
+func (x *exchange) replaceUnsent(number int) bool {
+	for _, a := range x.openAttempts() {
+		if a.decision.Attempt == number {
+			if !a.silence.ForbidSend() {
+				return false
+			}
+			a.replaced = true
+			a.cancel(errReplaced)
+		}
+	}
+	return true
+}
+
 // run makes the attempt and ends its queue with the outcome.
 func (a *attempt) run(ctx context.Context, lastEventID string) {
 	defer close(a.done)
@@ -112,15 +131,25 @@
 	a.report(ev)
 }
 
+// reportUnconnected reports to the reducer that there is no connection to the upstream yet.
+func (a *attempt) reportUnconnected() {
+	a.report(forward.Stalled{ID: a.x.id, Attempt: a.decision.Attempt, Unsent: true})
+}
+
 // progressed records that the upstream sent an event. What follows may take until the gap timeout before the upstream counts as silent again.
 func (a *attempt) progressed() {
 	a.silence.Progress(0)
 	a.silence.Notify(a.decision.GapTimeout, a.reportStalled)
 	if a.stalled.CompareAndSwap(true, false) {
-		a.report(forward.Progressed{ID: a.x.id, Attempt: a.decision.Attempt})
+		a.reportProgress()
 	}
 }
 
+// reportProgress reports to the reducer that the upstream is not silent any more.
+func (a *attempt) reportProgress() {
+	a.report(forward.Progressed{ID: a.x.id, Attempt: a.decision.Attempt})
+}
+
 // stringers returns a list as the type that the log takes.
 func stringers[T fmt.Stringer](list []T) []fmt.Stringer {
 	out := make([]fmt.Stringer, len(list))
@@ -177,6 +206,8 @@
 		return forward.Unsent
 	case isWithdrawn:
 		return forward.Withdrawn
+	case !a.sent && errors.Is(err, silence.ErrNoConnection):
+		return forward.Unconnected
 	case !a.sent:
 		return forward.NotSent
 	case errors.Is(cause, errUpstreamTimeout), errors.Is(err, errUpstreamTimeout):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,8 +43,10 @@
 	// tickInterval is the time between two step.Tick events of this shell. With each tick, queued requests are checked for free
 	// capacity. They queue for tens of milliseconds only, so the interval is shorter than step.TickInterval, which other shells use.
 	tickInterval = 20 * time.Millisecond
-	// upstreamDialTimeout limits connecting to an upstream; it allows some tens of round trips between regions.
-	upstreamDialTimeout = 400 * time.Millisecond
+	// upstreamDialTimeout is how long connecting to an upstream may take until another one is looked for; it allows some tens of round trips
+	// between regions. Connecting is given up after upstreamConnectTimeout: a sound upstream may be silent for a second.
+	upstreamDialTimeout    = 400 * time.Millisecond
+	upstreamConnectTimeout = 1600 * time.Millisecond
 	// storeDialTimeout limits connecting to the store.
 	storeDialTimeout = time.Second
 	// storeKeepAliveInterval is how often an open connection to the store is probed, to detect a peer that no longer responds.
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -1,7 +1,11 @@
 package gateway_test
 
 import (
+	"net"
 	"net/http"
+	"os"
+	"strconv"
+	"syscall"
 	"testing"
 	"time"
 
@@ -61,3 +65,79 @@
 	require.Less(t, time.Since(sentAt), 3200*time.Millisecond, "the hold and the rest of the answer")
 	require.Eventually(t, func() bool { return first.CancelledRuns() == 1 }, testTimeout, pollInterval)
 }
+
+// silentListener is a listener that answers no further attempt to connect until it is served.
+type silentListener struct {
+	address string
+	fd      int
+}
+
+func newSilentListener(t *testing.T) *silentListener {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Listen(fd, 0))
+	name, err := syscall.Getsockname(fd)
+	require.NoError(t, err)
+	l := &silentListener{address: net.JoinHostPort("127.0.0.1", strconv.Itoa(name.(*syscall.SockaddrInet4).Port)), fd: fd}
+	for range 2 { // The kernel queues one more than the listener asks for.
+		if c, err := net.DialTimeout("tcp", l.address, 200*time.Millisecond); err == nil {
+			t.Cleanup(func() { _ = c.Close() })
+		}
+	}
+	return l
+}
+
+// serve accepts connections from now on.
+func (l *silentListener) serve(t *testing.T, h http.Handler) {
+	t.Helper()
+	file := os.NewFile(uintptr(l.fd), l.address)
+	listener, err := net.FileListener(file)
+	require.NoError(t, err)
+	require.NoError(t, file.Close())
+	server := &http.Server{Handler: h}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+}
+
+// TestUpstreamThatAcceptsLateIsWaitedFor guards against a refusal because the only upstream accepts no connection for most of a second.
+func TestUpstreamThatAcceptsLateIsWaitedFor(t *testing.T) {
+	t.Parallel()
+	fleet, l := standin.NewFleet(t), newSilentListener(t)
+	fleet.RegisteredAddress = func(string) string { return l.address }
+	desk := fleet.AddService("i-1")
+	e := start(t, fleet)
+	reply := make(chan standin.Reply, 1)
+	go func() { reply <- e.Post("/once/1") }()
+	time.Sleep(700 * time.Millisecond)
+	l.serve(t, desk)
+	r := <-reply
+	require.NoError(t, r.Err)
+	require.Equal(t, http.StatusOK, r.Status, r.Body)
+	require.Equal(t, 1, desk.Runs(r.ID))
+}
+
+// TestCallThatRunsOnceLeavesAnUpstreamThatDoesNotAccept guards against a wait for an upstream that accepts no connection while another one has
+// capacity, and against a second run of a call that runs once.
+func TestCallThatRunsOnceLeavesAnUpstreamThatDoesNotAccept(t *testing.T) {
+	t.Parallel()
+	fleet, l := standin.NewFleet(t), newSilentListener(t)
+	fleet.RegisteredAddress = func(string) string { return l.address }
+	silent := fleet.AddService("i-1")
+	e := start(t, fleet)
+	fleet.RegisteredAddress = nil
+	sentAt := time.Now()
+	reply := make(chan standin.Reply, 1)
+	go func() { reply <- e.Post("/once/1") }()
+	time.Sleep(200 * time.Millisecond)
+	desk := fleet.AddService("i-2")
+	r := <-reply
+	require.NoError(t, r.Err)
+	require.Equal(t, http.StatusOK, r.Status, r.Body)
+	require.Less(t, time.Since(sentAt), 1400*time.Millisecond)
+	l.serve(t, silent)
+	time.Sleep(time.Second)
+	require.Equal(t, 1, desk.Runs(r.ID))
+	require.Zero(t, silent.Runs(r.ID))
+}
--- a/internal/silence/conn.go
+++ b/internal/silence/conn.go
@@ -25,6 +25,9 @@
 // ErrSilent is returned by a read of a connection whose other side was silent for the limit of its Watch.
 var ErrSilent = errors.New("waiting for data: the other side sent nothing within the limit")
 
+// ErrSendForbidden is returned by a write of a call of which nothing may be sent any more.
+var ErrSendForbidden = errors.New("the call was replaced before it was sent")
+
 // Conn is a connection whose reads are limited by a Watch, if one is attached. Without one, a read waits as long as it takes. Conn sets the
 // read deadline of the connection that it wraps; nobody else may.
 type Conn struct {
@@ -84,14 +87,16 @@
 	return c.Conn.Write(p)
 }
 
-// startWrite fails on a connection that was closed, so that nothing is sent after Watch.Abandon.
+// startWrite fails on a connection that was closed, so that nothing is sent after Watch.Abandon, and after Watch.ForbidSend.
 func (c *Conn) startWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return net.ErrClosed
 	}
-	c.watch.recordSend()
+	if !c.watch.recordSend() {
+		return ErrSendForbidden
+	}
 	return nil
 }
 
--- a/internal/silence/dial.go
+++ b/internal/silence/dial.go
@@ -19,12 +19,16 @@
 
 // Dialer returns a function that opens connections with d and returns each as a Conn. It gives up after limit if the other side has not answered;
 // 0 means without a limit. The error is then ErrNoConnection. A connection that the kernel has established
-// already, but this process has not come to use, is not given up. d must have neither a Timeout nor a Control function.
+// already, but this process has not come to use, is not given up. d must have neither a Timeout nor a Control function. NotifyConnecting changes
+// what happens at the limit.
 func Dialer(d *net.Dialer, limit time.Duration) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		call, _ := ctx.Value(watchKey{}).(*Watch)
 		ctx, cancel := context.WithCancelCause(ctx)
 		defer cancel(nil)
 		w := &dialWatch{slice: limit / slicesPerLimit, onSilent: func() { cancel(ErrNoConnection) }}
+		connecting := call.connecting()
+		w.extend(connecting)
 		limited := *d
 		limited.Control = func(_, _ string, socket syscall.RawConn) error {
 			w.socket.Store(&socket)
@@ -39,14 +43,23 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "connecting to %s", address)
 		}
+		w.stop()
+		if w.noticed {
+			connecting.onConnected()
+		}
 		return NewConn(c), nil
 	}
 }
 
 // dialWatch gives up a connection that the other side does not answer.
 type dialWatch struct {
-	slice    time.Duration
-	onSilent func()
+	slice time.Duration
+	// giveUpSlices is the number of slices without a connection after which onSilent is called, if it is more than slicesPerLimit. onNotice is
+	// called after slicesPerLimit; nil for nothing.
+	giveUpSlices       int
+	onSilent, onNotice func()
+	// noticed is set once onNotice was called.
+	noticed bool
 	// socket is the socket that connects, nil before it is created.
 	socket atomic.Pointer[syscall.RawConn]
 
@@ -57,6 +70,14 @@
 	slices int
 }
 
+// extend applies what NotifyConnecting set, if anything.
+func (w *dialWatch) extend(c connecting) {
+	if c.onNotice != nil && w.slice > 0 {
+		w.onNotice = c.onNotice
+		w.giveUpSlices = int(c.limit / w.slice)
+	}
+}
+
 func (w *dialWatch) start() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -84,7 +105,11 @@
 	if socket := w.socket.Load(); socket != nil && !established(*socket) {
 		w.slices++
 	}
-	if w.slices < slicesPerLimit {
+	if w.slices == slicesPerLimit && w.onNotice != nil && !w.noticed {
+		w.onNotice()
+		w.noticed = true
+	}
+	if w.slices < max(slicesPerLimit, w.giveUpSlices) {
 		w.timer.Reset(w.slice)
 		return
 	}
--- a/internal/silence/silence_test.go
+++ b/internal/silence/silence_test.go
@@ -262,6 +262,43 @@
 	require.GreaterOrEqual(t, time.Since(startedAt), 400*time.Millisecond)
 }
 
+// TestConnectingGoesOnAfterItsNotice guards against a connection that is given up when another upstream is only to be looked for, and against
+// one that is never given up.
+func TestConnectingGoesOnAfterItsNotice(t *testing.T) {
+	address := fullListener(t)
+	startedAt := time.Now()
+	w := NewWatch(0, func() {})
+	noticed := make(chan time.Duration, 2)
+	w.NotifyConnecting(600*time.Millisecond, func() { noticed <- time.Since(startedAt) }, func() { t.Error("connected") })
+	_, err := Dialer(&net.Dialer{}, 200*time.Millisecond)(WithWatch(context.Background(), w), "tcp", address)
+	require.ErrorIs(t, err, ErrNoConnection)
+	require.GreaterOrEqual(t, time.Since(startedAt), 600*time.Millisecond)
+	require.Len(t, noticed, 1)
+	require.GreaterOrEqual(t, <-noticed, 200*time.Millisecond)
+}
+
+// TestForbiddenCallSendsNothing guards against a request that was replaced as not sent and is sent all the same, and against one that may have
+// run and is replaced.
+func TestForbiddenCallSendsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		local, remote, _, _ := newWatchedPipe(t)
+		w := NewWatch(testLimit, func() {})
+		w.Attach(local)
+		require.True(t, w.ForbidSend())
+		_, err := local.Write([]byte("late"))
+		require.ErrorIs(t, err, ErrSendForbidden)
+		w = NewWatch(testLimit, func() {})
+		w.Attach(local)
+		go func() { _, _ = read(remote) }()
+		_, err = local.Write([]byte("request"))
+		require.NoError(t, err)
+		require.False(t, w.ForbidSend())
+		go func() { _, _ = read(remote) }()
+		_, err = local.Write([]byte("rest of it"))
+		require.NoError(t, err)
+	})
+}
+
 // fullListener returns the address of a listener that answers no further attempt to connect.
 func fullListener(t *testing.T) string {
 	t.Helper()
--- a/internal/silence/watch.go
+++ b/internal/silence/watch.go
@@ -31,8 +31,10 @@
 	noticed  bool
 	// conn is the connection of the call, nil before it is known and after Stop.
 	conn *Conn
-	// sent is set once something may have been sent on the connection.
-	sent bool
+	// slowConnect is what NotifyConnecting set.
+	slowConnect connecting
+	// sent is set once something may have been sent on the connection, and sendForbidden once nothing may be any more.
+	sent, sendForbidden bool
 	// stopped is set by Stop and once the other side was found silent; expired only by the latter.
 	stopped, expired bool
 }
@@ -50,9 +52,13 @@
 // the other side. It is set before the Watch is used.
 func (w *Watch) OnLateRead(f func()) { w.onLateRead = f }
 
+// watchKey is the key of the Watch of a call in its context.
+type watchKey struct{}
+
 // WithWatch returns a context with which an HTTP call attaches w to the connection that it uses. The call's transport must dial with a
 // function that Dialer returned.
 func WithWatch(ctx context.Context, w *Watch) context.Context {
+	ctx = context.WithValue(ctx, watchKey{}, w)
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		c, ok := find(info.Conn)
 		if !ok {
@@ -92,6 +98,39 @@
 	w.notice, w.onNotice, w.noticed = d, onNotice, false
 }
 
+// connecting is how a connection is made that takes longer than the limit of its Dialer: it is given up after limit, onNotice is called at the
+// Dialer's limit, and onConnected after that, once there is a connection. The zero value leaves it to the Dialer.
+type connecting struct {
+	limit                 time.Duration
+	onNotice, onConnected func()
+}
+
+// NotifyConnecting lets a connection that is made for the call go on beyond the limit of its Dialer, at which onNotice is called, and gives it up
+// after limit. onConnected is called if there is a connection after all. It is called before the call.
+func (w *Watch) NotifyConnecting(limit time.Duration, onNotice, onConnected func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slowConnect = connecting{limit: limit, onNotice: onNotice, onConnected: onConnected}
+}
+
+// connecting returns what NotifyConnecting set.
+func (w *Watch) connecting() connecting {
+	if w == nil {
+		return connecting{}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.slowConnect
+}
+
+// ForbidSend lets all writes of the call fail from now on. It reports false, and forbids nothing, if something may have been sent before.
+func (w *Watch) ForbidSend() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sendForbidden = !w.sent
+	return w.sendForbidden
+}
+
 // Silence returns the silence counted since the last progress. It reports false while the Watch is attached to no connection.
 func (w *Watch) Silence() (silent time.Duration, attached bool) {
 	if w == nil {
@@ -138,14 +177,18 @@
 	return w.sent
 }
 
-// recordSend records that something may have been sent on the connection.
-func (w *Watch) recordSend() {
+// recordSend records that something may be sent on the connection. It reports false, and records nothing, after ForbidSend.
+func (w *Watch) recordSend() bool {
 	if w == nil {
-		return
+		return true
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.sendForbidden {
+		return false
+	}
 	w.sent = true
+	return true
 }
 
 // slice returns the length of the next slice of the limit; 0 means without a limit.
