forward: a silent upstream is used again once it goes on, and requests wait for it

What callers saw: an upstream that was silent for a second and went on counted as failed. It got no request for 0.3 s, doubling up to 4 s, however much it answered meanwhile. With no other upstream, callers were refused at once (2002, "avoided after failures"). After the pause it got every request again, also if it was down. Cause: an attempt that ended as Silent counted like failuresToAvoid failures, and only a complete answer took that back. It begins with an attempt that stalls or ends as silent while nothing else is heard from the upstream, and ends with anything that is received from it. A refused connection ends the silence: the upstream is avoided as before. describeUpstreams counts silent upstreams apart from the failed ones.

--- a/internal/core/forward/held.go
+++ b/internal/core/forward/held.go
@@ -31,6 +31,8 @@
 	until time.Time
 	// predicted is set for a first try whose wait was decided by a forecast, whatever its length.
 	predicted bool
+	// awaitsSilent is set for a request that waits, or has waited, for a silent upstream to go on.
+	awaitsSilent bool
 	// early is set if the caller returned sooner than any caller was told to.
 	early bool
 	// elapsed is the time since the caller's first try, and size the length of the body in bytes.
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -18,8 +18,9 @@
 	avoidMax     = 4 * time.Second
 	// failuresToAvoid is the number of consecutive failures after which an upstream is avoided for some time.
 	failuresToAvoid = 3
-	// aliveWindow is how recently an upstream must have sent the head of an answer to count as alive though it is silent on another
-	// request. It is shorter than every timeout that ends an attempt as Silent, so that a dead upstream has been silent for longer.
+	// aliveWindow is how recently something of an answer must have been received from an upstream for it to count as alive though it is
+	// silent on another request. It is shorter than every timeout that ends an attempt as Silent, so that a dead upstream has been silent for
+	// longer.
 	aliveWindow = 500 * time.Millisecond
 )
 
@@ -49,8 +50,11 @@
 	avoidDuration time.Duration
 	// unanswered is set if the last attempt that says something about the upstream's health got no answer there; see answersOthers.
 	unanswered bool
-	// headAt is when the upstream last sent the head of an answer.
-	headAt time.Time
+	// heardAt is when something of an answer was last received from the upstream.
+	heardAt time.Time
+	// silence is the upstream's present silence, and silentUntil the end of its last one.
+	silence     silence
+	silentUntil time.Time
 	// foundDownAt is when this entry last found that the upstream is down; see foundDown.
 	foundDownAt time.Time
 	// leavingAt is when the upstream last reported that it is leaving; zero if it did not. An instance does not revoke that.
@@ -86,21 +90,27 @@
 	l.unanswered = o == Silent || o == NotSent
 	switch o {
 	case Answered:
+		l.noteHeard(now)
 		l.failures, l.avoidDuration = 0, 0
 		return
 	case Silent:
-		if now.Sub(l.headAt) < aliveWindow {
-			// The upstream answers other requests: it is slow, and gets a pause that does not grow.
+		if l.answersNow(now) && now.Sub(l.silentUntil) >= aliveWindow {
+			// The upstream answers other requests: it is slow, and gets a pause that does not grow. An attempt may also have waited for the
+			// end of a silence, which is no reason for a pause.
 			l.avoidUntil = step.Later(l.avoidUntil, now.Add(avoidInitial))
-			return
 		}
-		l.failures = failuresToAvoid
+		l.noteStalled(now)
+		return
 	case NotSent, Misdirected:
-		// Nothing listens there, another upstream has the address, or the network path is blocked. One such outcome, like the silence of
-		// an upstream that answers nothing, counts like failuresToAvoid consecutive failures. A misdirected attempt that required a version may also mean that this upstream holds
+		// Nothing listens there, another upstream has the address, or the network path is blocked. One such outcome counts like
+		// failuresToAvoid consecutive failures. A misdirected attempt that required a version may also mean that this upstream holds
 		// another version. It is not recorded at all; see release.
+		l.silence = silence{}
 		l.failures = failuresToAvoid
 	default:
+		if o != Broken {
+			l.noteHeard(now)
+		}
 		l.failures++
 	}
 	if l.failures >= failuresToAvoid {
--- a/internal/core/forward/notice.go
+++ b/internal/core/forward/notice.go
@@ -40,7 +40,7 @@
 		return nil // Another upstream may have the address, or the sender is unknown.
 	}
 	l := s.loadState(ev.Upstream)
-	l.headAt = in.Now
+	l.noteHeard(in.Now)
 	s.noteRateLimit(in, &l.limitPacer, ev)
 	if ev.Notice.RetryAfter > 0 {
 		l.backoff.request(in.Now, ev.Notice.RetryAfter)
--- a/internal/core/forward/pass.go
+++ b/internal/core/forward/pass.go
@@ -23,7 +23,7 @@
 	// waiting and ahead are the number and the work of the requests that had their turn and still wait.
 	waiting int
 	ahead   time.Duration
-	// full are the results of the searches since the last send that found all upstreams full.
+	// full are the results of the searches since the last send that found all upstreams full or silent.
 	full []fullResult
 	// delayInputs are those of the requests refused since the last send, by kind.
 	delayInputs map[searchKey]delayInputs
@@ -42,9 +42,10 @@
 	priority                      int
 }
 
-// fullResult says that all upstreams are full for requests that are at least as large.
+// fullResult says that all upstreams are full, or that a silent one is awaited, for requests that are at least as large.
 type fullResult struct {
 	key            searchKey
+	found          availability
 	prompt, tokens int
 	// blocked are the upstreams that the request could use but for its size, the best first; see reserve.
 	blocked []*upstreamView
@@ -77,17 +78,17 @@
 	for i := range p.full {
 		if f := &p.full[i]; f.key == key && r.prompt >= f.prompt && r.tokens >= f.tokens {
 			s.reserve(r, f)
-			return nil, full
+			return nil, f.found
 		}
 	}
 	if p.prioritized && len(p.full) >= maxFutileSearches {
 		return nil, full
 	}
 	u, found := s.pick(in, r)
-	if found == full {
-		f := fullResult{key: key, prompt: r.prompt, tokens: r.tokens}
+	if found == full || found == awaited {
+		f := fullResult{key: key, found: found, prompt: r.prompt, tokens: r.tokens}
 		switch {
-		case !s.anySlot(in, r):
+		case found == awaited || !s.anySlot(in, r):
 			f.prompt, f.tokens = 0, 0 // A smaller request finds no upstream either.
 		case p.prioritized && r.priority < p.leastUrgent:
 			f.blocked = s.blockedBySize(in, r)
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -26,12 +26,14 @@
 )
 
 // availability is the result of the search for an upstream. The values correspond to None, Full and Found in package routing. Here a
-// larger value is a better result; the order in package routing is the opposite.
+// larger value is a better result; the order in package routing is the opposite. Value awaited has no counterpart there.
 type availability int
 
 const (
 	// unavailable: no upstream can take the request soon.
 	unavailable availability = iota
+	// awaited: each upstream that could take the request is silent, and one may go on soon.
+	awaited
 	// full: an upstream can take the request soon. It is full, loads weights, or is in a backoff that ends in time.
 	full
 	// available: an upstream has capacity for the request.
@@ -58,10 +60,21 @@
 //   - An upstream that is avoided since it left a request unanswered, but answers others: if no upstream of the kinds above is usable,
 //     except for a stale one. A caller that waits is better off than one that is refused.
 //
+//   - A silent upstream: only for a probe; see silence. If no upstream of any kind is usable, the request waits for it to go on.
+//
 // Unreported and stale engines are not used if at least minReports engines have a valid report and every current upstream is unusable.
 func (s *State) pick(in step.Input, r *request) (*catalog.Upstream, availability) {
 	s.chooseDataCentre(in, r)
 	p := s.samples(in, r)
+	u, found := s.choose(in, r, &p)
+	if found == unavailable && p.silent {
+		return nil, awaited
+	}
+	return u, found
+}
+
+// choose chooses an upstream from the samples.
+func (s *State) choose(in step.Input, r *request, p *samples) (*catalog.Upstream, availability) {
 	switch {
 	case p.current.availability < available && p.withExpiringVersion.availability == available:
 		return p.withExpiringVersion.best(in.Now, r)
@@ -86,8 +99,11 @@
 	// withExpiringVersion is the sample of the engines whose version the request may start on only for a short time; see
 	// minVersionIfFull.
 	withExpiringVersion sample
-	// lastResort is the sample of the upstreams that are avoided since they left a request unanswered, but answer others.
+	// lastResort is the sample of the upstreams that are avoided since they left a request unanswered, but answer others, and of the silent
+	// ones of which the request may be the probe.
 	lastResort sample
+	// silent is set if a silent upstream may go on and accept the request.
+	silent bool
 	// reports counts the upstreams with a valid load report, whatever it says, among those that were examined.
 	reports int
 }
@@ -114,6 +130,8 @@
 			p.lastResort.consider(in, v, r)
 		case v.reloading(in.Now, r) || v.backoffEndsWithin(in.Now, wait):
 			p.current.availability = max(p.current.availability, full)
+		case v.mayGoOn(in.Now, r, required):
+			p.silent = true
 		}
 	}
 	return p
@@ -254,7 +272,7 @@
 
 // describeUpstreams describes, for the log, why no upstream was found.
 func (s *State) describeUpstreams(now time.Time, r *request) string {
-	var registered, evacuated, leaving, avoided, loading, backedOff, empty, limited, atCapacity int
+	var registered, evacuated, leaving, avoided, silent, loading, backedOff, empty, limited, atCapacity int
 	required := s.requiredVersion(now, r.model)
 	for _, v := range s.viewsFor(now, r) {
 		registered++
@@ -265,6 +283,8 @@
 			leaving++
 		case now.Before(v.load.avoidUntil):
 			avoided++
+		case v.load.silence.active():
+			silent++
 		case v.reloading(now, r):
 			loading++
 		case !v.load.backoff.allows(now):
@@ -281,8 +301,8 @@
 	if !r.homes.Unrestricted() {
 		homes = fmt.Sprintf("in its homes (%s): ", r.homes)
 	}
-	return homes + fmt.Sprintf("%d registered, %d evacuated, %d leaving, %d avoided after failures, %d loading, %d that sent Retry-After, %d without the required weights or already tried, %d at their rate limit, %d full",
-		registered, evacuated, leaving, avoided, loading, backedOff, empty, limited, atCapacity)
+	return homes + fmt.Sprintf("%d registered, %d evacuated, %d leaving, %d avoided after failures, %d silent, %d loading, %d that sent Retry-After, %d without the required weights or already tried, %d at their rate limit, %d full",
+		registered, evacuated, leaving, avoided, silent, loading, backedOff, empty, limited, atCapacity)
 }
 
 func sortedKeys[T any](m map[string]T) []string {
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -92,6 +92,9 @@
 	}
 	// A returning caller is refused although an upstream has capacity: that capacity is reserved for first tries; see Policy.ReserveFor.
 	if found == available && r.returning && in.Now.Sub(s.lastQueuedAt[r.service]) < s.Self.Policy.ReserveFor {
+		if r.hold.awaitsSilent {
+			return s.awaitSilent(in, r)
+		}
 		return s.endWithRetryAfter(in, r, code.Overloaded, fmt.Sprintf("the free capacity of %s is reserved for first tries", r.service))
 	}
 	switch {
@@ -101,6 +104,8 @@
 		return s.send(in, r, u)
 	case found == full:
 		return s.enqueue(in, r)
+	case found == awaited:
+		return s.awaitSilent(in, r)
 	}
 	return s.endWithRetryAfter(in, r, code.NoUpstream, fmt.Sprintf("no upstream of %s is usable: %s", r.service, s.describeUpstreams(in.Now, r)))
 }
@@ -122,6 +127,7 @@
 	s.loadState(r.instance).limitPacer.used()
 	s.loadState(r.instance).coldPacer.used()
 	s.loadState(r.instance).backoff.attempted(in.Now)
+	s.loadState(r.instance).silence.attempted(in.Now)
 	r.awaitingFirstEvent, r.firstEventLate = true, false
 	r.unreported = v.unreported()
 	if r.unreported {
--- a/internal/core/forward/uneven_test.go
+++ b/internal/core/forward/uneven_test.go
@@ -258,6 +258,7 @@
 			clear(r.running)
 			r.now += time.Second // No engine is avoided any more.
 			for _, e := range r.engines {
+				r.step(forward.AnswerHeadReceived{Upstream: catalog.Instance{ID: e}, Sent: begin, Outcome: forward.Answered}) // None is silent.
 				r.reportLoad(e)
 			}
 			for range 24 {
--- a/internal/core/forward/upstream_view.go
+++ b/internal/core/forward/upstream_view.go
@@ -140,20 +140,21 @@
 // usable reports whether the upstream could accept a request, disregarding its free capacity. The request must start on the
 // required version or a newer one.
 func (v *upstreamView) usable(now time.Time, r *request, required int64) bool {
-	return !now.Before(v.load.avoidUntil) && v.accepts(now, r, required)
+	return !now.Before(v.load.avoidUntil) && !v.silentFor(now, r) && v.accepts(now, r, required)
 }
 
 // usableAsLastResort reports whether the upstream could accept a request for which no other upstream is usable: it is avoided since it
-// left a request unanswered, but it answers others.
+// left a request unanswered, but it answers others, or it is silent and the request may be its probe.
 func (v *upstreamView) usableAsLastResort(now time.Time, r *request, required int64) bool {
-	return now.Before(v.load.avoidUntil) && v.answersOthers(now, r) && v.accepts(now, r, required)
+	slow := now.Before(v.load.avoidUntil) && v.answersOthers(now, r)
+	return (slow || v.probedAsLastResort(now, r)) && v.accepts(now, r, required)
 }
 
-// answersOthers reports whether the upstream left the last request unanswered and yet sent the head of an answer within the time for which
+// answersOthers reports whether the upstream left the last request unanswered and yet sent something of an answer within the time for which
 // this request would wait for its own. Such an upstream is slow or overloaded. One that crashed or hangs has been silent for longer, and
 // one that fails or declines its requests is left alone: it would only do the same again.
 func (v *upstreamView) answersOthers(now time.Time, r *request) bool {
-	return v.load.unanswered && now.Sub(v.load.headAt) < defaultFirstEventTimeout(r.route)
+	return v.load.unanswered && now.Sub(v.load.heardAt) < defaultFirstEventTimeout(r.route)
 }
 
 // accepts reports whether the upstream could accept a request, disregarding its free capacity and its recent failures.
--- a/internal/core/forward/version.go
+++ b/internal/core/forward/version.go
@@ -82,6 +82,9 @@
 		return nil
 	}
 	s.unreportedStarted(in.Now, r)
+	if r.instance != (catalog.Instance{}) {
+		s.loadState(r.instance).noteHeard(in.Now)
+	}
 	return append(s.checkStartedVersion(in, r, ev), s.servePrioritized(in, r.service)...)
 }
 
