Cover silent engines in the margins before a version expires

Callers saw nothing, but engines started requests on an expired version. An engine that is silent for a second has the request in its socket or queue, notices the withdrawal 0.6 s before the expiry only when it goes on, and may start the request first.

Engines with the next version are now preferred from 2.3 s before the expiry on, as long as one has capacity: a request that an engine received at that time and that is started after a silence of 1.5 s is still in time. After an entry received a complete stream with a pause, it withdraws and requires the next version earlier by as much.

Open: a silence before any was seen while no engine has the next version. A request that is with an engine when it falls silent can't be recalled, so only refusing everybody 0.9 s earlier would avoid it.

--- a/internal/core/catalog/version.go
+++ b/internal/core/catalog/version.go
@@ -10,7 +10,8 @@
 	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
-// RequireVersionMargin is how long before the deadline for a new version entries start to require that version. An engine starts a
+// RequireVersionMargin is how long before the deadline for a new version entries start to require that version, or earlier if engines
+// paused recently; see package forward. An engine starts a
 // request with its first token, which follows the attempt within 1 s at the usual load. At a full or slow engine it takes longer;
 // a request that hasn't started shortly before the deadline is withdrawn (package forward).
 const RequireVersionMargin = 1300 * time.Millisecond
--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -372,7 +372,9 @@
 	// estimatedEntries is the number of entries that share the retry budgets and the upstreams' rate limits, estimated from the
 	// last load report. recentEntries is the maximum of the recent estimates.
 	estimatedEntries int
-	recentEntries    recentMax
+	recentEntries    recentMax[int]
+	// pauses are the pauses of engines in the middle of answers; see longestPause.
+	pauses recentMax[time.Duration]
 	// balance is the plan across data centres and its inputs.
 	balance balanceState
 	// ownWork limits the requests in flight while this process is late by its own work.
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -34,7 +34,7 @@
 	report     LoadReported
 	reportedAt time.Time
 	// nearEntries is the number of entries in the upstream's data centre, as counted by its agent.
-	nearEntries recentMax
+	nearEntries recentMax[int]
 	// overdue is the number of this entry's requests there that had waited longer for their first event than their latency
 	// objective at the last tick.
 	overdue int
@@ -118,7 +118,7 @@
 func (s *State) loadReported(in step.Input, ev LoadReported) []step.Effect {
 	if ev.Entries > 0 {
 		s.estimatedEntries = s.estimateEntries(ev)
-		s.recentEntries.add(in.Now, s.estimatedEntries)
+		s.recentEntries.add(in.Now, countWindow, s.estimatedEntries)
 	}
 	s.Catalog.RecordStart(in.Now, ev.Address, ev.StartedAt)
 	u := s.Catalog.UpstreamAt(ev.Address, ev.StartedAt)
@@ -140,7 +140,7 @@
 	}
 	l.report, l.reportedAt = ev, in.Now
 	s.noteStart(in.Now, l, ev)
-	l.nearEntries.add(in.Now, ev.NearEntries)
+	l.nearEntries.add(in.Now, countWindow, ev.NearEntries)
 	l.otherRequests = max(0, ev.RequestCount-l.inFlight)
 	l.noteCold(in.Now, ev.ColdRemaining)
 	v := s.view(u)
--- a/internal/core/forward/outlook.go
+++ b/internal/core/forward/outlook.go
@@ -256,7 +256,7 @@
 	s.forecastChanges = append(s.forecastChanges, e)
 }
 
-// recentMin is the minimum of the durations received within the last recentMaxWindow or two.
+// recentMin is the minimum of the durations received within the last countWindow or two.
 type recentMin struct {
 	current, previous time.Duration
 	windowStart       time.Time
@@ -264,7 +264,7 @@
 
 // add records a duration.
 func (m *recentMin) add(now time.Time, d time.Duration) {
-	if now.Sub(m.windowStart) >= recentMaxWindow {
+	if now.Sub(m.windowStart) >= countWindow {
 		m.previous, m.current, m.windowStart = m.current, 0, now
 	}
 	if m.current == 0 || d < m.current {
@@ -274,7 +274,7 @@
 
 // value returns the minimum; false if none is recent.
 func (m *recentMin) value(now time.Time) (time.Duration, bool) {
-	if now.Sub(m.windowStart) >= 2*recentMaxWindow {
+	if now.Sub(m.windowStart) >= 2*countWindow {
 		return 0, false
 	}
 	if m.current > 0 && m.previous > 0 {
--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -45,7 +45,7 @@
 // The current upstreams come first: those with a recent load report, those that need none, and those whose first report is still
 // expected. The other kinds are used only in these cases:
 //
-//   - An engine whose version is about to expire: if no current engine with the required version has capacity; see minVersionIfFull.
+//   - An engine whose version is about to expire: if no current engine with the next version has capacity; see versionLimits.
 //
 //   - An engine without a load report: if the current ones are full or unusable. While they are full, there is a pause after an
 //     engine without a report declined a request or was slow to its first event: the whole fleet is then likely to be full; see
@@ -84,7 +84,7 @@
 	// upstreamView.unreported.
 	current, stale, unreported sample
 	// withExpiringVersion is the sample of the engines whose version the request may start on only for a short time; see
-	// minVersionIfFull.
+	// versionLimits.
 	withExpiringVersion sample
 	// lastResort is the sample of the upstreams that are avoided since they left a request unanswered, but answer others.
 	lastResort sample
@@ -96,7 +96,7 @@
 // change the choice.
 func (s *State) samples(in step.Input, r *request) samples {
 	p := samples{current: s.newSample(), stale: s.newSample(), unreported: s.newSample(), withExpiringVersion: s.newSample(), lastResort: s.newSample()}
-	required, ifFull := s.requiredVersion(in.Now, r.model), s.minVersionIfFull(in.Now, r)
+	versions := s.versionLimits(in.Now, r)
 	wait := s.maxWait(r)
 	for _, v := range s.viewsFor(in.Now, r) {
 		if p.current.settled(r.rank(v)) {
@@ -106,11 +106,13 @@
 			p.reports++
 		}
 		switch {
-		case v.usable(in.Now, r, required):
+		case v.usable(in.Now, r, versions.preferred):
 			p.sampleFor(v, in.Now).consider(in, v, r)
-		case ifFull < required && !v.stale(in.Now) && v.usable(in.Now, r, ifFull):
+		case v.usable(in.Now, r, versions.required):
+			p.considerExpiring(in, v, r)
+		case versions.ifFull < versions.required && !v.stale(in.Now) && v.usable(in.Now, r, versions.ifFull):
 			p.withExpiringVersion.consider(in, v, r)
-		case v.usableAsLastResort(in.Now, r, required):
+		case v.usableAsLastResort(in.Now, r, versions.required):
 			p.lastResort.consider(in, v, r)
 		case v.reloading(in.Now, r) || v.backoffEndsWithin(in.Now, wait):
 			p.current.availability = max(p.current.availability, full)
@@ -119,6 +121,16 @@
 	return p
 }
 
+// considerExpiring considers an engine whose version the request may start on although engines with the next version are preferred. If it
+// is full, the request may wait for it.
+func (p *samples) considerExpiring(in step.Input, v *upstreamView, r *request) {
+	usual := p.sampleFor(v, in.Now)
+	if usual == &p.current && v.hasCapacity(in.Now, r) {
+		usual = &p.withExpiringVersion
+	}
+	usual.consider(in, v, r)
+}
+
 // sampleFor returns the sample that a usable upstream belongs to.
 func (p *samples) sampleFor(v *upstreamView, now time.Time) *sample {
 	switch {
--- a/internal/core/forward/recent_max.go
+++ b/internal/core/forward/recent_max.go
@@ -1,25 +1,29 @@
 package forward
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
-// recentMaxWindow is the minimum time for which a count is kept after smaller ones are received. An agent that has just started
+// countWindow is the minimum time for which a count of entries is kept after smaller ones are received. An agent that has just started
 // knows few entries; within a second it knows all of them.
-const recentMaxWindow = 2 * time.Second
+const countWindow = 2 * time.Second
 
-// recentMax is the maximum of the counts received recently. The zero value is 0.
-type recentMax struct {
+// recentMax is the maximum of the values received recently. The zero value holds the zero value of T.
+type recentMax[T cmp.Ordered] struct {
 	// current is the maximum since windowStart, and previous the maximum of the window before.
-	current, previous int
+	current, previous T
 	windowStart       time.Time
 }
 
-// add records a count.
-func (p *recentMax) add(now time.Time, n int) {
-	if now.Sub(p.windowStart) >= recentMaxWindow {
-		p.previous, p.current, p.windowStart = p.current, 0, now
+// add records a value, which is kept for at least a window.
+func (p *recentMax[T]) add(now time.Time, window time.Duration, n T) {
+	if now.Sub(p.windowStart) >= window {
+		var none T
+		p.previous, p.current, p.windowStart = p.current, none, now
 	}
 	p.current = max(p.current, n)
 }
 
-// value returns the maximum of the recent counts.
-func (p *recentMax) value() int { return max(p.current, p.previous) }
+// value returns the maximum of the recent values.
+func (p *recentMax[T]) value() T { return max(p.current, p.previous) }
--- a/internal/core/forward/uneven.go
+++ b/internal/core/forward/uneven.go
@@ -222,6 +222,7 @@
 
 // observeGap learns from the longest gap between two events of a complete stream.
 func (s *State) observeGap(now time.Time, r *request, ev AttemptEnded) {
+	s.observePause(now, r, ev)
 	u := s.Catalog.Upstreams[r.instance.ID]
 	if s.uneven == nil || !r.speed.observed || ev.Outcome != Answered || ev.MaxGap <= 0 || u == nil || u.Instance() != r.instance {
 		return
--- a/internal/core/forward/version.go
+++ b/internal/core/forward/version.go
@@ -8,19 +8,32 @@
 	"samphireweir.example/samphireweir/internal/core/step"
 )
 
-// withdrawMargin is how long before a version expires entries withdraw the requests that engines with that version have not
-// started. The last seconds of a version, before its expiry:
+// These margins precede the expiry of a version. While no engine has paused recently, the last seconds before the expiry are:
 //
-//	1.3 s  Attempts require the new version from now on (catalog.RequireVersionMargin).
+//	2.3 s  Attempts go to engines with the new version if one has capacity (preferMargin).
+//	1.3 s  Attempts require the new version (catalog.RequireVersionMargin).
 //	0.6 s  Requests that have not started are withdrawn (withdrawMargin).
 //	0 s    The version has expired.
 //
-// A request that is withdrawn has therefore been with its engine for at least 0.7 s, unless it was sent later because the engines with
-// the new version had no capacity; see minVersionIfFull.
+// A request that is withdrawn has therefore been with its engine for at least startAllowance, unless it was sent later because the
+// engines with the new version had no capacity; see minVersionIfFull.
 //
-// The 0.6 s cover the delay until the engine is informed: an activation is received up to 0.5 s after its confirmation if another one
-// came just before, a tick of the gateway is 20 ms, and the network takes some milliseconds.
-const withdrawMargin = 600 * time.Millisecond
+// An engine that pauses notices a withdrawal only when it goes on, and may then start the request all the same. After such a pause was
+// observed, requests are therefore withdrawn earlier, by as much as the pause requires, and the new version is required earlier as well;
+// see withdrawalMargin. A pause that nobody has observed is covered by preferMargin alone: as long as engines with the new version have
+// capacity, no other engine holds requests that have not started.
+const (
+	// withdrawMargin covers the delay until an engine that does not pause is informed: an activation is received up to 0.5 s after its
+	// confirmation if another one came just before, a tick of the gateway is 20 ms, and the network takes some milliseconds.
+	withdrawMargin = 600 * time.Millisecond
+	// noticeTime is how long a withdrawal takes that is due at the start of a pause, besides the pause: a tick of the gateway, the
+	// network, and the engine's own work on the closed connection.
+	noticeTime = 100 * time.Millisecond
+	// startAllowance is the minimum time that an engine has for starting a request before the request is withdrawn.
+	startAllowance = catalog.RequireVersionMargin - withdrawMargin
+	// preferMargin covers a pause of the maximum length.
+	preferMargin = maxPause + noticeTime + startAllowance
+)
 
 // Withdraw has the shell withdraw a request that its upstream has not started. The attempt ends as Withdrawn, or as Unsent if nothing
 // was sent. The effect is repeated with each tick until the attempt has ended or the request has started.
@@ -50,27 +63,46 @@
 // Effect marks the type as an effect.
 func (StartedLate) Effect() {}
 
-// requiredVersion returns the oldest version on which a request for a model may start from now on; 0 for any.
-func (s *State) requiredVersion(now time.Time, model string) int64 {
+// withdrawalMargin returns how long before a version expires the requests that engines with that version have not started are withdrawn.
+func (s *State) withdrawalMargin() time.Duration {
+	return max(withdrawMargin, s.longestPause()+noticeTime)
+}
+
+// versionAt returns the oldest version that will not have expired after a margin from now; 0 for any.
+func (s *State) versionAt(now time.Time, model string, margin time.Duration) int64 {
 	if s.Self.VersionLifetime <= 0 {
 		return 0
 	}
-	return s.Catalog.RequiredVersion(model, now, s.Self.VersionLifetime-catalog.RequireVersionMargin)
+	return s.Catalog.RequiredVersion(model, now, s.Self.VersionLifetime-margin)
+}
+
+// requiredVersion returns the oldest version on which a request for a model may start from now on; 0 for any.
+func (s *State) requiredVersion(now time.Time, model string) int64 {
+	return s.versionAt(now, model, s.withdrawalMargin()+startAllowance)
+}
+
+// versionLimits are the versions that engines must hold to be considered for a request, the newest first. 0 stands for any version.
+type versionLimits struct {
+	// preferred is required if an engine that holds it has capacity.
+	preferred int64
+	// required is the result of requiredVersion, and ifFull that of minVersionIfFull.
+	required, ifFull int64
+}
+
+func (s *State) versionLimits(now time.Time, r *request) versionLimits {
+	return versionLimits{preferred: s.versionAt(now, r.model, preferMargin), required: s.requiredVersion(now, r.model), ifFull: s.minVersionIfFull(now, r)}
 }
 
 // minVersionIfFull returns the oldest version on which a request may start if no engine with a newer one has capacity. The request
 // may go to an engine whose version is about to expire, as long as the engine is likely to start it before such requests are
 // withdrawn.
 func (s *State) minVersionIfFull(now time.Time, r *request) int64 {
-	if s.Self.VersionLifetime <= 0 {
-		return 0
-	}
 	if !r.route.Repeatable() {
 		return s.requiredVersion(now, r.model) // Once withdrawn, the request could not go to another engine.
 	}
-	// The margin is limited to RequireVersionMargin, so that the result is never newer than requiredVersion.
-	margin := withdrawMargin + time.Duration(s.Self.Policy.StartShare*float64(r.route.Objective))
-	return s.Catalog.RequiredVersion(r.model, now, s.Self.VersionLifetime-min(margin, catalog.RequireVersionMargin))
+	// The time to the start is limited to startAllowance, so that the result is never newer than requiredVersion.
+	start := time.Duration(s.Self.Policy.StartShare * float64(r.route.Objective))
+	return s.versionAt(now, r.model, s.withdrawalMargin()+min(start, startAllowance))
 }
 
 // started handles the first event of an answer.
@@ -123,10 +155,10 @@
 // mayStartExpired reports whether the engine that a request is with may start it on a version that has expired by then. An engine
 // that accepted the request with a required version (r.version) holds at least that version.
 func (s *State) mayStartExpired(now time.Time, r *request) bool {
-	if s.Self.VersionLifetime <= 0 || r.model == "" {
+	if r.model == "" {
 		return false
 	}
-	required := s.Catalog.RequiredVersion(r.model, now, s.Self.VersionLifetime-withdrawMargin)
+	required := s.versionAt(now, r.model, s.withdrawalMargin())
 	if required == 0 || r.version >= required {
 		return false
 	}
