Reset unanswered connections to upstreams when they are closed

A request was run by an upstream after its caller had left: the upstream was silent and had not read the body. Closing the connection leaves what the entry had written in the kernel, which delivers it when the upstream goes on. The same holds for withdrawn requests. With a reset the kernel drops what the upstream's kernel had not taken yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,10 +152,10 @@
 
 // newUpstreamTransport returns a transport that opens a new connection for each request, which costs one round trip. A reused connection
 // may no longer be served, may be about to be closed by the other side, or may carry a late response to an earlier request. In each of
-// these cases it would be unknown whether a request ran.
+// these cases it would be unknown whether a request ran. A request that is withdrawn, or whose caller leaves, ends with a reset.
 func newUpstreamTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:        silence.Dialer(&net.Dialer{KeepAlive: -1}, upstreamDialTimeout),
+		DialContext:        silence.ResetUnanswered(silence.Dialer(&net.Dialer{KeepAlive: -1}, upstreamDialTimeout)),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}
--- /dev/null
+++ b/internal/gateway/silent_upstream_test.go
@@ -0,0 +1,135 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/platform/standin"
+)
+
+// silentUpstream is an upstream that can fall silent: it then accepts no connections and reads nothing. When it goes on, it starts what was sent
+// to it meanwhile, also if the connection was closed. With weights it has version 1 of them.
+type silentUpstream struct {
+	listener net.Listener
+	// awake is locked while the upstream is silent.
+	awake sync.RWMutex
+
+	mu sync.Mutex
+	// started holds the times at which requests were started, and truncated counts those that were not received completely.
+	started   []time.Time
+	truncated int
+}
+
+// newSilentUpstream starts an upstream and has the fleet register those that are added next at its address.
+func newSilentUpstream(t *testing.T, fleet *standin.Fleet) *silentUpstream {
+	l, err := net.Listen("tcp", standin.NextIP()+":0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	u := &silentUpstream{listener: l}
+	fleet.RegisteredAddress = func(string) string { return l.Addr().String() }
+	go u.accept()
+	return u
+}
+
+// fallSilent makes the upstream silent until goOn is called.
+func (u *silentUpstream) fallSilent() (goOn func()) {
+	u.awake.Lock()
+	return u.awake.Unlock
+}
+
+// waitWhileSilent returns when the upstream is awake.
+func (u *silentUpstream) waitWhileSilent() {
+	u.awake.RLock()
+	defer u.awake.RUnlock()
+}
+
+func (u *silentUpstream) accept() {
+	for {
+		c, err := u.listener.Accept()
+		if err != nil {
+			return
+		}
+		u.waitWhileSilent()
+		go u.serve(c)
+	}
+}
+
+// serve handles one request.
+func (u *silentUpstream) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(pausedReader{c, u}))
+	if err == nil {
+		_, err = io.Copy(io.Discard, r.Body)
+	}
+	u.mu.Lock()
+	if err != nil {
+		u.truncated++
+		u.mu.Unlock()
+		return
+	}
+	u.started = append(u.started, time.Now())
+	u.mu.Unlock()
+	id, body := r.Header.Get("Attempt-Id"), "answer"
+	contentType := "text/plain"
+	if strings.HasPrefix(r.URL.Path, "/stream/") {
+		body, contentType = streamBody(3), "text/event-stream"
+	}
+	u.waitWhileSilent()
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal\r\nWeight-Versions: 1\r\nContent-Type: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		id, contentType, len(body), body)
+}
+
+// received returns the number of requests that were started and of those that were truncated.
+func (u *silentUpstream) received() (started, truncated int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.started), u.truncated
+}
+
+// pausedReader reads from a connection and returns nothing while the upstream is silent.
+type pausedReader struct {
+	net.Conn
+	upstream *silentUpstream
+}
+
+// Read implements io.Reader.
+func (r pausedReader) Read(p []byte) (int, error) {
+	n, err := r.Conn.Read(p)
+	r.upstream.waitWhileSilent()
+	return n, err
+}
+
+// TestSilentUpstreamDoesNotRunAbandonedRequest guards against a request that its upstream receives completely and runs after the caller has
+// left: the rest of a body that the upstream had not read when the entry closed the connection was still delivered. The body is larger than
+// what the kernel holds for an upstream that reads nothing.
+func TestSilentUpstreamDoesNotRunAbandonedRequest(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	upstream := newSilentUpstream(t, fleet)
+	fleet.AddService("i-desk")
+	e := start(t, fleet)
+	require.Equal(t, http.StatusOK, e.Post("/again/1").Status)
+	goOn := upstream.fallSilent()
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	r := e.Do(ctx, standin.Request{Path: "/once/1", Body: strings.Repeat("x", 900<<10)})
+	require.Error(t, r.Err, "the caller leaves")
+	time.Sleep(200 * time.Millisecond) // The entry notices that at once, and closes its connection.
+	goOn()
+	require.Eventually(t, func() bool {
+		started, truncated := upstream.received()
+		return started+truncated == 2
+	}, testTimeout, pollInterval)
+	started, _ := upstream.received()
+	require.Equal(t, 1, started, "the abandoned request must not run")
+}
--- a/internal/silence/conn.go
+++ b/internal/silence/conn.go
@@ -35,6 +35,10 @@
 	watch *Watch
 	// closed is set once nothing can be written any more.
 	closed bool
+	// resetUnanswered is set if a connection that is closed while it is unanswered is reset; see ResetUnanswered.
+	resetUnanswered bool
+	// unanswered is set from a write until something is read.
+	unanswered bool
 	// sliceEnd is the read deadline in force, at which the current slice of watch ends. It is zero without a limit.
 	sliceEnd time.Time
 }
@@ -53,6 +57,15 @@
 
 // Read implements net.Conn. It returns ErrSilent if the other side was silent for the limit of the attached Watch.
 func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.read(p)
+	if n > 0 {
+		c.recordAnswer()
+	}
+	return n, err
+}
+
+// read reads until something arrives or the attached Watch expires.
+func (c *Conn) read(p []byte) (int, error) {
 	for {
 		c.startSlice()
 		n, err := c.Conn.Read(p)
@@ -89,15 +102,27 @@
 	if c.closed {
 		return net.ErrClosed
 	}
+	c.unanswered = true
 	c.watch.recordSend()
 	return nil
 }
 
-// Close implements net.Conn.
+// recordAnswer records that something was read.
+func (c *Conn) recordAnswer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered = false
+}
+
+// Close implements net.Conn. It resets an unanswered connection if ResetUnanswered says so.
 func (c *Conn) Close() error {
 	c.mu.Lock()
 	c.closed = true
+	reset := c.resetUnanswered && c.unanswered
 	c.mu.Unlock()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && reset {
+		_ = tcp.SetLinger(0) // Fails only on a closed connection.
+	}
 	return c.Conn.Close()
 }
 
--- a/internal/silence/dial.go
+++ b/internal/silence/dial.go
@@ -43,6 +43,23 @@
 	}
 }
 
+// ResetUnanswered returns a dial function whose connections are reset if they are closed before anything is read after the last write. dial
+// must return connections of type *Conn.
+//
+// The rest of a call that the other side has not received is then dropped, so that a peer that was silent can't read the whole call when it
+// goes on. After an ordinary close the kernel would still deliver it. What the peer's kernel has received stays there in both cases: on Linux
+// the peer reads it before the error.
+func ResetUnanswered(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		conn.(*Conn).resetUnanswered = true
+		return conn, nil
+	}
+}
+
 // dialWatch gives up a connection that the other side does not answer.
 type dialWatch struct {
 	slice    time.Duration
