Test that a silent engine starts nothing on an expired version

The engine is silent from 1.4 s before the expiry of its version until 0.1 s after it, while an engine with the next version is in reach and has capacity.

--- a/internal/gateway/silent_upstream_test.go
+++ b/internal/gateway/silent_upstream_test.go
@@ -96,6 +96,19 @@
 	return len(u.started), u.truncated
 }
 
+// startedAfter counts the requests that were started after a time.
+func (u *silentUpstream) startedAfter(limit time.Time) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n := 0
+	for _, at := range u.started {
+		if at.After(limit) {
+			n++
+		}
+	}
+	return n
+}
+
 // pausedReader reads from a connection and returns nothing while the upstream is silent.
 type pausedReader struct {
 	net.Conn
@@ -133,3 +146,43 @@
 	started, _ := upstream.received()
 	require.Equal(t, 1, started, "the abandoned request must not run")
 }
+
+// TestSilentEngineStartsNothingOnAnExpiredVersion guards against requests that an engine starts on an expired version. It is silent from before
+// the withdrawal of such requests until after the expiry, so that it notices the withdrawal too late.
+func TestSilentEngineStartsNothingOnAnExpiredVersion(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	fleet.Slots = 64 // While the engine with version 2 is full, others are used as well.
+	fleet.WriteManifest()
+	old := newSilentUpstream(t, fleet)
+	fleet.AddEngine("i-0", standin.NextIP(), 1)
+	fleet.RegisteredAddress = nil
+	next := fleet.AddEngine("i-1", standin.NextIP(), 2)
+	host := fleet.Host(standin.NextIP(), false)
+	host.VersionLifetime = 4 * time.Second
+	e := startHost(t, fleet, host)
+	time.Sleep(watchDelay) // By now the entry watches the store, and sees the version at once.
+	fleet.ActivateVersion(2)
+	expiry := time.Now().Add(host.VersionLifetime)
+	var replies sync.WaitGroup
+	postUntil := func(end time.Time) {
+		for time.Now().Before(end) {
+			replies.Go(func() {
+				if r := e.Post("/stream/1"); r.Err != nil || r.Status != http.StatusOK {
+					t.Errorf("%s: status %d, %v", r.ID, r.Status, r.Err)
+				}
+			})
+			time.Sleep(2 * pollInterval)
+		}
+	}
+	postUntil(expiry.Add(-1400 * time.Millisecond))
+	started, _ := old.received()
+	require.Positive(t, started)
+	goOn := old.fallSilent()
+	postUntil(expiry.Add(100 * time.Millisecond))
+	goOn()
+	replies.Wait()
+	time.Sleep(watchDelay) // The engine has started by now what it received.
+	require.Zero(t, old.startedAfter(expiry))
+	require.Positive(t, next.CompletedStreams())
+}
