--- a/internal/core/forward/silent_version_test.go
+++ b/internal/core/forward/silent_version_test.go
@@ -21,8 +21,8 @@
 	arrivalsStart, arrivalsEnd = 4 * time.Second, 9 * time.Second
 	// simulatedTick is the time between two ticks and between two arrivals.
 	simulatedTick = 20 * time.Millisecond
-	// startTime is how long an engine that is awake takes to start a request, and outputTime how long it then takes to answer it.
-	startTime, outputTime = 200 * time.Millisecond, 300 * time.Millisecond
+	// usualStartTime is how long an engine that is awake usually takes to start a request, and outputTime how long it then takes to answer it.
+	usualStartTime, outputTime = 200 * time.Millisecond, 300 * time.Millisecond
 )
 
 // engineRun is a request at an engine of a silentFleet.
@@ -42,9 +42,13 @@
 	*rig
 	t        *testing.T
 	versions map[string]int64
-	// silentFrom and silentUntil enclose the silence of m1.
-	silentFrom, silentUntil time.Duration
-	runs                    []*engineRun
+	// silentFrom and silentUntil enclose the silence of m1, and lateFrom and lateUntil the time in which the entry does nothing.
+	silentFrom, silentUntil, lateFrom, lateUntil time.Duration
+	// startTime is how long an engine that is awake takes to start a request.
+	startTime time.Duration
+	// manifestInterval is the time between two manifest changes; 0 for none.
+	manifestInterval time.Duration
+	runs             []*engineRun
 	// late counts the requests that started on version 1 after its expiry, and lost those that were not answered. refusedFrom is when the
 	// first request was lost; 0 if none was.
 	late, lost  int
@@ -53,7 +57,7 @@
 
 // newSilentFleet returns a fleet of engines with the given versions, whose entry has received a complete stream with a pause.
 func newSilentFleet(t *testing.T, versions map[string]int64, pause time.Duration) *silentFleet {
-	f := &silentFleet{rig: newRig(), t: t, versions: versions}
+	f := &silentFleet{rig: newRig(), t: t, versions: versions, startTime: usualStartTime}
 	for _, id := range slices.Sorted(maps.Keys(versions)) {
 		f.add(id, "model", "perth-a", 1000)
 	}
@@ -72,6 +76,12 @@
 	for id := uint64(1); f.now < arrivalsEnd; id++ {
 		f.now += simulatedTick
 		f.advanceEngines()
+		if f.lateFrom <= f.now && f.now < f.lateUntil {
+			continue
+		}
+		if f.manifestInterval > 0 && f.now%f.manifestInterval < simulatedTick {
+			f.changeManifest()
+		}
 		f.reportLoads()
 		f.execute(f.step(step.Tick{}))
 		f.execute(f.arrive(id, path))
@@ -85,6 +95,13 @@
 	}
 }
 
+// changeManifest has the entry receive another manifest with the same content.
+func (f *silentFleet) changeManifest() {
+	changed := *f.state.Catalog.Manifest
+	changed.Version++
+	f.applyCatalog(catalog.ManifestRead{Revision: storerev.Revision{Number: changed.Version}, Manifest: &changed})
+}
+
 // silent reports whether an engine is silent now.
 func (f *silentFleet) silent(engine string) bool {
 	return engine == "m1" && f.silentFrom <= f.now && f.now < f.silentUntil
@@ -129,7 +146,7 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case forward.Send:
-			f.runs = append(f.runs, &engineRun{id: e.ID, engine: e.Upstream.ID, due: f.now + startTime})
+			f.runs = append(f.runs, &engineRun{id: e.ID, engine: e.Upstream.ID, due: f.now + f.startTime})
 		case forward.Withdraw:
 			f.withdraw(e.ID)
 		case forward.Refuse, forward.Abort:
@@ -231,3 +248,20 @@
 		require.Equal(t, uint64(4), only[forward.Send](t, r.step(forward.AttemptEnded{ID: 3, Outcome: forward.Answered})).ID)
 	}
 }
+
+// TestLateEntryAndManifestChangesDoNotDelayWithdrawals guards against requests that start on an expired version because the entry was late
+// when they had to be withdrawn, or because manifests change at that time. The engines take long to start a request.
+func TestLateEntryAndManifestChangesDoNotDelayWithdrawals(t *testing.T) {
+	const interval, lateness = 100 * time.Millisecond, 500 * time.Millisecond
+	for _, path := range []string{resumableStream, nonResumableStream} {
+		for from := 6 * time.Second; from <= expiry; from += interval {
+			f := newSilentFleet(t, map[string]int64{"m1": 1, "m2": 1, "m3": 2}, 0)
+			f.startTime = 3 * time.Second
+			f.lateFrom, f.lateUntil = from, from+lateness
+			f.manifestInterval = 67 * time.Millisecond
+			f.run(path)
+			require.Zero(t, f.late, "%s: late from %v on", path, from)
+			require.False(t, path == resumableStream && f.lost > 0, "%s: late from %v on: %d lost", path, from, f.lost)
+		}
+	}
+}
