Observe pauses that ended an attempt

A stream whose engine pauses for 1.2 s is ended and resumed elsewhere, so the pause was never seen: only complete streams from one attempt report theirs. The margins before an expiry then covered only shorter pauses. A pause in the middle of a stream that ended the attempt now counts as well; a wait for the first event does not, as the engine may be busy.

--- a/internal/core/forward/pauses.go
+++ b/internal/core/forward/pauses.go
@@ -9,13 +9,23 @@
 	pauseWindow = 30 * time.Second
 )
 
-// observePause records the longest pause between two events of a complete stream. Its engine was silent and went on, so other engines
-// may be silent for as long, and notice nothing meanwhile.
+// observePause records the longest pause between two events of a stream: of a complete one, or of one that paused until its attempt was
+// ended. Engines that pause go on after a while, and notice nothing meanwhile. A wait for the first event is no pause, since the engine may be busy
+// with other requests.
 func (s *State) observePause(now time.Time, r *request, ev AttemptEnded) {
-	if r.model == "" || ev.Outcome != Answered {
-		return
+	switch {
+	case ev.Outcome == Answered:
+		s.recordPause(now, r, ev.MaxGap)
+	case ev.Outcome == Silent && ev.Partial:
+		s.recordPause(now, r, ev.SinceLastPart)
+	}
+}
+
+// recordPause records a pause of the engine that a request is with.
+func (s *State) recordPause(now time.Time, r *request, pause time.Duration) {
+	if r.model != "" {
+		s.pauses.add(now, pauseWindow, min(pause, maxPause))
 	}
-	s.pauses.add(now, pauseWindow, min(ev.MaxGap, maxPause))
 }
 
 // longestPause returns the longest recent pause of an engine, at most maxPause.
--- a/internal/core/forward/silent_version_test.go
+++ b/internal/core/forward/silent_version_test.go
@@ -225,6 +225,25 @@
 	}
 }
 
+// TestPauseThatEndedAnAttemptIsObserved guards against margins that do not cover the longest pauses, since these end attempts.
+func TestPauseThatEndedAnAttemptIsObserved(t *testing.T) {
+	for _, c := range []struct {
+		end     forward.AttemptEnded
+		refused bool
+	}{
+		{forward.AttemptEnded{ID: 1, Outcome: forward.Silent, Partial: true, SinceLastPart: 1200 * time.Millisecond}, true},
+		{forward.AttemptEnded{ID: 1, Outcome: forward.Silent}, false},
+		{forward.AttemptEnded{ID: 1, Outcome: forward.Broken, Partial: true, SinceLastPart: 1200 * time.Millisecond}, false},
+	} {
+		f := newSilentFleet(t, map[string]int64{"m1": 1, "m2": 1}, 0)
+		only[forward.Send](t, f.arrive(1, nonResumableStream))
+		f.step(c.end)
+		f.now = 6400 * time.Millisecond
+		f.reportLoads()
+		require.Equal(t, !c.refused, len(sentIDs(f.arrive(2, nonResumableStream))) == 1, c.end)
+	}
+}
+
 // TestEngineWithTheNextVersionIsPreferredBeforeAnExpiry guards against unstarted requests at engines that may pause until their version has
 // expired, and against refusing requests that an engine can still take.
 func TestEngineWithTheNextVersionIsPreferredBeforeAnExpiry(t *testing.T) {
