--- a/internal/silence/conn.go
+++ b/internal/silence/conn.go
@@ -59,7 +59,7 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
 	if n > 0 {
-		c.recordAnswer()
+		c.setUnanswered(false)
 	}
 	return n, err
 }
@@ -92,6 +92,7 @@
 	if err := c.startWrite(); err != nil {
 		return 0, err
 	}
+	c.setUnanswered(true)
 	return c.Conn.Write(p)
 }
 
@@ -102,16 +103,15 @@
 	if c.closed {
 		return net.ErrClosed
 	}
-	c.unanswered = true
 	c.watch.recordSend()
 	return nil
 }
 
-// recordAnswer records that something was read.
-func (c *Conn) recordAnswer() {
+// setUnanswered records whether something was written since the last read.
+func (c *Conn) setUnanswered(unanswered bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unanswered = false
+	c.unanswered = unanswered
 }
 
 // Close implements net.Conn. It resets an unanswered connection if ResetUnanswered says so.
