hostagent: an engine that is silent for up to 3 s is not reported without weights

Seen by callers: while a sound engine was silent for a second, its agent reported it without weights. Entries then sent it nothing, refused requests where it was the only engine, and recorded it as crashed (forward.foundDown) until it went on.

Cause: two readings that failed within 0.8 s counted as a loss of the weights, whether the engine refused the connection or only did not answer in time.

Change: a reading that runs out of time is told apart from one that fails. Eight of the former in a row (3.2 s) count as a loss, two of the latter as before, so a crashed engine is noticed as soon as before. While the engine is silent the agent sends messages without a load report. The entry's last report ages as that of a frozen host does, so the engine is used only if no other can be, 0.7 s (1.2 s from elsewhere) after its last answer; before, it was known after 0.9 to 1.3 s. The first reading that is answered is reported at once.

--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -41,9 +41,12 @@
 	// engineTimeout is how long an engine may fail to answer before it counts as down. It spans several readings, which are made every
 	// 100 ms.
 	engineTimeout = 800 * time.Millisecond
-	// minFailedReads is the number of readings in a row that must have failed by then. A reading takes at most 400 ms, so two of a hung
-	// engine fail within engineTimeout and one interval.
+	// minFailedReads is the number of readings in a row that must have failed by then.
 	minFailedReads = 2
+	// maxSilentReads is the same for readings that ran out of time. The engine may go on with all that it had, so it counts as down only
+	// after the longest silence to be expected of one that is sound, 3 s. A reading that runs out of time takes 400 ms. They are counted
+	// because the clock also covers the time for which this process did not run.
+	maxSilentReads = 8
 )
 
 // Phase is the progress of a version on this host, or the progress of the engine with a model. These have separate sets of constants,
@@ -117,7 +120,10 @@
 }
 
 // EngineFailed reports that the engine didn't answer a reading.
-type EngineFailed struct{}
+type EngineFailed struct {
+	// Silent is set if the reading ran out of time: the engine neither answered nor refused the connection, and may go on.
+	Silent bool
+}
 
 // Prepared reports whether the chunks of a version are staged at the engine and were read back without an error.
 type Prepared struct {
@@ -336,9 +342,11 @@
 	engine EngineRead
 	// idleSince is when the engine was first read without requests after it had some.
 	idleSince time.Time
-	// readAt is when the engine last answered, and failedReads counts the readings that have failed since.
+	// readAt is when the engine last answered, and failedReads counts the readings that have failed since. silent is set if the last of
+	// these ran out of time and the engine does not count as down yet.
 	readAt      time.Time
 	failedReads int
+	silent      bool
 	// startedAt is the start time of the engine's present instance as last read; see EngineRead. instanceSince is when that
 	// instance was first read. A check of staged chunks that began before it may have read chunks of an earlier instance.
 	startedAt     int64
@@ -399,6 +407,9 @@
 // Answered reports whether the engine has ever answered.
 func (s *State) Answered() bool { return !s.readAt.IsZero() }
 
+// Silent reports whether the engine is silent and may go on. What is known of it is then older than usual.
+func (s *State) Silent() bool { return s.silent }
+
 // StartedAt returns the engine's start time as of the last reading, in milliseconds since 1970; 0 when it is unknown.
 func (s *State) StartedAt() int64 { return s.engine.StartedAt }
 
@@ -477,7 +488,7 @@
 	case EngineRead:
 		effects = s.engineRead(in, ev)
 	case EngineFailed:
-		s.engineFailed(in.Now)
+		s.engineFailed(in.Now, ev)
 	case Prepared:
 		effects = s.prepared(in, ev)
 	case LoadOrderEnded:
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -122,7 +122,7 @@
 	if s.engine.RequestCount > 0 && ev.RequestCount == 0 {
 		s.idleSince = in.Now
 	}
-	s.engine, s.readAt, s.failedReads = ev, in.Now, 0
+	s.engine, s.readAt, s.failedReads, s.silent = ev, in.Now, 0, false
 	if ev.StartedAt > 0 {
 		s.startedAt = ev.StartedAt // It is earlier than the last one if the host's clock was set back.
 	}
@@ -144,11 +144,17 @@
 	return effects
 }
 
-// engineFailed clears the engine's state when it hasn't answered for engineTimeout: it may come back without weights. One failed reading is
-// not enough, since it may have run out of time while this process did not run.
-func (s *State) engineFailed(now time.Time) {
+// engineFailed clears the engine's state once the engine counts as down: it may come back without weights. One failed reading is not enough,
+// since it may have run out of time while this process did not run.
+func (s *State) engineFailed(now time.Time, ev EngineFailed) {
 	s.failedReads++
-	if now.Sub(s.readAt) > engineTimeout && s.failedReads >= minFailedReads {
+	limit := minFailedReads
+	if ev.Silent {
+		limit = maxSilentReads
+	}
+	down := now.Sub(s.readAt) > engineTimeout && s.failedReads >= limit
+	s.silent = ev.Silent && !down
+	if down {
 		s.engine = EngineRead{}
 	}
 }
--- a/internal/hostagent/reports.go
+++ b/internal/hostagent/reports.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"samphireweir.example/samphireweir/internal/core/attribution"
 	"samphireweir.example/samphireweir/internal/core/balance"
 	"samphireweir.example/samphireweir/internal/core/install"
@@ -33,11 +35,12 @@
 	dataCentre string
 	// near is set for an entry in this data centre.
 	near bool
-	// heartbeatAt is when its last heartbeat arrived. reportedAt is when a load report was last sent to it, and lastLoad is that
-	// report.
+	// heartbeatAt is when its last heartbeat arrived. reportedAt is when a message was last sent to it, and lastLoad the last load report.
 	heartbeatAt time.Time
 	reportedAt  time.Time
 	lastLoad    loadreport.Load
+	// loadWithheld is set if the last message had no load report because the engine was silent.
+	loadWithheld bool
 	// crashChanges is the value of quarantine.Table.Changes when crashes were last sent to the entry, at crashesSentAt.
 	crashChanges  uint64
 	crashesSentAt time.Time
@@ -108,7 +111,7 @@
 	defer cancel()
 	state, err := a.engine.ReadState(ctx)
 	if err != nil {
-		a.Step(install.EngineFailed{})
+		a.Step(install.EngineFailed{Silent: errors.Is(ctx.Err(), context.DeadlineExceeded)})
 		return
 	}
 	a.Step(state)
@@ -158,10 +161,12 @@
 	return newest
 }
 
-// sendReports sends a load report to each entry to which one is due.
+// sendReports sends a message to each entry to which one is due. While the engine is silent, the message has no load report. The entry's last
+// one then ages, as if this host were frozen, and the entry uses the engine only if no other can be used.
 func (a *Agent) sendReports() {
 	now := time.Now()
 	load, versions := a.currentLoad(now)
+	silent := a.engineSilent()
 	a.reporter.mu.Lock()
 	defer a.reporter.mu.Unlock()
 	for address, s := range a.reporter.subscribers {
@@ -185,11 +190,14 @@
 	crashes, changes := a.reporter.crashes.Reports(now), a.reporter.crashes.Changes()
 	a.sendEvidence(now)
 	for address, s := range a.reporter.subscribers {
-		if !s.reportDue(now, load) && !s.crashesDue(now, changes) {
+		if !s.reportDue(now, load, silent) && !s.crashesDue(now, changes) {
 			continue
 		}
-		s.reportedAt, s.lastLoad = now, load
-		m := loadreport.Message{Load: &load, Activations: versions}
+		m := loadreport.Message{Activations: versions}
+		s.reportedAt, s.loadWithheld = now, silent
+		if !silent {
+			s.lastLoad, m.Load = load, &load
+		}
 		if s.crashesDue(now, changes) {
 			s.crashChanges, s.crashesSentAt = changes, now
 			m.Crashes = crashes
@@ -197,7 +205,9 @@
 		if now.Sub(s.entriesSentAt) >= idleInterval { // Sent with each report, the entries would take up much of it.
 			s.entriesSentAt = now
 			a.storePeers.AddEntries(s.dataCentre, &m)
-			a.reporter.demand.addSums(s, &m)
+			if !silent { // An entry takes sums only with a load report.
+				a.reporter.demand.addSums(s, &m)
+			}
 		}
 		if err := a.socket.Send(address, m); err != nil {
 			logevent.Info(a.log, logevent.PeerFailed).Str("peer", address.String()).Err(err).Msg("peer failed")
@@ -255,10 +265,16 @@
 	return remaining.Milliseconds(), version
 }
 
-// reportDue reports whether a load report is to be sent to the entry now.
-func (s *subscriber) reportDue(now time.Time, load loadreport.Load) bool {
+// reportDue reports whether a message is to be sent to the entry now. silent is set while the engine is silent.
+func (s *subscriber) reportDue(now time.Time, load loadreport.Load, silent bool) bool {
 	elapsed := now.Sub(s.reportedAt)
-	if elapsed >= s.maxInterval() || needsImmediateReport(aged(s.lastLoad, elapsed), load, s.near) {
+	if elapsed >= s.maxInterval() {
+		return true
+	}
+	if silent {
+		return false
+	}
+	if s.loadWithheld || needsImmediateReport(aged(s.lastLoad, elapsed), load, s.near) {
 		return true
 	}
 	if load.RequestCount == s.lastLoad.RequestCount {
@@ -276,6 +292,13 @@
 	return changes != s.crashChanges || now.Sub(s.crashesSentAt) >= idleInterval
 }
 
+// engineSilent reports whether the engine is silent and may go on.
+func (a *Agent) engineSilent() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.install.Silent()
+}
+
 // currentLoad returns the load report of the engine, and the activations to send with it.
 func (a *Agent) currentLoad(now time.Time) (loadreport.Load, []loadreport.Activation) {
 	a.mu.Lock()
