hostagent: a load order waits for a silent engine as long as its answer counts

Seen by callers: an engine that was silent for 2 to 3 s when its load order arrived accepted no requests for two more loads: it loaded the weights when it went on, and the agent, which had no confirmation, had it drop them and load them again.

Cause: the agent gave the order up after 2 s, while a confirmation counts until 3 s after the check of the chunks.

Change: the call ends when its answer is of no more use (LoadOrder.MaxAcceptAge after the check). An order to drop weights waits for 3 s, as the reducer does. The reducer's own wait is not longer than before, so an engine that never answers costs no more.

Evidence: TestLoadOrderWaitsForASilentEngine, an engine silent for 2.3 s, failed before ("accepted" false after 2.00 s) and passes now.

--- a/internal/hostagent/export_test.go
+++ b/internal/hostagent/export_test.go
@@ -42,6 +42,9 @@
 // Tick runs one tick.
 func (a *Agent) Tick() { a.tick() }
 
+// OrderLoad sends a load order and waits for its end.
+func (a *Agent) OrderLoad(e install.LoadOrder) { a.orderLoad(e) }
+
 // OwnDelay returns the monitor of this process's own delay.
 func (a *Agent) OwnDelay() *owndelay.Monitor { return a.ownDelay }
 
--- a/internal/hostagent/silent_engine_test.go
+++ b/internal/hostagent/silent_engine_test.go
@@ -1,7 +1,10 @@
 package hostagent_test
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -9,7 +12,9 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"samphireweir.example/samphireweir/internal/core/install"
 	"samphireweir.example/samphireweir/internal/hostagent"
+	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/telemetry"
 	"samphireweir.example/samphireweir/platform/standin"
@@ -125,3 +130,34 @@
 	require.Eventually(t, reported, testTimeout, 10*time.Millisecond)
 	require.EqualValues(t, 1, first.Versions["m"])
 }
+
+// TestLoadOrderWaitsForASilentEngine guards against an engine that loads weights, drops them and loads them again, because it was silent when
+// its load order arrived and the agent gave the order up though its confirmation would still have counted. It also guards against an order
+// that waits for longer than that.
+func TestLoadOrderWaitsForASilentEngine(t *testing.T) {
+	t.Parallel()
+	const silence = 2300 * time.Millisecond
+	for _, c := range []struct {
+		maxAcceptAge time.Duration
+		accepted     string
+	}{{time.Minute, `"accepted":true`}, {silence / 10, `"accepted":false`}} {
+		t.Run(c.maxAcceptAge.String(), func(t *testing.T) {
+			t.Parallel()
+			calls := &gate{}
+			engine := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				calls.wait()
+				w.WriteHeader(http.StatusAccepted)
+			}))
+			defer engine.Close()
+			defer calls.open()
+			var log standin.Log
+			a := hostagent.New(hostconfig.Host{Name: "a", IP: "127.0.0.1", PeerPort: 7700, Engine: strings.TrimPrefix(engine.URL, "http://")}, zerolog.New(&log), telemetry.NewMetrics(), nil)
+			calls.shut()
+			time.AfterFunc(silence, calls.open)
+			begun := time.Now()
+			a.OrderLoad(install.LoadOrder{Model: "m", Version: 1, CheckedAt: begun, MaxSendAge: time.Minute, MaxAcceptAge: c.maxAcceptAge})
+			require.True(t, log.Contains(c.accepted))
+			require.Less(t, time.Since(begun), silence+c.maxAcceptAge)
+		})
+	}
+}
--- a/internal/hostagent/staging.go
+++ b/internal/hostagent/staging.go
@@ -22,8 +22,8 @@
 	stageTimeout = 10 * time.Second
 	// maxStagePasses is the maximum number of passes over the chunks in one attempt to stage them.
 	maxStagePasses = 4
-	// orderTimeout limits a load order.
-	orderTimeout = 2 * time.Second
+	// unloadTimeout limits an order to drop weights. The reducer waits as long for its effect.
+	unloadTimeout = 3 * time.Second
 )
 
 // reuseStaged puts the intact chunks that are staged at the engine into the chunk memory, from which other hosts get them. It returns their
@@ -194,10 +194,11 @@
 }
 
 // orderLoad sends the engine a load order, unless the last check of the staged chunks is too old. That happens, for example, after this
-// process was frozen.
+// process was frozen. It waits for the answer for as long as that is of use: an engine that is silent meanwhile loads the weights all the same
+// when it goes on, and those of an order that was not confirmed must be loaded again.
 func (a *Agent) orderLoad(e install.LoadOrder) {
 	a.sendReports() // Entries learn that the engine stops accepting requests before it does so.
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	ctx, cancel := context.WithDeadline(context.Background(), e.CheckedAt.Add(e.MaxAcceptAge))
 	defer cancel()
 	accepted := false
 	err := errors.Errorf("the staged chunks were last checked more than %v ago", e.MaxSendAge)
@@ -219,7 +220,7 @@
 
 // orderUnload orders the engine to drop weights. The next readings show whether it did.
 func (a *Agent) orderUnload(e install.Unload) {
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), unloadTimeout)
 	defer cancel()
 	err := a.engine.Unload(ctx, e)
 	logevent.Warn(a.log, logevent.UnloadOrdered).Err(err).Str("model", e.Model).Int64("version", e.Version).Str("instance", e.Instance).Int64("sequence", e.Sequence).
