install: a check of chunks that is too old for an order is repeated at once

Seen by callers: an engine that was silent for 2 s while its chunks were read back was reported as not accepting requests for half a second after it went on, although nothing was ordered.

Cause: the reducer took the check for good and entered the phase of the order; only the shell saw that the check was too old to send one.

Change: the reducer compares the age itself and has the chunks checked again. The shell still compares it when it sends.

Evidence: TestCheckThatASilenceOutlastedIsRepeated failed before with an order for a check 2.1 s old.

--- a/internal/core/install/engine_failed_test.go
+++ b/internal/core/install/engine_failed_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"samphireweir.example/samphireweir/internal/core/install"
+	"samphireweir.example/samphireweir/internal/core/step"
 )
 
 // TestOneFailedReadingIsNoLossOfWeights guards against an engine that is reported without weights, and so gets no requests, because its
@@ -86,3 +87,24 @@
 	h.step(install.EngineFailed{})
 	require.Empty(t, h.state.Loaded())
 }
+
+// TestCheckThatASilenceOutlastedIsRepeated guards against an engine that is reported as not accepting requests for half a second, although
+// it was ordered nothing: it was silent while its chunks were read back, so that their check was too old for an order.
+func TestCheckThatASilenceOutlastedIsRepeated(t *testing.T) {
+	h := newHarness()
+	h.engine.Loaded = map[string]int64{"m": 1}
+	h.read()
+	prepare := []step.Effect{install.Prepare{Model: "m", Version: 2, Digest: "d2"}}
+	h.fetch(2, "d2")
+	require.Equal(t, prepare, h.pass(200*time.Millisecond))
+	checkedAt := begin.Add(h.now)
+	for range 5 {
+		h.now += readingTimeout
+		h.step(install.EngineFailed{Silent: true})
+	}
+	h.now += 100 * time.Millisecond
+	h.read()
+	require.Empty(t, actions(h.step(install.Prepared{Model: "m", Version: 2, OK: true, CheckedAt: checkedAt})))
+	require.False(t, h.state.NotAccepting())
+	require.Equal(t, prepare, h.pass(300*time.Millisecond))
+}
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -181,6 +181,9 @@
 	if !s.responding(in.Now) {
 		return m.enter(in.Now, Waiting, in.Now.Add(prepareRetry), "the engine does not respond")
 	}
+	if in.Now.Sub(ev.CheckedAt) > maxCheckAge {
+		return m.enter(in.Now, Waiting, in.Now.Add(prepareRetry), "the check of the chunks is too old")
+	}
 	m.orderedAt, m.orderedBusy = in.Now, s.engine.RequestCount > 0
 	return append(m.enter(in.Now, Ordering, in.Now.Add(orderTimeout), "chunks read back"), s.newOrder(m, ev.CheckedAt))
 }
