--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -132,7 +132,7 @@
 			p.lastResort.consider(in, v, r)
 		case v.reloading(in.Now, r) || v.backoffEndsWithin(in.Now, wait):
 			p.current.availability = max(p.current.availability, full)
-		case v.mayGoOn(in.Now, r, required):
+		case v.mayGoOn(in.Now, r, versions.required):
 			p.silent = true
 		}
 	}
