weights: a suspended host does not charge its own delay to its peers

Seen: when the hosts of a fleet went on after a second in which none of them ran, they fetched chunks a second time that were on their way. The links between data centres and regions carried up to half more, the origin up to 8 % more.

Cause: the timeouts of fetches, of the fetchers of origin parts and of delegates ran on while the process did not run, and were looked at before what had arrived meanwhile was read.

Change: a tick that is late by 150 ms or more postpones these timeouts by as much. Hosts that are silent for others are replaced as before.

The simulated network can now keep what is sent to a suspended host, as its sockets do; the other tests use it as before.

--- a/internal/core/weights/fleet_test.go
+++ b/internal/core/weights/fleet_test.go
@@ -47,6 +47,8 @@
 	originFault func(chunk int) (fails bool, why weights.Reason, retry time.Duration)
 	partitioned func(a, b *fakeHost) bool
 	stalled     func(h *fakeHost) bool
+	// socketsKeep is set if what is sent to a frozen host waits there, as in the sockets of a suspended process. Otherwise it is lost.
+	socketsKeep bool
 	// listLacks reports whether the host list of h lacks another host.
 	listLacks func(h, other *fakeHost) bool
 }
--- a/internal/core/weights/network_test.go
+++ b/internal/core/weights/network_test.go
@@ -115,6 +115,10 @@
 		f.after(networkDelay, func() { f.step(h, silent) })
 		return
 	}
+	if p.frozen && f.socketsKeep {
+		f.announceOnThaw(h, p, e)
+		return
+	}
 	if p.frozen || !f.connected(h, p) {
 		f.after(callTimeout, func() { f.step(h, silent) })
 		return
@@ -137,6 +141,23 @@
 	})
 }
 
+// announceOnThaw delivers an announcement to a frozen host when it goes on, unless the call has failed by then.
+func (f *fleet) announceOnThaw(h, p *fakeHost, e weights.Announce) {
+	ended := false
+	f.after(callTimeout, func() {
+		if !ended {
+			ended = true
+			f.step(h, weights.PeerSilent{Digest: e.Digest, From: e.To})
+		}
+	})
+	p.pendingEvents = append(p.pendingEvents, func() {
+		if !ended {
+			ended = true
+			f.announce(h, e)
+		}
+	})
+}
+
 // fetchChunk simulates a fetch with its timeout.
 func (f *fleet) fetchChunk(h *fakeHost, e weights.FetchChunk) {
 	instance := h.instance
@@ -199,6 +220,14 @@
 		f.after(networkDelay, func() { fail(weights.ExchangeFailed) })
 		return
 	}
+	if p.frozen && f.socketsKeep {
+		p.pendingEvents = append(p.pendingEvents, func() {
+			if h.fetches[e.ID] {
+				f.fetchFromPeer(h, p, e, arrive, fail)
+			}
+		})
+		return
+	}
 	if p.frozen || !f.connected(h, p) {
 		return
 	}
@@ -234,6 +263,12 @@
 		case p.dead || p.instance != instance:
 			fail(weights.ExchangeFailed)
 			return
+		case p.frozen && f.socketsKeep:
+			p.pendingEvents = append(p.pendingEvents, func() {
+				p.activeUploads--
+				f.upload(h, p, call, arrive, fail)
+			})
+			return
 		case p.frozen || (f.stalled != nil && f.stalled(p)) || !f.connected(h, p):
 			f.after(callTimeout, func() { f.uploadEnded(p, instance, call, 0) })
 			return
--- a/internal/core/weights/state.go
+++ b/internal/core/weights/state.go
@@ -27,6 +27,8 @@
 	fetchCount uint64
 	// rates are the rates of the origin and of the link.
 	rates rates
+	// tickedAt is when the last tick was handled, or the first event after this process was delayed; zero before the first tick.
+	tickedAt time.Time
 	// nextBlockedReport is the earliest time of the next report of blocked bursts.
 	nextBlockedReport time.Time
 }
@@ -112,6 +114,7 @@
 
 // Reduce handles one input and returns its effects.
 func (s *State) Reduce(in step.Input) []step.Effect {
+	s.noticeOwnDelay(in)
 	switch ev := in.Event.(type) {
 	case Configured:
 		if ev.Mode != "" {
