--- a/internal/core/install/install.go
+++ b/internal/core/install/install.go
@@ -38,15 +38,6 @@
 	servingShare = 0.8
 	// idleShare is the same fraction while the engine is idle. Control traffic between hosts takes the rest.
 	idleShare = 0.92
-	// engineTimeout is how long an engine may fail to answer before it counts as down. It spans several readings, which are made every
-	// 100 ms.
-	engineTimeout = 800 * time.Millisecond
-	// minFailedReads is the number of readings in a row that must have failed by then.
-	minFailedReads = 2
-	// maxSilentReads is the same for readings that ran out of time. The engine may go on with all that it had, so it counts as down only
-	// after the longest silence to be expected of one that is sound, 3 s. A reading that runs out of time takes 400 ms. They are counted
-	// because the clock also covers the time for which this process did not run.
-	maxSilentReads = 8
 )
 
 // Phase is the progress of a version on this host, or the progress of the engine with a model. These have separate sets of constants,
@@ -119,12 +110,6 @@
 	Notice catalog.Notice
 }
 
-// EngineFailed reports that the engine didn't answer a reading.
-type EngineFailed struct {
-	// Silent is set if the reading ran out of time: the engine neither answered nor refused the connection, and may go on.
-	Silent bool
-}
-
 // Prepared reports whether the chunks of a version are staged at the engine and were read back without an error.
 type Prepared struct {
 	Model   string
@@ -180,9 +165,6 @@
 // Event marks the type as an event.
 func (EngineRead) Event() {}
 
-// Event marks the type as an event.
-func (EngineFailed) Event() {}
-
 // Event marks the type as an event.
 func (Prepared) Event() {}
 
@@ -407,9 +389,6 @@
 // Answered reports whether the engine has ever answered.
 func (s *State) Answered() bool { return !s.readAt.IsZero() }
 
-// Silent reports whether the engine is silent and may go on. What is known of it is then older than usual.
-func (s *State) Silent() bool { return s.silent }
-
 // StartedAt returns the engine's start time as of the last reading, in milliseconds since 1970; 0 when it is unknown.
 func (s *State) StartedAt() int64 { return s.engine.StartedAt }
 
--- a/internal/core/install/reduce.go
+++ b/internal/core/install/reduce.go
@@ -144,21 +144,6 @@
 	return effects
 }
 
-// engineFailed clears the engine's state once the engine counts as down: it may come back without weights. One failed reading is not enough,
-// since it may have run out of time while this process did not run.
-func (s *State) engineFailed(now time.Time, ev EngineFailed) {
-	s.failedReads++
-	limit := minFailedReads
-	if ev.Silent {
-		limit = maxSilentReads
-	}
-	down := now.Sub(s.readAt) > engineTimeout && s.failedReads >= limit
-	s.silent = ev.Silent && !down
-	if down {
-		s.engine = EngineRead{}
-	}
-}
-
 // modelInPhase returns the model if it is in the given phase for the given version, else nil.
 func (s *State) modelInPhase(name string, number int64, p Phase) *model {
 	m := s.models[name]
@@ -237,11 +222,6 @@
 	return effects
 }
 
-// responding reports whether the engine has answered a reading recently.
-func (s *State) responding(now time.Time) bool {
-	return !s.readAt.IsZero() && now.Sub(s.readAt) < engineTimeout
-}
-
 func (s *State) advanceEngine(in step.Input, m *model) []step.Effect {
 	responding := s.responding(in.Now)
 	held := s.usableVersion(m.name)
