forward: a full service waits for engines that are silent or have just gone on

What callers saw: while several engines were silent, the others filled up, or those whose silence was not known yet did. Callers were then refused after the wait for capacity (0.2 s, 2003 "every upstream is full"), though the engines went on a moment later. In services with priorities they were refused on arrival, since the rate of completions had dropped. Cause: a wait for capacity is measured for engines that work. A silent one frees no slot for a second, and all of them right after. Change: a request whose wait for capacity ends goes on waiting, until its caller's time is nearly over, for engines that are silent, that are quiet (a request is overdue there and nothing was heard for 0.5 s) or that went on within a run time. No more requests do so than these engines can run in the time left, so that a full service with one silent engine of many refuses callers as before. The rate of completions refuses nobody meanwhile. Evidence: TestNobodyIsRefusedWhileEnginesAreSilent: five engines, 83 requests a second, silences of 1.1 and 1.7 s. TestLowPriorityWaitsForSilentEngine failed without the changes of by_rate.go and queue.go.

--- a/internal/core/forward/by_rate.go
+++ b/internal/core/forward/by_rate.go
@@ -11,7 +11,7 @@
 
 // decideByRate decides on a first try that arrives at a full service whose requests have different priorities. It is refused if the
 // requests before it take longer than it can wait. The rate does not end a wait that has begun: so few requests complete within it that
-// their number says little.
+// their number says little. While a silent upstream may go on, the rate is no measure of what follows.
 func (s *State) decideByRate(in step.Input, r *request, found availability) ([]step.Effect, bool) {
 	if found != full || r.returning || !r.queueDeadline.IsZero() || !s.prioritized(r.service) {
 		return nil, false
@@ -21,7 +21,7 @@
 		return nil, false
 	}
 	ahead := s.queue(r.service).Ahead(in.Now, s.item(r))
-	if s.inReach(in.Now, r, o, ahead, s.maxWait(r)) {
+	if s.inReach(in.Now, r, o, ahead, s.maxWait(r)) || s.mayAwaitSilent(in.Now, r) {
 		return nil, false
 	}
 	roomAt, _ := o.capacity.RoomByRate(in.Now, r.priority, ahead)
--- a/internal/core/forward/by_rate_test.go
+++ b/internal/core/forward/by_rate_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
+	"samphireweir.example/samphireweir/internal/core/step"
 )
 
 // newSaturatedRig returns an entry whose only engine has 16 slots, all taken, and completes ten requests of priority 0 a second while as many
@@ -89,3 +91,20 @@
 	require.Empty(t, refusals(r.arriveFrom(3, 9, 0, 0)))
 	require.Equal(t, []uint64{2, 3}, sentIDs(r.tick()))
 }
+
+// TestLowPriorityWaitsForSilentEngine guards against refusing callers on arrival by the rate of an engine, while another one that is silent may
+// go on before their time is over.
+func TestLowPriorityWaitsForSilentEngine(t *testing.T) {
+	r, _ := newSaturatedRig(true)
+	r.add("m2", "model", "perth-a", 16)
+	r.step(forward.LoadReported{Address: "m2", Versions: map[string]int64{"m": 1}, Entries: 1, NearEntries: 1})
+	r.state.NoteStalled(begin.Add(r.now), catalog.Instance{ID: "m2"})
+	for id := uint64(1); id <= 6; id++ {
+		require.Empty(t, refusals(r.arriveFrom(id, 0, 0, 0)))
+	}
+	for id := uint64(11); id <= 16; id++ {
+		require.Empty(t, refusals(r.arriveFrom(id, 9, 1, 0)), "request %d", id)
+	}
+	r.now += 300 * time.Millisecond
+	require.Empty(t, refusals(r.step(step.Tick{})), "they wait longer than for capacity")
+}
--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -39,6 +39,8 @@
 	// overdue is the number of this entry's requests there that had waited longer for their first event than their latency
 	// objective at the last tick.
 	overdue int
+	// oldestOverdue is when the oldest of these was sent.
+	oldestOverdue time.Time
 	// otherRequests is the number of requests from other entries, as of reportedAt.
 	otherRequests int
 	// remainingSends is how many more requests this entry may send to the engine before its next load report; see shareOfFree.
@@ -186,6 +188,9 @@
 	for _, r := range s.requests {
 		if r.awaitingFirstEvent && r.route.Objective > 0 && now.Sub(r.sentAt) > r.route.Objective {
 			l := s.loadState(r.instance)
+			if l.overdue == 0 || r.sentAt.Before(l.oldestOverdue) {
+				l.oldestOverdue = r.sentAt
+			}
 			l.overdue++
 			s.overdue = append(s.overdue, l)
 		}
--- a/internal/core/forward/pass.go
+++ b/internal/core/forward/pass.go
@@ -27,6 +27,11 @@
 	full []fullResult
 	// delayInputs are those of the requests refused since the last send, by kind.
 	delayInputs map[searchKey]delayInputs
+	// silentSlots are the results of silentSlots, by kind of request.
+	silentSlots map[searchKey]float64
+	// awaiting is the number of requests that wait for silent upstreams, once awaitingKnown is set.
+	awaiting      int
+	awaitingKnown bool
 	// reserved are the upstreams that are reserved for requests that had their turn; see reserve.
 	reserved []*loadState
 }
@@ -52,7 +57,7 @@
 }
 
 func newPass(q *schedule.Queue, prioritized bool) *pass {
-	p := &pass{prioritized: prioritized, delayInputs: map[searchKey]delayInputs{}}
+	p := &pass{prioritized: prioritized, delayInputs: map[searchKey]delayInputs{}, silentSlots: map[searchKey]float64{}}
 	for priority, n := range q.Waiting() {
 		if n > 0 {
 			p.leastUrgent = priority
--- a/internal/core/forward/queue.go
+++ b/internal/core/forward/queue.go
@@ -62,6 +62,9 @@
 		r.queueDeadline = in.Now.Add(s.maxWait(r))
 	}
 	if !in.Now.Before(r.queueDeadline) {
+		if s.mayAwaitSilent(in.Now, r) {
+			return s.awaitSilent(in, r)
+		}
 		return s.endWithRetryAfter(in, r, code.Overloaded, fmt.Sprintf("every upstream of %s is full%s: %s", r.service, s.describeOrder(r), s.describeUpstreams(in.Now, r)))
 	}
 	s.lastQueuedAt[r.service] = in.Now
--- a/internal/core/forward/silence_test.go
+++ b/internal/core/forward/silence_test.go
@@ -124,3 +124,60 @@
 	require.Equal(t, code.NoUpstream, refuse.Code)
 	require.Equal(t, code.NotRun, refuse.Ran)
 }
+
+// TestNobodyIsRefusedWhileEnginesAreSilent guards against refusing callers although all engines are sound: some, or all of them, are silent
+// for a second or two. It also guards against more requests at one engine than it has slots, and against repeats. With open attempts, the
+// ones that stall go on with their engine; else they end, and only those may be lost.
+func TestNobodyIsRefusedWhileEnginesAreSilent(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		path    string
+		open    bool
+		between time.Duration
+	}{
+		{name: "all at once", path: nonResumableStream},
+		{name: "one after the other", path: nonResumableStream, between: 600 * time.Millisecond},
+		{name: "all at once, attempts stall", path: resumableStream, open: true},
+		{name: "one after the other, attempts stall", path: resumableStream, open: true, between: 600 * time.Millisecond},
+		{name: "one after the other, attempts end", path: resumableStream, between: 600 * time.Millisecond},
+	} {
+		for _, lasts := range []time.Duration{1100 * time.Millisecond, 1700 * time.Millisecond} {
+			f := newSilentFleet(5)
+			f.open = c.open
+			f.requests(800, 12*time.Millisecond, c.path)
+			for i, e := range f.engines {
+				for from := 2 * time.Second; from < 12*time.Second; from += 4 * time.Second {
+					f.silence(e, from+time.Duration(i)*c.between, lasts)
+				}
+			}
+			f.runUntil(20 * time.Second)
+			t.Logf("%s, %v: %d of %d answered, %d refused, %d not run, %d repeats, at most %d at one engine", c.name, lasts, f.answered, f.arrived, len(f.refusals), f.notRun, f.repeats, f.mostRunning)
+			require.Zero(t, f.notRun, "%s, %v: %v", c.name, lasts, f.refusals)
+			require.LessOrEqual(t, f.mostRunning, silentFleetSlots, c.name)
+			if c.open || c.path == nonResumableStream {
+				require.Equal(t, f.arrived, f.answered, "%s, %v", c.name, lasts)
+				require.Zero(t, f.repeats, c.name)
+			}
+		}
+	}
+}
+
+// TestFewSilentEnginesDoNotProlongWaits guards against callers of a full service who are held for nothing since one of many engines is silent.
+func TestFewSilentEnginesDoNotProlongWaits(t *testing.T) {
+	f := newSilentFleet(20)
+	f.requests(9000, 650*time.Microsecond, nonResumableStream) // That is 1.5 times the capacity.
+	f.silence("m0", 2*time.Second, 2*time.Second)
+	f.after(2600*time.Millisecond, func() { f.state.NoteStalled(begin.Add(f.simulatedTime.now), catalog.Instance{ID: "m0"}) })
+	longest := 0
+	f.repeat(20*time.Millisecond, func() bool {
+		waiting := 0
+		for _, n := range f.state.Waiting() {
+			waiting += n
+		}
+		longest = max(longest, waiting)
+		return true
+	})
+	f.runUntil(6 * time.Second)
+	t.Logf("%d of %d answered, %d refused, at most %d waiting", f.answered, f.arrived, f.notRun, longest)
+	require.LessOrEqual(t, longest, 500)
+}
--- a/internal/core/forward/stalled.go
+++ b/internal/core/forward/stalled.go
@@ -46,7 +46,7 @@
 
 // noteHeard records that something of an answer was received from the upstream. If it was silent, it may be used again at once.
 func (l *loadState) noteHeard(now time.Time) {
-	if l.silence.active() {
+	if l.silence.active() || l.quiet(now) {
 		l.silence = silence{}
 		l.silentUntil = now
 	}
@@ -94,3 +94,15 @@
 	l := v.load
 	return l.silence.active() && !l.silence.lasting(now) && !now.Before(l.avoidUntil) && v.accepts(now, r, required)
 }
+
+// quiet reports whether the upstream has sent nothing within aliveWindow, though a request is overdue there. It may be silent, and may go on
+// unless the request has waited for longer than a silence lasts.
+func (l *loadState) quiet(now time.Time) bool {
+	return l.overdue > 0 && !l.answersNow(now) && now.Sub(l.oldestOverdue) < aliveWindow+maxSilence
+}
+
+// wentOn reports whether the upstream was silent until a moment ago. It is full of requests that waited for it, and completes the first ones
+// within a run time.
+func (l *loadState) wentOn(now time.Time, runTime time.Duration) bool {
+	return now.Sub(l.silentUntil) < runTime
+}
