forward: a silence of a second is no outage

What callers saw: while most engines of a service were silent, the entry took it for an outage. The plan across data centres took the engines out. Cause: the forecasts, the Retry-After delay and the plan counted an upstream that was avoided after a silent attempt as unusable. Change: a silent upstream that may go on counts as usable in these three. One that has been silent for longer than a sound one may be does not. Evidence: TestSilenceIsNoOutage, TestWaitForSilentUpstreamEndsInTime (its Retry-After) and TestSilentEngineCountsUntilItIsProbablyDown each fail without the change of outlook.go, retry_after.go and balance.go.

--- a/internal/core/forward/balance.go
+++ b/internal/core/forward/balance.go
@@ -228,7 +228,7 @@
 		return
 	}
 	slots := float64(v.slots())
-	usable := v.holdsAny(now, required) && !now.Before(v.load.avoidUntil)
+	usable := v.holdsAny(now, required) && !now.Before(v.load.avoidUntil) && !v.load.silence.lasting(now)
 	switch {
 	case v.noHeartbeat && usable:
 		c.others += slots
--- a/internal/core/forward/balance_internal_test.go
+++ b/internal/core/forward/balance_internal_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"samphireweir.example/samphireweir/internal/core/balance"
+	"samphireweir.example/samphireweir/internal/core/catalog"
 )
 
 // TestDemandIsEstimatedFromASampleOfTheEntries guards against sums over some of the entries that are taken for all: in data centres with more
@@ -45,3 +46,21 @@
 	now = now.Add(12 * time.Second)
 	require.Empty(t, work())
 }
+
+// TestSilentEngineCountsUntilItIsProbablyDown guards against a plan that moves work away from engines that are silent for a second, and against
+// one that counts on engines that stay silent.
+func TestSilentEngineCountsUntilItIsProbablyDown(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	v := &upstreamView{Upstream: &catalog.Upstream{Slots: 8, Versions: map[string]int64{"m": 1}}, load: &loadState{}}
+	usable := func(now time.Time) float64 {
+		var c slotCount
+		c.add(now, v, map[string]int64{"m": 1})
+		return c.heardUsable
+	}
+	v.load.recordOutcome(now, Silent)
+	require.Equal(t, 8.0, usable(now))
+	require.Equal(t, 8.0, usable(now.Add(maxSilence-time.Millisecond)))
+	require.Zero(t, usable(now.Add(maxSilence)))
+	v.load.noteHeard(now.Add(maxSilence))
+	require.Equal(t, 8.0, usable(now.Add(maxSilence)))
+}
--- a/internal/core/forward/outlook.go
+++ b/internal/core/forward/outlook.go
@@ -145,9 +145,10 @@
 	nearest := math.MaxInt
 	for _, v := range s.viewsFor(now, o.probe) {
 		usable := v.usable(now, o.probe, required)
-		all.add(usable)
+		goesOn := usable || v.mayGoOn(now, o.probe, required) // A silence of a second is no outage.
+		all.add(goesOn)
 		if v.load.hasReport(now) {
-			reported.add(usable)
+			reported.add(goesOn)
 		}
 		readyAt, predicted := s.predictedReady(now, o, v)
 		if !usable && !predicted {
--- a/internal/core/forward/retry_after.go
+++ b/internal/core/forward/retry_after.go
@@ -107,7 +107,7 @@
 	var all, reported usableCount
 	required := s.requiredVersion(now, r.model)
 	for _, v := range s.viewsFor(now, r) {
-		usable := v.usable(now, r, required) || r.tried[v.Instance()] && !now.Before(v.load.avoidUntil)
+		usable := v.usable(now, r, required) || v.mayGoOn(now, r, required) || r.tried[v.Instance()] && !now.Before(v.load.avoidUntil)
 		all.add(usable)
 		if v.load.hasReport(now) {
 			reported.add(usable)
--- a/internal/core/forward/silence_test.go
+++ b/internal/core/forward/silence_test.go
@@ -92,14 +92,15 @@
 }
 
 // TestWaitForSilentUpstreamEndsInTime guards against callers who are held until their time is over, or for an upstream that is probably down.
-// They are told truthfully that their request did not run.
+// They are told truthfully that their request did not run, and to return after more than two seconds only if the upstream is probably down.
 func TestWaitForSilentUpstreamEndsInTime(t *testing.T) {
 	for _, c := range []struct {
 		path, service string
 		latest        time.Duration
+		down          bool
 	}{
 		{path: nonIdempotentCall, service: "desk", latest: 750 * time.Millisecond},
-		{path: nonResumableStream, service: "model", latest: 2520 * time.Millisecond},
+		{path: nonResumableStream, service: "model", latest: 2520 * time.Millisecond, down: true},
 	} {
 		r := fallSilent(t, c.service, c.path)
 		require.Empty(t, refusals(r.arrive(10, c.path)))
@@ -110,7 +111,7 @@
 		}
 		require.Equal(t, uint64(10), list[0].ID)
 		require.Equal(t, code.NotRun, list[0].Ran, c.path)
-		require.Positive(t, list[0].RetryAfter, c.path)
+		require.Equal(t, c.down, list[0].RetryAfter >= 2*time.Second, c.path)
 		require.Contains(t, list[0].Reason, "1 silent", c.path)
 	}
 }
@@ -181,3 +182,24 @@
 	t.Logf("%d of %d answered, %d refused, at most %d waiting", f.answered, f.arrived, f.notRun, longest)
 	require.LessOrEqual(t, longest, 500)
 }
+
+// TestSilenceIsNoOutage guards against refusing callers on arrival because most engines are silent for a second: all are, but for one that
+// returns in four seconds.
+func TestSilenceIsNoOutage(t *testing.T) {
+	r := newOutageRig()
+	const requests = 40
+	used := map[string]bool{}
+	for id := uint64(1); id <= requests; id++ {
+		used[only[forward.Send](t, r.arriveWithTimeout(id, 6*time.Second)).Upstream.ID] = true
+	}
+	require.Len(t, used, outageEngines)
+	r.now += 1500 * time.Millisecond
+	for id := uint64(1); id <= requests; id++ {
+		r.step(forward.AttemptEnded{ID: id, Outcome: forward.Silent})
+	}
+	r.step(forward.LoadReported{Address: "0", ReadyIn: 4 * time.Second, ReadyVersion: 1, Entries: 1, NearEntries: 1})
+	for id := uint64(100); id < 120; id++ {
+		require.Empty(t, refusals(r.arriveWithTimeout(id, 6*time.Second)))
+	}
+	require.Empty(t, refusals(r.tick()))
+}
