forward: a silence says nothing of an engine's speed

What callers saw: with the setting uneven-engines, an engine that was silent once was predicted to be slow for long after, and got fewer requests or had them withdrawn. Cause: the waits of its requests, and the gaps of its streams, were observed as if the engine had worked all the time. Change: an attempt during which its engine was silent, or quiet while a request was overdue, is not observed. An attempt that ends as silent is, if the engine answers others: it is slow then. Evidence: TestSilenceSaysNothingOfSpeed: eight requests of 0.1 s wait for an engine that is silent for 1.5 s.

--- a/internal/core/forward/second_attempt.go
+++ b/internal/core/forward/second_attempt.go
@@ -220,9 +220,10 @@
 	if s.uneven == nil {
 		return
 	}
-	// A wait without an event is a lower bound of the time to it.
+	// A wait without an event is a lower bound of the time to it, unless the engine was silent on all requests.
 	waited := now.Sub(r.sentAt)
-	if r.awaitingFirstEvent && waited > r.speed.predicted && (o == Silent || o == Withdrawn && r.speed.second.withdrawing) {
+	slow := o == Silent && s.loadState(r.instance).answersNow(now) || o == Withdrawn && r.speed.second.withdrawing
+	if r.awaitingFirstEvent && waited > r.speed.predicted && slow {
 		s.observe(now, r, waited)
 	}
 	if second := &r.speed.second; r.awaitingFirstEvent && second.attempt > 0 && second.attempt == r.attempts && o != Answered {
--- a/internal/core/forward/stalled.go
+++ b/internal/core/forward/stalled.go
@@ -56,6 +56,12 @@
 // answersNow reports whether something of an answer was received from the upstream within aliveWindow.
 func (l *loadState) answersNow(now time.Time) bool { return now.Sub(l.heardAt) < aliveWindow }
 
+// silentSince reports whether the upstream is silent or was silent at any time since t. What is measured at an attempt that was in
+// progress then says nothing about the upstream's speed.
+func (l *loadState) silentSince(t time.Time) bool {
+	return l.silence.active() || l.silentUntil.After(t)
+}
+
 // probeDue reports whether a silent upstream may get one request that shows whether it goes on. Within maxSilence, none is needed while an
 // attempt is open there: its answer shows that.
 func (l *loadState) probeDue(now time.Time) bool {
--- a/internal/core/forward/uneven.go
+++ b/internal/core/forward/uneven.go
@@ -201,14 +201,15 @@
 	return a
 }
 
-// observe learns from the time that a request's engine took for the first event, or has let pass without one.
+// observe learns from the time that a request's engine took for the first event, or has let pass without one. It learns nothing from an
+// engine that was silent meanwhile.
 func (s *State) observe(now time.Time, r *request, took time.Duration) {
 	u := s.Catalog.Upstreams[r.instance.ID]
 	if s.uneven == nil || !r.speed.observed || u == nil || u.Instance() != r.instance {
 		return
 	}
 	v := s.view(u)
-	if v.speeds == nil {
+	if v.speeds == nil || v.load.silentSince(r.sentAt) {
 		return
 	}
 	e := &v.load.speed
@@ -220,14 +221,14 @@
 	s.refreshLimit(now, v, age)
 }
 
-// observeGap learns from the longest gap between two events of a complete stream.
+// observeGap learns from the longest gap between two events of a complete stream during which its engine was not silent.
 func (s *State) observeGap(now time.Time, r *request, ev AttemptEnded) {
 	u := s.Catalog.Upstreams[r.instance.ID]
 	if s.uneven == nil || !r.speed.observed || ev.Outcome != Answered || ev.MaxGap <= 0 || u == nil || u.Instance() != r.instance {
 		return
 	}
 	v := s.view(u)
-	if v.speeds == nil || v.speeds.gapObjective <= 0 {
+	if v.speeds == nil || v.speeds.gapObjective <= 0 || v.load.silentSince(r.sentAt) {
 		return
 	}
 	if v.load.speed.gap == nil {
--- a/internal/core/forward/uneven_test.go
+++ b/internal/core/forward/uneven_test.go
@@ -412,3 +412,31 @@
 	require.NotEmpty(t, off)
 	require.Equal(t, off, run(true))
 }
+
+// TestSilenceSaysNothingOfSpeed guards against a wrong prediction for an engine that was silent once: the waits of its requests are no measure
+// of its speed.
+func TestSilenceSaysNothingOfSpeed(t *testing.T) {
+	for _, stalled := range []bool{false, true} {
+		r := newUnevenRig(1, true)
+		r.serve(10*time.Second, steadyEngine)
+		before := r.state.PredictFirstEvent(begin.Add(r.now), "m0", 50)
+		var ids []uint64
+		for range 8 {
+			id, _ := r.send(resumableStream)
+			ids = append(ids, id)
+		}
+		r.now += 1500 * ms
+		if stalled {
+			r.state.NoteStalled(begin.Add(r.now), catalog.Instance{ID: "m0"})
+		}
+		for i, id := range ids {
+			if i == 0 && !stalled {
+				r.step(forward.AttemptEnded{ID: id, Outcome: forward.Silent})
+				continue
+			}
+			r.step(forward.AnswerHeadReceived{Upstream: catalog.Instance{ID: "m0"}, Sent: begin, Outcome: forward.Answered})
+			r.finish(id)
+		}
+		require.InDelta(t, before, r.state.PredictFirstEvent(begin.Add(r.now), "m0", 50), float64(10*ms), "stalled: %v", stalled)
+	}
+}
