--- a/internal/core/forward/load.go
+++ b/internal/core/forward/load.go
@@ -39,6 +39,8 @@
 	// overdue is the number of this entry's requests there that had waited longer for their first event than their latency
 	// objective at the last tick.
 	overdue int
+	// oldestOverdue is when the oldest of these was sent.
+	oldestOverdue time.Time
 	// otherRequests is the number of requests from other entries, as of reportedAt.
 	otherRequests int
 	// remainingSends is how many more requests this entry may send to the engine before its next load report; see shareOfFree.
@@ -186,14 +188,22 @@
 	for _, r := range s.requests {
 		r.eachAttempt(func() {
 			if r.awaitingFirstEvent && r.route.Objective > 0 && now.Sub(r.sentAt) > r.route.Objective {
-				l := s.loadState(r.instance)
-				l.overdue++
-				s.overdue = append(s.overdue, l)
+				s.addOverdue(r)
 			}
 		})
 	}
 }
 
+// addOverdue counts an overdue request at the upstream that it is with.
+func (s *State) addOverdue(r *request) {
+	l := s.loadState(r.instance)
+	if l.overdue == 0 || r.sentAt.Before(l.oldestOverdue) {
+		l.oldestOverdue = r.sentAt
+	}
+	l.overdue++
+	s.overdue = append(s.overdue, l)
+}
+
 // stateLifetime is how long an upstream's statements about itself are kept after its registration is gone. A registration expires
 // while its upstream can't reach the store, and the same instance registers again afterwards.
 const stateLifetime = time.Minute
--- a/internal/core/forward/silence_test.go
+++ b/internal/core/forward/silence_test.go
@@ -92,14 +92,15 @@
 }
 
 // TestWaitForSilentUpstreamEndsInTime guards against callers who are held until their time is over, or for an upstream that is probably down.
-// They are told truthfully that their request did not run.
+// They are told truthfully that their request did not run, and to return after more than two seconds only if the upstream is probably down.
 func TestWaitForSilentUpstreamEndsInTime(t *testing.T) {
 	for _, c := range []struct {
 		path, service string
 		latest        time.Duration
+		down          bool
 	}{
 		{path: nonIdempotentCall, service: "desk", latest: 750 * time.Millisecond},
-		{path: nonResumableStream, service: "model", latest: 2520 * time.Millisecond},
+		{path: nonResumableStream, service: "model", latest: 2520 * time.Millisecond, down: true},
 	} {
 		r := fallSilent(t, c.service, c.path)
 		require.Empty(t, refusals(r.arrive(10, c.path)))
@@ -110,7 +111,7 @@
 		}
 		require.Equal(t, uint64(10), list[0].ID)
 		require.Equal(t, code.NotRun, list[0].Ran, c.path)
-		require.Positive(t, list[0].RetryAfter, c.path)
+		require.Equal(t, c.down, list[0].RetryAfter >= 2*time.Second, c.path)
 		require.Contains(t, list[0].Reason, "1 silent", c.path)
 	}
 }
@@ -124,3 +125,81 @@
 	require.Equal(t, code.NoUpstream, refuse.Code)
 	require.Equal(t, code.NotRun, refuse.Ran)
 }
+
+// TestNobodyIsRefusedWhileEnginesAreSilent guards against refusing callers although all engines are sound: some, or all of them, are silent
+// for a second or two. It also guards against more requests at one engine than it has slots, and against repeats. With open attempts, the
+// ones that stall go on with their engine; else they end, and only those may be lost.
+func TestNobodyIsRefusedWhileEnginesAreSilent(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		path    string
+		open    bool
+		between time.Duration
+	}{
+		{name: "all at once", path: nonResumableStream},
+		{name: "one after the other", path: nonResumableStream, between: 600 * time.Millisecond},
+		{name: "all at once, attempts stall", path: resumableStream, open: true},
+		{name: "one after the other, attempts stall", path: resumableStream, open: true, between: 600 * time.Millisecond},
+		{name: "one after the other, attempts end", path: resumableStream, between: 600 * time.Millisecond},
+	} {
+		for _, lasts := range []time.Duration{1100 * time.Millisecond, 1700 * time.Millisecond} {
+			f := newSilentFleet(5)
+			f.open = c.open
+			f.requests(800, 12*time.Millisecond, c.path)
+			for i, e := range f.engines {
+				for from := 2 * time.Second; from < 12*time.Second; from += 4 * time.Second {
+					f.silence(e, from+time.Duration(i)*c.between, lasts)
+				}
+			}
+			f.runUntil(20 * time.Second)
+			t.Logf("%s, %v: %d of %d answered, %d refused, %d not run, %d repeats, at most %d at one engine", c.name, lasts, f.answered, f.arrived, len(f.refusals), f.notRun, f.repeats, f.mostRunning)
+			require.Zero(t, f.notRun, "%s, %v: %v", c.name, lasts, f.refusals)
+			require.LessOrEqual(t, f.mostRunning, silentFleetSlots, c.name)
+			if c.open || c.path == nonResumableStream {
+				require.Equal(t, f.arrived, f.answered, "%s, %v", c.name, lasts)
+				require.Zero(t, f.repeats, c.name)
+			}
+		}
+	}
+}
+
+// TestFewSilentEnginesDoNotProlongWaits guards against callers of a full service who are held for nothing since one of many engines is silent.
+func TestFewSilentEnginesDoNotProlongWaits(t *testing.T) {
+	f := newSilentFleet(20)
+	f.requests(9000, 650*time.Microsecond, nonResumableStream) // That is 1.5 times the capacity.
+	f.silence("m0", 2*time.Second, 2*time.Second)
+	f.after(2600*time.Millisecond, func() { f.state.NoteStalled(begin.Add(f.simulatedTime.now), catalog.Instance{ID: "m0"}) })
+	longest := 0
+	f.repeat(20*time.Millisecond, func() bool {
+		waiting := 0
+		for _, n := range f.state.Waiting() {
+			waiting += n
+		}
+		longest = max(longest, waiting)
+		return true
+	})
+	f.runUntil(6 * time.Second)
+	t.Logf("%d of %d answered, %d refused, at most %d waiting", f.answered, f.arrived, f.notRun, longest)
+	require.LessOrEqual(t, longest, 500)
+}
+
+// TestSilenceIsNoOutage guards against refusing callers on arrival because most engines are silent for a second: all are, but for one that
+// returns in four seconds.
+func TestSilenceIsNoOutage(t *testing.T) {
+	r := newOutageRig()
+	const requests = 40
+	used := map[string]bool{}
+	for id := uint64(1); id <= requests; id++ {
+		used[only[forward.Send](t, r.arriveWithTimeout(id, 6*time.Second)).Upstream.ID] = true
+	}
+	require.Len(t, used, outageEngines)
+	r.now += 1500 * time.Millisecond
+	for id := uint64(1); id <= requests; id++ {
+		r.step(forward.AttemptEnded{ID: id, Outcome: forward.Silent})
+	}
+	r.step(forward.LoadReported{Address: "0", ReadyIn: 4 * time.Second, ReadyVersion: 1, Entries: 1, NearEntries: 1})
+	for id := uint64(100); id < 120; id++ {
+		require.Empty(t, refusals(r.arriveWithTimeout(id, 6*time.Second)))
+	}
+	require.Empty(t, refusals(r.tick()))
+}
--- a/internal/core/forward/silent_version_test.go
+++ b/internal/core/forward/silent_version_test.go
@@ -25,7 +25,7 @@
 	usualStartTime, outputTime = 200 * time.Millisecond, 300 * time.Millisecond
 )
 
-// engineRun is a request at an engine of a silentFleet.
+// engineRun is a request at an engine of a pausingFleet.
 type engineRun struct {
 	id     uint64
 	engine string
@@ -36,9 +36,9 @@
 	abandoned bool
 }
 
-// silentFleet simulates an entry and engines, of which m1 is silent for a time. Meanwhile, m1 notices no closed connection. When it goes
+// pausingFleet simulates an entry and engines, of which m1 is silent for a time. Meanwhile, m1 notices no closed connection. When it goes
 // on, it starts all that it received before it notices.
-type silentFleet struct {
+type pausingFleet struct {
 	*rig
 	t        *testing.T
 	versions map[string]int64
@@ -55,9 +55,9 @@
 	refusedFrom time.Duration
 }
 
-// newSilentFleet returns a fleet of engines with the given versions, whose entry has received a complete stream with a pause.
-func newSilentFleet(t *testing.T, versions map[string]int64, pause time.Duration) *silentFleet {
-	f := &silentFleet{rig: newRig(), t: t, versions: versions, startTime: usualStartTime}
+// newPausingFleet returns a fleet of engines with the given versions, whose entry has received a complete stream with a pause.
+func newPausingFleet(t *testing.T, versions map[string]int64, pause time.Duration) *pausingFleet {
+	f := &pausingFleet{rig: newRig(), t: t, versions: versions, startTime: usualStartTime}
 	for _, id := range slices.Sorted(maps.Keys(versions)) {
 		f.add(id, "model", "perth-a", 1000)
 	}
@@ -72,7 +72,7 @@
 }
 
 // run simulates all requests until their ends.
-func (f *silentFleet) run(path string) {
+func (f *pausingFleet) run(path string) {
 	for id := uint64(1); f.now < arrivalsEnd; id++ {
 		f.now += simulatedTick
 		f.advanceEngines()
@@ -89,26 +89,26 @@
 }
 
 // reportLoads has each engine's agent send a load report.
-func (f *silentFleet) reportLoads() {
+func (f *pausingFleet) reportLoads() {
 	for _, id := range slices.Sorted(maps.Keys(f.versions)) {
 		f.execute(f.step(forward.LoadReported{Address: id, Entries: 1, NearEntries: 1, Versions: map[string]int64{"m": f.versions[id]}}))
 	}
 }
 
 // changeManifest has the entry receive another manifest with the same content.
-func (f *silentFleet) changeManifest() {
+func (f *pausingFleet) changeManifest() {
 	changed := *f.state.Catalog.Manifest
 	changed.Version++
 	f.applyCatalog(catalog.ManifestRead{Revision: storerev.Revision{Number: changed.Version}, Manifest: &changed})
 }
 
 // silent reports whether an engine is silent now.
-func (f *silentFleet) silent(engine string) bool {
+func (f *pausingFleet) silent(engine string) bool {
 	return engine == "m1" && f.silentFrom <= f.now && f.now < f.silentUntil
 }
 
 // advanceEngines starts and ends the requests that are due.
-func (f *silentFleet) advanceEngines() {
+func (f *pausingFleet) advanceEngines() {
 	var left, ended []*engineRun
 	for _, r := range f.runs {
 		switch {
@@ -130,7 +130,7 @@
 }
 
 // start starts a request at its engine.
-func (f *silentFleet) start(r *engineRun) {
+func (f *pausingFleet) start(r *engineRun) {
 	version := f.versions[r.engine]
 	if version == 1 && f.now > expiry {
 		f.late++
@@ -142,7 +142,7 @@
 }
 
 // execute carries out the effects of the entry.
-func (f *silentFleet) execute(effects []step.Effect) {
+func (f *pausingFleet) execute(effects []step.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
 		case forward.Send:
@@ -159,7 +159,7 @@
 }
 
 // withdraw closes the connection of a request. An engine that is awake drops it.
-func (f *silentFleet) withdraw(id uint64) {
+func (f *pausingFleet) withdraw(id uint64) {
 	var left []*engineRun
 	for _, r := range f.runs {
 		if r.id == id && !r.abandoned {
@@ -194,7 +194,7 @@
 		const interval = 100 * time.Millisecond
 		for length := 700 * time.Millisecond; length <= 1500*time.Millisecond; length += 2 * interval {
 			for from := 5 * time.Second; from <= expiry; from += interval {
-				f := newSilentFleet(t, c.versions, c.pause)
+				f := newPausingFleet(t, c.versions, c.pause)
 				f.silentFrom, f.silentUntil = from, from+length
 				f.run(c.path)
 				require.Zero(t, f.late, "%s: silent from %v for %v", c.name, from, length)
@@ -219,7 +219,7 @@
 		{nonResumableStream, 0, 6700 * time.Millisecond},
 		{nonResumableStream, 1400 * time.Millisecond, 5800 * time.Millisecond},
 	} {
-		f := newSilentFleet(t, map[string]int64{"m1": 1, "m2": 1}, c.pause)
+		f := newPausingFleet(t, map[string]int64{"m1": 1, "m2": 1}, c.pause)
 		f.run(c.path)
 		require.Equal(t, c.from, f.refusedFrom, "%s after a pause of %v", c.path, c.pause)
 	}
@@ -235,7 +235,7 @@
 		{forward.AttemptEnded{ID: 1, Outcome: forward.Silent}, false},
 		{forward.AttemptEnded{ID: 1, Outcome: forward.Broken, Partial: true, SinceLastPart: 1200 * time.Millisecond}, false},
 	} {
-		f := newSilentFleet(t, map[string]int64{"m1": 1, "m2": 1}, 0)
+		f := newPausingFleet(t, map[string]int64{"m1": 1, "m2": 1}, 0)
 		only[forward.Send](t, f.arrive(1, nonResumableStream))
 		f.step(c.end)
 		f.now = 5800 * time.Millisecond
@@ -274,7 +274,7 @@
 	const interval, lateness = 100 * time.Millisecond, 500 * time.Millisecond
 	for _, path := range []string{resumableStream, nonResumableStream} {
 		for from := 6 * time.Second; from <= expiry; from += interval {
-			f := newSilentFleet(t, map[string]int64{"m1": 1, "m2": 1, "m3": 2}, 0)
+			f := newPausingFleet(t, map[string]int64{"m1": 1, "m2": 1, "m3": 2}, 0)
 			f.startTime = 3 * time.Second
 			f.lateFrom, f.lateUntil = from, from+lateness
 			f.manifestInterval = 67 * time.Millisecond
