Make no connection to an upstream that has begun to leave

A request reached a draining upstream 0.5 s and more after its draining was known. While an upstream accepts no connections, connecting goes on for up to 1.6 s, and the attempt was not looked at again when the upstream began to drain, was removed or was evacuated. With 0.5 s until the draining is known, that exceeds the 2 s that a draining upstream serves.

Such an attempt is now withdrawn if nothing of it was sent, which the connection decides; its request goes to another upstream or is refused as not run. One that was sent stays, since a leaving upstream completes what it has.

--- a/internal/core/forward/leaving_test.go
+++ b/internal/core/forward/leaving_test.go
@@ -114,3 +114,26 @@
 	r.reportLeaving("d1", forward.Answered)
 	require.Empty(t, sentIDs(r.arrive(3, idempotentCall)))
 }
+
+// TestRequestIsNotConnectedToALeavingUpstream guards against a request that reaches a leaving upstream long after this was known: the upstream is
+// silent, and the connection is made when it goes on.
+func TestRequestIsNotConnectedToALeavingUpstream(t *testing.T) {
+	for _, path := range []string{nonIdempotentCall, idempotentCall} {
+		for _, unsent := range []bool{true, false} {
+			r := newRig()
+			r.add("u1", "desk", "perth-a", 6)
+			only[forward.Send](t, r.arrive(1, path))
+			r.now = 400 * time.Millisecond
+			r.step(forward.Stalled{ID: 1, Attempt: 1, Unsent: unsent})
+			require.Empty(t, r.step(step.Tick{}), "it is not leaving")
+			r.reportLeaving("u1", forward.Answered)
+			if !unsent {
+				require.Empty(t, r.step(step.Tick{}), "the upstream completes what it has")
+				continue
+			}
+			require.Equal(t, forward.Withdraw{ID: 1, Attempt: 1, OnlyUnsent: true}, only[forward.Withdraw](t, r.step(step.Tick{})))
+			refuse := only[forward.Refuse](t, r.step(forward.AttemptEnded{ID: 1, Attempt: 1, Outcome: forward.Unsent}))
+			require.Equal(t, code.NotRun, refuse.Ran)
+		}
+	}
+}
--- a/internal/core/forward/version.go
+++ b/internal/core/forward/version.go
@@ -42,6 +42,8 @@
 	ID uint64
 	// Attempt is the number of the attempt; see Send.
 	Attempt int
+	// OnlyUnsent is set if the attempt goes on in case something of it may have been sent.
+	OnlyUnsent bool
 }
 
 // Effect marks the type as an effect.
@@ -142,15 +144,18 @@
 }
 
 // withdrawUnstarted withdraws the requests that their upstreams have not started and must not start any more: quarantined requests,
-// and those at engines whose version is about to expire. An engine starts a request when its turn comes, which may be long after
+// those at engines whose version is about to expire, and unsent ones to upstreams that get no new requests. An engine starts a request when its turn comes, which may be long after
 // the attempt was sent if the engine is full or slow. When versions were compared only at that time, requests started up to 173 ms
 // late at 1.1 times the engines' capacity.
 func (s *State) withdrawUnstarted(in step.Input) []step.Effect {
 	var list []Withdraw
 	for id, r := range s.requests {
 		r.eachAttempt(func() {
-			if r.awaitingFirstEvent && (s.mayStartExpired(in.Now, r) || s.mustNotStart(in.Now, r)) {
+			switch {
+			case r.awaitingFirstEvent && (s.mayStartExpired(in.Now, r) || s.mustNotStart(in.Now, r)):
 				list = append(list, Withdraw{ID: id, Attempt: r.number})
+			case s.mustNotConnect(in.Now, r):
+				list = append(list, Withdraw{ID: id, Attempt: r.number, OnlyUnsent: true})
 			}
 		})
 	}
@@ -162,6 +167,16 @@
 	return effects
 }
 
+// mustNotConnect reports whether a request waits for a connection to an upstream that gets no new requests any more. A connection to a silent
+// upstream may be made more than a second after the attempt was decided, when the upstream has to be free of new requests.
+func (s *State) mustNotConnect(now time.Time, r *request) bool {
+	if !r.isOpen() || !r.stalled || !r.unsent {
+		return false
+	}
+	u := s.Catalog.Upstreams[r.instance.ID]
+	return u == nil || u.Instance() != r.instance || s.view(u).inactive(now)
+}
+
 // mayStartExpired reports whether the engine that a request is with may start it on a version that has expired by then. An engine
 // that accepted the request with a required version (r.version) holds at least that version.
 func (s *State) mayStartExpired(now time.Time, r *request) bool {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -231,10 +231,13 @@
 	return true
 }
 
-// withdraw cancels an attempt unless its upstream has started it.
+// withdraw cancels an attempt unless its upstream has started it, or has been sent something of it and e spares such attempts.
 func (x *exchange) withdraw(e forward.Withdraw) {
 	for _, a := range x.openAttempts() {
-		if a.decision.Attempt == e.Attempt && a.stage.CompareAndSwap(stagePending, stageWithdrawn) {
+		if a.decision.Attempt != e.Attempt || e.OnlyUnsent && !a.silence.ForbidSend() {
+			continue
+		}
+		if a.stage.CompareAndSwap(stagePending, stageWithdrawn) {
 			a.cancel(errWithdrawn)
 		}
 	}
--- a/internal/gateway/draining_test.go
+++ b/internal/gateway/draining_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -32,3 +33,25 @@
 	}
 	require.Positive(t, other.ArrivalCount())
 }
+
+// TestRequestIsNotConnectedToDrainingUpstream guards against a request that reaches a draining upstream when that goes on after a silence,
+// though its draining was known long before.
+func TestRequestIsNotConnectedToDrainingUpstream(t *testing.T) {
+	t.Parallel()
+	fleet, l := standin.NewFleet(t), newSilentListener(t)
+	fleet.RegisteredAddress = func(string) string { return l.address }
+	desk := fleet.AddService("i-1")
+	e := start(t, fleet)
+	reply := make(chan standin.Reply, 1)
+	go func() { reply <- e.Post("/once/1") }()
+	time.Sleep(500 * time.Millisecond)
+	fleet.Store.Put("servers", "i-1", map[string]any{"service": "desk", "address": l.address, "zone": fleet.DataCentre, "slots": fleet.Slots, "state": "draining"})
+	time.Sleep(300 * time.Millisecond)
+	l.serve(t, desk)
+	r := <-reply
+	require.NoError(t, r.Err)
+	require.Equal(t, http.StatusServiceUnavailable, r.Status, r.Body)
+	require.Contains(t, r.Body, `"ran":"not run"`)
+	time.Sleep(1500 * time.Millisecond) // Connecting would have succeeded by now.
+	require.Zero(t, desk.ArrivalCount())
+}
