Remember pauses of engines for five minutes

With 30 s, a pause was forgotten before the next version expired if that was more than a minute later, so that requests could again start late after a silence. A long memory costs refusals only before an expiry while no engine has the next version.

--- a/internal/core/forward/pauses.go
+++ b/internal/core/forward/pauses.go
@@ -5,8 +5,9 @@
 const (
 	// maxPause is the longest pause of a working engine that the margins before a version's expiry cover; see withdrawMargin.
 	maxPause = 1500 * time.Millisecond
-	// pauseWindow is the minimum time for which a pause is expected to occur again.
-	pauseWindow = 30 * time.Second
+	// pauseWindow is the minimum time for which a pause is expected to occur again. Pauses come from the engines' software and hosts, which
+	// rarely change.
+	pauseWindow = 5 * time.Minute
 )
 
 // observePause records the longest pause between two events of a stream: of a complete one, or of one that paused until its attempt was
