--- a/internal/gateway/late_start_test.go
+++ b/internal/gateway/late_start_test.go
@@ -186,3 +186,41 @@
 	require.Zero(t, old.startedAfter(expiry))
 	require.Positive(t, next.CompletedStreams())
 }
+
+// TestRequestThatMustNotStartIsNotConnected guards against a request that reaches an upstream after its caller has left or the upstream's version
+// has expired: the upstream accepts no connection until then.
+func TestRequestThatMustNotStartIsNotConnected(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name string
+		// patience is how long the caller waits, and versionLifetime how long after version 2 is activated version 1 is valid.
+		patience, versionLifetime time.Duration
+		accepted                  time.Duration
+	}{
+		{"caller left", 500 * time.Millisecond, time.Minute, 700 * time.Millisecond},
+		{"version expired", 3 * time.Second, time.Second, 1200 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			fleet, l := standin.NewFleet(t), newSilentListener(t)
+			fleet.RegisteredAddress = func(string) string { return l.address }
+			engine := fleet.AddEngine("i-0", standin.NextIP(), 1)
+			host := fleet.Host(standin.NextIP(), false)
+			host.VersionLifetime = c.versionLifetime
+			e := startHost(t, fleet, host)
+			time.Sleep(watchDelay) // By now the entry watches the store, and sees the version at once.
+			ctx, cancel := context.WithTimeout(context.Background(), c.patience)
+			defer cancel()
+			replies := make(chan standin.Reply, 1)
+			go func() { replies <- e.Do(ctx, standin.Request{Path: "/stream/1"}) }()
+			time.Sleep(100 * time.Millisecond)
+			fleet.ActivateVersion(2)
+			time.Sleep(c.accepted)
+			l.serve(t, engine)
+			r := <-replies
+			require.NotEqual(t, http.StatusOK, r.Status)
+			time.Sleep(2 * time.Second) // Connecting would have succeeded by now.
+			require.Zero(t, engine.ArrivalCount())
+		})
+	}
+}
