forward: requests go to engines with stale reports when nearly all are stale

Seen by callers: 503 at once, though every engine had reported weights within the last 2.5 s. That happened to an entry with eight engines or more 0.7 s after it had last read a report: when all engines were silent together, when datagrams were lost, and when the entry itself had been suspended for a second and looked at its callers before the reports that had arrived meanwhile.

Cause: stale engines were not used if eight engines had a valid report and no current upstream was usable. The rule is meant for reports that say that nothing is held; it also counted reports that were stale themselves. With fewer than eight engines the request was sent.

Change: the rule counts recent reports for stale engines. For unreported ones it is as before.

Evidence: TestStaleReportsAreNoReasonToRefuse covers 12 engines and reports of 0.8, 2 and 3 s; it failed before at 12 engines and 0.8 s.

TestAllEnginesSlowAtOnceCauseNoAvalanche sends no reports while the engines hang, so that until now nothing was sent after 0.7 s. Its model answered second attempts at hanging engines, which is corrected: an engine that hangs now answers nobody.

--- a/internal/core/forward/pick.go
+++ b/internal/core/forward/pick.go
@@ -62,7 +62,8 @@
 //
 //   - A silent upstream: only for a probe; see silence. If no upstream of any kind is usable, the request waits for it to go on.
 //
-// Unreported and stale engines are not used if at least minReports engines have a valid report and every current upstream is unusable.
+// If at least minReports engines have a valid report and every current upstream is unusable, unreported engines are not used, and stale ones
+// only if fewer than minReports of these reports are recent: this process was then suspended, or the engines are silent.
 func (s *State) pick(in step.Input, r *request) (*catalog.Upstream, availability) {
 	s.chooseDataCentre(in, r)
 	p := s.samples(in, r)
@@ -79,6 +80,9 @@
 	case p.current.availability < available && p.withExpiringVersion.availability == available:
 		return p.withExpiringVersion.best(in.Now, r)
 	case p.current.availability == unavailable && p.reports >= minReports:
+		if p.lastResort.availability == unavailable && p.recentReports < minReports {
+			return p.stale.best(in.Now, r)
+		}
 		return p.lastResort.best(in.Now, r)
 	case p.current.availability < available && p.unreported.availability > unavailable && s.maySendUnreported(in.Now, &p.current):
 		return p.unreported.best(in.Now, r)
@@ -104,8 +108,9 @@
 	lastResort sample
 	// silent is set if a silent upstream may go on and accept the request.
 	silent bool
-	// reports counts the upstreams with a valid load report, whatever it says, among those that were examined.
-	reports int
+	// reports counts the upstreams with a valid load report, whatever it says, among those that were examined, and recentReports those
+	// of them whose report is not stale.
+	reports, recentReports int
 }
 
 // samples examines the upstreams that a request may go to, the nearest first. It stops at the distance from which on no upstream can
@@ -120,6 +125,9 @@
 		}
 		if v.load.hasReport(in.Now) {
 			p.reports++
+			if !v.stale(in.Now) {
+				p.recentReports++
+			}
 		}
 		switch {
 		case v.usable(in.Now, r, versions.preferred):
--- a/internal/core/forward/refill_test.go
+++ b/internal/core/forward/refill_test.go
@@ -74,15 +74,22 @@
 	require.Equal(t, 1, r.state.InFlight(), "the third went to the healthy engine")
 }
 
-// TestStaleReportsAreNoReasonToRefuse guards against refusals by an entry that receives no datagrams, so that the reports of all
-// agents are stale.
+// TestStaleReportsAreNoReasonToRefuse guards against refusals by an entry that receives no datagrams, or whose engines are all silent, so that
+// the reports of all agents are stale. That holds for any number of engines, and from the first stale report on.
 func TestStaleReportsAreNoReasonToRefuse(t *testing.T) {
-	r := newEngineRig()
-	r.add("m1", "model", "perth-a", 8)
-	r.step(forward.LoadReported{Address: "m1", Versions: map[string]int64{"m": 1}, Entries: 1, NearEntries: 1})
-	r.now += 2 * time.Second
-	r.step(step.Tick{})
-	require.Len(t, sentIDs(r.arrivePrompt(1, 10)), 1)
+	for _, engines := range []int{1, 12} {
+		for _, age := range []time.Duration{800 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
+			r := newEngineRig()
+			for n := range engines {
+				id := fmt.Sprint("m", n)
+				r.add(id, "model", "perth-a", 8)
+				r.step(forward.LoadReported{Address: id, Versions: map[string]int64{"m": 1}, Entries: 1, NearEntries: 1})
+			}
+			r.now += age
+			r.step(step.Tick{})
+			require.Len(t, sentIDs(r.arrivePrompt(1, 10)), 1, "%d engines, %v", engines, age)
+		}
+	}
 }
 
 // TestEngineWithOverdueRequestIsUsedLast guards against more requests to an engine that hangs on one, although its agent still
--- a/internal/core/forward/second_attempt.go
+++ b/internal/core/forward/second_attempt.go
@@ -95,8 +95,11 @@
 		}
 		c := counts[r.service]
 		c.all++
-		if r.late(in.Now) {
-			c.late++
+		late := r.late(in.Now)
+		if late || r.speed.second.attempt > 0 {
+			c.late++ // Where the first of two attempts was late, the request still is.
+		}
+		if late {
 			candidates = append(candidates, r)
 		}
 		counts[r.service] = c
--- a/internal/core/forward/uneven_test.go
+++ b/internal/core/forward/uneven_test.go
@@ -363,7 +363,9 @@
 			for _, id := range withdrawn(r.step(step.Tick{})) {
 				n++
 				for _, e := range sentAttempts(r.step(forward.AttemptEnded{ID: id, Outcome: forward.Withdrawn})) {
-					started[r.now+100*ms] = append(started[r.now+100*ms], e.ID)
+					if !hangs[e.Upstream.ID] {
+						started[r.now+100*ms] = append(started[r.now+100*ms], e.ID)
+					}
 				}
 			}
 		}
