forward: a retry waits for a silent upstream in place of being refused

What callers saw: a request whose attempt was declined, found nothing listening or broke ended at once (2003, 2004, a cut answer) while the only other upstream was silent for a moment. Cause: a retry is not queued, since in an overload it would take capacity from newer requests. Change: if the other upstreams are silent and may go on, the retry waits for them like a first try, until its caller's time is nearly over. The wait counts as a retry from its beginning, so that the budget bounds what is sent when they go on. A manifest that forbids a second run ends the wait. Evidence: TestRetryWaitsForSilentUpstream fails without the change, TestWaitingRetriesStayWithinTheBudget without counting (more than 85 of 300 were sent), TestWaitingRetryIsBoundByTheManifest without the check of the route. internal/emulator passes.

--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -86,6 +86,9 @@
 	if end, forbidden := s.refreshAndCheck(in, r); forbidden {
 		return s.endRequest(in, r, end)
 	}
+	if r.possibleRuns > 0 && !r.route.Repeatable() { // A new manifest says so while a retry waits.
+		return s.endWithRetryAfter(in, r, code.RetriesExhausted, fmt.Sprintf("attempt %d; the request must not be sent again", r.attempts))
+	}
 	u, found := s.search(in, r)
 	if effects, decided := s.decideByForecast(in, r, u, found); decided {
 		return effects
@@ -224,7 +227,8 @@
 	return s.endWithRetryAfter(in, r, code.RetriesExhausted, fmt.Sprintf("attempt %d: %s", r.attempts, ev.Outcome))
 }
 
-// retry sends a request again, to an upstream with capacity. Without capacity the request ends: a retry is not queued.
+// retry sends a request again, to an upstream with capacity. Without capacity the request ends: a retry is not queued, except to wait for a
+// silent upstream. Such a wait counts as a retry, so that no more wait than the budget allows to be sent.
 func (s *State) retry(in step.Input, r *request, o Outcome) []step.Effect {
 	u, found := s.pickRetry(in, r)
 	if found == available {
@@ -237,6 +241,12 @@
 		s.drop(r)
 		return []step.Effect{Deliver{ID: r.id}}
 	}
+	if found == awaited {
+		if o.sent() {
+			s.retryBudget(r.service).addRetry(in.Now)
+		}
+		return s.awaitSilent(in, r)
+	}
 	return s.endWithRetryAfter(in, r, code.Overloaded, fmt.Sprintf("attempt %d: %s; no other upstream of %s has capacity", r.attempts, o, r.service))
 }
 
--- a/internal/core/forward/silence_test.go
+++ b/internal/core/forward/silence_test.go
@@ -10,6 +10,7 @@
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
+	"samphireweir.example/samphireweir/internal/core/storerev"
 )
 
 // allPaths are the paths of all kinds of routes, with their services.
@@ -203,3 +204,64 @@
 	}
 	require.Empty(t, refusals(r.tick()))
 }
+
+// breakBesideSilent returns an entry with two upstreams of which one is silent, after an attempt at the other one ended. A request that may be
+// repeated has used the probe.
+func breakBesideSilent(t *testing.T, path, service string, o forward.Outcome) (*rig, []step.Effect) {
+	r := startBusy(t, "u1", service, path, 4)
+	r.add("u2", service, "bunbury-a", 100)
+	r.state.NoteStalled(begin, catalog.Instance{ID: "u2"})
+	r.step(forward.AttemptEnded{ID: 1, Outcome: forward.Broken})
+	return r, r.step(forward.AttemptEnded{ID: 2, Outcome: o})
+}
+
+// TestRetryWaitsForSilentUpstream guards against losing a request whose attempt failed while the only other upstream is silent for a moment.
+func TestRetryWaitsForSilentUpstream(t *testing.T) {
+	for path, service := range allPaths {
+		for _, o := range []forward.Outcome{forward.NotSent, forward.Declined, forward.Broken} {
+			r, effects := breakBesideSilent(t, path, service, o)
+			if o == forward.Broken && (path == nonIdempotentCall || path == nonResumableStream) {
+				require.Equal(t, code.Unknown, only[forward.Refuse](t, effects).Ran, "it must not run twice")
+				continue
+			}
+			require.Empty(t, refusals(effects), "%s, %s", path, o)
+			r.now += 200 * time.Millisecond
+			require.Empty(t, refusals(r.step(step.Tick{})), "%s, %s", path, o)
+			r.step(forward.AnswerHeadReceived{Upstream: catalog.Instance{ID: "u2"}, Sent: begin, Outcome: forward.Answered})
+			send := only[forward.Send](t, r.step(step.Tick{}))
+			require.Equal(t, uint64(2), send.ID)
+			require.Equal(t, 2, send.Attempt)
+			require.Equal(t, "u2", send.Upstream.ID)
+		}
+	}
+}
+
+// TestWaitingRetryIsBoundByTheManifest guards against a second run of a request whose route became one that must not run twice, while its retry
+// waits for a silent upstream.
+func TestWaitingRetryIsBoundByTheManifest(t *testing.T) {
+	r, _ := breakBesideSilent(t, idempotentCall, "desk", forward.Broken)
+	m := *r.state.Catalog.Manifest
+	route := *m.Route("h", idempotentCall)
+	route.Kind = catalog.NonIdempotent
+	changed := catalog.NewManifest(2, []*catalog.Route{&route}, map[string]*catalog.ClientAccount{"key-1": {Name: "karrakin"}})
+	changed.HasAccounts = true
+	r.applyCatalog(catalog.ManifestRead{Revision: storerev.Revision{Number: 2}, Manifest: changed})
+	r.step(forward.AnswerHeadReceived{Upstream: catalog.Instance{ID: "u2"}, Sent: begin, Outcome: forward.Answered})
+	require.Equal(t, code.Unknown, only[forward.Refuse](t, r.step(step.Tick{})).Ran)
+}
+
+// TestWaitingRetriesStayWithinTheBudget guards against a storm of repeats when a silent upstream goes on: 300 attempts break meanwhile.
+func TestWaitingRetriesStayWithinTheBudget(t *testing.T) {
+	const requests = 300
+	r := startBusy(t, "u1", "desk", idempotentCall, requests)
+	r.add("u2", "desk", "bunbury-a", 1000)
+	r.state.NoteStalled(begin, catalog.Instance{ID: "u2"})
+	sent := 0
+	for id := uint64(1); id <= requests; id++ {
+		sent += len(sentIDs(r.step(forward.AttemptEnded{ID: id, Outcome: forward.Broken})))
+	}
+	r.step(forward.AnswerHeadReceived{Upstream: catalog.Instance{ID: "u2"}, Sent: begin, Outcome: forward.Answered})
+	sent += len(sentIDs(r.step(step.Tick{})))
+	require.Greater(t, sent, 10)
+	require.LessOrEqual(t, float64(sent), 0.2*requests+100/4)
+}
