standin: engines and plain services fall silent for a time and go on

The fault silent_ms freezes a stand-in at once and clears the freeze by itself. Tests of silent upstreams that are sound need no timer of their own.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -113,6 +113,7 @@
 }
 
 func (e *engine) faultsChanged() {
+	serve.FreezeFor(e.faults, func(f *Faults) (freeze *bool, silentMS *int64) { return &f.Freeze, &f.SilentMS })
 	if e.faults.Get().Crash {
 		e.faults.Set(func(f *Faults) { f.Crash = false })
 		e.mu.Lock()
--- a/internal/standin/engine/messages.go
+++ b/internal/standin/engine/messages.go
@@ -169,6 +169,8 @@
 	SlowFactor float64 `json:"slow_factor"`
 	// Freeze makes calls and steps block, without sending any bytes, until it is cleared.
 	Freeze bool `json:"freeze"`
+	// SilentMS makes the engine freeze immediately and go on after that time, in milliseconds; the field is then reset to 0.
+	SilentMS int64 `json:"silent_ms"`
 	// CrashOn, if not empty, is a text that crashes the engine when a request whose prompt contains it starts to run.
 	CrashOn string `json:"crash_on"`
 	// Crash crashes the engine immediately; the field is then reset to false.
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -26,6 +26,8 @@
 	SlowFactor float64 `json:"slow_factor"`
 	// Freeze makes calls block, without any response, until it is cleared.
 	Freeze bool `json:"freeze"`
+	// SilentMS makes the service freeze immediately and go on after that time, in milliseconds; the field is then reset to 0.
+	SilentMS int64 `json:"silent_ms"`
 	// Crash crashes the service immediately; the field is then reset to false.
 	Crash bool `json:"crash"`
 	// RestartMS is the time for which a crashed service is unavailable, in milliseconds.
@@ -107,10 +109,15 @@
 		process: serve.NewProcess(),
 		log:     log,
 	}
-	s.faults.OnMerge = s.applyCrashFault
+	s.faults.OnMerge = s.faultsChanged
 	return s
 }
 
+func (s *service) faultsChanged() {
+	serve.FreezeFor(s.faults, func(f *Faults) (freeze *bool, silentMS *int64) { return &f.Freeze, &f.SilentMS })
+	s.applyCrashFault()
+}
+
 func (s *service) applyCrashFault() {
 	faults := s.faults.Get()
 	if !faults.Crash {
--- a/internal/standin/serve/faults.go
+++ b/internal/standin/serve/faults.go
@@ -102,9 +102,22 @@
 		return errors.Wrap(err, "read the faults")
 	}
 	f.value = next
+	f.notify()
+	return nil
+}
+
+// change changes the faults and closes the channel that Changed returned. It does not call OnMerge.
+func (f *Faults[T]) change(apply func(*T)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	apply(&f.value)
+	f.notify()
+}
+
+// notify wakes all waiters. The caller holds mu.
+func (f *Faults[T]) notify() {
 	close(f.changed)
 	f.changed = make(chan struct{})
-	return nil
 }
 
 // ServeHTTP handles GET and POST /admin/faults.
