request: a silent upstream is given up only if another one can take its place

Callers got 504, code 4002, and streams ended with an error event, although their upstream was only silent and would have gone on before their deadline: calls that run once after half of their deadline, all others after about 4 s at the last upstream that they could be sent to.

The agent ended the run as soon as it found the upstream silent, and the entry looked for another upstream afterwards, when the first answer was thrown away. Now the agent reports the silence with a frame of its own, each second, and keeps the run; the entry's reducer gives the run up only if the request would be sent elsewhere. The agent still takes a last look at the connection first. An envelope field asks for this, so that entries and agents of two releases work together as before. What may not run twice is never sent again: the reducer uses the same rules as after a failure, and a property test requires that each run that is given up is followed by another attempt.

Without another upstream, the caller of a dead one now waits until its deadline, since it can't be told from one that is silent (TestDeadUpstreamThatNothingReplacesEndsAtDeadline; before, 504 after 4 s).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -84,6 +84,7 @@
 	p.PeersMux.HandleFunc("POST "+frame.RunPath, a.handleRun)
 	p.PeersMux.HandleFunc("POST "+frame.ResumePath, a.handleResume)
 	p.PeersMux.HandleFunc("POST "+frame.FencePath, a.handleFence)
+	p.PeersMux.HandleFunc("POST "+frame.GiveUpPath, a.handleGiveUp)
 	p.Loop.View(func(s *core.State) { a.selfIncarnation = s.Self.Incarnation })
 	p.Loop.SetExecutor(a.executeEffect)
 	p.Loop.Step(weights.Configured{Mode: weights.Mode(c.Spread), NoYield: c.NoYield})
--- a/internal/agent/output.go
+++ b/internal/agent/output.go
@@ -30,6 +30,8 @@
 	buf   []byte
 	ended bool
 	fail  *failure
+	// silences counts the reports that the upstream is silent.
+	silences int
 	// sum is the hash of all bytes of the response so far.
 	sum *xxhash.Digest
 	// reader is the number of the current connection; readOffset is its position in the response.
@@ -53,6 +55,21 @@
 	o.notify()
 }
 
+// reportSilence lets the current connection report that the upstream is silent.
+func (o *output) reportSilence() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.silences++
+	o.notify()
+}
+
+// silenceCount returns the number of reports that the upstream is silent.
+func (o *output) silenceCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.silences
+}
+
 // headSet reports whether setHead was called.
 func (o *output) headSet() bool {
 	o.mu.Lock()
@@ -132,6 +149,8 @@
 	status   int
 	header   http.Header
 	data     []byte
+	// silences is the number of reports so far that the upstream is silent.
+	silences int
 	// ended is set when the response has ended and data is its last part; fail, total and sum then describe its end.
 	ended bool
 	fail  *failure
@@ -146,7 +165,7 @@
 func (o *output) next(reader, limit int) snapshot {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := snapshot{replaced: reader != o.reader, status: o.status, header: o.header, changed: o.changed, total: o.base + int64(len(o.buf))}
+	s := snapshot{replaced: reader != o.reader, status: o.status, header: o.header, changed: o.changed, silences: o.silences, total: o.base + int64(len(o.buf))}
 	if s.replaced {
 		return s
 	}
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -70,7 +70,7 @@
 				return
 			}
 			if silent := x.silence(); silent >= silentBeforeProbe {
-				a.cancelIfStalled(x, silent)
+				a.checkStalled(x, silent)
 				go a.sendProbe(x, results)
 			} else {
 				lastAlive = time.Now()
@@ -95,9 +95,9 @@
 	return silent
 }
 
-// cancelIfStalled cancels a run whose connection has delivered nothing for too long, even if its upstream answers probes.
+// checkStalled finds an upstream silent if the run's connection has delivered nothing for too long, even if the upstream answers probes.
 // The limit is StalledAfter, or half of the deadline before the first byte.
-func (a *Agent) cancelIfStalled(x *execution, silent time.Duration) {
+func (a *Agent) checkStalled(x *execution, silent time.Duration) {
 	if silent == unknownSilence {
 		return
 	}
@@ -106,19 +106,10 @@
 		limit = a.config.StalledAfter
 	}
 	if limit > 0 && silent > limit {
-		x.giveUp(silent, errStalled)
+		x.foundSilent(silent, errStalled)
 	}
 }
 
-// giveUp cancels a run whose upstream was silent, after a last look at the run's connection has found nothing.
-func (x *execution) giveUp(silent time.Duration, cause error) {
-	if _, attached := x.watch.Silence(); attached {
-		x.watch.GiveUp(silent, func() { x.cancel(cause) })
-		return
-	}
-	x.cancel(cause)
-}
-
 // sendProbe probes the upstream of a run and sends the result to results.
 func (a *Agent) sendProbe(x *execution, results chan<- probeResult) {
 	sentAt := time.Now()
@@ -130,7 +121,7 @@
 	}
 }
 
-// applyProbe cancels a run whose upstream has crashed or is frozen. lastAlive is when the upstream was last known to be
+// applyProbe cancels a run whose upstream has crashed, and finds a frozen upstream silent. lastAlive is when the upstream was last known to be
 // alive, and silent is how long it has sent nothing to the run. applyProbe returns the new value of lastAlive.
 func (x *execution) applyProbe(result probeResult, lastAlive time.Time, silent time.Duration) time.Time {
 	switch result.health {
@@ -139,7 +130,7 @@
 	case run.Unanswered:
 		activeSince := x.lastActivity.Load() >= result.sentAt.UnixNano()
 		if !activeSince && result.sentAt.After(lastAlive) && silent >= max(result.limit, minProbeTimeout) {
-			x.giveUp(silent, errFrozen)
+			x.foundSilent(silent, errFrozen)
 		}
 	default:
 		return time.Now()
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -55,13 +55,14 @@
 	heartbeats := time.NewTicker(frame.HeartbeatInterval)
 	defer heartbeats.Stop()
 	control := http.NewResponseController(w)
+	written := relayed{head: !withHead, silences: x.out.silenceCount()}
 	for {
 		s := x.out.next(reader, readBufferSize)
 		if s.replaced {
 			return true
 		}
 		_ = control.SetWriteDeadline(time.Now().Add(frame.ReaderTimeout))
-		if err := a.writeSnapshot(w, x, s, &withHead); err != nil {
+		if err := a.writeSnapshot(w, x, s, &written); err != nil {
 			return a.relayBroken(x, reader, err)
 		}
 		if err := control.Flush(); err != nil {
@@ -99,11 +100,25 @@
 	return false
 }
 
-// writeSnapshot writes the frames of a snapshot: the head if it was not written yet, the data, and the end.
-func (a *Agent) writeSnapshot(w http.ResponseWriter, x *execution, s snapshot, withHead *bool) error {
+// relayed is what one connection has relayed of a response.
+type relayed struct {
+	// head is set once the head was written, or if the entry has it from an earlier connection.
+	head bool
+	// silences is the number of reports of a silent upstream that were written or came before the connection.
+	silences int
+}
+
+// writeSnapshot writes the frames of a snapshot: the head and a report of silence if they were not written yet, the data, and the end.
+func (a *Agent) writeSnapshot(w http.ResponseWriter, x *execution, s snapshot, written *relayed) error {
 	id := x.start.ID
-	if *withHead && s.status != 0 {
-		*withHead = false
+	if s.silences > written.silences && !s.ended && len(s.data) == 0 {
+		written.silences = s.silences
+		if err := frame.WriteJSON(w, frame.TypeSilent, x.silentFrame()); err != nil {
+			return err
+		}
+	}
+	if !written.head && s.status != 0 {
+		written.head = true
 		head := frame.Head{Request: id.Request, Attempt: id.Attempt, Status: s.status, Header: s.header, Load: a.loadReport(x, false)}
 		head.Load.FirstByteUS = x.firstByte.took().Microseconds()
 		if err := frame.WriteJSON(w, frame.TypeHead, head); err != nil {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -55,6 +55,8 @@
 	relayConn *http.ResponseController
 	// resumeTimer cancels the run if its connection broke and no other has replaced it within resumeWindow.
 	resumeTimer *time.Timer
+	// silent is the last report of the upstream's silence to the entry; nil before the first.
+	silent *silentUpstream
 	// weightsChanged is set when the engine's weights changed during the run.
 	weightsChanged atomic.Bool
 }
--- a/internal/core/admission/budget.go
+++ b/internal/core/admission/budget.go
@@ -15,9 +15,12 @@
 // Succeeded adds RetriesPerSuccess to the budget for one successful request.
 func (b *Budget) Succeeded() { b.spent = max(0, b.spent-RetriesPerSuccess) }
 
+// Allows reports whether the budget has a retry left.
+func (b *Budget) Allows() bool { return b.spent+1 <= RetryBurst }
+
 // Take takes one retry from the budget and reports whether the budget allowed it.
 func (b *Budget) Take() bool {
-	if b.spent+1 > RetryBurst {
+	if !b.Allows() {
 		return false
 	}
 	b.spent++
--- a/internal/core/request/attempt.go
+++ b/internal/core/request/attempt.go
@@ -161,8 +161,7 @@
 	}
 	r.Resumes++
 	r.Phase = Resuming
-	attempt := Attempt{ID: r.ID, Number: r.Attempt, Target: r.upstream, Sequence: r.sequence, AtMostOnce: r.AtMostOnce}
-	return []step.Effect{Resume{Attempt: attempt, Delay: delay}}
+	return []step.Effect{Resume{Attempt: r.currentAttempt(), Delay: delay}}
 }
 
 func maxResumes(r *Request) int {
--- a/internal/core/request/reduce.go
+++ b/internal/core/request/reduce.go
@@ -29,6 +29,8 @@
 		return s.answerInterrupted(in, ev, directory, statuses)
 	case AnswerFailed:
 		return s.answerFailed(in, ev, directory, statuses)
+	case UpstreamSilent:
+		return s.upstreamSilent(in, ev, directory, statuses)
 	case Ended:
 		return s.ended(in, ev, directory, statuses)
 	case StopRequested:
@@ -157,13 +159,13 @@
 // untried returns an upstream that was not tried yet.
 func (s *State) untried(in step.Input, r *Request, candidates []member.Candidate, statuses SuspectStatuses) (member.Candidate, routing.Availability) {
 	if statuses.Status(in.Now, r.Fingerprint) == suspect.Suspect {
-		return isolatedUpstream(r, candidates)
+		return isolatedUpstream(r, r.tried, candidates)
 	}
 	return s.Routing.Pick(in, r.query(), candidates)
 }
 
-// isolatedUpstream returns the upstream on which a suspect request runs alone.
-func isolatedUpstream(r *Request, candidates []member.Candidate) (member.Candidate, routing.Availability) {
+// isolatedUpstream returns the upstream on which a suspect request runs alone, other than those in tried.
+func isolatedUpstream(r *Request, tried map[string]bool, candidates []member.Candidate) (member.Candidate, routing.Availability) {
 	keys := make([]string, 0, len(candidates))
 	byKey := make(map[string]member.Candidate, len(candidates))
 	for _, c := range candidates {
@@ -171,7 +173,7 @@
 		byKey[routing.Key(c)] = c
 	}
 	for _, key := range suspect.Isolation(r.Team+"/"+r.Service, r.Fingerprint, keys) {
-		if !r.tried[key] {
+		if !tried[key] {
 			return byKey[key], routing.Found
 		}
 	}
--- a/internal/core/request/request_test.go
+++ b/internal/core/request/request_test.go
@@ -182,6 +182,18 @@
 					l.step(AnswerInterrupted{ID: "r", Attempt: l.attempt})
 				}
 			},
+			"silent": func(t *rapid.T) {
+				ongoing(t)
+				ran := code.Unknown
+				if !l.began {
+					ran = rapid.SampledFrom([]code.Ran{code.NotRun, code.Unknown}).Draw(t, "ran if silent")
+				}
+				l.step(UpstreamSilent{ID: "r", Attempt: l.attempt, Ran: ran})
+				if _, givenUp := l.last.(GiveUp); givenUp {
+					l.fail(code.UpstreamSilent, ran)
+					require.IsType(t, Send{}, l.last, "an attempt was given up and not replaced")
+				}
+			},
 			"late event of an earlier attempt": func(t *rapid.T) {
 				if before := l.last; l.attempt > 1 {
 					l.step(AttemptFailed{ID: "r", Attempt: l.attempt - 1, Code: code.UpstreamDied, Ran: code.NotRun})
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -69,6 +69,7 @@
 	env := e.envelope(c, eff.Attempt)
 	env.Target = c.requestTarget
 	env.CachePosition = eff.Cache
+	env.ReportSilence = true
 	c.answer.headMatched = false
 	c.agentSilence = 0
 	if eff.Continue {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -27,6 +27,8 @@
 		switch kind {
 		case frame.TypeHeartbeat:
 			p, err = e.handleHeartbeat(c, attempt)
+		case frame.TypeSilent:
+			p, err = e.handleSilence(c, attempt, payload)
 		case frame.TypeHead:
 			p, err = e.handleHead(c, attempt, payload)
 		case frame.TypeData:
--- a/internal/frame/envelope.go
+++ b/internal/frame/envelope.go
@@ -20,6 +20,9 @@
 	// FencePath is the agent's path for a report that the entry has abandoned an attempt. The agent then prevents the
 	// attempt from starting, or cancels it.
 	FencePath = "/fence"
+	// GiveUpPath is the agent's path for ending an attempt whose silent upstream was reported with TypeSilent. The agent ends the run unless
+	// the upstream has gone on, and reports the failure on the connection of the answer.
+	GiveUpPath = "/give-up"
 	// HeartbeatInterval is the time between heartbeats on a connection without data.
 	HeartbeatInterval = time.Second
 	// HeadTimeout is the least time for which an agent may be silent before its first byte. Then the entry considers the
@@ -76,6 +79,9 @@
 	From string `json:"from,omitempty"`
 	// AtMostOnce requires that the request runs at most once.
 	AtMostOnce bool `json:"once,omitempty"`
+	// ReportSilence requires that the agent reports a silent upstream with TypeSilent and keeps the run until the entry calls GiveUpPath.
+	// Without it, as from an entry of an earlier release, the agent ends the run.
+	ReportSilence bool `json:"report_silence,omitempty"`
 	// CachePosition identifies the last change of the upstream's prefix cache that the entry has received.
 	CachePosition routing.CachePosition `json:"cache,omitzero"`
 }
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -33,6 +33,8 @@
 	TypeEnd Type = 4
 	// TypeFail carries a Fail: the answer will not be completed.
 	TypeFail Type = 5
+	// TypeSilent carries a Silent: the upstream has been silent for so long that another one should run the request. The run goes on.
+	TypeSilent Type = 6
 )
 
 // MaxPayloadBytes bounds the payload of one frame, in bytes.
@@ -80,6 +82,14 @@
 	Load *routing.Report `json:"load,omitempty"`
 }
 
+// Silent is the payload of the frame that reports a silent upstream. It is repeated while the silence lasts.
+type Silent struct {
+	Request string `json:"request"`
+	Attempt int    `json:"attempt"`
+	// Ran is the run status if the entry gave up the attempt now: not run if nothing was sent to the upstream.
+	Ran code.Ran `json:"ran"`
+}
+
 // Write writes one frame. It fails for a payload of more than MaxPayloadBytes.
 func Write(w io.Writer, t Type, payload []byte) error {
 	if len(payload) > MaxPayloadBytes {
@@ -119,8 +129,8 @@
 		return 0, nil, unexpectedEOF(err)
 	}
 	t := Type(head[0])
-	if t < TypeHead || t > TypeFail {
-		return 0, nil, code.Errorf(code.BadMessage, "frame.type", "%d, want 1 to 5", head[0])
+	if t < TypeHead || t > TypeSilent {
+		return 0, nil, code.Errorf(code.BadMessage, "frame.type", "%d, want 1 to 6", head[0])
 	}
 	n := binary.BigEndian.Uint32(head[1:])
 	if n > MaxPayloadBytes {
