agent: a call that resumes a run waits until the run has started or been discarded

Callers got 409, code 4005, with an unknown outcome, although nothing was sent to their upstream. An agent that goes on after a silence reads a run's first message, the end of its connection and the call that resumes it at once. If the core had decided that the run starts, and the shell had neither stored nor discarded it yet, the resume found no run, fenced it, and was told that it may have run; a request that may not run twice then failed for good.

The core already answers a fence of a run that is running without changing it. The resume now uses that answer: it looks for the run again until it is stored or over, for 1 s at most. A second copy of a run's first message does the same.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -16,6 +16,7 @@
 	"samphireweir.example/samphireweir/internal/frame"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/node"
+	"samphireweir.example/samphireweir/internal/periodic"
 	"samphireweir.example/samphireweir/internal/silence"
 )
 
@@ -27,6 +28,9 @@
 	defaultRunTimeout = 10 * time.Minute
 	// defaultMarkTimeout bounds the delivery of a suspect's mark to the entries.
 	defaultMarkTimeout = 500 * time.Millisecond
+	// startTimeout is how long a call waits for a run that the core has decided to start, and startPollInterval the time between two looks.
+	startTimeout      = time.Second
+	startPollInterval = 5 * time.Millisecond
 	// readBufferSize is the maximum number of bytes that are read from an upstream, or sent in one frame, at once.
 	readBufferSize = 32 << 10
 )
@@ -112,7 +116,7 @@
 		reader, _ := x.out.attach(0)
 		a.relay(w, r, x, reader, true)
 	case run.Join:
-		a.join(w, r, env, d.ID)
+		a.join(w, r, env)
 	case run.Refuse:
 		// The entry may not have received the mark of a suspect request yet. The refusal carries the mark, so that the
 		// entry does not send the request to the next agent.
@@ -173,15 +177,18 @@
 	}
 }
 
-// join relays the response of a run that has already started. The call is a second copy of the run's message, or an entry
-// resumes the response.
-func (a *Agent) join(w http.ResponseWriter, r *http.Request, env frame.Envelope, id run.ID) {
-	found, known := a.executions.Load(id)
-	if !known {
-		a.writeFail(w, env, &failure{code: code.StreamBroken, ran: code.Unknown})
+// join relays the response of a run that has already started. The call is a second copy of the run's message.
+func (a *Agent) join(w http.ResponseWriter, r *http.Request, env frame.Envelope) {
+	x, ran := a.executionOrFence(r.Context(), env)
+	if x == nil {
+		a.writeFail(w, env, &failure{code: code.StreamBroken, ran: ran})
 		return
 	}
-	x := found.(*execution)
+	a.relayFrom(w, r, env, x)
+}
+
+// relayFrom relays the response of a run from the offset in env.
+func (a *Agent) relayFrom(w http.ResponseWriter, r *http.Request, env frame.Envelope, x *execution) {
 	reader, ok := x.out.attach(env.Offset)
 	if !ok {
 		a.writeFail(w, env, &failure{code: code.StreamBroken, ran: code.DidRun})
@@ -190,6 +197,24 @@
 	a.relay(w, r, x, reader, env.Offset == 0)
 }
 
+// executionOrFence returns the run of an attempt. If there is none, it fences the attempt and returns whether it was executed. A run that the core
+// has just decided to start is awaited until the shell has started or discarded it, which follows at once: after a pause of this process, a run's
+// first message and the call that resumes it are read at the same time.
+func (a *Agent) executionOrFence(ctx context.Context, env frame.Envelope) (*execution, code.Ran) {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for {
+		answer := a.requestFence(env)
+		if found, known := a.executions.Load(answer.ID); known && env.Incarnation == a.selfIncarnation {
+			return found.(*execution), ""
+		}
+		if !answer.Running || ctx.Err() != nil {
+			return nil, answer.Ran
+		}
+		periodic.Sleep(ctx, startPollInterval)
+	}
+}
+
 // handleResume resumes a response over a new connection. It fences an attempt that is not known here, so that the entry
 // learns with one call whether to wait or to send the request to another upstream.
 func (a *Agent) handleResume(w http.ResponseWriter, r *http.Request) {
@@ -197,12 +222,12 @@
 	if !ok {
 		return
 	}
-	id := message(env).ID
-	if _, known := a.executions.Load(id); known && env.Incarnation == a.selfIncarnation {
-		a.join(w, r, env, id)
+	x, ran := a.executionOrFence(r.Context(), env)
+	if x == nil {
+		a.writeFail(w, env, &failure{code: code.AttemptFenced, ran: ran})
 		return
 	}
-	a.writeFail(w, env, &failure{code: code.AttemptFenced, ran: a.fence(env)})
+	a.relayFrom(w, r, env, x)
 }
 
 // handleFence fences an attempt: it is cancelled if it runs, and it can't start afterwards.
@@ -216,14 +241,19 @@
 
 // fence prevents an attempt from starting and cancels it if it runs. It returns whether the attempt was executed.
 func (a *Agent) fence(env frame.Envelope) code.Ran {
-	d := a.CallCore(func(call uint64) step.Event { return run.FenceRequested{Call: call, Message: message(env)} })
-	answer := d.(run.FenceAnswer)
+	answer := a.requestFence(env)
 	if answer.Running {
 		a.cancelRun(answer.ID)
 	}
 	return answer.Ran
 }
 
+// requestFence has the core prevent an attempt from starting. An attempt that runs goes on.
+func (a *Agent) requestFence(env frame.Envelope) run.FenceAnswer {
+	d := a.CallCore(func(call uint64) step.Event { return run.FenceRequested{Call: call, Message: message(env)} })
+	return d.(run.FenceAnswer)
+}
+
 func (a *Agent) cancelRun(id run.ID) {
 	if found, known := a.executions.Load(id); known {
 		found.(*execution).cancel(errAbandoned)
