entry: a silent agent that nothing can replace is asked until the deadline

Callers with a body over 256 KiB got 409, code 4005, when their agent was silent for more than 1 s and went on: the connection with the body was closed, the resume fenced the attempt, and the body could not be sent again. Others got 504 when their only agent was silent for more than 4 s, and streams that could be continued were cut after two resumes, earlier than those that could not.

A request whose body can't be sent again now keeps its connection, a new one, until its deadline. Before an attempt is given up because its agent is silent, the reducer is asked whether another upstream can take its place; if none can, the entry goes on asking the agent, and these calls count neither as reconnects nor as resumes, so that a connection that an earlier call replaces when the agent goes on can itself be replaced.

Agents that refuse connections or can be replaced are given up as before.

--- a/internal/core/request/attempt.go
+++ b/internal/core/request/attempt.go
@@ -144,14 +144,15 @@
 	}
 }
 
-// answerInterrupted resumes the answer. After too many resumes without progress, or after the deadline, it treats the run
-// as lost.
+// answerInterrupted resumes the answer. After too many resumes without progress, or after the deadline, it treats the run as lost. A silent
+// agent is asked until the deadline if no other upstream can continue the answer: it may go on.
 func (s *State) answerInterrupted(in step.Input, ev AnswerInterrupted, directory Directory, statuses SuspectStatuses) []step.Effect {
 	r := s.Requests[ev.ID]
 	if r == nil || r.Attempt != ev.Attempt || (r.Phase != Answering && r.Phase != Resuming) {
 		return nil
 	}
-	if r.Resumes >= maxResumes(r) || !in.Now.Before(r.Deadline) {
+	awaited := ev.Silent && !s.replaceable(in, r, code.DidRun, directory, statuses)
+	if !awaited && r.Resumes >= maxResumes(r) || !in.Now.Before(r.Deadline) {
 		lost := AnswerFailed{ID: r.ID, Attempt: r.Attempt, Code: code.StreamBroken, Ran: code.DidRun}
 		return s.answerFailed(in, lost, directory, statuses)
 	}
@@ -159,7 +160,9 @@
 	if r.Resumes > 0 {
 		delay = InitialResumeDelay << (r.Resumes - 1)
 	}
-	r.Resumes++
+	if !awaited {
+		r.Resumes++
+	}
 	r.Phase = Resuming
 	return []step.Effect{Resume{Attempt: r.currentAttempt(), Delay: delay}}
 }
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -27,7 +27,8 @@
 	// find an upstream full or reserved after an earlier attempt may have run are not counted; only the deadline ends
 	// them.
 	MaxTotalAttempts = 8
-	// MaxResumes is the maximum number of new connections for the rest of an answer without a byte of progress.
+	// MaxResumes is the maximum number of new connections for the rest of an answer without a byte of progress. Those to an agent that is silent
+	// and that nothing can replace are not counted.
 	MaxResumes = 4
 	// MaxContinuableResumes applies instead of MaxResumes to an answer that another upstream can continue.
 	MaxContinuableResumes = 2
@@ -234,6 +235,8 @@
 type AnswerInterrupted struct {
 	ID      string
 	Attempt int
+	// Silent reports whether the agent was silent. Otherwise the connection broke or was refused.
+	Silent bool
 }
 
 // AnswerFailed is the event that an answer has started and can't be completed by its run: the run was lost, or its answer
--- a/internal/core/request/silence.go
+++ b/internal/core/request/silence.go
@@ -9,8 +9,8 @@
 	"samphireweir.example/samphireweir/internal/core/suspect"
 )
 
-// UpstreamSilent is the event that the upstream of an attempt has been silent for so long that another one should run the request. The attempt
-// goes on.
+// UpstreamSilent is the event that the upstream of an attempt, or its agent, has been silent for so long that another upstream should run the
+// request. The attempt goes on.
 type UpstreamSilent struct {
 	ID      string
 	Attempt int
@@ -18,8 +18,8 @@
 	Ran code.Ran
 }
 
-// GiveUp is the effect that ends an attempt at a silent upstream, because another upstream can take its place. Its failure follows as
-// AttemptFailed or AnswerFailed, unless the upstream has gone on.
+// GiveUp is the effect that ends an attempt at a silent upstream, because another upstream can take its place. It is carried out at once, and
+// AttemptFailed or AnswerFailed follows unless the upstream has gone on.
 type GiveUp struct{ Attempt }
 
 // Event marks the type as an event.
@@ -28,6 +28,9 @@
 // Effect marks the type as an effect.
 func (GiveUp) Effect() {}
 
+// RequestID returns the ID of the request that the effect is for.
+func (e GiveUp) RequestID() string { return e.ID }
+
 // upstreamSilent gives up an attempt at a silent upstream if another upstream can take its place. Otherwise the attempt goes on until the
 // deadline: a sound upstream may be silent for a while, and without a replacement its answer is the only one that the caller can get.
 func (s *State) upstreamSilent(in step.Input, ev UpstreamSilent, directory Directory, statuses SuspectStatuses) []step.Effect {
--- a/internal/core/request/silence_test.go
+++ b/internal/core/request/silence_test.go
@@ -68,3 +68,27 @@
 		})
 	}
 }
+
+// TestSilentAgentThatNothingReplacesIsAskedUntilDeadline guards against an answer that is aborted because its agent is silent, although no other
+// upstream can continue it, and against a silent agent that is asked on although another upstream can.
+func TestSilentAgentThatNothingReplacesIsAskedUntilDeadline(t *testing.T) {
+	interrupt := func(l *lifecycle, n int) {
+		for range n {
+			l.resumes = 0
+			l.step(AnswerInterrupted{ID: "r", Attempt: 1, Silent: true})
+			require.IsType(t, Resume{}, l.last)
+		}
+	}
+	alone := receive(t, newEnvironment(1), false)
+	alone.answer()
+	interrupt(alone, 3*MaxResumes)
+	alone.now = alone.state.Requests["r"].Deadline
+	alone.step(AnswerInterrupted{ID: "r", Attempt: 1, Silent: true})
+	require.IsType(t, Abort{}, alone.last)
+	replaced := receive(t, newEnvironment(2), false)
+	replaced.answer()
+	interrupt(replaced, MaxContinuableResumes)
+	replaced.ran = append(replaced.ran, code.DidRun)
+	replaced.step(AnswerInterrupted{ID: "r", Attempt: 1, Silent: true})
+	require.IsType(t, Send{}, replaced.last)
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -82,13 +82,13 @@
 	}
 	s, err := e.openStream(ctx, agentCall{
 		address: eff.Target.Address, path: frame.RunPath, env: env, header: header, body: reader, contentLength: length,
-		headTimeout: e.headTimeout(eff.Target.Address, time.Now(), frame.HeadTimeout),
+		headTimeout: e.firstHeadTimeout(c, eff.Attempt, time.Now()), unpooled: !c.body.complete,
 	})
 	return e.receiveAnswer(ctx, c, eff.Attempt, s, err)
 }
 
-// receiveAnswer forwards an answer. It reconnects, up to a limit, as long as nothing of the answer was received. It
-// reports whether the request is finished.
+// receiveAnswer forwards an answer. It reconnects, up to a limit, as long as nothing of the answer was received. To a silent agent that nothing
+// can replace, it reconnects until the deadline. It reports whether the request is finished.
 func (e *Entry) receiveAnswer(ctx context.Context, c *call, attempt request.Attempt, s *stream, err error) bool {
 	for reconnects := 0; ; reconnects++ {
 		if err == nil {
@@ -114,7 +114,9 @@
 			e.reportFailure(c, attempt, &frame.Fail{Code: code.DeadlinePassed, Ran: e.fence(c, attempt)})
 			return false
 		}
-		if reconnects >= maxReconnectsAfter(err, attempt) {
+		if reconnects >= maxReconnectsAfter(err, attempt) && e.awaitsSilentAgent(c, attempt, err) {
+			reconnects-- // This one is not counted, so that a connection that breaks later can be replaced.
+		} else if reconnects >= maxReconnectsAfter(err, attempt) {
 			e.cancelAttempt(c, attempt)
 			e.Loop.Step(member.CallFailed{Address: attempt.Target.Address})
 			e.reportFailure(c, attempt, &frame.Fail{Code: code.UpstreamSilent, Ran: code.Unknown})
@@ -241,14 +243,14 @@
 	s, err := e.reconnect(ctx, c, eff.Attempt)
 	if err != nil {
 		c.agentSilence += silenceOf(err)
-		e.Loop.Step(request.AnswerInterrupted{ID: c.id, Attempt: eff.Number})
+		e.Loop.Step(request.AnswerInterrupted{ID: c.id, Attempt: eff.Number, Silent: silenceOf(err) > 0})
 		return false
 	}
 	defer s.close()
 	logevent.Info(e.Log, logevent.StreamResumed).Str("request", c.id).Int64("offset", c.answer.receivedBytes).Msg("stream resumed")
-	p, _ := e.forwardAnswer(c, s, eff.Attempt)
+	p, err := e.forwardAnswer(c, s, eff.Attempt)
 	if p == progressDisconnected {
-		e.Loop.Step(request.AnswerInterrupted{ID: c.id, Attempt: eff.Number})
+		e.Loop.Step(request.AnswerInterrupted{ID: c.id, Attempt: eff.Number, Silent: silenceOf(err) > 0})
 	}
 	return p == progressDone
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -110,10 +110,6 @@
 	if e.Execute(eff) {
 		return
 	}
-	if giveUp, ok := eff.(request.GiveUp); ok {
-		go e.giveUp(giveUp.Attempt)
-		return
-	}
 	addressed, ok := eff.(request.Addressed)
 	if !ok {
 		return
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -136,7 +136,7 @@
 		e.cancelAttempt(c, attempt)
 		return progressDone, nil
 	}
-	e.Loop.Step(request.AnswerInterrupted{ID: c.id, Attempt: attempt.Number})
+	e.Loop.Step(request.AnswerInterrupted{ID: c.id, Attempt: attempt.Number, Silent: silenceOf(cause) > 0})
 	return progressReported, nil
 }
 
--- a/internal/entry/head_times.go
+++ b/internal/entry/head_times.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core/request"
 	"samphireweir.example/samphireweir/internal/frame"
 	"samphireweir.example/samphireweir/internal/silence"
@@ -64,10 +65,28 @@
 	return min(maxHeadTimeout, e.headTimes.limit(address, now, shortest)+e.OwnDelay.Allowance())
 }
 
+// firstHeadTimeout returns how long an agent may be silent before the first byte of an attempt. A request whose body can't be sent again waits
+// until its deadline: the connection that has the body is its only one, and it is a new one, so it works if the agent does.
+func (e *Entry) firstHeadTimeout(c *call, attempt request.Attempt, now time.Time) time.Duration {
+	if !c.body.complete {
+		return max(frame.HeadTimeout, c.deadline.Sub(now))
+	}
+	return e.headTimeout(attempt.Target.Address, now, frame.HeadTimeout)
+}
+
+// awaitsSilentAgent reports whether an attempt goes on although its agent was silent for as long as a dead one may be, since no other upstream
+// can take its place. err is why the last connection failed.
+func (e *Entry) awaitsSilentAgent(c *call, attempt request.Attempt, err error) bool {
+	return silenceOf(err) > 0 && !e.replaceable(c, attempt, code.Unknown)
+}
+
 // reconnectTimeout returns how long an agent may be silent before the first byte of a call on a new connection. What it was
 // silent before counts.
 func (e *Entry) reconnectTimeout(c *call, attempt request.Attempt, now time.Time) time.Duration {
 	shortest := max(frame.HeadTimeout, maxAgentSilence-c.agentSilence)
+	if c.agentSilence >= maxAgentSilence {
+		shortest = maxAgentSilence // Nothing can replace the agent, so a further connection would not help.
+	}
 	limit := e.headTimeout(attempt.Target.Address, now, shortest)
 	return max(frame.HeadTimeout, min(limit, c.deadline.Sub(now)/reconnectShare))
 }
