agent: a silence of an engine does not count as slowness

An engine that was silent for 1.5 s and went on got no request for the next 1.5 s: the requests that had waited through the silence made its mean time to the first byte far longer than that of its peers, and the entry ejected it, for up to 30 s if it is silent again.

The agent now remembers when it heard each engine on any connection (answers, probes, reads of the state), and leaves the time for which the engine was silent as a whole out of the time to the first byte that it reports to entries. A slow engine answers its state meanwhile, so it is ejected as before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,6 +55,8 @@
 	selfIncarnation uint64
 	// executions holds the runs whose responses can be resumed: *execution by run.ID.
 	executions sync.Map
+	// heardLogs holds when the host's engines were heard: *heardLog by name.
+	heardLogs sync.Map
 }
 
 // New returns an agent with settings that passed Config.Check.
--- /dev/null
+++ b/internal/agent/heard.go
@@ -0,0 +1,96 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"samphireweir.example/samphireweir/internal/engine"
+	"samphireweir.example/samphireweir/internal/setting"
+)
+
+const (
+	// minEngineSilence is the least time without a byte from an engine that counts as a silence. Its state is read each 500 ms, so a shorter time
+	// may have passed without anything to answer.
+	minEngineSilence = 750 * time.Millisecond
+	// maxEngineSilences is how many silences of an engine are remembered.
+	maxEngineSilences = 8
+)
+
+// interval is a time from start to end.
+type interval struct{ start, end time.Time }
+
+// overlap returns how much of the interval lies in other.
+func (i interval) overlap(other interval) time.Duration {
+	start, end := i.start, i.end
+	if other.start.After(start) {
+		start = other.start
+	}
+	if other.end.Before(end) {
+		end = other.end
+	}
+	return max(0, end.Sub(start))
+}
+
+// heardLog records when an engine was heard, by whatever connection, to tell an engine that was silent as a whole from one that answers a request
+// slowly. The zero value is an engine that was never heard.
+type heardLog struct {
+	mu   sync.Mutex
+	last time.Time
+	// silences are the latest silences, the oldest first.
+	silences []interval
+}
+
+// record records that the engine was heard at now.
+func (h *heardLog) record(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.last.IsZero() && now.Sub(h.last) >= minEngineSilence {
+		h.silences = append(h.silences, interval{h.last, now})
+		h.silences = h.silences[max(0, len(h.silences)-maxEngineSilences):]
+	}
+	if now.After(h.last) {
+		h.last = now
+	}
+}
+
+// silentWithin returns for how long of an interval the engine was silent.
+func (h *heardLog) silentWithin(i interval) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	total := time.Duration(0)
+	for _, silence := range h.silences {
+		total += silence.overlap(i)
+	}
+	return total
+}
+
+// heard returns the log of one of the host's upstreams.
+func (a *Agent) heard(upstream string) *heardLog {
+	found, ok := a.heardLogs.Load(upstream)
+	if !ok {
+		found, _ = a.heardLogs.LoadOrStore(upstream, &heardLog{})
+	}
+	return found.(*heardLog)
+}
+
+// readEngineState reads the state of an engine.
+func (a *Agent) readEngineState(ctx context.Context, upstream, url string) (engine.State, error) {
+	state, err := a.engines.State(ctx, url)
+	if err == nil {
+		a.heard(upstream).record(time.Now())
+	}
+	return state, err
+}
+
+// serviceTime returns how long the run's upstream took for the first byte of its response, without the time for which an engine was silent as a
+// whole: that says nothing about its speed once it goes on. It is 0 if the time is unknown.
+func (a *Agent) serviceTime(x *execution) time.Duration {
+	took := x.firstByte.took()
+	if took == 0 || x.start.Kind != setting.Engine {
+		return took
+	}
+	readAt := processStart.Add(time.Duration(x.firstByte.readAt.Load()))
+	silent := a.heard(x.start.Upstream).silentWithin(interval{readAt.Add(-took), readAt})
+	return max(time.Microsecond, took-silent)
+}
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -81,7 +81,7 @@
 func (a *Agent) pollEngine(ctx context.Context, u rollout.Upstream, cursors map[string]int64) {
 	callCtx, cancel := context.WithTimeout(ctx, stateCallTimeout)
 	defer cancel()
-	state, err := a.engines.State(callCtx, u.URL)
+	state, err := a.readEngineState(callCtx, u.Name, u.URL)
 	a.recordLoad(u.Name, state, err)
 	if err != nil {
 		return
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -85,7 +85,7 @@
 func (a *Agent) readState(e rollout.ReadState) {
 	ctx, cancel := context.WithTimeout(context.Background(), stateCallTimeout)
 	defer cancel()
-	state, err := a.engines.State(ctx, e.URL)
+	state, err := a.readEngineState(ctx, e.Upstream, e.URL)
 	if err != nil {
 		a.Loop.Step(rollout.StateFailed{Upstream: e.Upstream, Serial: e.Serial})
 		return
@@ -207,7 +207,7 @@
 func (a *Agent) readFinalState(x *execution) (engine.State, error) {
 	ctx, cancel := context.WithTimeout(x.ctx, stateCallTimeout)
 	defer cancel()
-	return a.engines.State(ctx, x.start.URL)
+	return a.readEngineState(ctx, x.start.Upstream, x.start.URL)
 }
 
 // isTimeout reports whether a call got no answer in time, as opposed to one that was refused or broken off.
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -170,6 +170,7 @@
 	if err == nil {
 		now := time.Now()
 		a.probeTimes.Record(now, now.Sub(sentAt))
+		a.heard(s.Upstream).record(now)
 		return run.Probe{BootID: state.BootID}
 	}
 	if watch.Expired() {
--- a/internal/agent/response.go
+++ b/internal/agent/response.go
@@ -108,7 +108,7 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			x.recordActivity()
+			a.recordActivity(x)
 		}
 		if buffering {
 			buffered = append(buffered, buf[:n]...)
@@ -173,7 +173,7 @@
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			x.recordActivity()
+			a.recordActivity(x)
 			tail = append(tail, buf[:n]...)
 		}
 		if x.start.Kind != setting.Engine {
--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -93,7 +93,7 @@
 		return a.connectionLost(x)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	x.recordActivity()
+	a.recordActivity(x)
 	a.Loop.Step(run.FirstByte{ID: x.start.ID})
 	a.Loop.Step(weights.FirstByte{Upstream: x.start.Upstream, Latency: time.Since(startedAt)})
 	return a.receiveResponse(x, req.Method, resp)
@@ -130,8 +130,12 @@
 }
 
 // recordActivity records that the upstream has just sent something.
-func (x *execution) recordActivity() {
-	x.lastActivity.Store(time.Now().UnixNano())
+func (a *Agent) recordActivity(x *execution) {
+	now := time.Now()
+	x.lastActivity.Store(now.UnixNano())
+	if x.start.Kind == setting.Engine {
+		a.heard(x.start.Upstream).record(now)
+	}
 	x.watch.Progress(0)
 }
 
