entry: an agent that can be replaced is not waited for longer

Since silent agents that nothing can replace are asked until the deadline, the second new connection to any silent agent waited 4 s in place of 1 s: TestSilentAgentIsGivenUpInBoundedTime/in_the_middle took 9.7 s once beside load (bound 9.5 s).

--- a/internal/core/request/attempt.go
+++ b/internal/core/request/attempt.go
@@ -164,7 +164,7 @@
 		r.Resumes++
 	}
 	r.Phase = Resuming
-	return []step.Effect{Resume{Attempt: r.currentAttempt(), Delay: delay}}
+	return []step.Effect{Resume{Attempt: r.currentAttempt(), Delay: delay, Irreplaceable: awaited}}
 }
 
 func maxResumes(r *Request) int {
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -333,6 +333,8 @@
 type Resume struct {
 	Attempt
 	Delay time.Duration
+	// Irreplaceable reports whether the agent is silent and no other upstream can continue the answer.
+	Irreplaceable bool
 }
 
 // Refuse is the effect that answers the caller with a result code.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -114,9 +114,11 @@
 			e.reportFailure(c, attempt, &frame.Fail{Code: code.DeadlinePassed, Ran: e.fence(c, attempt)})
 			return false
 		}
-		if reconnects >= maxReconnectsAfter(err, attempt) && e.awaitsSilentAgent(c, attempt, err) {
+		exhausted := reconnects >= maxReconnectsAfter(err, attempt)
+		c.irreplaceable = exhausted && e.awaitsSilentAgent(c, attempt, err)
+		if c.irreplaceable {
 			reconnects-- // This one is not counted, so that a connection that breaks later can be replaced.
-		} else if reconnects >= maxReconnectsAfter(err, attempt) {
+		} else if exhausted {
 			e.cancelAttempt(c, attempt)
 			e.Loop.Step(member.CallFailed{Address: attempt.Target.Address})
 			e.reportFailure(c, attempt, &frame.Fail{Code: code.UpstreamSilent, Ran: code.Unknown})
@@ -240,6 +242,7 @@
 		return true
 	}
 	c.answer.resuming = true
+	c.irreplaceable = eff.Irreplaceable
 	s, err := e.reconnect(ctx, c, eff.Attempt)
 	if err != nil {
 		c.agentSilence += silenceOf(err)
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -53,7 +53,9 @@
 	answer        answer
 	// agentSilence is how long the agent of the current attempt was silent since it last sent a frame, on all connections.
 	agentSilence time.Duration
-	setting      *setting.Setting
+	// irreplaceable is set while the agent is silent and no other upstream can take the attempt's place.
+	irreplaceable bool
+	setting       *setting.Setting
 	// fingerprint identifies the request by its content, independent of the caller; see the function fingerprint.
 	fingerprint string
 	// loadReport is the upstream's load report from the end of the answer.
--- a/internal/entry/head_times.go
+++ b/internal/entry/head_times.go
@@ -84,8 +84,8 @@
 // silent before counts.
 func (e *Entry) reconnectTimeout(c *call, attempt request.Attempt, now time.Time) time.Duration {
 	shortest := max(frame.HeadTimeout, maxAgentSilence-c.agentSilence)
-	if c.agentSilence >= maxAgentSilence {
-		shortest = maxAgentSilence // Nothing can replace the agent, so a further connection would not help.
+	if c.irreplaceable {
+		shortest = maxAgentSilence // A further connection would not help.
 	}
 	limit := e.headTimeout(attempt.Target.Address, now, shortest)
 	return max(frame.HeadTimeout, min(limit, c.deadline.Sub(now)/reconnectShare))
