agent: no time to the first byte is reported for a request that waited through a silence

Beside load, the requests that waited through a silence still took several times as long as others after its end, since all of them ran at once, and the engine was ejected: TestSilentEngineIsUsedAgainAtOnce/silent failed once in a run of the whole package at load 20.

--- a/internal/agent/heard.go
+++ b/internal/agent/heard.go
@@ -83,14 +83,16 @@
 	return state, err
 }
 
-// serviceTime returns how long the run's upstream took for the first byte of its response, without the time for which an engine was silent as a
-// whole: that says nothing about its speed once it goes on. It is 0 if the time is unknown.
+// serviceTime returns how long the run's upstream took for the first byte of its response. It is 0 if the time is unknown, or if the engine was
+// silent as a whole meanwhile: the silence, and the work that is left from it, say nothing about the engine's speed afterwards.
 func (a *Agent) serviceTime(x *execution) time.Duration {
 	took := x.firstByte.took()
 	if took == 0 || x.start.Kind != setting.Engine {
 		return took
 	}
 	readAt := processStart.Add(time.Duration(x.firstByte.readAt.Load()))
-	silent := a.heard(x.start.Upstream).silentWithin(interval{readAt.Add(-took), readAt})
-	return max(time.Microsecond, took-silent)
+	if a.heard(x.start.Upstream).silentWithin(interval{readAt.Add(-took), readAt}) > 0 {
+		return 0
+	}
+	return took
 }
