admission: requests wait for longer while all upstreams are silent

Callers were refused (503, code 2003) while all engines of a service were silent for 1.5 s: the silent requests filled the engines, and others waited for 0.3 s at most, as many as complete in that time.

A service none of whose requests has been answered for 0.3 s is now taken as stalled. While it is, and for 0.3 s afterwards, requests wait up to 2 s, as many as usually complete in that time (512 at most). A service that is merely full goes on answering, so nothing changes there. A request that is put back into the queue waits from its first time, as before.

The price: a service that is dead as a whole, with its connections open, refuses after 2 s in place of 0.3 s.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// MaxWait is the maximum time that a request waits at an entry for capacity. After that time, it is better to refuse
-	// the request and have its caller send it again.
+	// MaxWait is the maximum time that a request waits at an entry for capacity while the service answers requests. After that time, it is
+	// better to refuse the request and have its caller send it again.
 	MaxWait = 300 * time.Millisecond
+	// MaxStalledWait is the maximum time that a request waits while the service is stalled; see the type stall.
+	MaxStalledWait = 2 * time.Second
 	// MinQueueCapacity is how many requests of a service may wait at an entry, however slow the service is.
 	MinQueueCapacity = 16
 	// MaxQueueCapacity is the maximum number of requests of a service that wait at an entry.
@@ -44,6 +46,8 @@
 	Cap int
 	// Deadline is the caller's deadline.
 	Deadline time.Time
+	// Since is when the request began to wait, if it was admitted and is put back; zero for a new one.
+	Since time.Time
 }
 
 // Refusal is a request that is not admitted. After is the delay after which the caller should send it again.
@@ -53,11 +57,10 @@
 	After time.Duration
 }
 
-// waiter is a request in the queue. It is refused at expiresAt.
+// waiter is a request in the queue, which waits since enqueuedAt.
 type waiter struct {
 	ask        Ask
 	enqueuedAt time.Time
-	expiresAt  time.Time
 }
 
 // account is the state of one client account at a gate.
@@ -87,6 +90,8 @@
 	// arrivalRate and completionRate are the rates of the last window, in requests per second.
 	arrivalRate    float64
 	completionRate float64
+	// stall shows whether the service answers requests.
+	stall stall
 }
 
 // NewGate returns a gate without requests.
@@ -117,13 +122,9 @@
 		acct.refusals++
 		return []Refusal{g.refusal(ask.ID, code.Overloaded)}
 	}
-	expiresAt := now.Add(MaxWait)
-	if ask.Deadline.Before(expiresAt) {
-		expiresAt = ask.Deadline
-	}
-	acct.insert(waiter{ask: ask, enqueuedAt: now, expiresAt: expiresAt})
+	acct.insert(waiter{ask: ask, enqueuedAt: now})
 	g.waiting++
-	if g.waiting <= g.queueCapacity() {
+	if g.waiting <= g.queueCapacity(now) {
 		return nil
 	}
 	return []Refusal{g.evict()}
@@ -141,12 +142,15 @@
 }
 
 // queueCapacity returns how many requests may wait: as many as complete within MaxWait or, while no completion rate is
-// known, as many as are in flight.
-func (g *Gate) queueCapacity() int {
+// known, as many as are in flight. While the service is stalled, it is as many as usually complete within MaxStalledWait.
+func (g *Gate) queueCapacity(now time.Time) int {
 	n := int(g.completionRate * MaxWait.Seconds())
 	if g.completionRate == 0 {
 		n = len(g.admitted)
 	}
+	if g.stall.excuses(now) {
+		n = max(n, int(g.stall.usualRate*MaxStalledWait.Seconds()))
+	}
 	return min(MaxQueueCapacity, max(MinQueueCapacity, n))
 }
 
@@ -241,7 +245,19 @@
 // Waiting returns the number of waiting requests.
 func (g *Gate) Waiting() int { return g.waiting }
 
-// Sweep refuses the requests that have waited for MaxWait or until their deadline.
+// expired reports whether a request has waited for too long: until its deadline, for MaxWait, or for MaxStalledWait if the service is stalled.
+func (g *Gate) expired(now time.Time, w waiter) bool {
+	waited := now.Sub(w.enqueuedAt)
+	if !now.Before(w.ask.Deadline) || waited >= MaxStalledWait {
+		return true
+	}
+	return waited >= MaxWait && !g.stall.excuses(now)
+}
+
+// Answered records that a request of the service was answered, or that its answer has started.
+func (g *Gate) Answered(now time.Time) { g.stall.answered(now) }
+
+// Sweep refuses the requests that have waited for too long.
 func (g *Gate) Sweep(now time.Time) []Refusal {
 	g.advanceWindow(now)
 	var refused []Refusal
@@ -252,7 +268,7 @@
 		acct := g.accounts[name]
 		kept := acct.waiting[:0]
 		for _, w := range acct.waiting {
-			if now.Before(w.expiresAt) {
+			if !g.expired(now, w) {
 				kept = append(kept, w)
 				continue
 			}
@@ -289,12 +305,11 @@
 // Requeue moves a request that was admitted but found no upstream with free capacity to the front of its account's queue.
 func (g *Gate) Requeue(now time.Time, ask Ask) {
 	g.Remove(ask.ID, false)
-	expiresAt := now.Add(MaxWait)
-	if ask.Deadline.Before(expiresAt) {
-		expiresAt = ask.Deadline
+	if ask.Since.IsZero() {
+		ask.Since = now
 	}
 	acct := g.account(ask)
-	acct.waiting = append([]waiter{{ask: ask, enqueuedAt: now, expiresAt: expiresAt}}, acct.waiting...)
+	acct.waiting = append([]waiter{{ask: ask, enqueuedAt: ask.Since}}, acct.waiting...)
 	g.waiting++
 }
 
@@ -350,6 +365,7 @@
 	if !g.windowStart.IsZero() {
 		g.arrivalRate = float64(g.arrivals) / elapsed.Seconds()
 		g.completionRate = float64(g.completions) / elapsed.Seconds()
+		g.stall.completed(g.windowStart, now, g.completionRate)
 	}
 	g.windowStart, g.arrivals, g.completions = now, 0, 0
 	for name, acct := range g.accounts {
--- a/internal/core/request/admit.go
+++ b/internal/core/request/admit.go
@@ -66,10 +66,7 @@
 
 func (s *State) admissionAsk(r *Request) admission.Ask {
 	a := admission.Ask{
-		ID: r.ID, Account: r.terms.Account, Priority: r.terms.Priority, Weight: r.terms.Weight, Deadline: r.Deadline,
-	}
-	if !r.queueDeadline.IsZero() && r.queueDeadline.Before(a.Deadline) {
-		a.Deadline = r.queueDeadline
+		ID: r.ID, Account: r.terms.Account, Priority: r.terms.Priority, Weight: r.terms.Weight, Deadline: r.Deadline, Since: r.requeuedAt,
 	}
 	if r.terms.Concurrency > 0 {
 		a.Cap = max(1, s.Fleet.Cap(r.serviceKey(), r.terms.Account, r.terms.Concurrency))
@@ -169,13 +166,12 @@
 }
 
 // requeue puts a request that was admitted back at the front of its account's queue. The upstreams that it tried may be
-// tried again. A request that was requeued stops waiting admission.MaxWait after its first requeue, however often it is
-// requeued.
+// tried again. The wait of a request counts from its first requeue, however often it is requeued.
 func (s *State) requeue(in step.Input, r *Request) {
 	r.tried = map[string]bool{}
 	r.Phase = Queued
-	if r.queueDeadline.IsZero() {
-		r.queueDeadline = in.Now.Add(admission.MaxWait)
+	if r.requeuedAt.IsZero() {
+		r.requeuedAt = in.Now
 	}
 	s.gate(r.serviceKey()).Requeue(in.Now, s.admissionAsk(r))
 }
@@ -218,6 +214,7 @@
 	s.gate(key).Remove(r.ID, answered)
 	if answered {
 		s.budget(key).Succeeded()
+		s.gate(key).Answered(in.Now)
 	}
 	return s.admitWaiting(in, r.Team, r.Service, directory, statuses)
 }
--- a/internal/core/request/attempt.go
+++ b/internal/core/request/attempt.go
@@ -129,6 +129,7 @@
 	}
 	r.Phase = Answering
 	r.Ran = code.DidRun
+	s.gate(r.serviceKey()).Answered(in.Now)
 	s.recordReport(in.Now, r, ev.Report)
 	return s.admitWaiting(in, r.Team, r.Service, directory, statuses)
 }
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -106,8 +106,8 @@
 	failedOtherwise bool
 	// sequence is the sequence number of the current attempt at this entry.
 	sequence uint64
-	// queueDeadline is when a request that was requeued stops waiting; zero if it was never requeued.
-	queueDeadline time.Time
+	// requeuedAt is when the request was first requeued; zero if it never was.
+	requeuedAt time.Time
 	// tried holds the upstreams that were tried, by routing.Key.
 	tried map[string]bool
 	// retryable holds the upstreams among tried that did not cause the failure of their attempt. They are tried again when
