admission: more requests may wait from the first half of a stall on

At the moment when a stall is found, 0.3 s after the last answer, as many requests may have come as may wait until then, or one more by chance: TestRequestsWaitWhileAllUpstreamsAreSilent refused 1 of 240 requests once, in a run of the whole package at load 22.

--- a/internal/core/admission/gate.go
+++ b/internal/core/admission/gate.go
@@ -142,13 +142,13 @@
 }
 
 // queueCapacity returns how many requests may wait: as many as complete within MaxWait or, while no completion rate is
-// known, as many as are in flight. While the service is stalled, it is as many as usually complete within MaxStalledWait.
+// known, as many as are in flight. While the service is stalled or about to be, it is as many as usually complete within MaxStalledWait.
 func (g *Gate) queueCapacity(now time.Time) int {
 	n := int(g.completionRate * MaxWait.Seconds())
 	if g.completionRate == 0 {
 		n = len(g.admitted)
 	}
-	if g.stall.excuses(now) {
+	if g.stall.begins(now) || g.stall.excuses(now) {
 		n = max(n, int(g.stall.usualRate*MaxStalledWait.Seconds()))
 	}
 	return min(MaxQueueCapacity, max(MinQueueCapacity, n))
--- a/internal/core/admission/stall.go
+++ b/internal/core/admission/stall.go
@@ -27,11 +27,18 @@
 	}
 }
 
-// stalled reports whether nothing has been answered for MaxWait. A service that has answered nothing yet is not stalled: it may not be up.
-func (s *stall) stalled(now time.Time) bool {
-	return !s.answeredAt.IsZero() && now.Sub(s.answeredAt) >= MaxWait
+// stalled reports whether nothing has been answered for MaxWait.
+func (s *stall) stalled(now time.Time) bool { return s.quietFor(now, MaxWait) }
+
+// quietFor reports whether nothing has been answered for d. A service that has answered nothing yet may not be up, and does not count.
+func (s *stall) quietFor(now time.Time, d time.Duration) bool {
+	return !s.answeredAt.IsZero() && now.Sub(s.answeredAt) >= d
 }
 
+// begins reports whether the service may be stalled soon. More requests may wait from then on, since as many as complete within MaxWait may have
+// come when the stall is found.
+func (s *stall) begins(now time.Time) bool { return s.quietFor(now, MaxWait/2) }
+
 // excuses reports whether requests may wait for longer than MaxWait: during a stall, and as long afterwards as a request waits at most, so that those
 // that waited through the stall find capacity.
 func (s *stall) excuses(now time.Time) bool {
--- a/internal/core/admission/stall_test.go
+++ b/internal/core/admission/stall_test.go
@@ -53,8 +53,9 @@
 // before there was time to admit them.
 func TestRequestsWaitThroughStall(t *testing.T) {
 	s := newStallTest(t)
-	require.Empty(t, s.pass(MaxWait))
+	require.Empty(t, s.pass(MaxWait/2))
 	require.Empty(t, s.wait(150), "as many as complete during the longest stall may wait")
+	require.Empty(t, s.pass(MaxWait))
 	require.Empty(t, s.pass(MaxStalledWait/2))
 	s.answer("first after the stall")
 	require.Empty(t, s.pass(MaxWait-time.Millisecond))
