routing: an upstream that goes on is probed at once, and an answer from a silence says nothing of its speed

An upstream whose callers left while it was silent was ejected, for 2 s to 30 s, and the answers that then came from it changed nothing. The agent now says with the head of an answer whether its engine was silent as a whole meanwhile, in place of reporting no time. The entry takes no time from such an answer, neither the agent's nor its own, and probes the engine at once if it was ejected because others had waited in vain.

--- a/internal/agent/heard.go
+++ b/internal/agent/heard.go
@@ -83,16 +83,13 @@
 	return state, err
 }
 
-// serviceTime returns how long the run's upstream took for the first byte of its response. It is 0 if the time is unknown, or if the engine was
-// silent as a whole meanwhile: the silence, and the work that is left from it, say nothing about the engine's speed afterwards.
-func (a *Agent) serviceTime(x *execution) time.Duration {
+// wasSilent reports whether the run's engine was silent as a whole while the run waited for the first byte: the silence, and the work that is
+// left from it, say nothing about the engine's speed afterwards. It is false for a plain service, which has no state to read.
+func (a *Agent) wasSilent(x *execution) bool {
 	took := x.firstByte.took()
 	if took == 0 || x.start.Kind != setting.Engine {
-		return took
+		return false
 	}
 	readAt := processStart.Add(time.Duration(x.firstByte.readAt.Load()))
-	if a.heard(x.start.Upstream).silentWithin(interval{readAt.Add(-took), readAt}) > 0 {
-		return 0
-	}
-	return took
+	return a.heard(x.start.Upstream).silentWithin(interval{readAt.Add(-took), readAt}) > 0
 }
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -120,7 +120,8 @@
 	if !written.head && s.status != 0 {
 		written.head = true
 		head := frame.Head{Request: id.Request, Attempt: id.Attempt, Status: s.status, Header: s.header, Load: a.loadReport(x, false)}
-		head.Load.FirstByteUS = a.serviceTime(x).Microseconds()
+		head.Load.FirstByteUS = x.firstByte.took().Microseconds()
+		head.Load.WasSilent = a.wasSilent(x)
 		if err := frame.WriteJSON(w, frame.TypeHead, head); err != nil {
 			return err
 		}
--- a/internal/core/request/attempt.go
+++ b/internal/core/request/attempt.go
@@ -118,9 +118,12 @@
 	case Sent:
 		r.continuable = ev.Continuable && r.replayable && !r.AtMostOnce
 		r.digest = ev.Digest
-		if ev.CannotServe {
+		switch {
+		case ev.CannotServe:
 			s.Routing.Failed(in.Now, r.serviceKey(), r.upstream)
-		} else {
+		case ev.Report != nil && ev.Report.WasSilent:
+			s.Routing.WentOn(in.Now, r.serviceKey(), r.upstream)
+		default:
 			s.Routing.FirstByte(in.Now, r.serviceKey(), r.upstream, in.Now.Sub(r.sentAt), ev.Report.FirstByteTime())
 		}
 	case Resuming, Continuing:
--- a/internal/core/routing/outlier.go
+++ b/internal/core/routing/outlier.go
@@ -76,8 +76,12 @@
 }
 
 // firstByte is one first-byte time of an upstream. own is the time that this entry measured, which includes the network and the delay of
-// this process. run is the time that the upstream took by the measurement of its agent; 0 if the agent reports none.
-type firstByte struct{ own, run time.Duration }
+// this process. run is the time that the upstream took by the measurement of its agent; 0 if the agent reports none. inVain is set for a wait that
+// ended without a first byte.
+type firstByte struct {
+	own, run time.Duration
+	inVain   bool
+}
 
 // addSample adds a first-byte time of an upstream. It ejects the upstream if it is too slow, or counts a probe.
 func (svc *service) addSample(now time.Time, u *upstream, took firstByte) {
@@ -95,6 +99,7 @@
 	}
 	if svc.tooSlow(u.usual()) && svc.mayEject() {
 		svc.eject(now, u)
+		u.ejectedWaiting = took.inVain
 	}
 }
 
@@ -190,6 +195,7 @@
 	u.ejections++
 	u.goodProbes = 0
 	u.failures = 0
+	u.ejectedWaiting = false
 	u.latency, u.runTime = latency{}, latency{}
 }
 
@@ -198,6 +204,7 @@
 func (svc *service) probeAnswered(now time.Time, u *upstream, took firstByte) {
 	if svc.tooSlow(took) {
 		svc.eject(now, u)
+		u.ejectedWaiting = took.inVain
 		return
 	}
 	u.goodProbes++
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -233,6 +233,16 @@
 	svc.addSample(now, u, firstByte{own: took, run: max(0, run)})
 }
 
+// WentOn records an answer of an upstream that was silent as a whole while the request waited. It shows that the upstream is sound, and not how
+// fast it is. An upstream that was ejected since others waited in vain is probed at once.
+func (s *State) WentOn(now time.Time, service string, c member.Candidate) {
+	u := s.service(service).upstream(c)
+	u.failures = 0
+	if u.health == ejected && u.ejectedWaiting {
+		u.ejectedUntil = now
+	}
+}
+
 // Failed records an answer with which the upstream reports that it can't serve.
 func (s *State) Failed(now time.Time, service string, c member.Candidate) {
 	svc := s.service(service)
@@ -248,7 +258,7 @@
 	u.endedSince++
 	// An aborted wait shows that the upstream is slow only if it was longer than the mean first-byte time.
 	if waited > 0 && waited > u.latency.mean() {
-		took := firstByte{own: waited}
+		took := firstByte{own: waited, inVain: true}
 		if u.runTime.samples > 0 {
 			took.run = waited // The agent measured nothing. An upstream that hangs would otherwise keep its last mean.
 		}
--- a/internal/core/routing/upstream.go
+++ b/internal/core/routing/upstream.go
@@ -35,6 +35,9 @@
 	// FirstByteUS is how long the upstream took for the first byte of this answer, in microseconds: from the end of the agent's write
 	// of the request to the agent's read of the first byte. It is 0 if it is unknown, and only in the report with an answer's head.
 	FirstByteUS int64 `json:"first_us,omitempty"`
+	// WasSilent reports whether the upstream was silent as a whole while this answer's request waited for the first byte. The time to the first byte
+	// then says nothing about its speed. It is only set in the report with an answer's head.
+	WasSilent bool `json:"was_silent,omitempty"`
 	// Cache holds the changes of the engine's prefix cache that the entry has not received yet; nil for none.
 	Cache *CacheChanges `json:"cache,omitempty"`
 }
@@ -74,6 +77,8 @@
 
 	health       health
 	ejectedUntil time.Time
+	// ejectedWaiting is set if the last ejection followed a wait for an answer that did not come.
+	ejectedWaiting bool
 	// ejections counts the ejections, less one for each return to service. It determines the next eject time.
 	ejections int
 	lastProbe time.Time
