--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,6 +55,8 @@
 	selfIncarnation uint64
 	// executions holds the runs whose responses can be resumed: *execution by run.ID.
 	executions sync.Map
+	// heardLogs holds when the host's engines were heard: *heardLog by name.
+	heardLogs sync.Map
 }
 
 // New returns an agent with settings that passed Config.Check.
@@ -84,6 +86,7 @@
 	p.PeersMux.HandleFunc("POST "+frame.RunPath, a.handleRun)
 	p.PeersMux.HandleFunc("POST "+frame.ResumePath, a.handleResume)
 	p.PeersMux.HandleFunc("POST "+frame.FencePath, a.handleFence)
+	p.PeersMux.HandleFunc("POST "+frame.GiveUpPath, a.handleGiveUp)
 	p.Loop.View(func(s *core.State) { a.selfIncarnation = s.Self.Incarnation })
 	p.Loop.SetExecutor(a.executeEffect)
 	p.Loop.Step(weights.Configured{Mode: weights.Mode(c.Spread), NoYield: c.NoYield})
--- a/internal/core/request/attempt.go
+++ b/internal/core/request/attempt.go
@@ -118,9 +118,12 @@
 	case Sent:
 		r.continuable = ev.Continuable && r.replayable && !r.AtMostOnce
 		r.digest = ev.Digest
-		if ev.CannotServe {
+		switch {
+		case ev.CannotServe:
 			s.Routing.Failed(in.Now, r.serviceKey(), r.upstream)
-		} else {
+		case ev.Report != nil && ev.Report.WasSilent:
+			s.Routing.WentOn(in.Now, r.serviceKey(), r.upstream)
+		default:
 			s.Routing.FirstByte(in.Now, r.serviceKey(), r.upstream, in.Now.Sub(r.sentAt), ev.Report.FirstByteTime())
 		}
 	case Resuming, Continuing:
@@ -129,6 +132,7 @@
 	}
 	r.Phase = Answering
 	r.Ran = code.DidRun
+	s.gate(r.serviceKey()).Answered(in.Now)
 	s.recordReport(in.Now, r, ev.Report)
 	return s.admitWaiting(in, r.Team, r.Service, directory, statuses)
 }
@@ -144,14 +148,15 @@
 	}
 }
 
-// answerInterrupted resumes the answer. After too many resumes without progress, or after the deadline, it treats the run
-// as lost.
+// answerInterrupted resumes the answer. After too many resumes without progress, or after the deadline, it treats the run as lost. A silent
+// agent is asked until the deadline if no other upstream can continue the answer: it may go on.
 func (s *State) answerInterrupted(in step.Input, ev AnswerInterrupted, directory Directory, statuses SuspectStatuses) []step.Effect {
 	r := s.Requests[ev.ID]
 	if r == nil || r.Attempt != ev.Attempt || (r.Phase != Answering && r.Phase != Resuming) {
 		return nil
 	}
-	if r.Resumes >= maxResumes(r) || !in.Now.Before(r.Deadline) {
+	awaited := ev.Silent && !s.replaceable(in, r, code.DidRun, directory, statuses)
+	if !awaited && r.Resumes >= maxResumes(r) || !in.Now.Before(r.Deadline) {
 		lost := AnswerFailed{ID: r.ID, Attempt: r.Attempt, Code: code.StreamBroken, Ran: code.DidRun}
 		return s.answerFailed(in, lost, directory, statuses)
 	}
@@ -159,10 +164,11 @@
 	if r.Resumes > 0 {
 		delay = InitialResumeDelay << (r.Resumes - 1)
 	}
-	r.Resumes++
+	if !awaited {
+		r.Resumes++
+	}
 	r.Phase = Resuming
-	attempt := Attempt{ID: r.ID, Number: r.Attempt, Target: r.upstream, Sequence: r.sequence, AtMostOnce: r.AtMostOnce}
-	return []step.Effect{Resume{Attempt: attempt, Delay: delay}}
+	return []step.Effect{Resume{Attempt: r.currentAttempt(), Delay: delay, Irreplaceable: awaited}}
 }
 
 func maxResumes(r *Request) int {
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -27,7 +27,8 @@
 	// find an upstream full or reserved after an earlier attempt may have run are not counted; only the deadline ends
 	// them.
 	MaxTotalAttempts = 8
-	// MaxResumes is the maximum number of new connections for the rest of an answer without a byte of progress.
+	// MaxResumes is the maximum number of new connections for the rest of an answer without a byte of progress. Those to an agent that is silent
+	// and that nothing can replace are not counted.
 	MaxResumes = 4
 	// MaxContinuableResumes applies instead of MaxResumes to an answer that another upstream can continue.
 	MaxContinuableResumes = 2
@@ -105,8 +106,8 @@
 	failedOtherwise bool
 	// sequence is the sequence number of the current attempt at this entry.
 	sequence uint64
-	// queueDeadline is when a request that was requeued stops waiting; zero if it was never requeued.
-	queueDeadline time.Time
+	// requeuedAt is when the request was first requeued; zero if it never was.
+	requeuedAt time.Time
 	// tried holds the upstreams that were tried, by routing.Key.
 	tried map[string]bool
 	// retryable holds the upstreams among tried that did not cause the failure of their attempt. They are tried again when
@@ -234,6 +235,8 @@
 type AnswerInterrupted struct {
 	ID      string
 	Attempt int
+	// Silent reports whether the agent was silent. Otherwise the connection broke or was refused.
+	Silent bool
 }
 
 // AnswerFailed is the event that an answer has started and can't be completed by its run: the run was lost, or its answer
@@ -330,6 +333,8 @@
 type Resume struct {
 	Attempt
 	Delay time.Duration
+	// Irreplaceable reports whether the agent is silent and no other upstream can continue the answer.
+	Irreplaceable bool
 }
 
 // Refuse is the effect that answers the caller with a result code.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -27,6 +27,8 @@
 		switch kind {
 		case frame.TypeHeartbeat:
 			p, err = e.handleHeartbeat(c, attempt)
+		case frame.TypeSilent:
+			p, err = e.handleSilence(c, attempt, payload)
 		case frame.TypeHead:
 			p, err = e.handleHead(c, attempt, payload)
 		case frame.TypeData:
@@ -134,7 +136,7 @@
 		e.cancelAttempt(c, attempt)
 		return progressDone, nil
 	}
-	e.Loop.Step(request.AnswerInterrupted{ID: c.id, Attempt: attempt.Number})
+	e.Loop.Step(request.AnswerInterrupted{ID: c.id, Attempt: attempt.Number, Silent: silenceOf(cause) > 0})
 	return progressReported, nil
 }
 
