forward, gateway: an upstream that writes streams is not silent

Cause: the reducer hears heads, first events and ends only. One request without an event for 1.5 s made an upstream silent that wrote long streams all the time, and it got only probes until its next head. Change: the report of a stalled attempt says when the upstream was last heard by any attempt. TestUpstreamThatWritesStreamsIsNotSilent can't be built on the code before. TestUpstreamThatAcceptsLateIsWaitedFor: the upstream accepts 0.2 s after the call, not 0.7 s. The connection still takes a second, so the code before fails as it did.

--- a/internal/core/forward/hedge.go
+++ b/internal/core/forward/hedge.go
@@ -22,6 +22,8 @@
 	// shell passes it on before it carries out any effect of this event.
 	Partial       bool
 	SinceLastPart time.Duration
+	// HeardAt is when something was last received from the upstream for any request; zero if that is unknown.
+	HeardAt time.Time
 	// Unsent is set if there is no connection to the upstream yet.
 	Unsent bool
 }
@@ -49,7 +51,9 @@
 	r.withAttempt(ev.Attempt, func() {
 		if r.isOpen() {
 			r.stalled, r.unsent = true, ev.Unsent
-			s.loadState(r.instance).noteStalled(in.Now)
+			l := s.loadState(r.instance)
+			l.heardAt = step.Later(l.heardAt, ev.HeardAt)
+			l.noteStalled(in.Now)
 		}
 	})
 	if ev.Partial {
--- a/internal/core/forward/hedge_test.go
+++ b/internal/core/forward/hedge_test.go
@@ -217,3 +217,17 @@
 	refusal := only[forward.Refuse](t, r.step(forward.AttemptEnded{ID: 1, Attempt: 1, Outcome: forward.Broken}))
 	require.Equal(t, code.Unknown, refusal.Ran)
 }
+
+// TestUpstreamThatWritesStreamsIsNotSilent guards against avoiding an upstream that answers one request slowly and others all the time. Long streams
+// have no head or first event for seconds.
+func TestUpstreamThatWritesStreamsIsNotSilent(t *testing.T) {
+	for ago, near := range map[time.Duration]bool{200 * time.Millisecond: true, 1500 * time.Millisecond: false} {
+		r := newRig()
+		r.add("near", "model", "perth-a", 20)
+		only[forward.Send](t, r.arrive(1, resumableStream))
+		r.add("far", "model", "bunbury-a", 20)
+		r.now = 1500 * time.Millisecond
+		r.step(forward.Stalled{ID: 1, Attempt: 1, HeardAt: begin.Add(r.now - ago)})
+		require.Equal(t, near, only[forward.Send](t, r.arrive(2, resumableStream)).Upstream.ID == "near", ago)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,6 +41,8 @@
 	x        *exchange
 	decision forward.Send
 	queue    *answerQueue
+	// heard is when the upstream was last heard, by any attempt.
+	heard *heardTime
 	// report reports an event to the reducers.
 	report func(step.Event)
 	// sent is set if bytes may have reached the upstream. It is known once the response's head has arrived or the attempt has failed.
@@ -86,7 +88,7 @@
 		Int64("version", e.Version).Stringer("homes", e.Homes).Bool("came_back", e.Returning).Dur("waited_ms", time.Since(x.arrivedAt)).Msg("request sent")
 	x.gateway.metrics.Attempts.Add(1, x.routeName(), "", strconv.Itoa(e.Attempt))
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	a := &attempt{x: x, decision: e, cancel: cancel, createdAt: time.Now(), report: x.gateway.step, queue: newAnswerQueue(x.answered), done: make(chan struct{})}
+	a := &attempt{x: x, decision: e, cancel: cancel, createdAt: time.Now(), heard: x.gateway.heard.open(e.Upstream.Instance()), report: x.gateway.step, queue: newAnswerQueue(x.answered), done: make(chan struct{})}
 	a.silence = silence.NewWatch(e.GiveUpAfter, func() { cancel(errUpstreamTimeout) })
 	a.silence.Notify(e.FirstEventTimeout, a.reportStalled)
 	a.silence.NotifyConnecting(upstreamConnectTimeout, a.reportUnconnected, a.reportConnected)
@@ -113,6 +115,7 @@
 // run makes the attempt and ends its queue with the outcome.
 func (a *attempt) run(ctx context.Context, lastEventID string) {
 	defer close(a.done)
+	defer a.x.gateway.heard.close(a.decision.Upstream.Instance(), a.heard)
 	defer a.cancel(nil)
 	answer, outcome, err := a.do(ctx, lastEventID)
 	if outcome == forward.Broken && ctx.Err() == nil && !errors.Is(err, errCrashedAtEnd) { // That error is the result of such a check.
@@ -124,7 +127,7 @@
 // reportStalled reports to the reducer that the upstream is silent.
 func (a *attempt) reportStalled() {
 	a.stalled.Store(true)
-	ev := forward.Stalled{ID: a.x.id, Attempt: a.decision.Attempt, Partial: a.decision.Resume || a.eventCount > 0}
+	ev := forward.Stalled{ID: a.x.id, Attempt: a.decision.Attempt, Partial: a.decision.Resume || a.eventCount > 0, HeardAt: a.heard.last()}
 	if a.eventCount > 0 {
 		ev.SinceLastPart = time.Since(a.lastReadAt)
 	}
@@ -314,6 +317,7 @@
 	}
 	a.eventCount++
 	a.lastReadAt = e.readAt
+	a.heard.record(e.readAt)
 	if err := growWhenFree(ctx, a.x.reservation, len(e.raw)); err != nil {
 		return err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,8 @@
 	socket  *loadreport.Socket
 	// memory limits the bytes held for callers.
 	memory *membudget.Budget
+	// heard records when upstreams were last heard.
+	heard heardTimes
 	// ownDelay measures how late this process itself is, while it runs.
 	ownDelay *owndelay.Monitor
 
@@ -124,6 +126,7 @@
 			MaxHeldBytes: callerMemoryLimit(host) / heldMemoryDivisor,
 		}, catalogState),
 		demandSequence: balance.Sequence{Start: time.Now().UnixMilli()},
+		heard:          heardTimes{upstreams: map[catalog.Instance]*heardTime{}},
 		exchanges:      map[uint64]*exchange{}, memory: membudget.New(callerMemoryLimit(host), time.Now),
 		upstreamTransport: upstreamClient.Transport, traces: traces,
 		store:       storePeers.Reader(directStore, control.NewPool(self, "", dialPeer), cache),
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -111,8 +111,8 @@
 	e := start(t, fleet)
 	reply := make(chan standin.Reply, 1)
 	go func() { reply <- e.Post("/once/1") }()
-	time.Sleep(700 * time.Millisecond)
-	l.serve(t, desk)
+	time.Sleep(200 * time.Millisecond)
+	l.serve(t, desk) // The kernel tries again to connect a second after the first time.
 	r := <-reply
 	require.NoError(t, r.Err)
 	require.Equal(t, http.StatusOK, r.Status, r.Body)
--- a/internal/gateway/slow_entry_internal_test.go
+++ b/internal/gateway/slow_entry_internal_test.go
@@ -51,7 +51,7 @@
 func newWaitingAttempt(ctx context.Context, full time.Duration) (*attempt, context.Context, *[]step.Event) {
 	reported := new([]step.Event)
 	a := &attempt{
-		x: &exchange{reservation: fullFor(ctx, full)}, queue: newAnswerQueue(make(chan struct{}, 1)),
+		x: &exchange{reservation: fullFor(ctx, full)}, queue: newAnswerQueue(make(chan struct{}, 1)), heard: &heardTime{},
 		report: func(ev step.Event) { *reported = append(*reported, ev) },
 	}
 	ctx, a.cancel = context.WithCancelCause(ctx)
