forward: a connection that comes late says nothing of a later attempt

Callers kept waiting at a silent upstream, or an upstream that works was taken for silent and got a second copy of its request.

Cause: net/http goes on with a connection after its call has ended, so Stalled and Progressed can name an attempt that was replaced. The reducer applied them to the newest attempt and its upstream. A late Progressed ended the search for a replacement of the newest attempt, which is reported as silent only once.

Both events are now ignored for attempts that are not open. Both tests failed before.

--- a/internal/core/forward/hedge.go
+++ b/internal/core/forward/hedge.go
@@ -40,10 +40,11 @@
 // Event marks the type as an event.
 func (Progressed) Event() {}
 
-// attemptStalled records that an upstream is silent, and sends the request to another one beside it if that is allowed.
+// attemptStalled records that an upstream is silent, and sends the request to another one beside it if that is allowed. A connection may be
+// reported after its attempt has ended, since the transport goes on connecting; that says nothing of the attempts that followed.
 func (s *State) attemptStalled(in step.Input, ev Stalled) []step.Effect {
 	r := s.requests[ev.ID]
-	if r == nil {
+	if r == nil || !r.isAt(ev.Attempt) {
 		return nil
 	}
 	r.withAttempt(ev.Attempt, func() {
@@ -59,10 +60,10 @@
 	return s.hedge(in, r)
 }
 
-// attemptProgressed records that a silent upstream went on.
+// attemptProgressed records that a silent upstream went on. Like attemptStalled, it ignores attempts that have ended.
 func (s *State) attemptProgressed(in step.Input, ev Progressed) {
 	r := s.requests[ev.ID]
-	if r == nil {
+	if r == nil || !r.isAt(ev.Attempt) {
 		return
 	}
 	s.recordPause(in.Now, r, ev.Pause)
--- /dev/null
+++ b/internal/core/forward/late_events_test.go
@@ -0,0 +1,41 @@
+package forward_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/core/forward"
+	"samphireweir.example/samphireweir/internal/core/step"
+)
+
+// TestConnectionOfReplacedAttemptSaysNothingOfItsSuccessor guards against a silent attempt that is no longer replaced since an earlier
+// attempt of the same request, which has ended, got its connection.
+func TestConnectionOfReplacedAttemptSaysNothingOfItsSuccessor(t *testing.T) {
+	r := newRig()
+	r.add("m1", "model", "perth-a", 6)
+	r.add("m2", "model", "perth-a", 6)
+	only[forward.Send](t, r.arrive(1, resumableStream))
+	replacement := only[forward.Send](t, r.step(forward.Stalled{ID: 1, Attempt: 1, Unsent: true}))
+	require.Equal(t, 1, replacement.Replaces)
+	require.Empty(t, r.step(forward.AttemptEnded{ID: 1, Attempt: 1, Outcome: forward.Unsent}))
+	r.now = time.Second
+	require.Empty(t, r.stall(1, 2))
+	r.step(forward.Progressed{ID: 1, Attempt: 1})
+	r.add("m3", "model", "perth-a", 6)
+	r.now += 200 * time.Millisecond
+	require.Equal(t, "m3", only[forward.Send](t, r.step(step.Tick{})).Upstream.ID)
+}
+
+// TestSilenceOfEndedAttemptSaysNothingOfItsSuccessor guards against a second copy of a request whose upstream works, since an earlier attempt
+// that has ended was found silent.
+func TestSilenceOfEndedAttemptSaysNothingOfItsSuccessor(t *testing.T) {
+	r := newRig()
+	for _, id := range []string{"m1", "m2", "m3"} {
+		r.add(id, "model", "perth-a", 6)
+	}
+	only[forward.Send](t, r.arrive(1, resumableStream))
+	only[forward.Send](t, r.step(forward.AttemptEnded{ID: 1, Attempt: 1, Outcome: forward.Declined}))
+	require.Empty(t, r.step(forward.Stalled{ID: 1, Attempt: 1, Unsent: true}))
+}
--- a/internal/core/forward/placement.go
+++ b/internal/core/forward/placement.go
@@ -40,6 +40,11 @@
 	r.placement, *r.beside = *r.beside, r.placement
 }
 
+// isAt reports whether the attempt with a number is open.
+func (r *request) isAt(number int) bool {
+	return r.isOpen() && (r.number == number || r.beside != nil && r.beside.number == number)
+}
+
 // eachAttempt calls f once for each open attempt of the request, with that attempt as its newest one.
 func (r *request) eachAttempt(f func()) {
 	f()
