forward: a second attempt is decided by the number of its own attempt

A request whose hedge had ended stayed at a slow engine, with a slot reserved for it at another engine and no further hedge.

Cause: the withdrawal of a late attempt named the request's count of attempts. It equals the newest attempt's number only as long as no later attempt has ended before an earlier one. The shell found no such attempt and withdrew nothing. The reports of won and lost second attempts compared the same count.

They now use the attempt's own number. The test failed before.

--- a/internal/core/forward/late_events_test.go
+++ b/internal/core/forward/late_events_test.go
@@ -39,3 +39,17 @@
 	only[forward.Send](t, r.step(forward.AttemptEnded{ID: 1, Attempt: 1, Outcome: forward.Declined}))
 	require.Empty(t, r.step(forward.Stalled{ID: 1, Attempt: 1, Unsent: true}))
 }
+
+// TestLateAttemptIsWithdrawnAfterItsHedgeEnded guards against a withdrawal that names an attempt which has ended: it has no effect, and the
+// request waits for a slow engine while a slot is reserved for it at another.
+func TestLateAttemptIsWithdrawnAfterItsHedgeEnded(t *testing.T) {
+	r := newUnevenRig(4, true)
+	r.serve(10*time.Second, steadyEngine)
+	id, first := r.send(resumableStream)
+	require.NotEmpty(t, first)
+	only[forward.Send](t, r.step(forward.Stalled{ID: id, Attempt: 1}))
+	require.Empty(t, r.step(forward.AttemptEnded{ID: id, Attempt: 2, Outcome: forward.Declined}))
+	r.step(forward.Progressed{ID: id, Attempt: 1})
+	r.now += 600 * ms
+	require.Equal(t, 1, only[forward.Withdraw](t, r.step(step.Tick{})).Attempt)
+}
--- a/internal/core/forward/second_attempt.go
+++ b/internal/core/forward/second_attempt.go
@@ -120,7 +120,7 @@
 				continue
 			}
 		}
-		effects = append(effects, Withdraw{ID: r.id, Attempt: r.attempts})
+		effects = append(effects, Withdraw{ID: r.id, Attempt: r.number})
 	}
 	return effects
 }
@@ -212,7 +212,7 @@
 		s.freeReserved(r)
 		second.target = catalog.Instance{} // A later retry chooses by itself.
 		s.reportSecond(r.id, SecondLost)
-	case second.attempt > 0 && second.attempt == r.attempts:
+	case second.attempt > 0 && second.attempt == r.number:
 		s.reportSecond(r.id, SecondWon)
 	}
 	s.observe(now, r, now.Sub(r.sentAt))
@@ -229,7 +229,7 @@
 	if r.awaitingFirstEvent && waited > r.speed.predicted && slow {
 		s.observe(now, r, waited)
 	}
-	if second := &r.speed.second; r.awaitingFirstEvent && second.attempt > 0 && second.attempt == r.attempts && o != Answered {
+	if second := &r.speed.second; r.awaitingFirstEvent && second.attempt > 0 && second.attempt == r.number && o != Answered {
 		s.reportSecond(r.id, SecondLost)
 	}
 	s.freeReserved(r)
