gateway: an attempt that has ended is not replaced

A request that must not run twice could be sent twice.

Cause: a second attempt replaces a first one that has no connection yet. If the first one got its connection, was sent and broke between the decision and its execution, it was no longer open, and the second one was made without a check.

The replacement is now made only if the first attempt is open and nothing of it may have been sent. Otherwise it ends as unsent, and the reducer decides by the outcome of the first one. The test failed before: the second attempt was made.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -96,18 +96,17 @@
 	x.running.Go(func() { a.run(ctx, lastEventID) })
 }
 
-// replaceUnsent cancels an attempt of which nothing was sent. It reports false if something may have been.
+// replaceUnsent cancels an attempt of which nothing was sent. It reports false if something may have been: also if the attempt has ended, since
+// the reducer decides by its outcome what follows.
 func (x *exchange) replaceUnsent(number int) bool {
 	for _, a := range x.openAttempts() {
-		if a.decision.Attempt == number {
-			if !a.silence.ForbidSend() {
-				return false
-			}
+		if a.decision.Attempt == number && a.silence.ForbidSend() {
 			a.replaced = true
 			a.cancel(errReplaced)
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // run makes the attempt and ends its queue with the outcome.
--- /dev/null
+++ b/internal/gateway/hedge_internal_test.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"samphireweir.example/samphireweir/internal/code"
+	"samphireweir.example/samphireweir/internal/core/catalog"
+	"samphireweir.example/samphireweir/internal/core/forward"
+	"samphireweir.example/samphireweir/internal/core/storerev"
+	"samphireweir.example/samphireweir/internal/hostconfig"
+	"samphireweir.example/samphireweir/internal/silence"
+	"samphireweir.example/samphireweir/internal/telemetry"
+)
+
+// sentExchange is a request that its entry has decided to send once. Its answer is recorded.
+type sentExchange struct {
+	*exchange
+	answer *httptest.ResponseRecorder
+	// send is the decision.
+	send forward.Send
+}
+
+// newSentExchange returns a request of a route at an entry with two upstreams at which nothing listens.
+func newSentExchange(t *testing.T, kind catalog.Kind) sentExchange {
+	t.Helper()
+	g := New(hostconfig.Host{Name: "e1", DataCentre: "a", Retries: hostconfig.RetryBudget{Ratio: 1, Base: 100, Window: time.Minute}}, zerolog.Nop(), telemetry.NewMetrics(), nil)
+	g.ready.Store(true) // Keeps it from sending heartbeats.
+	route := &catalog.Route{
+		Name: "r", Host: "h", Prefix: "/", Kind: kind, Resumable: kind == catalog.Streaming, MaxUpstreams: 2, Shares: []catalog.Share{{Service: "s", Weight: 1}}, Objective: time.Hour, Timeout: time.Hour,
+	}
+	manifest := catalog.NewManifest(1, []*catalog.Route{route}, nil)
+	g.step(catalog.ManifestRead{Revision: storerev.Revision{Number: 1}, Manifest: manifest})
+	g.step(catalog.TopicListed{Topic: catalog.UpstreamTopic})
+	g.step(catalog.TopicListed{Topic: catalog.VersionTopic})
+	for i, id := range []string{"u1", "u2"} {
+		u := &catalog.Upstream{ID: id, Service: "s", Address: "127.0.0.1:1", DataCentre: "a", Slots: 8, Revision: storerev.Revision{Number: int64(i) + 2}}
+		g.step(catalog.UpstreamChanged{Upstream: u})
+	}
+	answer := httptest.NewRecorder()
+	x := newExchange(g, answer, httptest.NewRequest(http.MethodPost, "http://h/x", nil), time.Now())
+	g.register(x)
+	g.step(forward.Arrived{ID: x.id, Host: "h", Path: "/x"})
+	require.False(t, x.execute(<-x.effects), "accepted")
+	t.Cleanup(func() {
+		x.endAttempts()
+		x.reservation.Close()
+	})
+	return sentExchange{exchange: x, answer: answer, send: (<-x.effects).(forward.Send)}
+}
+
+// open opens an attempt that the test answers itself.
+func (x sentExchange) open(send forward.Send) (a *attempt, ctx context.Context) {
+	a = &attempt{x: x.exchange, decision: send, report: x.gateway.step, queue: newAnswerQueue(x.answered), done: make(chan struct{}), silence: silence.NewWatch(0, func() {})}
+	ctx, a.cancel = context.WithCancelCause(x.ctx)
+	a.queue.setHead(http.StatusOK, http.Header{})
+	x.addAttempt(a)
+	return a, ctx
+}
+
+// stall reports the first attempt as silent and returns the decision to send the request to the other upstream.
+func (x sentExchange) stall(t *testing.T, unsent bool) forward.Send {
+	t.Helper()
+	x.gateway.step(forward.Stalled{ID: x.id, Attempt: 1, Unsent: unsent})
+	require.Len(t, x.effects, 1)
+	return (<-x.effects).(forward.Send)
+}
+
+// TestReplacementOfEndedAttemptIsNotMade guards against a request that must not run twice and is sent twice: the attempt that was to be replaced
+// before its connection got one after that was decided, and ended.
+func TestReplacementOfEndedAttemptIsNotMade(t *testing.T) {
+	x := newSentExchange(t, catalog.NonIdempotent)
+	first, _ := x.open(x.send)
+	replacement := x.stall(t, true)
+	require.Equal(t, 1, replacement.Replaces)
+	first.sent = true
+	first.queue.close(attemptEnd{outcome: forward.Broken, err: errNoAnswer})
+	require.False(t, x.execute(replacement))
+	require.Empty(t, x.openAttempts())
+	require.Len(t, x.effects, 1)
+	require.Equal(t, code.Unknown, (<-x.effects).(forward.Refuse).Ran)
+}
