gateway: an attempt that ends with the deadline may have run

Callers could be told that a request had not run although it had been sent.

Cause: the deadline ends the attempts of a request, and then both that end and the deadline are there to be handled, in any order. Where the end came first, the attempt was no longer among the open ones when the deadline was reported, and the report said that nothing had been sent.

What was sent is now recorded when the end of the attempt is left to the deadline. The test failed before: "not run" in place of "unknown".

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -137,7 +137,6 @@
 // attemptEnded handles the end of an attempt and reports it to the reducer. It returns true if the request ended with it.
 func (x *exchange) attemptEnded(a *attempt, end attemptEnd) bool {
 	x.removeAttempt(a)
-	x.unsent = x.unsent && !a.sent
 	if a.failed != nil {
 		end = attemptEnd{outcome: forward.Broken, err: a.failed}
 	}
@@ -148,6 +147,7 @@
 		x.abortEvicted()
 	}
 	if x.timedOut || end.outcome != forward.Answered && x.ctx.Err() != nil {
+		x.sentAtDeadline = x.sentAtDeadline || a.sent
 		return false // The caller left or the deadline passed; run reports to the reducer which.
 	}
 	x.logAttemptEnd(a, end)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -67,8 +67,8 @@
 	running  sync.WaitGroup
 	// timedOut is set once the deadline was reported to the reducer.
 	timedOut bool
-	// unsent is true while no attempt can have reached an upstream since the deadline passed; see handleDone.
-	unsent bool
+	// sentAtDeadline is set if an attempt that the deadline ended may have reached an upstream; see handleDone.
+	sentAtDeadline bool
 	// startedVersion is the version of the weights on which an upstream last started the request; 0 if none started it or that upstream
 	// does not report a version.
 	startedVersion int64
@@ -184,16 +184,14 @@
 		x.endIncomplete(callerLeft, "")
 		return true
 	}
-	x.unsent = true
 	for _, a := range x.openAttempts() {
 		<-a.done
-		x.unsent = x.unsent && !a.sent
 	}
 	if x.takeAnswers() {
 		return true // The answer was there in time.
 	}
 	x.ctx, x.timedOut = context.WithoutCancel(x.r.Context()), true
-	x.gateway.step(forward.TimedOut{ID: x.id, Partial: x.headerSent, Unsent: x.unsent})
+	x.gateway.step(forward.TimedOut{ID: x.id, Partial: x.headerSent, Unsent: !x.sentAtDeadline})
 	return false
 }
 
--- a/internal/gateway/hedge_internal_test.go
+++ b/internal/gateway/hedge_internal_test.go
@@ -86,3 +86,18 @@
 	require.Len(t, x.effects, 1)
 	require.Equal(t, code.Unknown, (<-x.effects).(forward.Refuse).Ran)
 }
+
+// TestAttemptThatEndsWithTheDeadlineMayHaveRun guards against a refusal that says falsely that a request has not run: the end of its attempt is
+// seen before the end of its time, which caused it.
+func TestAttemptThatEndsWithTheDeadlineMayHaveRun(t *testing.T) {
+	x := newSentExchange(t, catalog.NonIdempotent)
+	a, _ := x.open(x.send)
+	x.cancel()
+	a.sent = true
+	close(a.done)
+	a.queue.close(attemptEnd{outcome: forward.Broken, err: context.Canceled})
+	require.False(t, x.takeAnswers())
+	require.False(t, x.handleDone())
+	require.Len(t, x.effects, 1)
+	require.Equal(t, code.Unknown, (<-x.effects).(forward.Refuse).Ran)
+}
