gateway: a wrong event does not end the sound attempt beside it

A stream was cut while its first upstream went on: a second one that was tried beside it resumed the stream with an event that was not due.

Cause: the first attempt was cancelled on any event of the second one, before the event was checked, and then the second one failed the check.

The check now comes first. The test failed before: the first attempt was cancelled.

--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -52,19 +52,19 @@
 	return false
 }
 
-// takeEvent passes on an event of an attempt, unless the attempt was replaced.
+// takeEvent passes on an event of an attempt, unless the attempt was replaced. Only an attempt that goes on with the right event replaces others.
 func (x *exchange) takeEvent(a *attempt, e event) {
 	if a.replaced || a.failed != nil {
 		x.reservation.Shrink(len(e.raw))
 		return
 	}
-	x.replaceOthers(a)
 	if err := x.checkEventOrder(e); err != nil {
 		a.failed = err
 		a.cancel(err)
 		x.reservation.Shrink(len(e.raw))
 		return
 	}
+	x.replaceOthers(a)
 	x.passOn(a, e)
 }
 
--- a/internal/gateway/hedge_internal_test.go
+++ b/internal/gateway/hedge_internal_test.go
@@ -101,3 +101,20 @@
 	require.Len(t, x.effects, 1)
 	require.Equal(t, code.Unknown, (<-x.effects).(forward.Refuse).Ran)
 }
+
+// TestWrongEventDoesNotReplaceSoundAttempt guards against a stream that is cut since a second upstream, which was tried while the first one
+// was silent, resumes it with the wrong event.
+func TestWrongEventDoesNotReplaceSoundAttempt(t *testing.T) {
+	x := newSentExchange(t, catalog.Streaming)
+	first, firstCtx := x.open(x.send)
+	first.queue.push(event{raw: []byte("id: 1\n\n"), id: "1"})
+	require.False(t, x.takeAnswers())
+	second, secondCtx := x.open(forward.Send{ID: x.id, Attempt: 2, Resume: true, Upstream: x.send.Upstream})
+	second.queue.push(event{raw: []byte("id: 1\n\n"), id: "1"})
+	require.False(t, x.takeAnswers())
+	require.Error(t, secondCtx.Err(), "the second upstream did not resume the stream")
+	require.NoError(t, firstCtx.Err(), "the first one goes on")
+	first.queue.push(event{raw: []byte("id: 2\n\n"), id: "2"})
+	require.False(t, x.takeAnswers())
+	require.Equal(t, "id: 1\n\nid: 2\n\n", x.answer.Body.String())
+}
