--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -52,19 +52,19 @@
 	return false
 }
 
-// takeEvent passes on an event of an attempt, unless the attempt was replaced.
+// takeEvent passes on an event of an attempt, unless the attempt was replaced. Only an attempt that goes on with the right event replaces others.
 func (x *exchange) takeEvent(a *attempt, e event) {
 	if a.replaced || a.failed != nil {
 		x.reservation.Shrink(len(e.raw))
 		return
 	}
-	x.replaceOthers(a)
 	if err := x.checkEventOrder(e); err != nil {
 		a.failed = err
 		a.cancel(err)
 		x.reservation.Shrink(len(e.raw))
 		return
 	}
+	x.replaceOthers(a)
 	x.passOn(a, e)
 }
 
@@ -137,7 +137,6 @@
 // attemptEnded handles the end of an attempt and reports it to the reducer. It returns true if the request ended with it.
 func (x *exchange) attemptEnded(a *attempt, end attemptEnd) bool {
 	x.removeAttempt(a)
-	x.unsent = x.unsent && !a.sent
 	if a.failed != nil {
 		end = attemptEnd{outcome: forward.Broken, err: a.failed}
 	}
@@ -148,6 +147,7 @@
 		x.abortEvicted()
 	}
 	if x.timedOut || end.outcome != forward.Answered && x.ctx.Err() != nil {
+		x.sentAtDeadline = x.sentAtDeadline || a.sent
 		return false // The caller left or the deadline passed; run reports to the reducer which.
 	}
 	x.logAttemptEnd(a, end)
