--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -119,8 +119,8 @@
 	require.Equal(t, 1, desk.Runs(r.ID))
 }
 
-// TestCallThatRunsOnceLeavesAnUpstreamThatDoesNotAccept guards against a wait for an upstream that accepts no connection while another one has
-// capacity, and against a second run of a call that runs once.
+// TestCallThatRunsOnceLeavesAnUpstreamThatDoesNotAccept guards against a refusal by an upstream that accepts no connection while another one has
+// capacity, and against a second run of a call that runs once. How soon it leaves is tested in simulated time, in package forward.
 func TestCallThatRunsOnceLeavesAnUpstreamThatDoesNotAccept(t *testing.T) {
 	t.Parallel()
 	const calls = 6 // Each upstream takes some of them.
@@ -131,7 +131,6 @@
 	fleet.Slots = 2 * calls
 	desk := fleet.AddService("i-2")
 	e := start(t, fleet)
-	sentAt := time.Now()
 	replies := make(chan standin.Reply, calls)
 	for range calls {
 		go func() { replies <- e.Post("/once/1") }()
@@ -143,7 +142,6 @@
 		require.Equal(t, 1, desk.Runs(r.ID))
 		require.Zero(t, silent.Runs(r.ID))
 	}
-	require.Less(t, time.Since(sentAt), 1400*time.Millisecond, "0.4 s of connecting, and a second for a busy machine")
 	l.serve(t, silent)
 	time.Sleep(time.Second)
 	require.Nil(t, silent.LastRun(), "what was replaced is not sent later")
