gateway: a second attempt that starts after the first event resumes the answer

An answer could be mixed from two attempts.

Cause: a second attempt is decided while nothing of the answer was received. If the first attempt went on before the second one was started, the second one was still made as one that begins the answer: its plain answer, or its events without ids, were passed on after the first attempt's events.

It now resumes, as one decided after the first event does. The test failed before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,6 +79,9 @@
 		x.gateway.step(forward.AttemptEnded{ID: x.id, Attempt: e.Attempt, Outcome: forward.Unsent, Partial: x.headerSent})
 		return
 	}
+	if x.headerSent && !e.Resume { // Another attempt went on after this one was decided. This one resumes after it, as long as the caller waits.
+		e.Resume, e.GiveUpAfter = true, 0
+	}
 	// The log field entry_revision is the store revision of the upstream's registration, sends is Send.Attempt, and came_back is
 	// Send.Returning.
 	logevent.Info(x.gateway.log, logevent.RequestSent).Str("request", x.call.CallerAttemptID).Str("route", x.routeName()).Str("upstream", e.Upstream.ID).
--- a/internal/gateway/hedge_internal_test.go
+++ b/internal/gateway/hedge_internal_test.go
@@ -118,3 +118,17 @@
 	require.False(t, x.takeAnswers())
 	require.Equal(t, "id: 1\n\nid: 2\n\n", x.answer.Body.String())
 }
+
+// TestNothingBeginsAnewAfterFirstEvent guards against an answer that is mixed from two attempts: the first one goes on after a second one that
+// begins anew was decided, and before that one is made.
+func TestNothingBeginsAnewAfterFirstEvent(t *testing.T) {
+	x := newSentExchange(t, catalog.Streaming)
+	first, _ := x.open(x.send)
+	anew := x.stall(t, false)
+	require.False(t, anew.Resume)
+	first.queue.push(event{raw: []byte("data: 1\n\n")})
+	require.False(t, x.execute(anew))
+	open := x.openAttempts()
+	require.Len(t, open, 2)
+	require.True(t, open[1].decision.Resume)
+}
