forward: the manifest in force decides on a second copy beside a silent one

A request that a new manifest does not allow to run twice was sent to a second upstream beside a first one that may run it, or was sent for another client account than the first time.

Cause: whether a second copy is allowed was asked of the route as it was when the first attempt was sent. The check that a retry makes of the account looks at attempts that have ended only.

Both are now asked of the manifest in force.

--- a/internal/core/forward/hedge.go
+++ b/internal/core/forward/hedge.go
@@ -76,14 +76,15 @@
 }
 
 // hedge sends a request whose only attempt stalls to another upstream as well. The first attempt stays open: the shell takes the one that goes
-// on first and cancels the other. Without another upstream that has capacity, the request waits for the one that it is with.
+// on first and cancels the other. The manifest in force decides, as it does for a retry. Without another upstream that has capacity, the
+// request waits for the one that it is with.
 func (s *State) hedge(in step.Input, r *request) []step.Effect {
 	if !s.mayHedge(in, r) {
 		return nil
 	}
 	r.hedgeCheckedAt = in.Now
 	current, allowed := s.underManifest(in, r)
-	if !allowed {
+	if !allowed || !s.mayHedge(in, current) || !r.unsent && accountName(current.account) != accountName(r.account) {
 		return nil
 	}
 	u, found := s.pick(in, current)
--- a/internal/core/forward/late_events_test.go
+++ b/internal/core/forward/late_events_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
 )
@@ -53,3 +54,27 @@
 	r.now += 600 * ms
 	require.Equal(t, 1, only[forward.Withdraw](t, r.step(step.Tick{})).Attempt)
 }
+
+// TestManifestInForceDecidesOnHedge guards against a second copy of a request that the manifest in force forbids, or that it would charge to
+// another client account, while the first upstream may run the request under an earlier one.
+func TestManifestInForceDecidesOnHedge(t *testing.T) {
+	for name, change := range map[string]func(r *unevenRig){
+		"must not run twice": func(r *unevenRig) {
+			r.changeRoute(resumableStream, "key-1", func(route *catalog.Route) { route.Resumable = false })
+		},
+		"fewer upstreams": func(r *unevenRig) {
+			r.changeRoute(resumableStream, "key-1", func(route *catalog.Route) { route.MaxUpstreams = 1 })
+		},
+		"another account": func(r *unevenRig) {
+			r.changeRoute(resumableStream, "key-1", func(*catalog.Route) {})
+			r.state.Catalog.Manifest.Account("key-1").Name = "harrowgate"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newUnevenRig(4, false)
+			id, _ := r.send(resumableStream)
+			change(r)
+			require.Empty(t, sentAttempts(r.step(forward.Stalled{ID: id, Attempt: 1})))
+		})
+	}
+}
