gateway: connecting ends before the caller leaves

Callers of a stream left without an answer where no upstream accepted connections.

Cause: an attempt's time for connecting is 1.6 s whenever it begins, and the limit before the caller leaves counts from the sending only. A second attempt began to connect 0.4 s after the request, so that the refusal came after 2.01 s, while callers wait 2 s.

The time for connecting is now limited by the time after which the attempt is given up.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -92,13 +92,21 @@
 	a := &attempt{x: x, decision: e, cancel: cancel, createdAt: time.Now(), report: x.gateway.step, queue: newAnswerQueue(x.answered), done: make(chan struct{})}
 	a.silence = silence.NewWatch(e.GiveUpAfter, func() { cancel(errUpstreamTimeout) })
 	a.silence.Notify(e.FirstEventTimeout, a.reportStalled)
-	a.silence.NotifyConnecting(upstreamConnectTimeout, a.reportUnconnected, a.reportConnected)
+	a.silence.NotifyConnecting(connectTimeout(e), a.reportUnconnected, a.reportConnected)
 	a.silence.OnLateRead(x.gateway.ownDelay.LateRead)
 	x.addAttempt(a)
 	lastEventID := x.lastEventID
 	x.running.Go(func() { a.run(ctx, lastEventID) })
 }
 
+// connectTimeout returns how long an attempt may take to connect, so that its caller gets an answer before it leaves.
+func connectTimeout(e forward.Send) time.Duration {
+	if e.GiveUpAfter > 0 {
+		return min(upstreamConnectTimeout, e.GiveUpAfter)
+	}
+	return upstreamConnectTimeout
+}
+
 // replaceUnsent cancels an attempt of which nothing was sent. It reports false if something may have been: also if the attempt has ended, since
 // the reducer decides by its outcome what follows.
 func (x *exchange) replaceUnsent(number int) bool {
