gateway: a panic in an attempt ends its request only

A bug met by one request ended the process, and with it the requests of all callers.

Cause: attempts run in goroutines of their own, where the HTTP server does not recover panics as it does in the handler.

Such an attempt now ends as broken, with the panic and its stack in the log. The test failed before: the panic ended the test's process.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -124,6 +125,7 @@
 func (a *attempt) run(ctx context.Context, lastEventID string) {
 	defer close(a.done)
 	defer a.cancel(nil)
+	defer a.recoverPanic()
 	answer, outcome, err := a.do(ctx, lastEventID)
 	if outcome == forward.Broken && ctx.Err() == nil && !errors.Is(err, errCrashedAtEnd) { // That error is the result of such a check.
 		a.x.gateway.checkDown(ctx, a.decision.Upstream) // The reducer decides on the next attempt by it.
@@ -131,6 +133,15 @@
 	a.queue.close(attemptEnd{outcome: outcome, err: err, answer: answer})
 }
 
+// recoverPanic ends an attempt that panicked. The HTTP server recovers panics only in its own goroutines; without this, a panic would end
+// the process and with it all requests.
+func (a *attempt) recoverPanic() {
+	if p := recover(); p != nil {
+		a.sent = true // As far as is known.
+		a.queue.close(attemptEnd{outcome: forward.Broken, err: errors.Errorf("panic: %v\n%s", p, debug.Stack())})
+	}
+}
+
 // reportStalled reports to the reducer that the upstream is silent.
 func (a *attempt) reportStalled() {
 	a.stalled.Store(true)
--- a/internal/gateway/hedge_internal_test.go
+++ b/internal/gateway/hedge_internal_test.go
@@ -132,3 +132,20 @@
 	require.Len(t, open, 2)
 	require.True(t, open[1].decision.Resume)
 }
+
+// panickingTransport panics in each call.
+type panickingTransport struct{}
+
+// RoundTrip panics.
+func (panickingTransport) RoundTrip(*http.Request) (*http.Response, error) { panic("bug") }
+
+// TestPanicOfAttemptEndsItsRequestOnly guards against a bug in one request's attempt that ends the process and with it all requests.
+func TestPanicOfAttemptEndsItsRequestOnly(t *testing.T) {
+	x := newSentExchange(t, catalog.NonIdempotent)
+	x.gateway.upstreamTransport = panickingTransport{}
+	require.False(t, x.execute(x.send))
+	<-x.answered
+	require.False(t, x.takeAnswers())
+	require.Empty(t, x.openAttempts())
+	require.Equal(t, code.Unknown, (<-x.effects).(forward.Refuse).Ran)
+}
