--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -81,6 +82,9 @@
 		x.gateway.step(forward.AttemptEnded{ID: x.id, Attempt: e.Attempt, Outcome: forward.Unsent, Partial: x.headerSent})
 		return
 	}
+	if x.headerSent && !e.Resume { // Another attempt went on after this one was decided. This one resumes after it, as long as the caller waits.
+		e.Resume, e.GiveUpAfter = true, 0
+	}
 	// The log field entry_revision is the store revision of the upstream's registration, sends is Send.Attempt, and came_back is
 	// Send.Returning.
 	logevent.Info(x.gateway.log, logevent.RequestSent).Str("request", x.call.CallerAttemptID).Str("route", x.routeName()).Str("upstream", e.Upstream.ID).
@@ -91,13 +95,21 @@
 	a := &attempt{x: x, decision: e, cancel: cancel, createdAt: time.Now(), heard: x.gateway.heard.open(e.Upstream.Instance()), report: x.gateway.step, queue: newAnswerQueue(x.answered), done: make(chan struct{})}
 	a.silence = silence.NewWatch(e.GiveUpAfter, func() { cancel(errUpstreamTimeout) })
 	a.silence.Notify(e.FirstEventTimeout, a.reportStalled)
-	a.silence.NotifyConnecting(upstreamConnectTimeout, a.reportUnconnected, a.reportConnected)
+	a.silence.NotifyConnecting(connectTimeout(e), a.reportUnconnected, a.reportConnected)
 	a.silence.OnLateRead(x.gateway.ownDelay.LateRead)
 	x.addAttempt(a)
 	lastEventID := x.lastEventID
 	x.running.Go(func() { a.run(ctx, lastEventID) })
 }
 
+// connectTimeout returns how long an attempt may take to connect, so that its caller gets an answer before it leaves.
+func connectTimeout(e forward.Send) time.Duration {
+	if e.GiveUpAfter > 0 {
+		return min(upstreamConnectTimeout, e.GiveUpAfter)
+	}
+	return upstreamConnectTimeout
+}
+
 // replaceUnsent cancels an attempt of which nothing was sent. It reports false if something may have been: also if the attempt has ended, since
 // the reducer decides by its outcome what follows.
 func (x *exchange) replaceUnsent(number int) bool {
@@ -116,6 +128,7 @@
 	defer close(a.done)
 	defer a.x.gateway.heard.close(a.decision.Upstream.Instance(), a.heard)
 	defer a.cancel(nil)
+	defer a.recoverPanic()
 	answer, outcome, err := a.do(ctx, lastEventID)
 	if outcome == forward.Broken && ctx.Err() == nil && !errors.Is(err, errCrashedAtEnd) { // That error is the result of such a check.
 		a.x.gateway.checkDown(ctx, a.decision.Upstream) // The reducer decides on the next attempt by it.
@@ -123,6 +136,15 @@
 	a.queue.close(attemptEnd{outcome: outcome, err: err, answer: answer})
 }
 
+// recoverPanic ends an attempt that panicked. The HTTP server recovers panics only in its own goroutines; without this, a panic would end
+// the process and with it all requests.
+func (a *attempt) recoverPanic() {
+	if p := recover(); p != nil {
+		a.sent = true // As far as is known.
+		a.queue.close(attemptEnd{outcome: forward.Broken, err: errors.Errorf("panic: %v\n%s", p, debug.Stack())})
+	}
+}
+
 // reportStalled reports to the reducer that the upstream is silent.
 func (a *attempt) reportStalled() {
 	a.stalled.Store(true)
--- a/internal/gateway/hedge_internal_test.go
+++ b/internal/gateway/hedge_internal_test.go
@@ -118,3 +118,34 @@
 	require.False(t, x.takeAnswers())
 	require.Equal(t, "id: 1\n\nid: 2\n\n", x.answer.Body.String())
 }
+
+// TestNothingBeginsAnewAfterFirstEvent guards against an answer that is mixed from two attempts: the first one goes on after a second one that
+// begins anew was decided, and before that one is made.
+func TestNothingBeginsAnewAfterFirstEvent(t *testing.T) {
+	x := newSentExchange(t, catalog.Streaming)
+	first, _ := x.open(x.send)
+	anew := x.stall(t, false)
+	require.False(t, anew.Resume)
+	first.queue.push(event{raw: []byte("data: 1\n\n")})
+	require.False(t, x.execute(anew))
+	open := x.openAttempts()
+	require.Len(t, open, 2)
+	require.True(t, open[1].decision.Resume)
+}
+
+// panickingTransport panics in each call.
+type panickingTransport struct{}
+
+// RoundTrip panics.
+func (panickingTransport) RoundTrip(*http.Request) (*http.Response, error) { panic("bug") }
+
+// TestPanicOfAttemptEndsItsRequestOnly guards against a bug in one request's attempt that ends the process and with it all requests.
+func TestPanicOfAttemptEndsItsRequestOnly(t *testing.T) {
+	x := newSentExchange(t, catalog.NonIdempotent)
+	x.gateway.upstreamTransport = panickingTransport{}
+	require.False(t, x.execute(x.send))
+	<-x.answered
+	require.False(t, x.takeAnswers())
+	require.Empty(t, x.openAttempts())
+	require.Equal(t, code.Unknown, (<-x.effects).(forward.Refuse).Ran)
+}
