gateway: the time for connecting is tested without a clock

The test through a running entry needs the refusal within 150 ms of its due time, which it missed on a machine with a load of 44 on 8 cores. It checked that connecting ends with the attempt's limit before the caller leaves; the new test checks the same limit directly.

--- a/internal/gateway/hedge_internal_test.go
+++ b/internal/gateway/hedge_internal_test.go
@@ -149,3 +149,11 @@
 	require.Empty(t, x.openAttempts())
 	require.Equal(t, code.Unknown, (<-x.effects).(forward.Refuse).Ran)
 }
+
+// TestConnectingEndsBeforeCallerLeaves guards against callers of a stream that leave without an answer because no upstream accepts connections: an
+// attempt begins to connect later than the request arrived, and its time for that does not end with the caller's.
+func TestConnectingEndsBeforeCallerLeaves(t *testing.T) {
+	require.Equal(t, upstreamConnectTimeout, connectTimeout(forward.Send{}), "the caller waits until the deadline")
+	require.Equal(t, upstreamConnectTimeout, connectTimeout(forward.Send{GiveUpAfter: upstreamConnectTimeout + time.Second}))
+	require.Equal(t, 1450*time.Millisecond, connectTimeout(forward.Send{GiveUpAfter: 1450 * time.Millisecond}))
+}
