gateway: an open request is reported once at the end, and a panic of an attempt as one

What operators saw: a request that was open when its process ended was counted as incomplete twice, as 'process ended' and by its handler when its connection closed; a panic in an attempt was a failed attempt only (4002), without event 1005 and its metric. Cause: two goroutines report without knowing of one another, and the recovery of an attempt's goroutine was written beside the one of handlers. TestRequestOpenAtTheEndIsReportedOnce fails with the former file (1 for 0).

--- a/internal/core/forward/version.go
+++ b/internal/core/forward/version.go
@@ -144,9 +144,10 @@
 }
 
 // withdrawUnstarted withdraws the requests that their upstreams have not started and must not start any more: quarantined requests,
-// those at engines whose version is about to expire, and unsent ones to upstreams that get no new requests. An engine starts a request when its turn comes, which may be long after
-// the attempt was sent if the engine is full or slow. When versions were compared only at that time, requests started up to 173 ms
-// late at 1.1 times the engines' capacity.
+// those at engines whose version is about to expire, and unsent ones to upstreams that get no new requests.
+//
+// An engine starts a request when its turn comes, which may be long after the attempt was sent if the engine is full or slow. When
+// versions were compared only at the sending, requests started up to 173 ms late at 1.1 times the engines' capacity.
 func (s *State) withdrawUnstarted(in step.Input) []step.Effect {
 	var list []Withdraw
 	for id, r := range s.requests {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -139,10 +139,14 @@
 // recoverPanic ends an attempt that panicked. The HTTP server recovers panics only in its own goroutines; without this, a panic would end
 // the process and with it all requests.
 func (a *attempt) recoverPanic() {
-	if p := recover(); p != nil {
-		a.sent = true // As far as is known.
-		a.queue.close(attemptEnd{outcome: forward.Broken, err: errors.Errorf("panic: %v\n%s", p, debug.Stack())})
+	cause := recover()
+	if cause == nil {
+		return
 	}
+	a.x.gateway.metrics.Panics.Add(1, "attempt")
+	logevent.Warn(a.x.gateway.log, logevent.PanicRecovered).Str("where", "attempt").Interface("cause", cause).Str("stack", string(debug.Stack())).Msg("panic recovered")
+	a.sent = true // As far as is known.
+	a.queue.close(attemptEnd{outcome: forward.Broken, err: errors.Errorf("panic: %v", cause)})
 }
 
 // reportStalled reports to the reducer that the upstream is silent.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -75,8 +76,9 @@
 	// lastEventID is the id of the last event that was passed on.
 	lastEventID string
 	timing      streamTiming
-	// end is how the request ended.
-	end end
+	// end is how the request ended, and endReported is set once an incomplete answer was reported.
+	end         end
+	endReported atomic.Bool
 	// upstreamFailure is the upstream's own failure, kept in case it has to be passed on.
 	upstreamFailure *response
 }
--- a/internal/gateway/hedge_internal_test.go
+++ b/internal/gateway/hedge_internal_test.go
@@ -148,6 +148,18 @@
 	require.False(t, x.takeAnswers())
 	require.Empty(t, x.openAttempts())
 	require.Equal(t, code.Unknown, (<-x.effects).(forward.Refuse).Ran)
+	require.EqualValues(t, 1, x.gateway.metrics.Panics.Value("attempt"))
+}
+
+// TestRequestOpenAtTheEndIsReportedOnce guards against two reports of one request that is open when the process ends: by the process, and by the
+// request's handler when its connection is closed.
+func TestRequestOpenAtTheEndIsReportedOnce(t *testing.T) {
+	x := newSentExchange(t, catalog.NonIdempotent)
+	x.gateway.reportOpen()
+	x.endIncomplete(callerLeft, "")
+	x.reportIncomplete(x.end)
+	require.EqualValues(t, 1, x.gateway.metrics.AnswersIncomplete.Value(string(processEnded)))
+	require.Zero(t, x.gateway.metrics.AnswersIncomplete.Value(string(callerLeft)))
 }
 
 // TestConnectingEndsBeforeCallerLeaves guards against callers of a stream that leave without an answer because no upstream accepts connections: an
--- a/internal/gateway/incomplete.go
+++ b/internal/gateway/incomplete.go
@@ -37,7 +37,7 @@
 
 // reportIncomplete logs and counts a request that ended without a complete answer.
 func (x *exchange) reportIncomplete(e end) {
-	if e.complete {
+	if e.complete || !x.endReported.CompareAndSwap(false, true) {
 		return
 	}
 	if e.cause == "" {
@@ -49,11 +49,14 @@
 	x.gateway.metrics.AnswersIncomplete.Add(1, string(e.cause))
 }
 
-// reportOpen reports the requests that are still open as the process ends.
+// reportOpen reports the requests that are still open as the process ends. Their handlers, which end with their connections, report nothing more.
 func (g *Gateway) reportOpen() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, x := range g.exchanges {
+		if !x.endReported.CompareAndSwap(false, true) {
+			continue
+		}
 		logevent.Warn(g.log, logevent.AnswerIncomplete).Str("request", x.call.CallerAttemptID).Str("cause", string(processEnded)).
 			Dur("took_ms", time.Since(x.arrivedAt)).Msg("answer incomplete")
 		g.metrics.AnswersIncomplete.Add(1, string(processEnded))
