gateway: starting an attempt is split; one that replaces another is logged as no hedge

What operators saw: 4007 with hedge set for an attempt that replaces one of which nothing was sent, though the field says that the earlier one stays open. Cause: the attempt that is being replaced is still in the list of open ones. Change: the field follows the decision. The sending, the construction and the start of an attempt are functions of their own; nothing else changes. Tests of hedges, silences, streams and faults of package gateway passed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -82,24 +82,39 @@
 		x.gateway.step(forward.AttemptEnded{ID: x.id, Attempt: e.Attempt, Outcome: forward.Unsent, Partial: x.headerSent})
 		return
 	}
-	if x.headerSent && !e.Resume { // Another attempt went on after this one was decided. This one resumes after it, as long as the caller waits.
+	if x.headerSent && !e.Resume { // Another attempt went on after this one was decided.
 		e.Resume, e.GiveUpAfter = true, 0
 	}
+	x.recordSend(e)
+	a, ctx := x.newAttempt(e)
+	x.addAttempt(a)
+	lastEventID := x.lastEventID
+	x.running.Go(func() { a.run(ctx, lastEventID) })
+}
+
+// recordSend logs and counts the sending of an attempt.
+func (x *exchange) recordSend(e forward.Send) {
+	isHedge := e.Replaces == 0 && len(x.openAttempts()) > 0
 	// The log field entry_revision is the store revision of the upstream's registration, sends is Send.Attempt, and came_back is
 	// Send.Returning.
 	logevent.Info(x.gateway.log, logevent.RequestSent).Str("request", x.call.CallerAttemptID).Str("route", x.routeName()).Str("upstream", e.Upstream.ID).
-		Int64("entry_revision", e.Upstream.Revision.Number).Int("sends", e.Attempt).Bool("resume", e.Resume).Bool("hedge", len(x.openAttempts()) > 0).
+		Int64("entry_revision", e.Upstream.Revision.Number).Int("sends", e.Attempt).Bool("resume", e.Resume).Bool("hedge", isHedge).
 		Int64("version", e.Version).Stringer("homes", e.Homes).Bool("came_back", e.Returning).Dur("waited_ms", time.Since(x.arrivedAt)).Msg("request sent")
 	x.gateway.metrics.Attempts.Add(1, x.routeName(), "", strconv.Itoa(e.Attempt))
+}
+
+// newAttempt returns an attempt, and the context that ends it.
+func (x *exchange) newAttempt(e forward.Send) (*attempt, context.Context) {
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	a := &attempt{x: x, decision: e, cancel: cancel, createdAt: time.Now(), heard: x.gateway.heard.open(e.Upstream.Instance()), report: x.gateway.step, queue: newAnswerQueue(x.answered), done: make(chan struct{})}
+	a := &attempt{
+		x: x, decision: e, cancel: cancel, createdAt: time.Now(), heard: x.gateway.heard.open(e.Upstream.Instance()), report: x.gateway.step,
+		queue: newAnswerQueue(x.answered), done: make(chan struct{}),
+	}
 	a.silence = silence.NewWatch(e.GiveUpAfter, func() { cancel(errUpstreamTimeout) })
 	a.silence.Notify(e.FirstEventTimeout, a.reportStalled)
 	a.silence.NotifyConnecting(connectTimeout(e), a.reportUnconnected, a.reportConnected)
 	a.silence.OnLateRead(x.gateway.ownDelay.LateRead)
-	x.addAttempt(a)
-	lastEventID := x.lastEventID
-	x.running.Go(func() { a.run(ctx, lastEventID) })
+	return a, ctx
 }
 
 // connectTimeout returns how long an attempt may take to connect, so that its caller gets an answer before it leaves.
