forward, gateway: what the retry budget counts can be seen, by cause and entry

Change: a retry carries its cause (the outcome before it, or hedge), whether it was counted, and the state of the budget; 4007 has them, 4026 says when the budget allowed no retry, samphireweir_retries_total and _denied_total count both. No decision changes.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -230,6 +230,8 @@
 	// Replaces is the number of an open attempt that has no connection yet and is ended by this one; 0 for none. If something of it may have
 	// been sent, this attempt is not made, and ends as Unsent.
 	Replaces int
+	// Retry describes an attempt after the first one.
+	Retry Retry
 	// Moved is set if the plan across data centres named the upstream's data centre for this first attempt, instead of this entry's own.
 	Moved bool
 }
@@ -316,6 +318,8 @@
 	// attempts counts all attempts, and possibleRuns those that may have run.
 	attempts     int
 	possibleRuns int
+	// retry describes the next attempt, once that was decided.
+	retry Retry
 	// partial is set once part of an answer was passed on. progressAt is when the last part was; before that, when the request
 	// arrived.
 	partial    bool
--- a/internal/core/forward/hedge.go
+++ b/internal/core/forward/hedge.go
@@ -99,9 +99,7 @@
 		return nil
 	}
 	first := r.placement
-	if !first.unsent {
-		s.retryBudget(r.service).addRetry(in.Now)
-	}
+	s.countRetry(in, r, Hedge, !first.unsent)
 	r.beside = &first
 	r.placement = placement{speed: requestSpeed{second: first.speed.second}}
 	effects := s.send(in, r, u)
@@ -134,7 +132,7 @@
 	if !r.route.Repeatable() || r.possibleRuns+1 >= r.route.MaxUpstreams || r.attempts >= maxAttempts || r.deadline.Sub(in.Now) < minAttemptTime {
 		return false
 	}
-	return s.retryBudget(r.service).allows(in.Now, s.Self.Retries, s.recentEntries.value())
+	return s.budgetAllows(in, r.service)
 }
 
 // hedgeStalled looks again for upstreams for the requests whose upstream stalls and had no replacement. Those that were sent first come first.
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -146,6 +146,7 @@
 			e.Version = held
 		}
 	}
+	e.Retry, r.retry = r.retry, Retry{}
 	r.version = e.Version
 	r.setTimeouts(&e, in.Now)
 	r.speed.timeout = e.FirstEventTimeout
@@ -226,9 +227,20 @@
 		return nil
 	}
 	end, forbidden := s.refreshAndCheck(in, r)
-	switch {
-	case !forbidden && s.mayRetry(in, r, ev.Outcome):
+	if !forbidden && s.mayRetry(in, r, ev.Outcome) {
 		return s.retry(in, r, ev.Outcome)
+	}
+	var effects []step.Effect
+	if !forbidden {
+		effects = s.denied(in, r, ev.Outcome)
+	}
+	return append(effects, s.endAfterAttempt(in, r, ev, end, forbidden)...)
+}
+
+// endAfterAttempt ends a request after an attempt that no other one follows. forbidden is set if the manifest in force no longer allows the
+// request, which then ends with end.
+func (s *State) endAfterAttempt(in step.Input, r *request, ev AttemptEnded, end ending, forbidden bool) []step.Effect {
+	switch {
 	case (ev.Outcome == ServerFailed || r.failed) && !r.partial:
 		s.drop(r)
 		return []step.Effect{Deliver{ID: r.id}}
@@ -243,9 +255,7 @@
 func (s *State) retry(in step.Input, r *request, o Outcome) []step.Effect {
 	u, found := s.pickRetry(in, r)
 	if found == available {
-		if o.sent() {
-			s.retryBudget(r.service).addRetry(in.Now) // A retry for which there is no capacity does not count.
-		}
+		s.countRetry(in, r, RetryCause(o), o.sent()) // A retry for which there is no capacity does not count.
 		return s.send(in, r, u)
 	}
 	if (o == ServerFailed || r.failed) && !r.partial {
@@ -253,9 +263,7 @@
 		return []step.Effect{Deliver{ID: r.id}}
 	}
 	if found == awaited {
-		if o.sent() {
-			s.retryBudget(r.service).addRetry(in.Now)
-		}
+		s.countRetry(in, r, RetryCause(o), o.sent())
 		return s.awaitSilent(in, r)
 	}
 	return s.endWithRetryAfter(in, r, code.Overloaded, fmt.Sprintf("attempt %d: %s; no other upstream of %s has capacity", r.attempts, o, r.service))
@@ -263,13 +271,15 @@
 
 // mayRetry reports whether the kind of the request, its limits and the fleet's retry budget allow one more attempt.
 func (s *State) mayRetry(in step.Input, r *request, o Outcome) bool {
+	return s.mayBeSentAgain(in, r) && (!o.sent() || s.budgetAllows(in, r.service))
+}
+
+// mayBeSentAgain reports whether the kind of the request and its limits allow one more attempt.
+func (s *State) mayBeSentAgain(in step.Input, r *request) bool {
 	if r.possibleRuns > 0 && !r.route.Repeatable() {
 		return false
 	}
-	if r.possibleRuns >= r.route.MaxUpstreams || r.attempts >= maxAttempts || r.deadline.Sub(in.Now) < minAttemptTime {
-		return false
-	}
-	return !o.sent() || s.retryBudget(r.service).allows(in.Now, s.Self.Retries, s.recentEntries.value())
+	return r.possibleRuns < r.route.MaxUpstreams && r.attempts < maxAttempts && r.deadline.Sub(in.Now) >= minAttemptTime
 }
 
 func (s *State) timedOut(in step.Input, ev TimedOut) []step.Effect {
--- a/internal/core/forward/retry_budget.go
+++ b/internal/core/forward/retry_budget.go
@@ -49,12 +49,6 @@
 
 func (b *retryBudget) addRetry(now time.Time) { b.current(now).retries++ }
 
-// allows reports whether one more retry is within this entry's share of the budget.
-func (b *retryBudget) allows(now time.Time, r hostconfig.RetryBudget, entries int) bool {
-	retries, allowed := b.usage(now, r, entries)
-	return float64(retries+1) <= allowed
-}
-
 // usage returns this entry's retries within the window, and how many of them its share of the budget allows.
 func (b *retryBudget) usage(now time.Time, r hostconfig.RetryBudget, entries int) (retries int, allowed float64) {
 	if entries <= 0 {
--- a/internal/core/forward/second_attempt.go
+++ b/internal/core/forward/second_attempt.go
@@ -149,8 +149,8 @@
 	if !allowed || r.speed.second.decided || r.beside != nil || r.partial || !r.route.Repeatable() || r.possibleRuns+1 >= r.route.MaxUpstreams || r.attempts+1 > maxAttempts {
 		return false
 	}
-	retries, budget := s.retryBudget(r.service).usage(in.Now, s.Self.Retries, s.recentEntries.value())
-	return float64(retries+s.uneven.withdrawing+1) <= secondBudgetShare*budget
+	budget := s.budgetUsage(in, r.service)
+	return float64(budget.Retries+s.uneven.withdrawing+1) <= secondBudgetShare*budget.Allowed
 }
 
 // reserveSecond looks for an engine for a second attempt and reserves a slot there.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -97,9 +97,14 @@
 	isHedge := e.Replaces == 0 && len(x.openAttempts()) > 0
 	// The log field entry_revision is the store revision of the upstream's registration, sends is Send.Attempt, and came_back is
 	// Send.Returning.
-	logevent.Info(x.gateway.log, logevent.RequestSent).Str("request", x.call.CallerAttemptID).Str("route", x.routeName()).Str("upstream", e.Upstream.ID).
+	line := logevent.Info(x.gateway.log, logevent.RequestSent).Str("request", x.call.CallerAttemptID).Str("route", x.routeName()).Str("upstream", e.Upstream.ID).
 		Int64("entry_revision", e.Upstream.Revision.Number).Int("sends", e.Attempt).Bool("resume", e.Resume).Bool("hedge", isHedge).
-		Int64("version", e.Version).Stringer("homes", e.Homes).Bool("came_back", e.Returning).Dur("waited_ms", time.Since(x.arrivedAt)).Msg("request sent")
+		Int64("version", e.Version).Stringer("homes", e.Homes).Bool("came_back", e.Returning).Dur("waited_ms", time.Since(x.arrivedAt))
+	if e.Retry.Cause != "" {
+		addBudget(line.Str("retry_cause", string(e.Retry.Cause)).Bool("counted", e.Retry.Counted), e.Retry.Budget)
+	}
+	line.Msg("request sent")
+	x.gateway.countRetry(e.Retry)
 	x.gateway.metrics.Attempts.Add(1, x.routeName(), "", strconv.Itoa(e.Attempt))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,8 +86,8 @@
 	forward   *forward.State
 	waiting   [schedule.Priorities]int // As last counted in the metrics.
 	exchanges map[uint64]*exchange
-	// secondAttemptLog and limitLog bound the rates of these log lines.
-	secondAttemptLog, limitLog, malformedPartsLog lineRate
+	// These bound the rates of log lines.
+	secondAttemptLog, limitLog, malformedPartsLog, deniedRetryLog lineRate
 
 	// evidenceFound counts what this entry observed of crashes, evidence decides when that is sent to the agents, and heartbeatAt is when the
 	// last heartbeat was sent.
@@ -247,6 +247,8 @@
 		g.recordSecondAttempt(e)
 	case forward.LimitLowered:
 		g.recordLimit(e)
+	case forward.RetryDenied:
+		g.recordDeniedRetry(e)
 	case forward.Withdraw:
 		if x := g.exchanges[e.ID]; x != nil {
 			x.withdraw(e)
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -70,6 +70,7 @@
 	MalformedParts         ID = 4023
 	PartQuarantined        ID = 4024
 	AnswerIncomplete       ID = 4025
+	RetryDenied            ID = 4026
 )
 
 // Entry describes an event for the catalogue.
@@ -131,7 +132,7 @@
 	{AnswerWithheld, "answer withheld", "The weights changed while a request ran; its answer was withheld from the caller."},
 	{ClaimFailed, "claim failed", "A claim could not be recorded in the object API."},
 	{RequestSuspected, "request suspect", "A request was in flight when an upstream crashed; it is now suspected of causing the crash."},
-	{RequestSent, "request sent", "A request was sent to an upstream; the field sends is the number of the attempt, resume is set when the attempt resumes an answer, and hedge when an earlier attempt whose upstream is silent stays open beside it."},
+	{RequestSent, "request sent", "A request was sent to an upstream; the field sends is the number of the attempt, resume is set when the attempt resumes an answer, and hedge when an earlier attempt whose upstream is silent stays open beside it. Of a retry, retry_cause is the outcome of the attempt before, or hedge; counted is set when the retry budget counted it; budget_used, budget_allowed and entries are as in 4026."},
 	{RequestEnded, "request ended", "A request ended with an upstream's answer, or because its caller disconnected. For a stream, upstream_pause_ms is the longest time in milliseconds between two events as they were read from the upstream, and caller_pause_ms the longest duration of a write to the caller."},
 	{StartedLate, "started late", "An upstream started a request on an expired version of weights: late_ms is the time in milliseconds since the version expired, waited_ms how long the request had waited at the upstream."},
 	{RequestQuarantined, "request quarantined", "A request is quarantined because upstreams crashed while they ran it: requests with the same fingerprint are refused for left_ms milliseconds, and longer while they keep coming. lifted is set when an answer to a trial ends that. told is set when another process reported the quarantine; otherwise the field upstream names the upstream that crashed last. Events 4001 (field why) and 4002 have the same fingerprint."},
@@ -144,6 +145,7 @@
 	{MalformedParts, "malformed prompt parts", "A request's list of the parts of its prompt can't be read, and none of them is used; left_out counts the lines left out since the last one."},
 	{PartQuarantined, "part quarantined", "The quarantine of a part of prompts changed, since upstreams crash when they answer requests with it: started here, reported by another process, lifted by an answer or an operator, or ended since no request with the part came for ten minutes (change). crashes is the number of crashes of which the part was found to be the cause. Refusals have code 2013."},
 	{AnswerIncomplete, "answer incomplete", "A request ended without a complete answer: its caller got neither an upstream's whole answer nor a refusal. cause is one of caller left, body not read, slow caller, write to caller failed, answer aborted (why gives the reason), process ended, and handler failed, which is a bug. last_event is the last event of a stream that was passed on."},
+	{RetryDenied, "retry denied", "The retry budget of a service did not allow a request to be sent again; cause is the outcome of the attempt before. budget_used is the number of retries that this entry sent within the budget's window, budget_allowed its share of the budget, and entries the number of entries that share it, 0 if it is unknown. left_out counts the lines left out since the last one."},
 }
 
 // Debug starts a log line of level debug for event id.
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -49,6 +49,10 @@
 		"Requests that ended without a complete answer, that is with neither an upstream's whole answer nor a refusal, by cause; see event 4025."}
 	hedgesDefinition = Definition{"samphireweir_hedges_total", CounterKind, []string{"won"},
 		"Requests that were with two upstreams since the first was silent, by which of the two went on first: first or second."}
+	retriesDefinition = Definition{"samphireweir_retries_total", CounterKind, []string{"cause", "counted"},
+		"Attempts after the first one of a request, by the outcome of the attempt before, or hedge, and by whether the retry budget counted them."}
+	retriesDeniedDefinition = Definition{"samphireweir_retries_denied_total", CounterKind, []string{"cause"},
+		"Retries that the retry budget did not allow, by the outcome of the attempt before."}
 	upstreamCrashesDefinition = Definition{"samphireweir_upstream_crashes_total", CounterKind, nil,
 		"Upstreams that were found down shortly after attempts of this entry's requests broke there."}
 	partsQuarantinedDefinition = Definition{"samphireweir_quarantined_parts", GaugeKind, nil,
@@ -115,7 +119,7 @@
 // Catalogue lists every metric, in the order of docs/METRICS.md.
 var Catalogue = []Definition{
 	requestsDefinition, refusalsDefinition, inFlightDefinition, waitingDefinition, yieldedDefinition, firstByteDefinition, totalDefinition,
-	attemptsDefinition, attemptsFailedDefinition, answersIncompleteDefinition, hedgesDefinition, upstreamCrashesDefinition, partsQuarantinedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, movedRequestsDefinition, secondAttemptsDefinition, limitsLoweredDefinition,
+	attemptsDefinition, attemptsFailedDefinition, answersIncompleteDefinition, hedgesDefinition, retriesDefinition, retriesDeniedDefinition, upstreamCrashesDefinition, partsQuarantinedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, movedRequestsDefinition, secondAttemptsDefinition, limitsLoweredDefinition,
 	waitDecisionsDefinition, predictedWaitDefinition, waitingForEndDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, versionsDefinition, engineReadyDefinition, settingsDefinition,
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -17,6 +17,7 @@
 	FirstByte, Total                          Histogram
 	Attempts, AttemptsFailed, UpstreamCrashes Counter
 	AnswersIncomplete, Hedges, UpstreamCalls  Counter
+	Retries, RetriesDenied                    Counter
 	UpstreamFirstByte                         Histogram
 	PartsQuarantined                          Counter
 	StartedLate, RunsRefused, UpstreamNotices Counter
@@ -50,6 +51,8 @@
 	m.AttemptsFailed = m.counter(attemptsFailedDefinition)
 	m.AnswersIncomplete = m.counter(answersIncompleteDefinition)
 	m.Hedges = m.counter(hedgesDefinition)
+	m.Retries = m.counter(retriesDefinition)
+	m.RetriesDenied = m.counter(retriesDeniedDefinition)
 	m.UpstreamCrashes = m.counter(upstreamCrashesDefinition)
 	m.PartsQuarantined = m.counter(partsQuarantinedDefinition)
 	m.UpstreamCalls = m.counter(upstreamCallsDefinition)
