--- a/internal/core/forward/forward_test.go
+++ b/internal/core/forward/forward_test.go
@@ -36,8 +36,17 @@
 
 func newRig() *rig { return newNamedRig("") }
 
-// newNamedRig returns the rig of an entry with a name.
+// newNamedRig returns the rig of an entry with a name, which has run for longer than the window of its retry budget.
 func newNamedRig(name string) *rig {
+	r := newStartingRig(name)
+	r.now = -time.Minute
+	r.step(step.Tick{})
+	r.now, r.rand = 0, 0
+	return r
+}
+
+// newStartingRig returns the rig of an entry that has handled no input yet.
+func newStartingRig(name string) *rig {
 	routes := []*catalog.Route{
 		{Name: "bookings", Host: "h", Prefix: nonIdempotentCall, Kind: catalog.NonIdempotent, MaxUpstreams: 2, Shares: share("desk"), Timeout: time.Second, Objective: 300 * time.Millisecond},
 		{Name: "lookups", Host: "h", Prefix: idempotentCall, Kind: catalog.Idempotent, MaxUpstreams: 2, Shares: share("desk"), Timeout: time.Second, Objective: 300 * time.Millisecond},
