forward: an entry that has just started gets its part of the budget's base little by little

Cause: an entry keeps what it has used of the budget in its memory alone, and a new process had its whole share of the base at once, whatever the one before it had used. Each restart of all entries added 0.7 x base retries; the margin hid it until restarts came often or requests were few. Class: a limit of the whole fleet that a restart resets to its upper end.

Change: within its first window an entry may use a quarter of its share of the base, growing with its age. Whatever a process used, it and its successors together use at most 0.7 + 0.25 of the base in a window, for any number of restarts at any spacing, without asking anybody. An entry that has run for a window has what it had.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -345,6 +345,9 @@
 	// QuarantinedRequests are the quarantines of requests as a whole, by fingerprint, which last while the requests come. Crashes decides on them.
 	QuarantinedRequests *attribution.Table
 
+	// startedAt is the time of the first input.
+	startedAt time.Time
+
 	requests       map[uint64]*request
 	loadStates     map[catalog.Instance]*loadState
 	views          viewCache
@@ -422,6 +425,9 @@
 func (s *State) Reduce(in step.Input) []step.Effect { return s.flushUneven(s.reduce(in)) }
 
 func (s *State) reduce(in step.Input) []step.Effect {
+	if s.startedAt.IsZero() {
+		s.startedAt = in.Now
+	}
 	switch ev := in.Event.(type) {
 	case Arrived:
 		return s.arrived(in, ev)
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -16,6 +16,11 @@
 // Step passes an event to the reducers, as the shell does.
 func (g *Gateway) Step(ev step.Event) { g.step(ev) }
 
+// PretendUptime makes an entry that has not run yet one that has handled its first input that long ago.
+func (g *Gateway) PretendUptime(d time.Duration) {
+	g.forward.Reduce(step.Input{Now: time.Now().Add(-d), Event: step.Tick{}})
+}
+
 // ServeCallers serves callers on one more listener.
 func (g *Gateway) ServeCallers(l net.Listener) { g.serveCallers(g.newCallerServer(), l) }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -35,9 +35,14 @@
 	return startHost(t, fleet, fleet.Host(standin.NextIP(), false))
 }
 
+// usualUptime is longer than the window of the retry budget: an entry that has just started gets its share of the budget little by little.
+const usualUptime = time.Minute
+
+// startHost starts an entry that behaves as if it had run for a while.
 func startHost(t *testing.T, fleet *standin.Fleet, host hostconfig.Host) *entry {
 	t.Helper()
 	g := gateway.New(host, newTestLogger(t), telemetry.NewMetrics(), nil)
+	g.PretendUptime(usualUptime)
 	e := &entry{Caller: standin.Caller{Address: host.CallersListen, Name: t.Name()}, host: host, gateway: g, stop: fleet.Run(g.Run)}
 	require.Eventually(t, func() bool { return e.ready() == http.StatusOK }, testTimeout, 10*time.Millisecond)
 	return e
--- a/internal/gateway/hedge_internal_test.go
+++ b/internal/gateway/hedge_internal_test.go
@@ -31,6 +31,7 @@
 func newSentExchange(t *testing.T, kind catalog.Kind) sentExchange {
 	t.Helper()
 	g := New(hostconfig.Host{Name: "e1", DataCentre: "a", Retries: hostconfig.RetryBudget{Ratio: 1, Base: 100, Window: time.Minute}}, zerolog.Nop(), telemetry.NewMetrics(), nil)
+	g.PretendUptime(time.Hour)
 	g.ready.Store(true) // Keeps it from sending heartbeats.
 	route := &catalog.Route{
 		Name: "r", Host: "h", Prefix: "/", Kind: kind, Resumable: kind == catalog.Streaming, MaxUpstreams: 2, Shares: []catalog.Share{{Service: "s", Weight: 1}}, Objective: time.Hour, Timeout: time.Hour,
--- a/internal/gateway/trace_test.go
+++ b/internal/gateway/trace_test.go
@@ -22,6 +22,7 @@
 	host := fleet.Host(standin.NextIP(), false)
 	spans := tracetest.NewInMemoryExporter()
 	g := gateway.New(host, newTestLogger(t), telemetry.NewMetrics(), telemetry.NewTracesWithExporter(spans, "entry", host.Name))
+	g.PretendUptime(usualUptime)
 	e := &entry{Caller: standin.Caller{Address: host.CallersListen, Name: t.Name()}, host: host, stop: fleet.Run(g.Run)}
 	require.Eventually(t, func() bool { return e.ready() == http.StatusOK }, testTimeout, pollInterval)
 	fleet.Faults.Next(standin.Decline)
