forward: a retry that waits for a silent upstream counts when it is sent

What callers saw: nothing directly; when a silent upstream goes on, the retries that waited for it reach it at once, beside as many more as the budget allows soon after.

Cause: such a retry was counted when it was decided, up to seconds before it was sent, so that its place in the window was free again too early. One that ended without being sent stayed counted. Class: what is decided over a longer time and arrives together.

Change: the budget counts it as waiting until it is sent, and from then on for a window; a wait that ends without a send gives it back.

Evidence: TestWaitingRetriesCountWhenTheyAreSent failed before (139 retries in a window, 100 allowed; 69 of them had waited for three seconds) and passes.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -318,8 +318,9 @@
 	// attempts counts all attempts, and possibleRuns those that may have run.
 	attempts     int
 	possibleRuns int
-	// retry describes the next attempt, once that was decided.
-	retry Retry
+	// retry describes the next attempt, once that was decided. reservedRetry is the budget that counts it as waiting, nil if none does.
+	retry         Retry
+	reservedRetry *retryBudget
 	// partial is set once part of an answer was passed on. progressAt is when the last part was; before that, when the request
 	// arrived.
 	partial    bool
--- a/internal/core/forward/hedge.go
+++ b/internal/core/forward/hedge.go
@@ -99,7 +99,7 @@
 		return nil
 	}
 	first := r.placement
-	s.countRetry(in, r, Hedge, !first.unsent)
+	s.decideRetry(r, Hedge, !first.unsent)
 	r.beside = &first
 	r.placement = placement{speed: requestSpeed{second: first.speed.second}}
 	effects := s.send(in, r, u)
--- a/internal/core/forward/reduce.go
+++ b/internal/core/forward/reduce.go
@@ -146,7 +146,7 @@
 			e.Version = held
 		}
 	}
-	e.Retry, r.retry = r.retry, Retry{}
+	e.Retry = s.retrySent(in, r)
 	r.version = e.Version
 	r.setTimeouts(&e, in.Now)
 	r.speed.timeout = e.FirstEventTimeout
@@ -251,11 +251,11 @@
 }
 
 // retry sends a request again, to an upstream with capacity. Without capacity the request ends: a retry is not queued, except to wait for a
-// silent upstream. Such a wait counts as a retry, so that no more wait than the budget allows to be sent.
+// silent upstream. A retry that waits is counted, so that no more wait than the budget allows to be sent.
 func (s *State) retry(in step.Input, r *request, o Outcome) []step.Effect {
 	u, found := s.pickRetry(in, r)
 	if found == available {
-		s.countRetry(in, r, RetryCause(o), o.sent()) // A retry for which there is no capacity does not count.
+		s.decideRetry(r, RetryCause(o), o.sent()) // A retry for which there is no capacity does not count.
 		return s.send(in, r, u)
 	}
 	if (o == ServerFailed || r.failed) && !r.partial {
@@ -263,7 +263,7 @@
 		return []step.Effect{Deliver{ID: r.id}}
 	}
 	if found == awaited {
-		s.countRetry(in, r, RetryCause(o), o.sent())
+		s.decideRetry(r, RetryCause(o), o.sent())
 		return s.awaitSilent(in, r)
 	}
 	return s.endWithRetryAfter(in, r, code.Overloaded, fmt.Sprintf("attempt %d: %s; no other upstream of %s has capacity", r.attempts, o, r.service))
@@ -345,6 +345,7 @@
 func (s *State) drop(r *request) {
 	s.leaveQueue(r)
 	s.leaveHeld(r)
+	r.releaseRetry()
 	delete(s.requests, r.id)
 }
 
--- a/internal/core/forward/retry.go
+++ b/internal/core/forward/retry.go
@@ -40,13 +40,38 @@
 // Effect marks the type as an effect.
 func (RetryDenied) Effect() {}
 
-// countRetry notes why a request is sent again, and counts that in the retry budget if something of an earlier attempt may have reached an
-// upstream.
-func (s *State) countRetry(in step.Input, r *request, cause RetryCause, counted bool) {
+// decideRetry records why a request is sent again. The retry budget counts it if something of an earlier attempt may have reached an upstream:
+// as waiting until it is sent, and from then on for a window.
+func (s *State) decideRetry(r *request, cause RetryCause, counted bool) {
+	r.retry = Retry{Cause: cause, Counted: counted}
 	if counted {
+		r.reservedRetry = s.retryBudget(r.service)
+		r.reservedRetry.waiting++
+	}
+}
+
+// retrySent counts the retry that is sent now, if the attempt is one, and returns its description.
+func (s *State) retrySent(in step.Input, r *request) Retry {
+	retry := r.retry
+	r.retry = Retry{}
+	if retry.Cause == "" {
+		return retry
+	}
+	if r.releaseRetry() {
 		s.retryBudget(r.service).addRetry(in.Now)
 	}
-	r.retry = Retry{Cause: cause, Counted: counted, Budget: s.budgetUsage(in, r.service)}
+	retry.Budget = s.budgetUsage(in, r.service)
+	return retry
+}
+
+// releaseRetry ends the wait of a counted retry. It reports whether there was one.
+func (r *request) releaseRetry() bool {
+	if r.reservedRetry == nil {
+		return false
+	}
+	r.reservedRetry.waiting--
+	r.reservedRetry = nil
+	return true
 }
 
 // budgetAllows reports whether the retry budget allows one more retry of a service.
--- a/internal/core/forward/retry_budget.go
+++ b/internal/core/forward/retry_budget.go
@@ -17,6 +17,8 @@
 // retryBudget counts the requests for a service and this entry's retries of them within the window.
 type retryBudget struct {
 	buckets []bucket
+	// waiting is the number of retries that were decided and are not sent yet.
+	waiting int
 }
 
 type bucket struct {
@@ -46,11 +48,11 @@
 
 func (b *retryBudget) addRetry(now time.Time) { b.current(now).retries++ }
 
-// usage returns this entry's retries within the window, and how many of them its share of the budget allows. base is its share of the
+// usage returns this entry's retries within the window and those that wait, and how many of them its share of the budget allows. base is its share of the
 // budget's base.
 func (b *retryBudget) usage(now time.Time, r hostconfig.RetryBudget, base float64) (retries int, allowed float64) {
 	requests, retries := b.sums(now, r.Window+bucketDuration)
-	return retries, ratioShare*r.Ratio*float64(requests) + base
+	return retries + b.waiting, ratioShare*r.Ratio*float64(requests) + base
 }
 
 func (b *retryBudget) sums(now time.Time, window time.Duration) (requests, retries int) {
--- a/internal/core/forward/silence_test.go
+++ b/internal/core/forward/silence_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/core/storerev"
+	"samphireweir.example/samphireweir/internal/hostconfig"
 )
 
 // allPaths are the paths of all kinds of routes, with their services.
@@ -265,3 +267,45 @@
 	require.Greater(t, sent, 10)
 	require.LessOrEqual(t, float64(sent), 0.2*requests+100/4)
 }
+
+// TestWaitingRetriesCountWhenTheyAreSent guards against more retries within a window than the budget allows, because those that waited for
+// a silent upstream were counted some seconds before they were sent.
+func TestWaitingRetriesCountWhenTheyAreSent(t *testing.T) {
+	const requests, base = 100, 100
+	r := newRig()
+	r.state.Self.Retries = hostconfig.RetryBudget{Base: base, Window: 10 * time.Second}
+	r.state.Catalog.Manifest.Route("h", idempotentCall).Timeout = 6 * time.Second
+	r.add("m1", "model", "perth-a", 1)
+	report := forward.LoadReported{Address: "m1", Versions: map[string]int64{"m": 1}, Entries: 1, NearEntries: 1}
+	r.step(report)
+	r.add("u1", "desk", "perth-a", requests)
+	arriveAndBreak := func(first uint64) (sent int) {
+		for id := first; id < first+requests; id++ {
+			r.arrive(id, idempotentCall)
+		}
+		r.add("u2", "desk", "bunbury-a", 1000)
+		if first == 1 {
+			r.state.NoteStalled(begin, catalog.Instance{ID: "u2"})
+		}
+		for id := first; id < first+requests; id++ {
+			sent += len(sentIDs(r.step(forward.AttemptEnded{ID: id, Outcome: forward.Broken})))
+		}
+		return sent
+	}
+	require.LessOrEqual(t, arriveAndBreak(1), 1, "all but a probe wait")
+	r.now = 3 * time.Second
+	r.step(forward.AnswerHeadReceived{Upstream: catalog.Instance{ID: "u2"}, Sent: begin, Outcome: forward.Answered})
+	waited := len(sentIDs(r.step(step.Tick{})))
+	require.Greater(t, waited, 10)
+	for id := uint64(1); id <= requests; id++ {
+		r.step(forward.AttemptEnded{ID: id, Attempt: 2, Outcome: forward.Answered})
+	}
+	for r.now = 4 * time.Second; r.now <= 12*time.Second; r.now += time.Second {
+		r.step(report)
+	}
+	for i := range 2 * requests {
+		r.add(fmt.Sprintf("d%d", i), "desk", "perth-a", 10)
+	}
+	again := arriveAndBreak(1000)
+	require.LessOrEqual(t, waited+again, base)
+}
