membudget: a request that waits for its upstream is not taken for a slow caller

Cause: the reservation that had made no progress for longest was evicted, whoever was awaited. A request that waits for its upstream makes none. Class: what has been passed on goes before what could still be refused.

Change: only a reservation whose caller is awaited, to send its body or to read its response, is evicted. Without one, a new request is refused as not run. An eighth of the memory is kept for responses, so that requests that wait for them can't hold all of it; of responses that were read in part and wait for each other, the one that has waited longest ends.

--- a/internal/gateway/buffering.go
+++ b/internal/gateway/buffering.go
@@ -34,7 +34,6 @@
 // accountedReader charges the bytes it reads to a reservation.
 type accountedReader struct {
 	io.Reader
-	reservation *membudget.Reservation
 	// reserve requests memory for n bytes that were read; see accountedBody and accountedResponse.
 	reserve func(n int) error
 }
@@ -43,7 +42,6 @@
 func (r accountedReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
 	if n > 0 {
-		r.reservation.Progress()
 		if reserveErr := r.reserve(n); reserveErr != nil {
 			return n, reserveErr
 		}
@@ -54,12 +52,15 @@
 // accountedBody reads a caller's request body. It fails with membudget.ErrFull if there is no free memory: nothing was sent yet, so the
 // request can be refused.
 func accountedBody(body io.Reader, r *membudget.Reservation) io.Reader {
-	return accountedReader{Reader: body, reservation: r, reserve: r.Grow}
+	return accountedReader{Reader: body, reserve: func(n int) error {
+		r.AwaitCaller()
+		return r.GrowBody(n)
+	}}
 }
 
 // accountedResponse reads a response and waits while there is no free memory for it.
 func accountedResponse(ctx context.Context, body io.Reader, r *membudget.Reservation) io.Reader {
-	return accountedReader{Reader: body, reservation: r, reserve: func(n int) error { return growWhenFree(ctx, r, n) }}
+	return accountedReader{Reader: body, reserve: func(n int) error { return growWhenFree(ctx, r, n) }}
 }
 
 // growWhenFree reserves n bytes for a response and waits until they are free or ctx ends.
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -95,12 +95,14 @@
 	status, header := a.queue.head()
 	x.writeHeader(status, header)
 	writeStart := time.Now()
+	x.reservation.AwaitCaller()
 	if _, err := x.w.Write(e.raw); err != nil {
 		x.callerUnreachable(err)
 	}
 	if err := http.NewResponseController(x.w).Flush(); err != nil {
 		x.callerUnreachable(err)
 	}
+	x.reservation.CallerDone()
 	x.reservation.Shrink(len(e.raw))
 	x.lastWriteAt = time.Now()
 	x.timing.recordWrite(x.lastWriteAt.Sub(writeStart))
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -113,6 +113,7 @@
 		x.logIfEvicted()
 		panic(http.ErrAbortHandler)
 	}
+	x.reservation.CallerDone()
 	x.body = body
 	return true
 }
@@ -265,6 +266,8 @@
 // writeResponse passes on a complete response.
 func (x *exchange) writeResponse(resp *response) {
 	x.writeHeader(resp.status, resp.header)
+	x.reservation.AwaitCaller()
+	defer x.reservation.CallerDone()
 	for chunk := range slices.Chunk(resp.body, writeChunkBytes) {
 		if _, err := x.w.Write(chunk); err != nil {
 			x.endIncomplete(writeFailed, err.Error())
--- a/internal/gateway/slow_entry_internal_test.go
+++ b/internal/gateway/slow_entry_internal_test.go
@@ -37,7 +37,7 @@
 	go func() {
 		for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; periodic.Sleep(ctx, 100*time.Millisecond) {
 			for _, r := range holders {
-				r.Progress()
+				r.AwaitCaller()
 			}
 		}
 		for _, r := range holders {
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -1,6 +1,10 @@
 // Package membudget limits the bytes that a process holds for its callers: request bodies, and responses that callers have not read
-// yet. Each request has a Reservation. When the budget is exhausted, the reservation that has made no progress for the longest time is
-// evicted, since its caller costs the others most.
+// yet. Each request has a Reservation. When the budget is exhausted, the reservation whose caller has kept the process waiting for the
+// longest time is evicted, since that caller costs the others most. A request that waits for its upstream is not evicted: its caller can
+// do nothing about that, and the upstream may run it.
+//
+// A part of the budget is kept for responses. Without it, requests that wait for their responses could hold all memory, so that no
+// response could be read.
 package membudget
 
 import (
@@ -13,6 +17,8 @@
 const (
 	// ownerDivisor limits the reservations of one owner to half of the budget, so that no owner can exhaust it alone.
 	ownerDivisor = 2
+	// responseDivisor keeps an eighth of the budget, and of each owner's share, for responses.
+	responseDivisor = 8
 	// minStall is how long a reservation must have made no progress before it can be evicted.
 	minStall = 500 * time.Millisecond
 )
@@ -21,7 +27,7 @@
 var ErrFull = errors.New("memory budget for callers' requests is exhausted")
 
 // ErrEvicted means that the reservation was evicted to free memory for others.
-var ErrEvicted = errors.New("evicted to free memory: its caller made no progress for the longest time")
+var ErrEvicted = errors.New("evicted to free memory: it made no progress for the longest time")
 
 // Budget is a memory budget shared by all requests of a process. It is safe for concurrent use.
 type Budget struct {
@@ -51,60 +57,100 @@
 	budget *Budget
 	owner  string
 	evict  func()
-	// size (in bytes), progressAt and evicted are guarded by the budget's lock. progressAt is when data last arrived for the request or
-	// its caller last read some.
-	size       int64
-	progressAt time.Time
-	evicted    bool
+	// The budget's lock guards the fields below. size is in bytes.
+	size    int64
+	evicted bool
+	// caller is the wait for the caller, which sends its body or reads the response, and memory that of a response for memory.
+	caller, memory wait
 }
 
-// Open returns an empty reservation for a request of an owner; owner is any key that distinguishes callers. If the reservation is
+// wait is a wait for progress.
+type wait struct {
+	active bool
+	since  time.Time
+}
+
+// Open returns an empty reservation for a request of an owner, which sends its body; owner is any key that distinguishes callers. If the reservation is
 // evicted to free memory for others, evict is called once. It runs with the budget's lock held and must not block.
 func (b *Budget) Open(owner string, evict func()) *Reservation {
-	r := &Reservation{budget: b, owner: owner, evict: evict, progressAt: b.now()}
+	r := &Reservation{budget: b, owner: owner, evict: evict, caller: wait{active: true, since: b.now()}}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reservations[r] = struct{}{}
 	return r
 }
 
-// Grow reserves n more bytes. As long as they don't fit, it evicts other reservations, and returns ErrFull if none is left to evict. If
-// the owner's share is exhausted, only reservations of the same owner are evicted.
+// GrowBody reserves n more bytes for the request's body. As long as they don't fit into the part of the budget for bodies, it evicts
+// reservations whose callers have stalled, and returns ErrFull if there is none. If the owner's share is exhausted, only reservations of
+// the same owner are evicted.
+func (r *Reservation) GrowBody(n int) error {
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return r.grow(int64(n), b.limit-b.limit/responseDivisor, b.evictSlowestCaller)
+}
+
+// Grow reserves n more bytes for the response. It is like GrowBody, but may use the whole budget. If no caller has stalled, it evicts the
+// reservation whose response has waited for memory for the longest time: otherwise responses of which each was read in part could wait
+// for each other for ever.
 func (r *Reservation) Grow(n int) error {
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	err := r.grow(int64(n), b.limit, func(eligible func(*Reservation) bool) bool {
+		return b.evictSlowestCaller(eligible) || b.evictSlowest(eligible, func(r *Reservation) wait { return r.memory })
+	})
+	switch {
+	case !errors.Is(err, ErrFull):
+		r.memory.active = false
+	case !r.memory.active:
+		r.memory = wait{active: true, since: b.now()}
+	}
+	return err
+}
+
+// grow reserves n more bytes if all reservations together then stay within limit. The caller holds the lock. evict evicts one eligible
+// reservation and reports whether there was one.
+func (r *Reservation) grow(n, limit int64, evict func(eligible func(*Reservation) bool) bool) error {
+	b := r.budget
 	for {
 		switch {
 		case r.evicted:
 			return ErrEvicted
-		case b.owners[r.owner]+int64(n) > b.limit/ownerDivisor:
-			if !b.evictSlowest(func(other *Reservation) bool { return other != r && other.owner == r.owner }) {
+		case b.owners[r.owner]+n > limit/ownerDivisor:
+			if !evict(func(other *Reservation) bool { return other != r && other.owner == r.owner }) {
 				return ErrFull
 			}
-		case b.used+int64(n) > b.limit:
-			if !b.evictSlowest(func(other *Reservation) bool { return other != r }) {
+		case b.used+n > limit:
+			if !evict(func(other *Reservation) bool { return other != r }) {
 				return ErrFull
 			}
 		default:
-			r.add(int64(n))
+			r.add(n)
 			return nil
 		}
 	}
 }
 
-// Progress records that data for the request arrived, from its caller or an upstream.
-func (r *Reservation) Progress() {
+// AwaitCaller records that the process waits for the caller from now on. It is called too when the caller has made progress.
+func (r *Reservation) AwaitCaller() {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	r.caller = wait{active: true, since: r.budget.now()}
+}
+
+// CallerDone records that the process does not wait for the caller any more.
+func (r *Reservation) CallerDone() {
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
-	r.progressAt = r.budget.now()
+	r.caller.active = false
 }
 
-// Shrink releases n bytes that the caller has read.
+// Shrink releases n bytes that the caller has read, or that are not passed on to it.
 func (r *Reservation) Shrink(n int) {
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
-	r.progressAt = r.budget.now()
+	r.caller.since = r.budget.now()
 	if !r.evicted { // An evicted reservation has released everything.
 		r.add(-int64(n))
 	}
@@ -125,16 +171,23 @@
 	r.release()
 }
 
-// evictSlowest evicts the eligible reservation that made no progress for the longest time, and reports whether there was one. The caller
-// holds the lock.
-func (b *Budget) evictSlowest(eligible func(*Reservation) bool) bool {
+// evictSlowestCaller evicts the eligible reservation whose caller the process has waited for the longest time, and reports whether there
+// was one. The caller holds the lock.
+func (b *Budget) evictSlowestCaller(eligible func(*Reservation) bool) bool {
+	return b.evictSlowest(eligible, func(r *Reservation) wait { return r.caller })
+}
+
+// evictSlowest evicts the eligible reservation that has waited for the longest time, in the kind of wait that waitOf returns, and reports
+// whether there was one. The caller holds the lock.
+func (b *Budget) evictSlowest(eligible func(*Reservation) bool, waitOf func(*Reservation) wait) bool {
 	var slowest *Reservation
 	now := b.now()
 	for r := range b.reservations {
-		if r.size == 0 || now.Sub(r.progressAt) < minStall || !eligible(r) {
+		w := waitOf(r)
+		if r.size == 0 || !w.active || now.Sub(w.since) < minStall || !eligible(r) {
 			continue
 		}
-		if slowest == nil || r.progressAt.Before(slowest.progressAt) {
+		if slowest == nil || w.since.Before(waitOf(slowest).since) {
 			slowest = r
 		}
 	}
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -51,3 +51,61 @@
 	require.Equal(t, 45, evicted)
 	require.NoError(t, b.Open("other", func() { t.Fatal("a reservation that makes progress was evicted") }).Grow(50))
 }
+
+// TestRequestThatWaitsForItsUpstreamIsNotEvicted guards against a request that runs and is thrown away, because a silent upstream is taken
+// for a slow caller. A new request, of which nothing was sent, is refused instead.
+func TestRequestThatWaitsForItsUpstreamIsNotEvicted(t *testing.T) {
+	c := &clock{}
+	b := membudget.New(100, c.Now)
+	open := func(owner string) *membudget.Reservation { return b.Open(owner, func() { t.Error("evicted") }) }
+	for _, owner := range []string{"a", "b"} {
+		r := open(owner)
+		require.NoError(t, r.GrowBody(40))
+		r.CallerDone()
+	}
+	c.now = c.now.Add(time.Minute)
+	require.ErrorIs(t, open("a").GrowBody(20), membudget.ErrFull, "the owner's share is exhausted")
+	require.ErrorIs(t, open("c").GrowBody(20), membudget.ErrFull, "the budget is exhausted")
+}
+
+// TestResponsesHaveMemoryWhileBodiesFillTheirs guards against requests that wait for their responses and hold all memory, so that no response
+// can be read.
+func TestResponsesHaveMemoryWhileBodiesFillTheirs(t *testing.T) {
+	c := &clock{}
+	b := membudget.New(160, c.Now)
+	var open []*membudget.Reservation
+	for i := range 2000 {
+		r := b.Open([]string{"a", "b"}[i%2], func() { t.Error("evicted") })
+		if r.GrowBody(1) == nil {
+			r.CallerDone()
+			open = append(open, r)
+		}
+	}
+	c.now = c.now.Add(time.Minute)
+	require.Equal(t, int64(140), b.Used())
+	for _, r := range open {
+		require.NoError(t, r.Grow(3))
+		r.Close()
+	}
+}
+
+// TestResponsesThatWaitForEachOtherEnd guards against responses that were read in part, hold all memory and wait for more for ever.
+func TestResponsesThatWaitForEachOtherEnd(t *testing.T) {
+	c := &clock{}
+	b := membudget.New(100, c.Now)
+	evicted := ""
+	open := func(name string) *membudget.Reservation {
+		r := b.Open(name, func() { evicted += name })
+		require.NoError(t, r.Grow(50))
+		r.CallerDone()
+		return r
+	}
+	first, second := open("f"), open("s")
+	require.ErrorIs(t, first.Grow(10), membudget.ErrFull)
+	c.now = c.now.Add(time.Second)
+	require.ErrorIs(t, b.Open("o", nil).GrowBody(10), membudget.ErrFull, "a new request is refused")
+	require.ErrorIs(t, second.Grow(10), membudget.ErrFull, "beyond its owner's share")
+	require.NoError(t, b.Open("o", nil).Grow(10))
+	require.Equal(t, "f", evicted)
+	require.ErrorIs(t, first.Grow(10), membudget.ErrEvicted)
+}
