quarantine: crashes of a request count for ten minutes

Cause: a crash counted for 20 s towards the third, so that a request that comes seldom never had three. Crashes of parts of prompts count for ten minutes. Class: a memory shorter than the rule that rests on it.

Change: one time for both, ten minutes. So that it blames no sound request: answers to requests with crashes are reported as well; the crashes that led to a quarantine count for no other one; a full table forgets the request with the fewest crashes in place of the new one.

Two tests rested on the 20 s and were replaced: rare crashes are now 301 s apart, and the table is watched until crashes are forgotten, the quarantine checked meanwhile.

--- a/internal/core/forward/quarantine_test.go
+++ b/internal/core/forward/quarantine_test.go
@@ -340,6 +340,12 @@
 // TestRequestThatKeepsComingStaysQuarantined guards against a quarantine that ends while the request still comes, and crashes more engines each
 // time. The users allow three further sendings once it has crashed three engines, however long it comes.
 func TestRequestThatKeepsComingStaysQuarantined(t *testing.T) {
+	for _, pause := range []time.Duration{3 * time.Second, 10500 * time.Millisecond, time.Minute, 4 * time.Minute} {
+		t.Run(pause.String(), func(t *testing.T) { playRequestThatKeepsComing(t, pause) })
+	}
+}
+
+func playRequestThatKeepsComing(t *testing.T, pause time.Duration) {
 	const maxLaterSends = 3
 	r, restarts := newEnginesRig(0), map[string]int64{}
 	for i := range 40 {
@@ -358,8 +364,9 @@
 			sent = sentAttempts(r.step(forward.AttemptEnded{ID: id, Outcome: forward.Broken}))
 			r.register(at, 1+restarts[at])
 		}
-		r.now += 3 * time.Second
-		r.step(step.Tick{})
+		for end := r.now + pause; r.now < end; r.now += 3 * time.Second {
+			r.step(step.Tick{})
+		}
 	}
-	require.LessOrEqual(t, later, maxLaterSends, "%d crashes in 20 minutes", crashes)
+	require.LessOrEqual(t, later, maxLaterSends, "%d crashes", crashes)
 }
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -6,7 +6,7 @@
 // Crashes are therefore counted over the whole fleet, and each upstream's crash counts once. A request that crashed CrashThreshold
 // upstreams, without a complete answer in between, is quarantined for QuarantineDuration at every process that receives a report of it.
 // A complete answer does not lift a quarantine; otherwise processes that receive answers and crashes in a different order would
-// disagree.
+// disagree. Processes also report when a request with crashes was last answered, so that crashes before it count nowhere.
 //
 // This package decides on the quarantine and keeps it for its first 30 seconds, in which copies that are on their way may still crash
 // upstreams. Package forward hands it on to package attribution, which keeps it while copies come.
@@ -19,6 +19,7 @@
 package quarantine
 
 import (
+	"maps"
 	"time"
 )
 
@@ -30,12 +31,14 @@
 	// QuarantineDuration is the duration of a quarantine. Upstreams are back a few seconds after a crash, and callers give up after a
 	// few attempts.
 	QuarantineDuration = 30 * time.Second
-	// CrashRetention is how long a crash counts towards CrashThreshold.
-	CrashRetention = 20 * time.Second
+	// CrashRetention is how long a crash counts towards CrashThreshold: a request may come seldom. It is as long as package attribution
+	// keeps crashes and quarantines.
+	CrashRetention = 10 * time.Minute
 	// minReported is the minimum remaining time of a crash or quarantine that is sent to or accepted from another process. It is longer
 	// than a datagram takes to arrive, so that two processes don't renew each other's quarantine forever, each time a little longer.
 	minReported = time.Second
-	// maxRecords bounds the number of requests that are tracked. A record with two crashes takes about 440 bytes.
+	// maxRecords bounds the number of requests that are tracked. A record with two crashes takes about 440 bytes. Beyond it, the request that
+	// is least likely to crash upstreams is forgotten; see forgetOne.
 	maxRecords = 4096
 )
 
@@ -48,8 +51,15 @@
 	lastUpdate time.Time
 	// answered is when the request was last answered completely after a crash. Crashes before it don't count.
 	answered time.Time
-	// quarantinedUntil is when the quarantine ends.
-	quarantinedUntil time.Time
+	// quarantinedAt is when the last quarantine began, and quarantinedUntil when it ends. The crashes that led to it don't count for
+	// another one.
+	quarantinedAt, quarantinedUntil time.Time
+}
+
+// quarantine starts a quarantine.
+func (r *record) quarantine(now time.Time, d time.Duration) {
+	r.quarantinedAt, r.quarantinedUntil = now, now.Add(d)
+	clear(r.crashes)
 }
 
 // Table holds what a process knows of requests that crashed upstreams. It is not safe for concurrent use.
@@ -93,8 +103,8 @@
 // Crashed records that an upstream instance, identified by its hash, was found crashed under a request at the given time. It reports
 // whether this crash starts a quarantine.
 func (t *Table) Crashed(now time.Time, fingerprint uint64, instanceHash uint32, at time.Time) bool {
-	r := t.record(fingerprint)
-	if r == nil || !at.After(r.answered) {
+	r := t.record(now, fingerprint)
+	if r == nil || !at.After(r.answered) || !at.After(r.quarantinedAt) {
 		return false
 	}
 	if _, known := r.crashes[instanceHash]; known {
@@ -106,36 +116,65 @@
 	if now.Before(r.quarantinedUntil) || len(t.RecentCrashes(now, fingerprint)) < CrashThreshold {
 		return false
 	}
-	r.quarantinedUntil = now.Add(QuarantineDuration)
+	r.quarantine(now, QuarantineDuration)
 	return true
 }
 
-// record returns the record of a request and creates it if needed; nil when the table is full.
-func (t *Table) record(fingerprint uint64) *record {
+// record returns the record of a request and creates it if needed. When the table is full, another request is forgotten; the result is nil
+// if each of them is quarantined.
+func (t *Table) record(now time.Time, fingerprint uint64) *record {
 	r := t.records[fingerprint]
 	if r != nil {
 		return r
 	}
 	if len(t.records) >= maxRecords {
 		t.dropped++
-		return nil
+		if !t.forgetOne(now) {
+			return nil
+		}
 	}
 	r = &record{crashes: map[uint32]time.Time{}}
 	t.records[fingerprint] = r
 	return r
 }
 
+// forgetOne removes the request with the fewest crashes that is not quarantined; of several, the one whose last update is oldest. It
+// reports whether there was one.
+func (t *Table) forgetOne(now time.Time) bool {
+	var worst uint64
+	found := false
+	for fingerprint, r := range t.records {
+		if now.Before(r.quarantinedUntil) {
+			continue
+		}
+		if !found || r.lessLikely(t.records[worst]) {
+			worst, found = fingerprint, true
+		}
+	}
+	delete(t.records, worst)
+	return found
+}
+
+// lessLikely reports whether the request of this record is less likely to crash upstreams than that of another one.
+func (r *record) lessLikely(other *record) bool {
+	if len(r.crashes) != len(other.crashes) {
+		return len(r.crashes) < len(other.crashes)
+	}
+	return r.lastUpdate.Before(other.lastUpdate)
+}
+
 // Quarantine applies a quarantine that another process reported with its remaining time. It reports whether the quarantine is new here
 // and was recorded.
 func (t *Table) Quarantine(now time.Time, fingerprint uint64, remaining time.Duration) bool {
 	if remaining < minReported || t.Remaining(now, fingerprint) > 0 {
 		return false
 	}
-	r := t.record(fingerprint)
+	r := t.record(now, fingerprint)
 	if r == nil {
 		return false
 	}
-	r.lastUpdate, r.quarantinedUntil = now, now.Add(min(remaining, QuarantineDuration))
+	r.lastUpdate = now
+	r.quarantine(now, min(remaining, QuarantineDuration))
 	t.changes++
 	return true
 }
@@ -152,9 +191,20 @@
 // not to have caused them.
 func (t *Table) Answered(now time.Time, fingerprint uint64) {
 	if r := t.records[fingerprint]; r != nil {
-		r.answered = now
-		clear(r.crashes)
+		t.answeredAt(r, now)
+	}
+}
+
+// answeredAt records that a request was answered completely at a time.
+func (t *Table) answeredAt(r *record, at time.Time) {
+	if !at.After(r.answered) {
+		return
+	}
+	if len(r.crashes) > 0 {
+		t.changes++
 	}
+	r.answered = at
+	maps.DeleteFunc(r.crashes, func(_ uint32, crashedAt time.Time) bool { return !crashedAt.After(at) })
 }
 
 // Expire removes the records whose last update is older than CrashRetention and whose quarantine has ended.
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -56,7 +56,7 @@
 	for upstream := range uint32(quarantine.CrashThreshold) {
 		processes[0].Crashed(start, crasher, upstream, start)
 	}
-	for now := start; now.Before(start.Add(quarantine.QuarantineDuration + 3*time.Second)); now = now.Add(latency) {
+	for now := start; now.Before(start.Add(quarantine.CrashRetention + quarantine.QuarantineDuration + 3*time.Second)); now = now.Add(latency) {
 		var sent [][]quarantine.Report
 		for _, p := range processes {
 			sent = append(sent, p.Reports(now))
@@ -64,6 +64,9 @@
 		for i, p := range processes {
 			p.Expire(now.Add(latency))
 			p.Merge(now.Add(latency), sent[(i+1)%len(processes)])
+			if now.After(start.Add(quarantine.QuarantineDuration + 3*time.Second)) {
+				require.Zero(t, p.Remaining(now, crasher))
+			}
 		}
 	}
 	for _, p := range processes {
@@ -96,13 +99,51 @@
 
 // A request that is in flight at rare, unrelated crashes must not be quarantined, however many there are.
 func TestOldCrashesDoNotCount(t *testing.T) {
+	const pause = quarantine.CrashRetention/(quarantine.CrashThreshold-1) + time.Second
 	table := quarantine.NewTable()
 	for upstream := range uint32(20) {
-		at := start.Add(time.Duration(upstream) * 11 * time.Second)
+		at := start.Add(time.Duration(upstream) * pause)
 		require.False(t, table.Crashed(at, crasher, upstream, at))
 	}
 }
 
+// A request that crashes an upstream each time must be quarantined also if it comes seldom, such as each 10.5 s.
+func TestSeldomCrashesCount(t *testing.T) {
+	for _, pause := range []time.Duration{10500 * time.Millisecond, time.Minute, quarantine.CrashRetention / (quarantine.CrashThreshold - 1)} {
+		table := quarantine.NewTable()
+		for upstream := range uint32(quarantine.CrashThreshold) {
+			at := start.Add(time.Duration(upstream) * pause)
+			table.Expire(at)
+			require.Equal(t, upstream == quarantine.CrashThreshold-1, table.Crashed(at, crasher, upstream, at), pause)
+		}
+	}
+}
+
+// A sound request that is in flight at unrelated crashes, and answered between them at one entry, must not be quarantined by another entry
+// that knows the crashes only.
+func TestAnswersCountAtOtherProcesses(t *testing.T) {
+	a, b := quarantine.NewTable(), quarantine.NewTable()
+	for upstream := range uint32(20) {
+		at := start.Add(time.Duration(upstream) * 10 * time.Second)
+		require.False(t, a.Crashed(at, crasher, upstream, at))
+		require.Empty(t, sendReports(at.Add(time.Second), a, b))
+		a.Answered(at.Add(2*time.Second), crasher)
+		require.Empty(t, sendReports(at.Add(3*time.Second), a, b))
+	}
+	require.Empty(t, b.RecentCrashes(start.Add(200*time.Second), crasher))
+}
+
+// Many sound requests that were in flight at crashes must not displace one that has crashed several upstreams.
+func TestFullTableKeepsRequestsWithSeveralCrashes(t *testing.T) {
+	table := quarantine.NewTable()
+	table.Crashed(start, crasher, 1, start)
+	table.Crashed(start, crasher, 2, start)
+	for fingerprint := range uint64(5000) {
+		table.Crashed(start.Add(time.Second), 1000+fingerprint, 3, start.Add(time.Second))
+	}
+	require.Len(t, table.RecentCrashes(start.Add(time.Second), crasher), 2)
+}
+
 // There are more quarantined requests and requests with crashes than one call of Reports returns. The rest must follow with later calls.
 // If everything beyond a fixed number such as 32 were dropped, other processes would never learn of it.
 func TestReportsRotateThroughAllRequests(t *testing.T) {
--- a/internal/core/quarantine/report.go
+++ b/internal/core/quarantine/report.go
@@ -7,14 +7,16 @@
 )
 
 const (
-	// maxQuarantined, maxRepeated and maxSingle bound how many reports of each kind are sent at once: those of quarantined requests, of
-	// requests with several crashes, and of requests with one. Together they take less than 2 kB of the 4 kB that a datagram may have.
+	// maxQuarantined, maxRepeated, maxSingle and maxAnswered bound how many reports of each kind are sent at once: those of quarantined
+	// requests, of requests with several crashes, of requests with one, and of requests that were answered since their crashes. Together they take less than 2 kB of the 4 kB that a datagram may have.
 	// Each kind has its own bound, so that none displaces the others. There may be many quarantined requests, even of a single client
 	// account. Each crash yields a dozen or more requests with a single crash, nearly all of which are innocent.
 	maxQuarantined = 16
 	maxRepeated    = 6
 	maxSingle      = 6
-	// singleCrashAge is how long a request with a single crash is reported: three times at one report a second.
+	maxAnswered    = 6
+	// singleCrashAge is how long a request with a single crash, or an answer to one with crashes, is reported: three times at one report a
+	// second.
 	singleCrashAge = 3 * time.Second
 )
 
@@ -25,6 +27,8 @@
 	RemainingMS int64 `json:"h,omitempty"`
 	// Crashes lists the upstream instances that crashed under the request; empty while the request is quarantined.
 	Crashes []Crash `json:"c,omitempty"`
+	// AnsweredMS is the time since the request was answered completely, in milliseconds, at least 1; 0 if it was not answered lately.
+	AnsweredMS int64 `json:"n,omitempty"`
 }
 
 // Crash is the crash of an upstream instance under a request.
@@ -50,6 +54,9 @@
 	if report.RemainingMS > 0 {
 		return t.Quarantine(now, report.Fingerprint, time.Duration(report.RemainingMS)*time.Millisecond)
 	}
+	if r := t.records[report.Fingerprint]; r != nil && report.AnsweredMS > 0 {
+		t.answeredAt(r, now.Add(-time.Duration(report.AnsweredMS)*time.Millisecond))
+	}
 	quarantined := false
 	for _, c := range report.Crashes {
 		age := time.Duration(c.AgeMS) * time.Millisecond
@@ -64,7 +71,7 @@
 // Reports returns the reports to send to other processes: the quarantined requests and those with recent crashes. Reports that exceed the
 // bound of their kind are returned by later calls, in rotation.
 func (t *Table) Reports(now time.Time) []Report {
-	var quarantined, repeated, single []Report
+	var quarantined, repeated, single, answered []Report
 	for fingerprint, r := range t.records {
 		if remaining := r.quarantinedUntil.Sub(now); remaining >= minReported {
 			quarantined = append(quarantined, Report{Fingerprint: fingerprint, RemainingMS: remaining.Milliseconds()})
@@ -72,6 +79,9 @@
 		}
 		switch crashes := r.reportedCrashes(now); len(crashes) {
 		case 0:
+			if age := now.Sub(r.answered); age <= singleCrashAge {
+				answered = append(answered, Report{Fingerprint: fingerprint, AnsweredMS: max(1, age.Milliseconds())})
+			}
 		case 1:
 			single = append(single, Report{Fingerprint: fingerprint, Crashes: crashes})
 		default:
@@ -80,6 +90,7 @@
 	}
 	list := append(t.rotate(quarantined, maxQuarantined), t.rotate(repeated, maxRepeated)...)
 	list = append(list, t.rotate(single, maxSingle)...)
+	list = append(list, t.rotate(answered, maxAnswered)...)
 	t.round++
 	return list
 }
