storewatch: a call lost in a silence of the store is sent again once the store answers

Cause: a watch of versions waited for 5 s, and one that was sent to a silent store was given up 5.6 s later, long after the store was back; the version that was named meanwhile was learned of by then, and its age counted from there. Class: a lost call is noticed by its own time limit only.

Change: followers of one store tell each other that it answers again after a failed call, and send the calls that wait again. Versions are watched for two seconds at a time like all other kinds, so that a lost call is noticed within contactMs although no other call failed.

Not done: a version's age still counts from when it is learned of, now within three seconds of the store's return; an age taken from the last answer would hold versions too short by up to as much.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -11,7 +11,7 @@
 
 // followStore watches the manifest, the upstreams, the versions and the evacuations in the store.
 func (g *Gateway) followStore(ctx context.Context) {
-	watch := storewatch.Decoder{Step: func(ev step.Event) { g.handleStoreEvent(ctx, ev) }, Log: g.log}
+	watch := storewatch.NewDecoder(func(ev step.Event) { g.handleStoreEvent(ctx, ev) }, g.log)
 	kinds := []string{platform.ConfigKind, platform.ServerKind, platform.VersionKind}
 	if g.catalog.FollowsEvacuations {
 		kinds = append(kinds, platform.EvacuationKind)
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -336,7 +336,7 @@
 
 // followStore reads the configuration manifest, the upstreams and the versions from the store.
 func (a *Agent) followStore(ctx context.Context) {
-	watch := storewatch.Decoder{Step: a.Step, Log: a.log}
+	watch := storewatch.NewDecoder(a.Step, a.log)
 	for kind, interval := range map[string]time.Duration{
 		platform.ConfigKind: configPollInterval, platform.ServerKind: upstreamPollInterval, platform.VersionKind: versionPollInterval,
 	} {
--- a/internal/storewatch/events.go
+++ b/internal/storewatch/events.go
@@ -20,22 +20,28 @@
 	Step func(step.Event)
 	Log  zerolog.Logger
 
+	// recovery is shared by the followers.
+	recovery *recovery
 	// loggedRevisions holds the revision at which an object was last logged as malformed, by its name. Every list contains
 	// the object again, which must not be logged again.
 	loggedRevisions map[string]storerev.Revision
 }
 
+// NewDecoder returns a decoder that passes events to step. All its followers must follow the same store.
+func NewDecoder(step func(step.Event), log zerolog.Logger) Decoder {
+	return Decoder{Step: step, Log: log, recovery: newRecovery()}
+}
+
 // Follower returns a follower of a kind that passes the kind's events to Step.
 func (d Decoder) Follower(store Store, kind string) *Follower {
 	d.loggedRevisions = map[string]storerev.Revision{}
-	f := &Follower{Store: store, Kind: kind, Wait: shortWait, Log: d.Log, OnResponse: func() { d.Step(catalog.StoreAnswered{}) }, OnFailure: func() { d.Step(catalog.StoreFailed{}) }}
+	f := &Follower{Store: store, Kind: kind, Wait: maxWait, Log: d.Log, recovery: d.recovery, OnResponse: func() { d.Step(catalog.StoreAnswered{}) }, OnFailure: func() { d.Step(catalog.StoreFailed{}) }}
 	switch kind {
 	case platform.ConfigKind:
 		f.OnList, f.OnChanges = func(_ storerev.Revision, o []platform.Object) { d.manifestsChanged(o) }, d.manifestsChanged
 	case platform.ServerKind:
 		f.OnList, f.OnChanges = d.upstreamsListed, d.upstreamsChanged
 	case platform.VersionKind:
-		f.Wait = longWait
 		f.OnList, f.OnChanges = d.versionsListed, d.versionsChanged
 	case platform.EvacuationKind:
 		f.OnList, f.OnChanges = d.evacuationsListed, d.evacuationsChanged
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -18,12 +18,9 @@
 )
 
 const (
-	// shortWait is how long one call waits for a change of a kind whose changes must be in force within 2 seconds. Including
-	// the additional time that the client allows, a call takes less than 3 seconds. Within that time, a connection that has
-	// failed without an error must be detected.
-	shortWait = 2 * time.Second
-	// longWait is the same wait for versions. They must be in force within 8 seconds, and other processes report them too.
-	longWait = 5 * time.Second
+	// maxWait is how long one call waits for a change. Including the additional time that the client allows, a call takes less than 3
+	// seconds. Within that time, a connection that has failed without an error must be detected.
+	maxWait = 2 * time.Second
 	// minCallInterval is the minimum time between two calls to the store. Changes are batched meanwhile: each call has a
 	// cost, and many upstreams join or leave at about the same time. It is a quarter of the time within which a draining
 	// upstream must stop receiving requests.
@@ -57,6 +54,8 @@
 	OnResponse, OnFailure func()
 	Log                   zerolog.Logger
 
+	// recovery is shared with the other followers of the store; nil if there are none.
+	recovery *recovery
 	// lost is set while calls fail.
 	lost bool
 	// polledRevision is the revision of the last successful poll.
@@ -69,7 +68,10 @@
 	var revision storerev.Revision
 	for ctx.Err() == nil {
 		startedAt := time.Now()
-		next, err := f.read(ctx, revision)
+		next, err := f.readUntilRecovery(ctx, revision)
+		if errors.Is(err, errStoreRecovered) {
+			continue
+		}
 		if err == nil {
 			f.recordSuccess()
 			revision, retryDelay = next, initialRetryDelay
@@ -143,6 +145,25 @@
 	return minCallInterval
 }
 
+// readUntilRecovery is like read, and returns errStoreRecovered if the store answered another follower after a failure while the call waited.
+func (f *Follower) readUntilRecovery(ctx context.Context, revision storerev.Revision) (storerev.Revision, error) {
+	if f.recovery == nil {
+		return f.read(ctx, revision)
+	}
+	callCtx, end := f.recovery.begin(ctx)
+	defer end()
+	next, err := f.read(callCtx, revision)
+	switch {
+	case err == nil || errors.Is(err, platform.ErrCompacted):
+		f.recovery.callAnswered()
+	case errors.Is(context.Cause(callCtx), errStoreRecovered):
+		err = errStoreRecovered
+	default:
+		f.recovery.callFailed()
+	}
+	return next, err
+}
+
 // read makes one call and returns the revision for the next one. The zero revision lists the kind.
 func (f *Follower) read(ctx context.Context, revision storerev.Revision) (storerev.Revision, error) {
 	if revision.IsStart() {
