gateway: an answer beyond the limit is not cut and passed on as complete

What callers saw: of an answer of over 16 MiB the first 16 MiB, as a success with the upstream's seal and a length of 16 MiB.

Cause: a limited reader ends at its limit as at the end of the answer.

Evidence: TestTooLargeResponseIsNotCut failed before for 16 MiB + 1 byte and passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,6 +24,9 @@
 // maxBufferedResponse is the size limit, in bytes, of a response that is buffered completely before it is passed on.
 const maxBufferedResponse = 16 << 20
 
+// errResponseTooLarge ends an attempt whose response exceeds maxBufferedResponse.
+var errResponseTooLarge = errors.Errorf("the response exceeds %d bytes", maxBufferedResponse)
+
 // errUpstreamTimeout ends an attempt whose upstream was silent for the attempt's timeout.
 var errUpstreamTimeout = errors.New("timed out waiting for data from the upstream")
 
@@ -324,8 +327,14 @@
 	return &response{status: resp.StatusCode, header: header, body: body}, nil
 }
 
+// readAll reads a complete response. It returns errResponseTooLarge for one that exceeds the limit, so that a part of it is never taken for
+// the whole.
 func (a *attempt) readAll(ctx context.Context, resp *http.Response) ([]byte, error) {
-	return io.ReadAll(accountedResponse(ctx, io.LimitReader(resp.Body, maxBufferedResponse), a.x.reservation))
+	body, err := io.ReadAll(accountedResponse(ctx, io.LimitReader(resp.Body, maxBufferedResponse+1), a.x.reservation))
+	if err == nil && len(body) > maxBufferedResponse {
+		return nil, errResponseTooLarge
+	}
+	return body, err
 }
 
 // readStream reads a stream to its end as fast as it arrives, however slowly the caller reads. It stops when the attempt's context ends, since
