--- a/internal/agent/interceptor_test.go
+++ b/internal/agent/interceptor_test.go
@@ -24,7 +24,7 @@
 	disarmed atomic.Bool
 }
 
-func newInterceptor(t *testing.T, handle func(*interceptedTransport, *http.Request) (*http.Response, error)) *interceptor {
+func newInterceptor(t testing.TB, handle func(*interceptedTransport, *http.Request) (*http.Response, error)) *interceptor {
 	g := &interceptor{handle: handle, reached: make(chan struct{}), opened: make(chan struct{}), passed: make(chan struct{})}
 	t.Cleanup(g.release)
 	return g
--- a/internal/agent/orders_paused_test.go
+++ b/internal/agent/orders_paused_test.go
@@ -15,6 +15,7 @@
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core"
 	"samphireweir.example/samphireweir/internal/core/member"
+	"samphireweir.example/samphireweir/internal/core/rollout"
 	"samphireweir.example/samphireweir/internal/core/run"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/frame"
@@ -107,25 +108,33 @@
 	})
 }
 
+// replaceAgentPausedInOrder pauses an agent within its first order, has another one load a newer version in its place, and lets the first one go
+// on. before is the engine's state with the newer version.
+func (b *testEnv) replaceAgentPausedInOrder(handle func(*interceptedTransport, *http.Request) (*http.Response, error)) (old, next *testAgent, before rollout.Upstream) {
+	b.t.Helper()
+	b.apply("v1")
+	g := newInterceptor(b.t, handle)
+	old = b.agent("host-1", []string{"e1"}, g.install)
+	<-g.reached
+	resume := old.pause()
+	v2 := b.apply("v2")
+	next = b.agent("host-1", []string{"e1"})
+	before = next.awaitServing("e1", v2)
+	g.release()
+	resume()
+	<-g.passed
+	b.await(old.superseded, "the old agent knows that it was replaced")
+	return old, next, before
+}
+
 // TestOrderOfReplacedAgentHasNoEffect guards against an order that a paused agent sends after its replacement serves. The
 // engine refuses it, or the former agent aborts it because its lease has expired. The engine keeps the weights that the
 // replacement ordered.
 func TestOrderOfReplacedAgentHasNoEffect(t *testing.T) {
 	forEachFencing(t, func(t *testing.T, f setting.Fencing) {
 		b := newTestEnv(t, f, "e1")
-		b.apply("v1")
-		g := newInterceptor(t, delayBeforeSend)
-		old := b.agent("host-1", []string{"e1"}, g.install)
-		<-g.reached
-		resume := old.pause()
-		v2 := b.apply("v2")
-		next := b.agent("host-1", []string{"e1"})
-		before := next.awaitServing("e1", v2)
-		g.release()
-		resume()
-		<-g.passed
-		b.await(old.superseded, "the old agent knows that it was replaced")
-		after := next.awaitServing("e1", v2)
+		old, next, before := b.replaceAgentPausedInOrder(delayBeforeSend)
+		after := next.awaitServing("e1", before.Digest)
 		require.Equal(t, before.Generation, after.Generation)
 		require.Equal(t, 1, b.completedLoads("e1"))
 		for _, e := range b.loads() {
@@ -207,20 +216,9 @@
 func TestAgentPausedMidOrderChangesNothing(t *testing.T) {
 	forEachFencing(t, func(t *testing.T, f setting.Fencing) {
 		b := newTestEnv(t, f, "e1")
-		b.apply("v1")
-		g := newInterceptor(t, delayMidBody)
-		old := b.agent("host-1", []string{"e1"}, g.install)
-		<-g.reached
-		resume := old.pause()
-		v2 := b.apply("v2")
-		next := b.agent("host-1", []string{"e1"})
-		before := next.awaitServing("e1", v2)
-		g.release()
-		resume()
-		<-g.passed
-		b.await(old.superseded, "the old agent knows that it was replaced")
-		require.Equal(t, before.Generation, next.awaitServing("e1", v2).Generation)
-		require.Equal(t, v2, b.state("e1").Digest)
+		_, next, before := b.replaceAgentPausedInOrder(delayMidBody)
+		require.Equal(t, before.Generation, next.awaitServing("e1", before.Digest).Generation)
+		require.Equal(t, before.Digest, b.state("e1").Digest)
 		b.checkEngineLog("v2")
 	})
 }
--- a/internal/gateway/silent_upstream_test.go
+++ b/internal/gateway/silent_upstream_test.go
@@ -99,25 +99,32 @@
 	}
 }
 
+// postAtEngineThatFallsSilent sends a stream to an entry with two engines, one of which falls silent with it. It returns the other engine once
+// that has happened.
+func postAtEngineThatFallsSilent(t *testing.T, fault standin.Fault, silence time.Duration) (other *standin.Upstream, replies <-chan standin.Reply) {
+	t.Helper()
+	fleet := standin.NewFleet(t)
+	first, second := fleet.AddEngine("i-1", standin.NextIP(), 1), fleet.AddEngine("i-2", standin.NextIP(), 1)
+	e := start(t, fleet)
+	fleet.Faults.Silence = silence
+	fleet.Faults.Next(fault)
+	reply := make(chan standin.Reply, 1)
+	go func() { reply <- e.Post("/stream/1") }()
+	require.Eventually(t, func() bool { return first.Silent() || second.Silent() }, testTimeout, time.Millisecond)
+	if first.Silent() {
+		return second, reply
+	}
+	return first, reply
+}
+
 // TestStreamOutlastsSilenceOfAllEngines guards against streams that are cut because their engine is silent while the other one is silent too.
 func TestStreamOutlastsSilenceOfAllEngines(t *testing.T) {
 	t.Parallel()
 	for _, c := range streamSilences {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			fleet := standin.NewFleet(t)
-			engines := []*standin.Upstream{fleet.AddEngine("i-1", standin.NextIP(), 1), fleet.AddEngine("i-2", standin.NextIP(), 1)}
-			e := start(t, fleet)
-			fleet.Faults.Silence = c.silence
-			fleet.Faults.Next(c.fault)
-			replies := make(chan standin.Reply, 1)
-			go func() { replies <- e.Post("/stream/1") }()
-			require.Eventually(t, func() bool { return engines[0].Silent() || engines[1].Silent() }, testTimeout, time.Millisecond)
-			for _, engine := range engines {
-				if !engine.Silent() {
-					engine.FallSilent(c.silence)
-				}
-			}
+			other, replies := postAtEngineThatFallsSilent(t, c.fault, c.silence)
+			other.FallSilent(c.silence)
 			requireWhole(t, <-replies)
 		})
 	}
@@ -132,18 +139,7 @@
 	for _, c := range streamSilences {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			fleet := standin.NewFleet(t)
-			engines := []*standin.Upstream{fleet.AddEngine("i-1", standin.NextIP(), 1), fleet.AddEngine("i-2", standin.NextIP(), 1)}
-			e := start(t, fleet)
-			fleet.Faults.Silence = c.silence
-			fleet.Faults.Next(c.fault)
-			replies := make(chan standin.Reply, 1)
-			go func() { replies <- e.Post("/stream/1") }()
-			require.Eventually(t, func() bool { return engines[0].Silent() || engines[1].Silent() }, testTimeout, time.Millisecond)
-			other := engines[0]
-			if other.Silent() {
-				other = engines[1]
-			}
+			other, replies := postAtEngineThatFallsSilent(t, c.fault, c.silence)
 			time.Sleep(c.silence - overlap)
 			other.FallSilent(c.silence)
 			requireWhole(t, <-replies)
