--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -151,7 +151,9 @@
 			worst, found = fingerprint, true
 		}
 	}
-	delete(t.records, worst)
+	if found {
+		delete(t.records, worst)
+	}
 	return found
 }
 
