--- a/internal/core/quarantine/report.go
+++ b/internal/core/quarantine/report.go
@@ -8,9 +8,10 @@
 
 const (
 	// maxQuarantined, maxRepeated, maxSingle and maxAnswered bound how many reports of each kind are sent at once: those of quarantined
-	// requests, of requests with several crashes, of requests with one, and of requests that were answered since their crashes. Together they take less than 2 kB of the 4 kB that a datagram may have.
-	// Each kind has its own bound, so that none displaces the others. There may be many quarantined requests, even of a single client
-	// account. Each crash yields a dozen or more requests with a single crash, nearly all of which are innocent.
+	// requests, of requests with several crashes, of requests with one, and of requests that were answered since their crashes. Together
+	// they take less than 2 kB of the 4 kB that a datagram may have. Each kind has its own bound, so that none displaces the others. There
+	// may be many quarantined requests, even of a single client account. Each crash yields a dozen or more requests with a single crash,
+	// nearly all of which are innocent.
 	maxQuarantined = 16
 	maxRepeated    = 6
 	maxSingle      = 6
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -70,8 +70,8 @@
 	since  time.Time
 }
 
-// Open returns an empty reservation for a request of an owner, which sends its body; owner is any key that distinguishes callers. If the reservation is
-// evicted to free memory for others, evict is called once. It runs with the budget's lock held and must not block.
+// Open returns an empty reservation for a request of an owner, which sends its body; owner is any key that distinguishes callers. If the
+// reservation is evicted to free memory for others, evict is called once. It runs with the budget's lock held and must not block.
 func (b *Budget) Open(owner string, evict func()) *Reservation {
 	r := &Reservation{budget: b, owner: owner, evict: evict, caller: wait{active: true, since: b.now()}}
 	b.mu.Lock()
