--- a/internal/core/forward/quarantine_test.go
+++ b/internal/core/forward/quarantine_test.go
@@ -364,7 +364,8 @@
 			sent = sentAttempts(r.step(forward.AttemptEnded{ID: id, Outcome: forward.Broken}))
 			r.register(at, 1+restarts[at])
 		}
-		for end := r.now + pause; r.now < end; r.now += 3 * time.Second {
+		for end := r.now + pause; r.now < end; {
+			r.now = min(end, r.now+3*time.Second)
 			r.step(step.Tick{})
 		}
 	}
