catalog, storewatch: what the calls to the store prove about the age of a version is kept and logged

New event 2014 names, per process and version: the way (watch, list or report), the counted age, whether it is assumed, how long ago the store last proved that the version was not active, and how long ago a call was sent that the store did not answer. New histogram samphireweir_version_age_seconds. Nothing is decided by it yet.

--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -61,6 +61,8 @@
 	graceUntil   time.Time
 	// eras holds what is to be settled after the store was restored.
 	eras eras
+	// reads holds what the calls to the store prove.
+	reads reads
 }
 
 // Topic is a kind of object that is followed in the store.
@@ -85,24 +87,12 @@
 // TopicListed reports that all objects of a topic were read.
 type TopicListed struct{ Topic Topic }
 
-// StoreAnswered reports that the store answered a call.
-type StoreAnswered struct{}
-
-// StoreFailed reports that a call to the store failed.
-type StoreFailed struct{}
-
 // Event marks the type as an event.
 func (ManifestRead) Event() {}
 
 // Event marks the type as an event.
 func (TopicListed) Event() {}
 
-// Event marks the type as an event.
-func (StoreAnswered) Event() {}
-
-// Event marks the type as an event.
-func (StoreFailed) Event() {}
-
 // StateChanged has the shell log a change of the known state.
 type StateChanged struct {
 	// Topic is the kind of object that changed.
@@ -158,11 +148,15 @@
 func (s *State) handle(in step.Input) []step.Effect {
 	switch ev := in.Event.(type) {
 	case StoreAnswered:
+		s.reads.answered(in.Now, ev)
 		s.storeAnswered(in.Now)
 	case StoreFailed:
+		s.reads.failed(ev)
 		if s.failingSince.IsZero() {
 			s.failingSince = in.Now
 		}
+	case StoreHistoryGone:
+		s.reads.broken = true
 	case TopicListed:
 		s.listed[ev.Topic] = true
 	case ManifestRead:
--- a/internal/core/catalog/catalog_test.go
+++ b/internal/core/catalog/catalog_test.go
@@ -216,7 +216,7 @@
 func TestKnownAgeReplacesAnAssumedOne(t *testing.T) {
 	s := catalog.NewState()
 	s.ListedActivatedAt = begin.Add(-5 * time.Second)
-	found := catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 9}, Listed: true}
+	found := catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 9}, Way: catalog.Listed}
 	age := func() time.Duration { return begin.Sub(s.Versions["m"].ActivatedAt) }
 	discovered := s.Reduce(at(0, found))
 	require.Len(t, discovered, 2)
@@ -248,9 +248,9 @@
 func TestVersionFirstSeenInALaterListIsAssumedNew(t *testing.T) {
 	s := catalog.NewState()
 	s.ListedActivatedAt = begin.Add(-5 * time.Second)
-	s.Reduce(at(0, catalog.VersionActivated{Model: "m", Version: 1, Revision: storerev.Revision{Number: 3}, Listed: true}))
+	s.Reduce(at(0, catalog.VersionActivated{Model: "m", Version: 1, Revision: storerev.Revision{Number: 3}, Way: catalog.Listed}))
 	s.Reduce(at(0, catalog.TopicListed{Topic: catalog.VersionTopic}))
-	s.Reduce(at(2*time.Second, catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 9}, Listed: true}))
+	s.Reduce(at(2*time.Second, catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 9}, Way: catalog.Listed}))
 	require.Equal(t, begin.Add(2*time.Second), s.Versions["m"].ActivatedAt)
 	s.Reduce(at(3*time.Second, activated(6*time.Second, true)))
 	require.Equal(t, begin.Add(-3*time.Second), s.Versions["m"].ActivatedAt, "the older assumed age, which others reported, wins")
--- a/internal/core/catalog/version.go
+++ b/internal/core/catalog/version.go
@@ -26,6 +26,31 @@
 	// Assumed is set while ActivatedAt is an assumption: the version was found in a list, and no process that received the
 	// activation has reported its age.
 	Assumed bool
+	// Receipt is how this process received the activation. It is not reported to other processes.
+	Receipt Receipt
+}
+
+// Way is how a process received an activation.
+type Way string
+
+// The ways. The zero value stands for a report of another process.
+const (
+	// Reported is a report of another process.
+	Reported Way = ""
+	// Watched is a change, as an answer to a watch tells it.
+	Watched Way = "watch"
+	// Listed is a list of all versions, which has no activation times. Processes list repeatedly, and a list doesn't change what is known
+	// about a known version.
+	Listed Way = "list"
+)
+
+// Receipt is how and when a process received an activation, and what it knew of the store then.
+type Receipt struct {
+	Way Way
+	At  time.Time
+	// ProvenAt is the latest time at which the version is proven not to have been active, and LostAt the latest time after which the store
+	// is known to have been disturbed. Zero if there is none.
+	ProvenAt, LostAt time.Time
 }
 
 // VersionActivated reports that a version of weights is active according to the store or to another process.
@@ -33,13 +58,11 @@
 	Model    string
 	Version  int64
 	Revision storerev.Revision
+	Way      Way
 	// Age is the minimum time since the activation, as reported by another process. Assumed is set when that
 	// process only assumes the age.
 	Age     time.Duration
 	Assumed bool
-	// Listed is set when the version was found in a list of all versions, which has no activation times. Processes list
-	// repeatedly, and a list doesn't change what is known about a known version.
-	Listed bool
 }
 
 // Event marks the type as an event.
@@ -60,13 +83,7 @@
 )
 
 func (s *State) versionActivated(now time.Time, ev VersionActivated) []step.Effect {
-	activation := Activation{Model: ev.Model, Version: ev.Version, Revision: ev.Revision, ActivatedAt: now.Add(-ev.Age), Assumed: ev.Assumed}
-	if ev.Listed {
-		activation.Assumed = true
-	}
-	if ev.Listed && !s.listed[VersionTopic] && s.ListedActivatedAt.Before(now) && !s.ListedActivatedAt.IsZero() {
-		activation.ActivatedAt = s.ListedActivatedAt
-	}
+	activation := s.activation(now, ev)
 	effects := s.record(&activation)
 	known, ok := s.Versions[ev.Model]
 	if ok && ev.Version < known.Version {
@@ -80,6 +97,24 @@
 	return append([]step.Effect{change}, effects...)
 }
 
+// activation returns the activation that an event reports.
+func (s *State) activation(now time.Time, ev VersionActivated) Activation {
+	a := Activation{
+		Model: ev.Model, Version: ev.Version, Revision: ev.Revision, ActivatedAt: now.Add(-ev.Age),
+		Receipt: Receipt{Way: ev.Way, At: now, ProvenAt: s.reads.lastProof(ev.Revision), LostAt: s.reads.lostAt},
+	}
+	switch ev.Way {
+	case Reported:
+		a.Assumed = ev.Assumed
+	case Listed:
+		a.Assumed = true
+		if !s.listed[VersionTopic] && s.ListedActivatedAt.Before(now) && !s.ListedActivatedAt.IsZero() {
+			a.ActivatedAt = s.ListedActivatedAt
+		}
+	}
+	return a
+}
+
 // record stores an activation, or merges it with the known activation of the same version. It updates n in place: afterwards n is the
 // better of the two.
 func (s *State) record(n *Activation) []step.Effect {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -18,7 +18,7 @@
 	}
 	for _, kind := range kinds {
 		follower := watch.Follower(g.store, kind)
-		follower.ReadsFromPeer = g.store.ReadsFromPeer
+		follower.ReadsFromPeer, follower.LastRead = g.store.ReadsFromPeer, g.store.LastRead
 		go follower.Run(ctx)
 	}
 }
--- a/internal/gateway/superseded_test.go
+++ b/internal/gateway/superseded_test.go
@@ -39,7 +39,7 @@
 func TestStartingEntryAssumesAgeOfListedVersion(t *testing.T) {
 	host := hostconfig.Host{Name: "a", IP: "127.0.0.1", PeerPort: 7700, DataCentre: "perth-a", VersionLifetime: 8 * time.Hour, SettleTime: 3 * time.Hour}
 	starting := gateway.New(host, zerolog.Nop(), telemetry.NewMetrics(), nil)
-	starting.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 60}, Listed: true})
+	starting.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 60}, Way: catalog.Listed})
 	require.Zero(t, starting.RequiredVersion("m", 2*time.Hour, host.VersionLifetime))
 	require.Equal(t, int64(2), starting.RequiredVersion("m", 3*time.Hour, host.VersionLifetime))
 	reported := starting.Heartbeat().Activations
--- a/internal/hostagent/age_test.go
+++ b/internal/hostagent/age_test.go
@@ -101,7 +101,7 @@
 	a := hostagent.New(hostconfig.Host{
 		Name: "a", IP: "127.0.0.1", PeerPort: 7700, VersionLifetime: 8 * time.Hour, SettleTime: 3 * time.Hour, MemoryBytes: 64 << 20, LinkBytesPerSecond: 1 << 20,
 	}, zerolog.Nop(), telemetry.NewMetrics(), nil)
-	a.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 60}, Listed: true})
+	a.Step(catalog.VersionActivated{Model: "m", Version: 2, Revision: storerev.Revision{Number: 60}, Way: catalog.Listed})
 	versions := a.ActiveVersions()
 	require.Len(t, versions, 1)
 	require.True(t, versions[0].Assumed)
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -32,6 +32,7 @@
 	UpstreamNotice         ID = 2011
 	ManifestIgnored        ID = 2012
 	StoreRestored          ID = 2013
+	VersionReceived        ID = 2014
 	BalanceChanged         ID = 2020
 	DemandDropped          ID = 2021
 	ManifestFieldKept      ID = 2022
@@ -107,6 +108,7 @@
 	{UpstreamNotice, "upstream notice changed", "The notice in an upstream's answer head differs from the previous one. limited: it accepts rate_limit requests per second from all entries together; garbled: its limit is malformed; leaving: it is shutting down; retry_after_ms: the backoff in milliseconds that it requests from this entry."},
 	{ManifestIgnored, "manifest ignored", "A manifest was read and not put in force, because it is older than the one in force: version, era and revision are its own, in_force, in_force_era and in_force_revision those of the one in force. Expected for a slow read, and after a restore of the store until the operator's manifest is written again. If it is not, write a manifest with a version above in_force."},
 	{StoreRestored, "store restored", "The platform's store came back from a copy: era is the number of its new era, known_era and known_revision the last that were known. What was written last may be missing until operators and upstreams write it again."},
+	{VersionReceived, "version received", "The process received the activation of a version of weights, or a better age of it: way is watch, list or report (of another process), revision is the store's at which it was written. The version counts as age_ms old; assumed is set if that is not its known age but the greatest that what the process knows allows. proven_ms is how long ago the store last proved that the version was not active, lost_ms how long ago a call was sent that the store did not answer although it had to."},
 	{BalanceChanged, "balance changed", "The entry's plan across data centres changed, because of homes or an evacuation. plan is what part of this data centre's requests is tried first where, by their homes; demand and supply are its inputs in seconds of a slot per second, age_ms the age of the oldest demand. At most one line is written in 5 s. See docs/operators/evacuations.md."},
 	{DemandDropped, "demand dropped", "Messages about the demand of data centres were malformed, older than one received before, of an unknown engine or of a data centre that the settings don't name, and were not used; the field count counts them since the last such line."},
 	{ManifestFieldKept, "manifest field kept", "A manifest in the store has an invalid value in the field named. The last good value stays in force, or the nearest valid one if there was none (value); the rest of the manifest is applied. Correct the manifest; samphireweir check names the field too."},
--- a/internal/storefeed/reader.go
+++ b/internal/storefeed/reader.go
@@ -10,6 +10,7 @@
 
 	"samphireweir.example/samphireweir/internal/control"
 	"samphireweir.example/samphireweir/internal/core/storerev"
+	"samphireweir.example/samphireweir/internal/storewatch"
 	"samphireweir.example/samphireweir/platform"
 )
 
@@ -141,6 +142,33 @@
 	staleSince time.Time
 	// latest is the start of the latest era of which a list told.
 	latest storerev.Revision
+	// lastReads describes the last read of each kind.
+	lastReads map[string]storewatch.ReadInfo
+}
+
+// LastRead describes the last read of a kind. Each kind is read by one follower, one call after the other.
+func (r *Reader) LastRead(kind string) storewatch.ReadInfo {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lastReads[kind]
+}
+
+func (r *Reader) setLastRead(kind string, info storewatch.ReadInfo) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lastReads == nil {
+		r.lastReads = map[string]storewatch.ReadInfo{}
+	}
+	r.lastReads[kind] = info
+}
+
+// peerCallTime is how long a peer's call to the store takes at most. What a peer has, the store answered that long after the call was sent,
+// or sooner.
+func (r *Reader) peerCallTime() time.Duration {
+	if r.Cache == nil {
+		return defaultChangeTime/storeWaitDivisor + responseSlack
+	}
+	return r.Cache.maxAge()
 }
 
 // List reads all objects of a kind. If the source changes while a list is in progress, the list is started again from the
@@ -149,6 +177,11 @@
 	r.Source.waitUntilReleased(ctx)
 	for {
 		address, listCtx, done := r.Source.beginList(ctx)
+		if address != "" {
+			r.setLastRead(kind, storewatch.ReadInfo{Age: r.peerCallTime()})
+		} else {
+			r.setLastRead(kind, storewatch.ReadInfo{})
+		}
 		objects, revision, age, err := r.list(listCtx, address, kind, allowStale)
 		sourceChanged := listCtx.Err() != nil && ctx.Err() == nil
 		done()
@@ -183,9 +216,12 @@
 // Watch waits for changes of a kind. If the peer does not respond, Watch reads the store at once. If the peer is stale and
 // another peer is available, Watch returns an error, so that the caller tries again with that one.
 func (r *Reader) Watch(ctx context.Context, kind string, since storerev.Revision, wait time.Duration) ([]platform.Object, storerev.Revision, error) {
+	info := storewatch.ReadInfo{Wait: wait}
+	defer func() { r.setLastRead(kind, info) }()
 	if address := r.Source.Address(); address != "" {
 		peerWait := min(wait, maxPeerWait)
 		objects, at, age, err := r.readPeer(ctx, address, kind, since, peerWait, peerWait+peerSlack)
+		info = storewatch.ReadInfo{Wait: peerWait, Age: age + r.peerCallTime()}
 		if err == nil {
 			r.updateCache(func(c *Cache) { c.putChanges(kind, objects, at, age) })
 		}
@@ -196,6 +232,7 @@
 		if errors.Is(err, errStale) && r.Source.Address() != "" {
 			return nil, storerev.Revision{}, err // The next peer may have recent data, and the store may refuse this process as it refuses the peer.
 		}
+		info = storewatch.ReadInfo{Rerouted: true}
 		wait = 0 // A change that the peer did not report may have been waiting in the store for a while.
 	}
 	if r.mustWait() {
@@ -203,6 +240,7 @@
 	}
 	if r.Cache != nil && r.Cache.hasReaders() {
 		wait = min(wait, r.Cache.storeWait)
+		info.Wait = wait
 	}
 	objects, at, err := r.Direct.Watch(ctx, kind, since, wait)
 	if err == nil {
--- a/internal/storewatch/events.go
+++ b/internal/storewatch/events.go
@@ -27,6 +27,12 @@
 	loggedRevisions map[string]storerev.Revision
 }
 
+// topics are the topics of the kinds of objects.
+var topics = map[string]catalog.Topic{
+	platform.ConfigKind: catalog.ManifestTopic, platform.ServerKind: catalog.UpstreamTopic, platform.VersionKind: catalog.VersionTopic,
+	platform.EvacuationKind: catalog.EvacuationTopic,
+}
+
 // NewDecoder returns a decoder that passes events to step. All its followers must follow the same store.
 func NewDecoder(step func(step.Event), log zerolog.Logger) Decoder {
 	return Decoder{Step: step, Log: log, recovery: newRecovery()}
@@ -35,7 +41,14 @@
 // Follower returns a follower of a kind that passes the kind's events to Step.
 func (d Decoder) Follower(store Store, kind string) *Follower {
 	d.loggedRevisions = map[string]storerev.Revision{}
-	f := &Follower{Store: store, Kind: kind, Wait: maxWait, Log: d.Log, recovery: d.recovery, OnResponse: func() { d.Step(catalog.StoreAnswered{}) }, OnFailure: func() { d.Step(catalog.StoreFailed{}) }}
+	f := &Follower{
+		Store: store, Kind: kind, Wait: maxWait, Log: d.Log, recovery: d.recovery,
+		OnFailure: func(ev catalog.StoreFailed) { d.Step(ev) }, OnHistoryGone: func() { d.Step(catalog.StoreHistoryGone{}) },
+	}
+	f.OnResponse = func(ev catalog.StoreAnswered) {
+		ev.Topic = topics[kind]
+		d.Step(ev)
+	}
 	switch kind {
 	case platform.ConfigKind:
 		f.OnList, f.OnChanges = func(_ storerev.Revision, o []platform.Object) { d.manifestsChanged(o) }, d.manifestsChanged
@@ -99,13 +112,13 @@
 }
 
 func (d Decoder) versionsListed(_ storerev.Revision, objects []platform.Object) {
-	d.stepVersions(objects, true)
+	d.stepVersions(objects, catalog.Listed)
 	d.Step(catalog.TopicListed{Topic: catalog.VersionTopic})
 }
 
-func (d Decoder) versionsChanged(objects []platform.Object) { d.stepVersions(objects, false) }
+func (d Decoder) versionsChanged(objects []platform.Object) { d.stepVersions(objects, catalog.Watched) }
 
-func (d Decoder) stepVersions(objects []platform.Object, listed bool) {
+func (d Decoder) stepVersions(objects []platform.Object, way catalog.Way) {
 	for _, o := range objects {
 		if o.Deleted {
 			continue
@@ -115,7 +128,7 @@
 			d.logMalformed(o, err)
 			continue
 		}
-		v.Listed = listed
+		v.Way = way
 		d.Step(v)
 	}
 }
--- a/internal/storewatch/events_test.go
+++ b/internal/storewatch/events_test.go
@@ -35,9 +35,9 @@
 		f := events.Follower(nil, platform.ServerKind)
 		f.OnList(storerev.Revision{Number: 5}, []platform.Object{object("i-1", 3, validUpstream), object("i-2", 4, validUpstream)})
 		require.Len(t, state.Upstreams, 2)
-		f.OnFailure()
+		f.OnFailure(catalog.StoreFailed{})
 		now = now.Add(4 * time.Second)
-		f.OnResponse()
+		f.OnResponse(catalog.StoreAnswered{})
 		malformed := object("i-1", 6, `{"service":7}`)
 		for range 3 {
 			if byList {
--- a/internal/storewatch/log.go
+++ b/internal/storewatch/log.go
@@ -1,6 +1,8 @@
 package storewatch
 
 import (
+	"strconv"
+
 	"github.com/rs/zerolog"
 
 	"samphireweir.example/samphireweir/internal/core/catalog"
@@ -10,7 +12,7 @@
 	"samphireweir.example/samphireweir/platform"
 )
 
-// Report logs and counts an effect of package catalog that only informs operators. It reports whether e is one.
+// Report logs and counts an effect of package catalog that informs operators. It reports whether nothing else is to be done for e.
 func Report(log zerolog.Logger, metrics *telemetry.Metrics, e step.Effect) bool {
 	switch e := e.(type) {
 	case catalog.StateChanged:
@@ -27,8 +29,30 @@
 		metrics.StoreRestores.Add(1)
 		logevent.Warn(log, logevent.StoreRestored).Int64("era", e.Era).Int64("known_era", e.Before.Era).
 			Int64("known_revision", e.Before.Number).Msg("store restored")
+	case catalog.ActivationChanged:
+		reportActivation(log, metrics, e.Activation)
+		return false // An agent acts on it as well.
 	default:
 		return false
 	}
 	return true
 }
+
+// reportActivation logs how an activation was received, from when its age is counted and what is known of the time before.
+func reportActivation(log zerolog.Logger, metrics *telemetry.Metrics, a catalog.Activation) {
+	age := a.Receipt.At.Sub(a.ActivatedAt)
+	way := a.Receipt.Way
+	if way == catalog.Reported {
+		way = "report"
+	}
+	metrics.VersionAge.Observe(age, string(way), strconv.FormatBool(a.Assumed))
+	line := logevent.Info(log, logevent.VersionReceived).Str("of", a.Model).Int64("version", a.Version).Str("way", string(way)).
+		Int64("era", a.Revision.Era).Int64("revision", a.Revision.Number).Int64("age_ms", age.Milliseconds()).Bool("assumed", a.Assumed)
+	if !a.Receipt.ProvenAt.IsZero() {
+		line.Int64("proven_ms", a.Receipt.At.Sub(a.Receipt.ProvenAt).Milliseconds())
+	}
+	if !a.Receipt.LostAt.IsZero() {
+		line.Int64("lost_ms", a.Receipt.At.Sub(a.Receipt.LostAt).Milliseconds())
+	}
+	line.Msg("version received")
+}
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/logevent"
 	"samphireweir.example/samphireweir/internal/periodic"
@@ -30,6 +31,11 @@
 	// initialRetryDelay and maxRetryDelay bound the delay after a failed call. It doubles with each failure.
 	initialRetryDelay = 100 * time.Millisecond
 	maxRetryDelay     = 500 * time.Millisecond
+	// maxAnswerDelay is how much longer than a call waits its answer may take if nothing disturbs the store or the path to it. With maxWait
+	// it is less than the time after which the platform expects a process to be up to date.
+	maxAnswerDelay = 600 * time.Millisecond
+	// maxDeafTime is how long watches may miss changes that are made, before the store drops its history and the watches must begin anew.
+	maxDeafTime = time.Second
 )
 
 // Store is the store that a follower reads, directly or through a peer.
@@ -50,9 +56,14 @@
 	// ReadsFromPeer reports whether the store is read through a peer; such calls cost nothing at the store. Nil means that it
 	// is not.
 	ReadsFromPeer func() bool
-	// OnResponse is called before the objects of each response are delivered, OnFailure after each failed call.
-	OnResponse, OnFailure func()
-	Log                   zerolog.Logger
+	// LastRead returns what is to be known of the last read of a kind; nil if all reads are of the store itself.
+	LastRead func(kind string) ReadInfo
+	// OnResponse is called before the objects of each response are delivered, OnFailure after each failed call, OnHistoryGone when the store
+	// must be listed again.
+	OnResponse    func(catalog.StoreAnswered)
+	OnFailure     func(catalog.StoreFailed)
+	OnHistoryGone func()
+	Log           zerolog.Logger
 
 	// recovery is shared with the other followers of the store; nil if there are none.
 	recovery *recovery
@@ -62,20 +73,39 @@
 	polledRevision storerev.Revision
 }
 
+// ReadInfo is what is to be known of a read that may have been made through a peer.
+type ReadInfo struct {
+	// Wait is how long the source waited for a change before it answered that there was none.
+	Wait time.Duration
+	// Age is how long before the read the store may have answered.
+	Age time.Duration
+	// Rerouted is set if another source had not answered the read before.
+	Rerouted bool
+}
+
+// call is a call to the store.
+type call struct {
+	startedAt time.Time
+	// revision is the one from which to watch. The zero revision lists the kind.
+	revision storerev.Revision
+	// wait is how long the store waits for a change.
+	wait time.Duration
+}
+
 // Run lists the kind and watches it for changes until ctx is cancelled.
 func (f *Follower) Run(ctx context.Context) {
 	retryDelay := initialRetryDelay
-	var revision storerev.Revision
+	c := call{wait: f.Wait}
 	for ctx.Err() == nil {
-		startedAt := time.Now()
-		next, err := f.readUntilRecovery(ctx, revision)
+		c.startedAt = time.Now()
+		next, err := f.readUntilRecovery(ctx, c)
 		if errors.Is(err, errStoreRecovered) {
 			continue
 		}
 		if err == nil {
 			f.recordSuccess()
-			revision, retryDelay = next, initialRetryDelay
-			periodic.Sleep(ctx, f.callInterval()-time.Since(startedAt))
+			c.revision, c.wait, retryDelay = next, f.Wait, initialRetryDelay
+			periodic.Sleep(ctx, f.callInterval()-time.Since(c.startedAt))
 			continue
 		}
 		if ctx.Err() != nil {
@@ -83,15 +113,43 @@
 		}
 		if errors.Is(err, platform.ErrCompacted) {
 			f.recordSuccess()
-			revision = storerev.Revision{}
+			f.OnHistoryGone()
+			c.revision, c.wait = storerev.Revision{}, f.Wait
 			continue
 		}
-		f.recordFailure(err)
+		f.recordFailure(err, f.failed(c, err))
 		periodic.Sleep(ctx, retryDelay/2+rand.N(retryDelay))
 		retryDelay = min(2*retryDelay, maxRetryDelay)
 	}
 }
 
+// answered describes the answer to a call.
+func (f *Follower) answered(c call, at storerev.Revision) catalog.StoreAnswered {
+	info, elapsed := f.lastRead(c), time.Since(c.startedAt)
+	delayed := info.Rerouted || elapsed > info.Wait+maxAnswerDelay
+	asOf := c.startedAt.Add(-info.Age - maxDeafTime)
+	if elapsed >= info.Wait && !delayed {
+		asOf = asOf.Add(info.Wait) // Had there been a change, the answer would have come sooner.
+	}
+	return catalog.StoreAnswered{AsOf: asOf, Revision: at, Watched: !c.revision.IsStart(), Delayed: delayed}
+}
+
+// failed describes a failed call. One that ends before the store had to answer it may have been cut off while nothing disturbed the store,
+// and one that exceeds a limit is rejected by an undisturbed store.
+func (f *Follower) failed(c call, err error) catalog.StoreFailed {
+	info := f.lastRead(c)
+	mayWait := !c.revision.IsStart() && time.Since(c.startedAt) < info.Wait
+	return catalog.StoreFailed{SentAt: c.startedAt.Add(-info.Age), Lost: !mayWait && !errors.Is(err, platform.ErrRateLimited)}
+}
+
+// lastRead describes the read of a call.
+func (f *Follower) lastRead(c call) ReadInfo {
+	if f.LastRead == nil {
+		return ReadInfo{Wait: c.wait}
+	}
+	return f.LastRead(f.Kind)
+}
+
 // Poll lists the kind repeatedly until ctx is cancelled. The time between two lists is random: between half and one and a
 // half times the value of interval. The lists may be seconds old and cost a tenth of a watch. Poll is for processes that
 // receive the changes from other processes first.
@@ -101,7 +159,7 @@
 		if err := f.poll(ctx); err == nil {
 			wait = interval()
 		} else if ctx.Err() == nil {
-			f.recordFailure(err)
+			f.recordFailure(err, catalog.StoreFailed{})
 		}
 		periodic.Sleep(ctx, wait/2+rand.N(wait))
 	}
@@ -114,7 +172,7 @@
 		objects, at, err := f.Store.Watch(ctx, f.Kind, f.polledRevision, 0)
 		if err == nil {
 			f.recordSuccess()
-			f.OnResponse()
+			f.OnResponse(catalog.StoreAnswered{})
 			f.OnChanges(objects)
 			f.polledRevision = at
 			return nil
@@ -128,7 +186,7 @@
 		return err
 	}
 	f.recordSuccess()
-	f.OnResponse()
+	f.OnResponse(catalog.StoreAnswered{})
 	f.OnList(at, objects)
 	f.polledRevision = at
 	return nil
@@ -139,20 +197,21 @@
 
 // callInterval is the minimum time between two calls.
 func (f *Follower) callInterval() time.Duration {
-	if f.shared() {
+	switch {
+	case f.shared():
 		return minPeerCallInterval
 	}
 	return minCallInterval
 }
 
 // readUntilRecovery is like read, and returns errStoreRecovered if the store answered another follower after a failure while the call waited.
-func (f *Follower) readUntilRecovery(ctx context.Context, revision storerev.Revision) (storerev.Revision, error) {
+func (f *Follower) readUntilRecovery(ctx context.Context, c call) (storerev.Revision, error) {
 	if f.recovery == nil {
-		return f.read(ctx, revision)
+		return f.read(ctx, c)
 	}
 	callCtx, end := f.recovery.begin(ctx)
 	defer end()
-	next, err := f.read(callCtx, revision)
+	next, err := f.read(callCtx, c)
 	switch {
 	case err == nil || errors.Is(err, platform.ErrCompacted):
 		f.recovery.callAnswered()
@@ -164,22 +223,22 @@
 	return next, err
 }
 
-// read makes one call and returns the revision for the next one. The zero revision lists the kind.
-func (f *Follower) read(ctx context.Context, revision storerev.Revision) (storerev.Revision, error) {
-	if revision.IsStart() {
+// read makes one call and returns the revision for the next one.
+func (f *Follower) read(ctx context.Context, c call) (storerev.Revision, error) {
+	if c.revision.IsStart() {
 		objects, at, err := f.Store.List(ctx, f.Kind, false)
 		if err != nil {
 			return storerev.Revision{}, err
 		}
-		f.OnResponse()
+		f.OnResponse(f.answered(c, at))
 		f.OnList(at, objects)
 		return at, nil
 	}
-	objects, at, err := f.Store.Watch(ctx, f.Kind, revision, f.Wait)
+	objects, at, err := f.Store.Watch(ctx, f.Kind, c.revision, c.wait)
 	if err != nil {
 		return storerev.Revision{}, err
 	}
-	f.OnResponse()
+	f.OnResponse(f.answered(c, at))
 	if len(objects) > 0 {
 		f.OnChanges(objects)
 	}
@@ -195,8 +254,8 @@
 }
 
 // recordFailure records a failed call and logs the first of an outage.
-func (f *Follower) recordFailure(err error) {
-	f.OnFailure()
+func (f *Follower) recordFailure(err error, ev catalog.StoreFailed) {
+	f.OnFailure(ev)
 	if !f.lost {
 		f.lost = true
 		logevent.Warn(f.Log, logevent.PlatformLost).Str("kind", f.Kind).Err(err).Msg("platform lost")
--- a/internal/storewatch/storewatch_test.go
+++ b/internal/storewatch/storewatch_test.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
+	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/storerev"
 	"samphireweir.example/samphireweir/internal/storewatch"
 	"samphireweir.example/samphireweir/platform"
@@ -71,7 +72,7 @@
 		f := &storewatch.Follower{
 			Store: s, Kind: "things", Wait: 2 * time.Second, ReadsFromPeer: func() bool { return shared }, Log: zerolog.Nop(),
 			OnList: func(storerev.Revision, []platform.Object) { c.lists++ }, OnChanges: func([]platform.Object) { c.changes++ },
-			OnResponse: func() { c.responses++ }, OnFailure: func() { c.failures++ },
+			OnResponse: func(catalog.StoreAnswered) { c.responses++ }, OnFailure: func(catalog.StoreFailed) { c.failures++ }, OnHistoryGone: func() {},
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), span)
 		defer cancel()
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -79,6 +79,8 @@
 		"Requests that wait at this entry for the end of an outage."}
 	storeRestoresDefinition = Definition{"samphireweir_store_restores_total", CounterKind, nil,
 		"Restores of the platform's store from a copy, as this process noticed them."}
+	versionAgeDefinition = Definition{"samphireweir_version_age_seconds", HistogramKind, []string{"way", "assumed"},
+		"Ages of versions of weights, as counted when this process received their activation."}
 	runsRefusedDefinition = Definition{"samphireweir_runs_refused_total", CounterKind, []string{"cause"},
 		"Runs that this agent refused to start, by result code."}
 	recordsDefinition = Definition{"samphireweir_records_total", CounterKind, []string{"way"},
@@ -123,5 +125,5 @@
 	waitDecisionsDefinition, predictedWaitDefinition, waitingForEndDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, versionsDefinition, engineReadyDefinition, settingsDefinition,
-	panicsDefinition, storeRestoresDefinition, ownDelayDefinition, lateReadsDefinition, goroutinesDefinition, memoryDefinition,
+	panicsDefinition, storeRestoresDefinition, versionAgeDefinition, ownDelayDefinition, lateReadsDefinition, goroutinesDefinition, memoryDefinition,
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -28,6 +28,7 @@
 	Chunks, ChunkBytes, ChunksRefused         Counter
 	Loads, Versions, Settings, Panics         Counter
 	StoreRestores                             Counter
+	VersionAge                                Histogram
 	WaitDecisions, WaitingForEnd              Counter
 	PredictedWait                             Histogram
 	OwnDelay, EngineReady                     DurationGauge
@@ -80,6 +81,7 @@
 	m.Settings = m.counter(settingsDefinition)
 	m.Panics = m.counter(panicsDefinition)
 	m.StoreRestores = m.counter(storeRestoresDefinition)
+	m.VersionAge = m.histogram(versionAgeDefinition)
 	m.OwnDelay = m.durationGauge(ownDelayDefinition)
 	m.LateReads = m.counter(lateReadsDefinition)
 	m.exposed = append(m.exposed, polledGauge{goroutinesDefinition, readGoroutines}, polledGauge{memoryDefinition, readMemory})
