catalog, storewatch: a version that is heard late counts from its activation, not from its receipt

Callers got answers of weights that had expired: with the version activated beside a silence of the store, entries heard of it seconds later and let requests begin on the old one for the whole lifetime from there.

Cause: the age of a version counted from its receipt, whatever had kept the receipt waiting: a watch lost in a silence that no other call noticed, an answer sent late, history dropped and lists that must be read again, a pause between two calls.

Now a version counts from its receipt only if an unbroken series of watches in time brought it. Otherwise it counts from the latest time that what the process knows excludes: the last answer of the store, on any kind, as of a revision before the version's, or, if later, the sending of the last call that a disturbed store did not answer. Neither is later than the time from which the rule counts, so the delay no longer matters. A version in a list or in an agent's poll is never taken to be known in time.

After a failed call, followers ask without waiting until one is answered, and followers of versions pause 50 ms instead of 500 ms between two calls: a process hears sooner, and knows more closely when the store was disturbed.

--- a/internal/core/catalog/version.go
+++ b/internal/core/catalog/version.go
@@ -21,10 +21,10 @@
 	Model    string
 	Version  int64
 	Revision storerev.Revision
-	// ActivatedAt is the earliest time at which any process is known to have received the activation.
+	// ActivatedAt is the time from which the version's age is counted: the earliest time at which any process is known to have received
+	// the activation in time, or the earliest that what this process knows allows.
 	ActivatedAt time.Time
-	// Assumed is set while ActivatedAt is an assumption: the version was found in a list, and no process that received the
-	// activation has reported its age.
+	// Assumed is set while ActivatedAt is the latter: no process that received the activation in time has reported its age.
 	Assumed bool
 	// Receipt is how this process received the activation. It is not reported to other processes.
 	Receipt Receipt
@@ -97,7 +97,8 @@
 	return append([]step.Effect{change}, effects...)
 }
 
-// activation returns the activation that an event reports.
+// activation returns the activation that an event reports. Unless the event came in time, or is the report of a process that received it in
+// time, the version counts as old as what this process knows allows.
 func (s *State) activation(now time.Time, ev VersionActivated) Activation {
 	a := Activation{
 		Model: ev.Model, Version: ev.Version, Revision: ev.Revision, ActivatedAt: now.Add(-ev.Age),
@@ -106,12 +107,17 @@
 	switch ev.Way {
 	case Reported:
 		a.Assumed = ev.Assumed
+	case Watched:
+		a.Assumed = !s.reads.prompt
 	case Listed:
 		a.Assumed = true
 		if !s.listed[VersionTopic] && s.ListedActivatedAt.Before(now) && !s.ListedActivatedAt.IsZero() {
 			a.ActivatedAt = s.ListedActivatedAt
 		}
 	}
+	if at, ok := s.reads.countedFrom(ev.Revision); ok && a.Assumed {
+		a.ActivatedAt = at
+	}
 	return a
 }
 
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -28,6 +28,9 @@
 	minCallInterval = 500 * time.Millisecond
 	// minPeerCallInterval is the minimum time between two calls to a peer, which has batched the changes already.
 	minPeerCallInterval = 50 * time.Millisecond
+	// minVersionCallInterval is the minimum time between two calls to the store for versions of weights. They change seldom, and their age
+	// counts from the moment at which the process hears of them.
+	minVersionCallInterval = 50 * time.Millisecond
 	// initialRetryDelay and maxRetryDelay bound the delay after a failed call. It doubles with each failure.
 	initialRetryDelay = 100 * time.Millisecond
 	maxRetryDelay     = 500 * time.Millisecond
@@ -92,7 +95,8 @@
 	wait time.Duration
 }
 
-// Run lists the kind and watches it for changes until ctx is cancelled.
+// Run lists the kind and watches it for changes until ctx is cancelled. After a failed call, calls don't wait for changes until one is
+// answered: a lost call is noticed soon then, and so is the end of an outage.
 func (f *Follower) Run(ctx context.Context) {
 	retryDelay := initialRetryDelay
 	c := call{wait: f.Wait}
@@ -118,6 +122,7 @@
 			continue
 		}
 		f.recordFailure(err, f.failed(c, err))
+		c.wait = 0
 		periodic.Sleep(ctx, retryDelay/2+rand.N(retryDelay))
 		retryDelay = min(2*retryDelay, maxRetryDelay)
 	}
@@ -200,6 +205,8 @@
 	switch {
 	case f.shared():
 		return minPeerCallInterval
+	case f.Kind == platform.VersionKind:
+		return minVersionCallInterval
 	}
 	return minCallInterval
 }
