--- a/internal/soak/silence_test.go
+++ b/internal/soak/silence_test.go
@@ -31,7 +31,7 @@
 	// silenceRouteTimeout is the timeout of all routes and of the callers. lossShare is the part of it after which an answer may be ended.
 	silenceRouteTimeout = 6 * time.Second
 	lossShare           = 0.7
-	// silenceLifetime is how long requests may begin on a version after a newer one was activated, and versionSlack what an activation
+	// silenceLifetime is the lifetime of versions, and versionSlack what an activation
 	// may take to its confirmation. loadBlock is how long engines can't load a new version, which outlasts the lifetime of the old one.
 	silenceLifetime = 3 * time.Second
 	versionSlack    = 20 * time.Millisecond
@@ -88,13 +88,15 @@
 	calm  bool
 	mu    sync.Mutex
 	calls []silenceCall
-	// activations are the times after which each version was in force, by version.
+	// activations are the times after which each version was in force, by version. lifetime is how long requests may begin on a version after
+	// a newer one was activated.
 	activations map[int64]time.Time
+	lifetime    time.Duration
 }
 
-func newSilenceSoak(t *testing.T, hosts int, beginsClosed bool) *silenceSoak {
+func newSilenceSoak(t *testing.T, hosts int, beginsClosed bool, lifetime time.Duration) *silenceSoak {
 	s := &soak{t: t, fleet: standin.NewFleet(t), version: 1, directEngines: true}
-	s.fleet.VersionLifetime = silenceLifetime
+	s.fleet.VersionLifetime = lifetime
 	s.fleet.AddStream("/stream/single/", false)
 	for _, r := range s.fleet.Routes {
 		r["timeoutMs"] = silenceRouteTimeout.Milliseconds()
@@ -104,7 +106,7 @@
 	for _, u := range s.upstreams {
 		u.EventInterval, u.BeginsClosed = silentEventInterval, beginsClosed
 	}
-	return &silenceSoak{soak: s, activations: map[int64]time.Time{}}
+	return &silenceSoak{soak: s, activations: map[int64]time.Time{}, lifetime: lifetime}
 }
 
 // silenceUntil makes upstreams fall silent until a time: one, several, all, or those that get the next requests, at a point of their work.
@@ -185,7 +187,7 @@
 	}
 	before := time.Duration(injector.random.Int64N(int64(maxSilence - shortSilence)))
 	after := time.Duration(injector.random.Int64N(int64(minSilence)))
-	time.Sleep(silenceLifetime - withdrawal - before)
+	time.Sleep(s.lifetime - withdrawal - before)
 	for _, u := range silent {
 		u.FallSilent(withdrawal + before + after)
 	}
@@ -269,7 +271,7 @@
 		return false
 	}
 	for _, activated := range s.activations {
-		expiry := activated.Add(silenceLifetime)
+		expiry := activated.Add(s.lifetime)
 		if c.ended.After(expiry.Add(-withdrawal-shortSilence)) && c.ended.Before(expiry.Add(minSilence)) {
 			return true
 		}
@@ -322,7 +324,7 @@
 	return broken
 }
 
-// checkVersions returns the requests that began on a version later than silenceLifetime after a newer one was activated, and whose entry
+// checkVersions returns the requests that began on a version later than its lifetime after a newer one was activated, and whose entry
 // was not disrupted.
 func (s *silenceSoak) checkVersions() []string {
 	var late []string
@@ -330,7 +332,7 @@
 	for _, u := range s.engines() {
 		for _, b := range u.Begins() {
 			for _, successor := range slices.Sorted(maps.Keys(s.activations)) {
-				expired := s.activations[successor].Add(silenceLifetime + versionSlack)
+				expired := s.activations[successor].Add(s.lifetime + versionSlack)
 				entry, err := strconv.Atoi(b.Header.Get(entryHeader))
 				if err != nil || b.Version >= successor || overlaps(s.entries[entry].disruptions, s.activations[successor].Add(-contactGrace), b.At) {
 					continue
@@ -401,7 +403,7 @@
 	hosts := intFromEnv(t, hostsVariable, silenceHosts)
 	for _, seed := range seedsToRun(t, silenceSeeds) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			newSilenceSoak(t, hosts, seed%2 == 1).play(seed)
+			newSilenceSoak(t, hosts, seed%2 == 1, silenceLifetime).play(seed)
 		})
 	}
 }
@@ -412,7 +414,7 @@
 	hosts := intFromEnv(t, hostsVariable, silenceHosts)
 	for _, seed := range seedsToRun(t, shortSilenceSeeds) {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
-			s := newSilenceSoak(t, hosts, seed%2 == 1)
+			s := newSilenceSoak(t, hosts, seed%2 == 1, silenceLifetime)
 			s.calm = true
 			s.play(seed)
 		})
