catalog: lists, restores and starts in an outage bound the age of a version as well

Related paths of the fault before: a process that starts in an outage counted a version from its receipt; a version that a restored store had lost counted as new when the operator wrote it again; an age that a restarted process only assumes made the others give up the version before.

The plain list is now the proof as long as no watch was answered; a new era of the store proves nothing for five seconds and its first versions are not taken to be known in time; an assumed age is bounded by the process's own proof. A follower whose history is gone again right after a list waits half a second, so that stale lists don't make it call in a busy loop.

--- a/internal/core/catalog/reads.go
+++ b/internal/core/catalog/reads.go
@@ -15,6 +15,8 @@
 	maxAnswers = 128
 	// answerResolution is the minimum time between two answers that are kept.
 	answerResolution = 100 * time.Millisecond
+	// rewriteTime is how long after a restore of the store operators may take to write a version again that it has lost.
+	rewriteTime = 5 * time.Second
 )
 
 // StoreAnswered reports that the store answered a call. An event without AsOf proves nothing, as for a list that may be stale.
@@ -25,8 +27,8 @@
 	AsOf time.Time
 	// Revision is the revision of the store as of which it answered.
 	Revision storerev.Revision
-	// Watched is set for the answer to a watch, which has all changes since the answer before. A list has not: what it is compared with is
-	// unknown.
+	// Watched is set for the answer to a watch, which has all changes since the answer before. A list proves less: it may be older than it
+	// should be.
 	Watched bool
 	// Delayed is set if the answer came later than it does while the store and the path to it are undisturbed.
 	Delayed bool
@@ -61,8 +63,9 @@
 
 // reads is what the process's calls to the store prove about the times at which objects were written.
 type reads struct {
-	// answers holds the latest answers, the oldest first.
+	// answers holds the latest answers to watches, the oldest first, and list the latest list of the versions.
 	answers []answer
+	list    answer
 	// lostAt is the latest time after which the store is known to have been disturbed; zero if it never was.
 	lostAt time.Time
 	// broken is set when a call has failed, or the store's history was gone, since the last answer to a watch of the versions.
@@ -79,12 +82,12 @@
 // answered records an answer of the store.
 func (r *reads) answered(now time.Time, ev StoreAnswered) {
 	if !ev.Watched {
-		r.prompt = r.prompt && ev.Topic != VersionTopic
+		r.listed(ev)
 		return
 	}
 	r.noteEra(now, ev.Revision.Era)
 	if ev.Topic == VersionTopic {
-		r.prompt = !r.broken && !ev.Delayed
+		r.prompt = !r.broken && !ev.Delayed && !now.Before(r.trustedFrom)
 		r.broken = false
 	}
 	if ev.AsOf.IsZero() || now.Before(r.trustedFrom) {
@@ -93,14 +96,25 @@
 	r.keep(answer{asOf: ev.AsOf, revision: ev.Revision, topic: ev.Topic})
 }
 
+// listed records a list.
+func (r *reads) listed(ev StoreAnswered) {
+	if ev.Topic != VersionTopic {
+		return
+	}
+	r.prompt = false
+	if !ev.AsOf.IsZero() {
+		r.list = answer{asOf: ev.AsOf, revision: ev.Revision, topic: ev.Topic}
+	}
+}
+
 // noteEra handles the begin of a new era of the store. Of the answers before it, only those on the versions still prove that a version had
 // not been activated: revisions of different eras can't be compared.
 func (r *reads) noteEra(now time.Time, era int64) {
 	if era <= r.era {
 		return
 	}
-	if r.era > 0 {
-		r.broken, r.trustedFrom = true, now.Add(restoreHold)
+	if len(r.answers) > 0 {
+		r.broken, r.trustedFrom = true, now.Add(rewriteTime)
 	}
 	r.era = era
 	var kept []answer
@@ -138,7 +152,8 @@
 	}
 }
 
-// lastProof returns the latest time before which an object of a revision had certainly not been written; zero if nothing is known.
+// lastProof returns the latest time before which an object of a revision had not been written; zero if nothing is known. A list counts only
+// as long as no watch has been answered.
 func (r *reads) lastProof(revision storerev.Revision) time.Time {
 	var at time.Time
 	for _, a := range r.answers {
@@ -146,6 +161,9 @@
 			at = a.asOf
 		}
 	}
+	if at.IsZero() && r.list.revision.Before(revision) {
+		at = r.list.asOf
+	}
 	return at
 }
 
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -100,6 +100,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	retryDelay := initialRetryDelay
 	c := call{wait: f.Wait}
+	var historyGoneAt time.Time
 	for ctx.Err() == nil {
 		c.startedAt = time.Now()
 		next, err := f.readUntilRecovery(ctx, c)
@@ -118,6 +119,8 @@
 		if errors.Is(err, platform.ErrCompacted) {
 			f.recordSuccess()
 			f.OnHistoryGone()
+			periodic.Sleep(ctx, minCallInterval-time.Since(historyGoneAt)) // The list may have been stale, and the next one as well.
+			historyGoneAt = time.Now()
 			c.revision, c.wait = storerev.Revision{}, f.Wait
 			continue
 		}
@@ -131,12 +134,12 @@
 // answered describes the answer to a call.
 func (f *Follower) answered(c call, at storerev.Revision) catalog.StoreAnswered {
 	info, elapsed := f.lastRead(c), time.Since(c.startedAt)
-	delayed := info.Rerouted || elapsed > info.Wait+maxAnswerDelay
+	watched, delayed := !c.revision.IsStart(), info.Rerouted || elapsed > info.Wait+maxAnswerDelay
 	asOf := c.startedAt.Add(-info.Age - maxDeafTime)
-	if elapsed >= info.Wait && !delayed {
+	if watched && elapsed >= info.Wait && !delayed {
 		asOf = asOf.Add(info.Wait) // Had there been a change, the answer would have come sooner.
 	}
-	return catalog.StoreAnswered{AsOf: asOf, Revision: at, Watched: !c.revision.IsStart(), Delayed: delayed}
+	return catalog.StoreAnswered{AsOf: asOf, Revision: at, Watched: watched, Delayed: delayed}
 }
 
 // failed describes a failed call. One that ends before the store had to answer it may have been cut off while nothing disturbed the store,
