gateway, boundedread: an answer without an end is given up while it is read

Cause: limits were looked at after the read: a line was read whole before its length was compared, and no transport limited heads. And when answers filled the memory, the connection of a caller was closed who wasn't slow.

A response that waits for memory gives way: at once to a request or response an eighth of its size, after half a second to one that waits too. A caller whose response gives way keeps its connection and is answered.

--- a/internal/agent/upstream.go
+++ b/internal/agent/upstream.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"samphireweir.example/samphireweir/internal/boundedread"
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core/run"
 	"samphireweir.example/samphireweir/internal/core/weights"
@@ -67,6 +68,8 @@
 			IdleConnTimeout:     upstreamIdleTimeout,
 			DisableCompression:  true,
 			DisableKeepAlives:   !pooled,
+
+			MaxResponseHeaderBytes: boundedread.MaxHeadBytes,
 		},
 	}
 }
--- a/internal/engine/guard.go
+++ b/internal/engine/guard.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"samphireweir.example/samphireweir/internal/boundedread"
 )
 
 const (
@@ -29,6 +31,8 @@
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 		WriteBufferSize:    orderBufferBytes,
+
+		MaxResponseHeaderBytes: boundedread.MaxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, address)
 			if err != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"samphireweir.example/samphireweir/internal/boundedread"
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
@@ -24,9 +25,6 @@
 // maxBufferedResponse is the size limit, in bytes, of a response that is buffered completely before it is passed on.
 const maxBufferedResponse = 16 << 20
 
-// errResponseTooLarge ends an attempt whose response exceeds maxBufferedResponse.
-var errResponseTooLarge = errors.Errorf("the response exceeds %d bytes", maxBufferedResponse)
-
 // errUpstreamTimeout ends an attempt whose upstream was silent for the attempt's timeout.
 var errUpstreamTimeout = errors.New("timed out waiting for data from the upstream")
 
@@ -327,14 +325,15 @@
 	return &response{status: resp.StatusCode, header: header, body: body}, nil
 }
 
-// readAll reads a complete response. It returns errResponseTooLarge for one that exceeds the limit, so that a part of it is never taken for
-// the whole.
+// readAll reads a complete response. It returns an error for one that exceeds the limit, so that a part of it is never taken for the whole.
 func (a *attempt) readAll(ctx context.Context, resp *http.Response) ([]byte, error) {
-	body, err := io.ReadAll(accountedResponse(ctx, io.LimitReader(resp.Body, maxBufferedResponse+1), a.x.reservation))
-	if err == nil && len(body) > maxBufferedResponse {
-		return nil, errResponseTooLarge
+	reader := accountedResponse(ctx, resp.Body, a.x.reservation)
+	body, err := boundedread.All(reader, maxBufferedResponse)
+	if err != nil {
+		a.x.reservation.Shrink(reader.reserved)
+		return nil, err
 	}
-	return body, err
+	return body, nil
 }
 
 // readStream reads a stream to its end as fast as it arrives, however slowly the caller reads. It stops when the attempt's context ends, since
@@ -351,20 +350,22 @@
 // readEvents reads the events of a stream until an error, which is io.EOF at its end.
 func (a *attempt) readEvents(ctx context.Context, body io.Reader) error {
 	defer a.silence.Stop()
-	events := newEventReader(body)
+	events := newEventReader(body, func(n int) error { return growWhenFree(ctx, a.x.reservation, n) })
 	for {
 		e, err := events.next()
 		if err != nil {
+			a.x.reservation.Shrink(len(e.raw))
 			return err
 		}
-		if err := a.readEvent(ctx, e); err != nil {
+		if err := a.readEvent(e); err != nil {
+			a.x.reservation.Shrink(len(e.raw))
 			return err
 		}
 	}
 }
 
-// readEvent puts an event into the queue once there is memory for it.
-func (a *attempt) readEvent(ctx context.Context, e event) error {
+// readEvent puts an event into the queue.
+func (a *attempt) readEvent(e event) error {
 	a.progressed()
 	if !a.markStarted() {
 		return errWithdrawn
@@ -372,9 +373,6 @@
 	a.eventCount++
 	a.lastReadAt = e.readAt
 	a.heard.record(e.readAt)
-	if err := growWhenFree(ctx, a.x.reservation, len(e.raw)); err != nil {
-		return err
-	}
 	a.queue.push(e)
 	return nil
 }
--- a/internal/gateway/buffering.go
+++ b/internal/gateway/buffering.go
@@ -34,17 +34,19 @@
 // accountedReader charges the bytes it reads to a reservation.
 type accountedReader struct {
 	io.Reader
-	// reserve requests memory for n bytes that were read; see accountedBody and accountedResponse.
-	reserve func(n int) error
+	// reserve requests memory for n bytes that were read; see accountedBody and accountedResponse. reserved counts those bytes.
+	reserve  func(n int) error
+	reserved int
 }
 
 // Read implements io.Reader.
-func (r accountedReader) Read(p []byte) (int, error) {
+func (r *accountedReader) Read(p []byte) (int, error) {
 	n, err := r.Reader.Read(p)
 	if n > 0 {
 		if reserveErr := r.reserve(n); reserveErr != nil {
 			return n, reserveErr
 		}
+		r.reserved += n
 	}
 	return n, err
 }
@@ -52,15 +54,15 @@
 // accountedBody reads a caller's request body. It fails with membudget.ErrFull if there is no free memory: nothing was sent yet, so the
 // request can be refused.
 func accountedBody(body io.Reader, r *membudget.Reservation) io.Reader {
-	return accountedReader{Reader: body, reserve: func(n int) error {
+	return &accountedReader{Reader: body, reserve: func(n int) error {
 		r.AwaitCaller()
 		return r.GrowBody(n)
 	}}
 }
 
 // accountedResponse reads a response and waits while there is no free memory for it.
-func accountedResponse(ctx context.Context, body io.Reader, r *membudget.Reservation) io.Reader {
-	return accountedReader{Reader: body, reserve: func(n int) error { return growWhenFree(ctx, r, n) }}
+func accountedResponse(ctx context.Context, body io.Reader, r *membudget.Reservation) *accountedReader {
+	return &accountedReader{Reader: body, reserve: func(n int) error { return growWhenFree(ctx, r, n) }}
 }
 
 // growWhenFree reserves n bytes for a response and waits until they are free or ctx ends.
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"samphireweir.example/samphireweir/internal/boundedread"
 )
 
 // maxEventBytes is the size limit of one event of a stream, in bytes.
@@ -23,26 +25,29 @@
 }
 
 // eventReader splits a stream into complete events.
-type eventReader struct{ r *bufio.Reader }
+type eventReader struct {
+	r *bufio.Reader
+	// reserve requests memory for n bytes that were read.
+	reserve func(n int) error
+}
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{r: bufio.NewReader(r)} }
+func newEventReader(r io.Reader, reserve func(n int) error) *eventReader {
+	return &eventReader{r: bufio.NewReader(r), reserve: reserve}
+}
 
-// next returns the next complete event. It returns io.ErrUnexpectedEOF for a stream that ends within an event.
-func (e *eventReader) next() (event, error) {
-	var ev event
+// next returns the next complete event. It returns io.ErrUnexpectedEOF for a stream that ends within an event. With an error it returns what
+// was read of the event, for which memory is reserved.
+func (e *eventReader) next() (ev event, err error) {
 	for {
-		line, err := e.r.ReadBytes('\n')
-		if errors.Is(err, io.EOF) && len(ev.raw)+len(line) > 0 {
-			return event{}, io.ErrUnexpectedEOF
+		begin := len(ev.raw)
+		ev.raw, err = boundedread.AppendLine(ev.raw, e.r, maxEventBytes, e.reserve)
+		if errors.Is(err, io.EOF) && len(ev.raw) > 0 {
+			return ev, io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return event{}, err
-		}
-		ev.raw = append(ev.raw, line...)
-		if len(ev.raw) > maxEventBytes {
-			return event{}, errors.Errorf("stream event exceeds %d bytes", maxEventBytes)
+			return ev, errors.WithMessage(err, "stream event")
 		}
-		content := bytes.TrimRight(line, "\r\n")
+		content := bytes.TrimRight(ev.raw[begin:], "\r\n")
 		if id, ok := bytes.CutPrefix(content, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(id))
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/rs/zerolog"
 
+	"samphireweir.example/samphireweir/internal/boundedread"
 	"samphireweir.example/samphireweir/internal/control"
 	"samphireweir.example/samphireweir/internal/core/attribution"
 	"samphireweir.example/samphireweir/internal/core/balance"
@@ -163,6 +164,8 @@
 		DialContext:        silence.ResetUnanswered(silence.Dialer(&net.Dialer{KeepAlive: -1}, upstreamDialTimeout)),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
+
+		MaxResponseHeaderBytes: boundedread.MaxHeadBytes,
 	}
 }
 
@@ -170,7 +173,7 @@
 	dialer := &net.Dialer{Timeout: storeDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: storeKeepAliveInterval, Interval: storeKeepAliveInterval, Count: 2,
 	}}
-	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4}
+	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: boundedread.MaxHeadBytes}
 }
 
 // step passes an event to the reducers and carries out the effects that they return.
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -22,6 +22,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"samphireweir.example/samphireweir/internal/boundedread"
 	"samphireweir.example/samphireweir/internal/control"
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/install"
@@ -97,7 +98,10 @@
 func New(host hostconfig.Host, log zerolog.Logger, m *telemetry.Metrics, traces *telemetry.Traces) *Agent {
 	self := net.JoinHostPort(host.IP, strconv.Itoa(host.PeerPort))
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
-	client := &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 5 * time.Second}}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 5 * time.Second,
+		MaxResponseHeaderBytes: boundedread.MaxHeadBytes,
+	}}
 	traces.Client(client, telemetry.PeerSpanName)
 	originClient := newOriginClient(dialer)
 	traces.Client(originClient, telemetry.OriginSpanName)
@@ -129,6 +133,7 @@
 func newOriginClient(dialer *net.Dialer) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true, MaxConnsPerHost: 1, IdleConnTimeout: originIdleTimeout,
+		MaxResponseHeaderBytes: boundedread.MaxHeadBytes,
 	}}
 }
 
--- a/internal/hostagent/resolve.go
+++ b/internal/hostagent/resolve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -10,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"samphireweir.example/samphireweir/internal/boundedread"
 	"samphireweir.example/samphireweir/internal/core/install"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/logevent"
@@ -198,7 +198,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("asking a peer for a manifest: status %d", resp.StatusCode)
 	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, manifest.MaxBytes+1))
+	raw, err := boundedread.All(resp.Body, manifest.MaxBytes)
 	if err != nil {
 		return nil, errors.Wrap(err, "asking a peer for a manifest")
 	}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -4,7 +4,8 @@
 // do nothing about that, and the upstream may run it.
 //
 // A part of the budget is kept for responses. Without it, requests that wait for their responses could hold all memory, so that no
-// response could be read.
+// response could be read. A response that waits for memory may have to give way to others: what was read of it is dropped then, and its
+// caller gets another answer.
 package membudget
 
 import (
@@ -19,8 +20,13 @@
 	ownerDivisor = 2
 	// responseDivisor keeps an eighth of the budget, and of each owner's share, for responses.
 	responseDivisor = 8
+	// largeDivisor is the part of the budget from which a response counts as large. Large responses grow within three quarters of the budget
+	// only, so that others and new requests find memory beside them at any time.
+	largeDivisor = 32
 	// minStall is how long a reservation must have made no progress before it can be evicted.
 	minStall = 500 * time.Millisecond
+	// largeRatio is how many times as large as another reservation a response that waits for memory must be to give way to it at once.
+	largeRatio = 8
 )
 
 // ErrFull means that the budget is exhausted and no reservation can be evicted.
@@ -29,6 +35,9 @@
 // ErrEvicted means that the reservation was evicted to free memory for others.
 var ErrEvicted = errors.New("evicted to free memory: it made no progress for the longest time")
 
+// ErrGaveWay means that what was read of the response was released for other responses, because it waited for memory.
+var ErrGaveWay = errors.New("the response was dropped to free memory for others")
+
 // Budget is a memory budget shared by all requests of a process. It is safe for concurrent use.
 type Budget struct {
 	limit int64
@@ -57,9 +66,10 @@
 	budget *Budget
 	owner  string
 	evict  func()
-	// The budget's lock guards the fields below. size is in bytes.
-	size    int64
-	evicted bool
+	// The budget's lock guards the fields below. size is in bytes, and response is its part for the response. gaveWay is set until the
+	// reader of the response learns that it gave way.
+	size, response   int64
+	evicted, gaveWay bool
 	// caller is the wait for the caller, which sends its body or reads the response, and memory that of a response for memory.
 	caller, memory wait
 }
@@ -71,7 +81,7 @@
 }
 
 // Open returns an empty reservation for a request of an owner, which sends its body; owner is any key that distinguishes callers. If the
-// reservation is evicted to free memory for others, evict is called once. It runs with the budget's lock held and must not block.
+// reservation is evicted to free memory for others, since its caller makes no progress, evict is called once. It runs with the budget's lock held and must not block.
 func (b *Budget) Open(owner string, evict func()) *Reservation {
 	r := &Reservation{budget: b, owner: owner, evict: evict, caller: wait{active: true, since: b.now()}}
 	b.mu.Lock()
@@ -81,26 +91,36 @@
 }
 
 // GrowBody reserves n more bytes for the request's body. As long as they don't fit into the part of the budget for bodies, it evicts
-// reservations whose callers have stalled, and returns ErrFull if there is none. If the owner's share is exhausted, only reservations of
+// reservations whose callers have stalled, or makes far larger responses that wait for memory give way, and returns ErrFull if there is none. If the owner's share is exhausted, only reservations of
 // the same owner are evicted.
 func (r *Reservation) GrowBody(n int) error {
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return r.grow(int64(n), b.limit-b.limit/responseDivisor, b.evictSlowestCaller)
+	return r.grow(int64(n), b.limit-b.limit/responseDivisor, func(eligible func(*Reservation) bool) bool {
+		return b.evictSlowestCaller(eligible) || b.dropLarger(r.size+int64(n), eligible)
+	})
 }
 
-// Grow reserves n more bytes for the response. It is like GrowBody, but may use the whole budget. If no caller has stalled, it evicts the
-// reservation whose response has waited for memory for the longest time: otherwise responses of which each was read in part could wait
-// for each other for ever.
+// Grow reserves n more bytes for the response. It is like GrowBody, but may use the whole budget. If no caller has stalled, another response
+// that waits for memory gives way: a far larger one at once, so that responses without an end don't hold up the others, or else the one
+// that has waited for the longest time, as otherwise responses of which each was read in part could wait for each other for ever. It returns
+// ErrGaveWay once if this response gave way.
 func (r *Reservation) Grow(n int) error {
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	err := r.grow(int64(n), b.limit, func(eligible func(*Reservation) bool) bool {
-		return b.evictSlowestCaller(eligible) || b.evictSlowest(eligible, func(r *Reservation) wait { return r.memory })
+	if r.gaveWay {
+		r.gaveWay = false
+		return ErrGaveWay
+	}
+	err := r.grow(int64(n), b.responseLimit(r), func(eligible func(*Reservation) bool) bool {
+		return b.evictSlowestCaller(eligible) || b.dropLarger(r.response+int64(n), eligible) || b.dropSlowest(eligible)
 	})
 	switch {
+	case err == nil:
+		r.response += int64(n)
+		r.memory.active = false
 	case !errors.Is(err, ErrFull):
 		r.memory.active = false
 	case !r.memory.active:
@@ -109,6 +129,14 @@
 	return err
 }
 
+// responseLimit returns the part of the budget within which a response may grow. The caller holds the lock.
+func (b *Budget) responseLimit(r *Reservation) int64 {
+	if r.response > b.limit/largeDivisor {
+		return b.limit / 4 * 3
+	}
+	return b.limit
+}
+
 // grow reserves n more bytes if all reservations together then stay within limit. The caller holds the lock. evict evicts one eligible
 // reservation and reports whether there was one.
 func (r *Reservation) grow(n, limit int64, evict func(eligible func(*Reservation) bool) bool) error {
@@ -151,9 +179,9 @@
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
 	r.caller.since = r.budget.now()
-	if !r.evicted { // An evicted reservation has released everything.
-		r.add(-int64(n))
-	}
+	released := min(int64(n), r.response) // One that was evicted or gave way has released it before.
+	r.response -= released
+	r.add(-released)
 }
 
 // Evicted reports whether the reservation was evicted to free memory for others.
@@ -174,12 +202,46 @@
 // evictSlowestCaller evicts the eligible reservation whose caller the process has waited for the longest time, and reports whether there
 // was one. The caller holds the lock.
 func (b *Budget) evictSlowestCaller(eligible func(*Reservation) bool) bool {
-	return b.evictSlowest(eligible, func(r *Reservation) wait { return r.caller })
+	slowest := b.slowest(eligible, func(r *Reservation) wait { return r.caller })
+	if slowest == nil {
+		return false
+	}
+	slowest.evicted = true
+	slowest.release()
+	slowest.evict()
+	return true
+}
+
+// dropSlowest makes the eligible response give way that has waited for memory for the longest time, and reports whether there was one. The
+// caller holds the lock.
+func (b *Budget) dropSlowest(eligible func(*Reservation) bool) bool {
+	slowest := b.slowest(eligible, func(r *Reservation) wait { return r.memory })
+	if slowest == nil {
+		return false
+	}
+	slowest.drop()
+	return true
+}
+
+// dropLarger makes the largest eligible response that waits for memory give way if it is far larger than size bytes, and reports whether
+// there was one. The caller holds the lock.
+func (b *Budget) dropLarger(size int64, eligible func(*Reservation) bool) bool {
+	var largest *Reservation
+	for r := range b.reservations {
+		if r.memory.active && r.response >= largeRatio*size && eligible(r) && (largest == nil || r.response > largest.response) {
+			largest = r
+		}
+	}
+	if largest == nil {
+		return false
+	}
+	largest.drop()
+	return true
 }
 
-// evictSlowest evicts the eligible reservation that has waited for the longest time, in the kind of wait that waitOf returns, and reports
-// whether there was one. The caller holds the lock.
-func (b *Budget) evictSlowest(eligible func(*Reservation) bool, waitOf func(*Reservation) wait) bool {
+// slowest returns the eligible reservation that has waited for the longest time, in the kind of wait that waitOf returns; nil if none has
+// waited for minStall. The caller holds the lock.
+func (b *Budget) slowest(eligible func(*Reservation) bool, waitOf func(*Reservation) wait) *Reservation {
 	var slowest *Reservation
 	now := b.now()
 	for r := range b.reservations {
@@ -191,13 +253,13 @@
 			slowest = r
 		}
 	}
-	if slowest == nil {
-		return false
-	}
-	slowest.evicted = true
-	slowest.release()
-	slowest.evict()
-	return true
+	return slowest
+}
+
+// drop releases the response. The caller holds the lock.
+func (r *Reservation) drop() {
+	r.add(-r.response)
+	r.response, r.gaveWay, r.memory.active = 0, true, false
 }
 
 // add changes the reserved size by n bytes. The caller holds the lock.
@@ -213,5 +275,6 @@
 // release frees the reservation. The caller holds the lock.
 func (r *Reservation) release() {
 	r.add(-r.size)
+	r.response = 0
 	delete(r.budget.reservations, r)
 }
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"samphireweir.example/samphireweir/internal/boundedread"
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/control"
 	"samphireweir.example/samphireweir/internal/core"
@@ -159,6 +160,8 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     IdleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: boundedread.MaxHeadBytes,
 	}}
 }
 
--- a/internal/source/client.go
+++ b/internal/source/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"samphireweir.example/samphireweir/internal/boundedread"
 	"samphireweir.example/samphireweir/internal/core/weights"
 	"samphireweir.example/samphireweir/internal/manifest"
 )
@@ -56,7 +57,7 @@
 		return nil, err
 	}
 	defer func() { _ = body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(body, manifest.MaxBytes+1))
+	raw, err := boundedread.All(body, manifest.MaxBytes)
 	return raw, errors.Wrapf(err, "reading the manifest of %v", ref)
 }
 
--- a/internal/transfer/manifest.go
+++ b/internal/transfer/manifest.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 
 	"github.com/pkg/errors"
 
+	"samphireweir.example/samphireweir/internal/boundedread"
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core/weights"
 	"samphireweir.example/samphireweir/internal/logevent"
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	defer func() { _ = body.Close() }()
-	return io.ReadAll(io.LimitReader(body, manifest.MaxBytes+1))
+	return boundedread.All(body, manifest.MaxBytes)
 }
 
 func (f *Fetcher) readSources(ctx context.Context, ref weights.Ref) ([]byte, error) {
