gateway: idle connections of callers are closed after the time of the manifest

Cause: idle connections were kept for two minutes whatever idleTimeoutMs says.

They are now closed once they have been idle for that time. Callers use a connection for up to four fifths of it. TestIdleConnectionIsClosedAfterTheManifestsTime holds; the code before has no such limit below two minutes (by reading).

--- a/internal/core/catalog/manifest.go
+++ b/internal/core/catalog/manifest.go
@@ -127,6 +127,8 @@
 	Encoded []byte
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int64
+	// MaxIdleTime is how long a caller's connection may be idle; 0 if the manifest does not say.
+	MaxIdleTime time.Duration
 	// HasAccounts is set when callers must present an API key.
 	HasAccounts bool
 	// accounts maps API keys to client accounts.
--- a/internal/gateway/arrival.go
+++ b/internal/gateway/arrival.go
@@ -32,6 +32,8 @@
 	looked bool
 	// waitingSince is when the first request may have arrived; zero if the first look found nothing, or once it was taken.
 	waitingSince time.Time
+	// idle closes the connection once it has been idle for too long; nil while it is in use. Only the server's hook uses it.
+	idle *time.Timer
 }
 
 // Read implements net.Conn.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -15,7 +15,7 @@
 const (
 	// headTimeout limits reading a request's head. The manifest allows callers about three seconds; this is longer.
 	headTimeout = 10 * time.Second
-	// idleTimeout is how long an idle connection of a caller is kept. It is far longer than manifests promise callers.
+	// idleTimeout is how long an idle connection is kept if the manifest does not say how long callers may be idle.
 	idleTimeout = 2 * time.Minute
 	// maxHeadBytes is the size limit of a request's head.
 	maxHeadBytes = 64 << 10
@@ -33,8 +33,8 @@
 func (g *Gateway) newCallerServer() *http.Server {
 	return &http.Server{
 		Handler: g.traces.EntryServer(http.HandlerFunc(g.serve)), ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
-		ConnContext: withArrivalConn,
-		ErrorLog:    stdlog.New(io.Discard, "", 0), // Connections closed by callers are not worth logging.
+		ConnContext: withArrivalConn, ConnState: g.closeWhenIdle,
+		ErrorLog: stdlog.New(io.Discard, "", 0), // Connections closed by callers are not worth logging.
 	}
 }
 
