--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -4,7 +4,7 @@
 // do nothing about that, and the upstream may run it.
 //
 // A part of the budget is kept for responses. Without it, requests that wait for their responses could hold all memory, so that no
-// response could be read. A response that waits for memory may have to give way to others: what was read of it is dropped then, and its
+// response could be read. A response that waits for memory may be dropped for others: what was read of it is released then, and its
 // caller gets another answer.
 package membudget
 
@@ -25,7 +25,7 @@
 	largeDivisor = 32
 	// minStall is how long a reservation must have made no progress before it can be evicted.
 	minStall = 500 * time.Millisecond
-	// largeRatio is how many times as large as another reservation a response that waits for memory must be to give way to it at once.
+	// largeRatio is how many times as large as another reservation a response that waits for memory must be to be dropped for it at once.
 	largeRatio = 8
 )
 
@@ -35,8 +35,8 @@
 // ErrEvicted means that the reservation was evicted to free memory for others.
 var ErrEvicted = errors.New("evicted to free memory: it made no progress for the longest time")
 
-// ErrGaveWay means that what was read of the response was released for other responses, because it waited for memory.
-var ErrGaveWay = errors.New("the response was dropped to free memory for others")
+// ErrDropped means that what was read of the response was released for other responses, because it waited for memory.
+var ErrDropped = errors.New("the response was dropped to free memory for others")
 
 // Budget is a memory budget shared by all requests of a process. It is safe for concurrent use.
 type Budget struct {
@@ -66,10 +66,10 @@
 	budget *Budget
 	owner  string
 	evict  func()
-	// The budget's lock guards the fields below. size is in bytes, and response is its part for the response. gaveWay is set until the
-	// reader of the response learns that it gave way.
+	// The budget's lock guards the fields below. size is in bytes, and response is its part for the response. dropped is set until the
+	// reader of the response learns of it.
 	size, response   int64
-	evicted, gaveWay bool
+	evicted, dropped bool
 	// caller is the wait for the caller, which sends its body or reads the response, and memory that of a response for memory.
 	caller, memory wait
 }
@@ -91,7 +91,7 @@
 }
 
 // GrowBody reserves n more bytes for the request's body. As long as they don't fit into the part of the budget for bodies, it evicts
-// reservations whose callers have stalled, or makes far larger responses that wait for memory give way, and returns ErrFull if there is none. If the owner's share is exhausted, only reservations of
+// reservations whose callers have stalled, or drops far larger responses that wait for memory, and returns ErrFull if there is none. If the owner's share is exhausted, only reservations of
 // the same owner are evicted.
 func (r *Reservation) GrowBody(n int) error {
 	b := r.budget
@@ -103,16 +103,16 @@
 }
 
 // Grow reserves n more bytes for the response. It is like GrowBody, but may use the whole budget. If no caller has stalled, another response
-// that waits for memory gives way: a far larger one at once, so that responses without an end don't hold up the others, or else the one
+// that waits for memory is dropped: a far larger one at once, so that responses without an end don't hold up the others, or else the one
 // that has waited for the longest time, as otherwise responses of which each was read in part could wait for each other for ever. It returns
-// ErrGaveWay once if this response gave way.
+// ErrDropped once if this response was dropped.
 func (r *Reservation) Grow(n int) error {
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r.gaveWay {
-		r.gaveWay = false
-		return ErrGaveWay
+	if r.dropped {
+		r.dropped = false
+		return ErrDropped
 	}
 	err := r.grow(int64(n), b.responseLimit(r), func(eligible func(*Reservation) bool) bool {
 		return b.evictSlowestCaller(eligible) || b.dropLarger(r.response+int64(n), eligible) || b.dropSlowest(eligible)
@@ -179,7 +179,7 @@
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
 	r.caller.since = r.budget.now()
-	released := min(int64(n), r.response) // One that was evicted or gave way has released it before.
+	released := min(int64(n), r.response) // One that was evicted or dropped has released it before.
 	r.response -= released
 	r.add(-released)
 }
@@ -212,7 +212,7 @@
 	return true
 }
 
-// dropSlowest makes the eligible response give way that has waited for memory for the longest time, and reports whether there was one. The
+// dropSlowest drops the eligible response that has waited for memory for the longest time, and reports whether there was one. The
 // caller holds the lock.
 func (b *Budget) dropSlowest(eligible func(*Reservation) bool) bool {
 	slowest := b.slowest(eligible, func(r *Reservation) wait { return r.memory })
@@ -223,7 +223,7 @@
 	return true
 }
 
-// dropLarger makes the largest eligible response that waits for memory give way if it is far larger than size bytes, and reports whether
+// dropLarger drops the largest eligible response that waits for memory if it is far larger than size bytes, and reports whether
 // there was one. The caller holds the lock.
 func (b *Budget) dropLarger(size int64, eligible func(*Reservation) bool) bool {
 	var largest *Reservation
@@ -259,7 +259,7 @@
 // drop releases the response. The caller holds the lock.
 func (r *Reservation) drop() {
 	r.add(-r.response)
-	r.response, r.gaveWay, r.memory.active = 0, true, false
+	r.response, r.dropped, r.memory.active = 0, true, false
 }
 
 // add changes the reserved size by n bytes. The caller holds the lock.
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -107,7 +107,7 @@
 	require.ErrorIs(t, b.Open("o", nil).GrowBody(10), membudget.ErrFull, "a new request is refused")
 	require.ErrorIs(t, second.Grow(10), membudget.ErrFull, "beyond its owner's share")
 	require.NoError(t, b.Open("o", nil).Grow(10))
-	require.ErrorIs(t, first.Grow(10), membudget.ErrGaveWay)
+	require.ErrorIs(t, first.Grow(10), membudget.ErrDropped)
 	require.Equal(t, int64(60), b.Used())
 	require.NoError(t, first.Grow(10), "another response to the same caller has memory")
 	first.Shrink(50)
@@ -124,7 +124,7 @@
 	require.NoError(t, endless.Grow(80))
 	require.ErrorIs(t, endless.Grow(1), membudget.ErrFull)
 	require.NoError(t, request.GrowBody(10))
-	require.ErrorIs(t, endless.Grow(1), membudget.ErrGaveWay)
+	require.ErrorIs(t, endless.Grow(1), membudget.ErrDropped)
 }
 
 // TestLargeResponsesLeaveMemoryToOthers guards against new requests that are refused, and small responses that wait, while large responses
@@ -153,6 +153,6 @@
 	require.ErrorIs(t, small.Grow(6), membudget.ErrFull, "none of them waits for memory: they may end")
 	require.ErrorIs(t, second.Grow(10), membudget.ErrFull)
 	require.NoError(t, small.Grow(5))
-	require.ErrorIs(t, second.Grow(10), membudget.ErrGaveWay)
+	require.ErrorIs(t, second.Grow(10), membudget.ErrDropped)
 	require.ErrorIs(t, first.Grow(1), membudget.ErrFull, "beyond its owner's share")
 }
--- a/internal/storewatch/storewatch.go
+++ b/internal/storewatch/storewatch.go
@@ -37,8 +37,8 @@
 	// maxAnswerDelay is how much longer than a call waits its answer may take if nothing disturbs the store or the path to it. With maxWait
 	// it is less than the time after which the platform expects a process to be up to date.
 	maxAnswerDelay = 600 * time.Millisecond
-	// maxDeafTime is how long watches may miss changes that are made, before the store drops its history and the watches must begin anew.
-	maxDeafTime = time.Second
+	// maxWatchLag is how long a watch may miss changes that were made, before the store drops its history and the watches must begin anew.
+	maxWatchLag = time.Second
 )
 
 // Store is the store that a follower reads, directly or through a peer.
@@ -135,7 +135,7 @@
 func (f *Follower) answered(c call, at storerev.Revision) catalog.StoreAnswered {
 	info, elapsed := f.lastRead(c), time.Since(c.startedAt)
 	watched, delayed := !c.revision.IsStart(), info.Rerouted || elapsed > info.Wait+maxAnswerDelay
-	asOf := c.startedAt.Add(-info.Age - maxDeafTime)
+	asOf := c.startedAt.Add(-info.Age - maxWatchLag)
 	if watched && elapsed >= info.Wait && !delayed {
 		asOf = asOf.Add(info.Wait) // Had there been a change, the answer would have come sooner.
 	}
