--- a/review/5/main.go
+++ b/review/5/main.go
@@ -63,7 +63,7 @@
 		return r
 	}
 	req.Host = rig2.Host
-	req.Header.Set("Attempt-Id", r.id)
+	req.Header.Set(rig2.Wire.RequestID, r.id)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(budget.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+rig2.Key)
 	client := http.Client{Timeout: budget, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
@@ -73,7 +73,7 @@
 		return r
 	}
 	defer func() { _ = resp.Body.Close() }()
-	r.status, r.seal = resp.StatusCode, resp.Header.Get("Server-Seal")
+	r.status, r.seal = resp.StatusCode, resp.Header.Get(rig2.Wire.Seal)
 	r.body, r.err = io.ReadAll(http.MaxBytesReader(nil, resp.Body, 1<<20))
 	return r
 }
--- a/review/5/server.go
+++ b/review/5/server.go
@@ -66,9 +66,10 @@
 	if err != nil {
 		return
 	}
-	id := req.Header.Get("Attempt-Id")
+	id := req.Header.Get(rig2.Wire.RequestID)
 	whole := wholeAnswer(id)
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: seal-of-%s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n", id, s.id)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal-of-%s\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n",
+		rig2.Wire.RequestID, id, rig2.Wire.Seal, s.id)
 	_, _ = conn.Write(whole[:partBytes])
 	time.Sleep(pause)
 	if s.answers.Add(1)%breakEvery == 0 && s.breaks {
--- a/review/rig2/rig2.go
+++ b/review/rig2/rig2.go
@@ -333,7 +333,7 @@
 // Route is a route of the operator's manifest.
 func Route(name, prefix, kind, service string, timeoutMS int) map[string]any {
 	return map[string]any{
-		"name": name, "host": "hulo84.example", "pathPrefix": prefix, "routeKind": kind, "timeoutMs": timeoutMS, "goalMs": 300, "priority": 1,
+		"name": name, "host": "hulo84.example", Wire.Prefix: prefix, Wire.Kind: kind, "timeoutMs": timeoutMS, Wire.Aim: 300, "priority": 1,
 		"service": service, "maxAttempts": 2, "anonymous": false, "sticky": false, "resumable": false,
 	}
 }
@@ -368,7 +368,7 @@
 // PutServer registers a server of a plain service.
 func (c *Case) PutServer(id, service, address, state string, sequence int) {
 	c.Store.Put("servers", id, map[string]any{
-		"service": service, "address": address, "zone": "perth-a", "version": "v1", "slots": 16, "state": state, "coldLeftMs": 0, "sequence": sequence,
+		"service": service, "address": address, "zone": "perth-a", "version": "v1", "slots": 16, "state": state, Wire.Cold: 0, "sequence": sequence,
 	})
 }
 
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -120,7 +120,7 @@
 	}
 	asOf := s.revision
 	s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "hasMore": more, "asOf": asOf})
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, Wire.More: more, "asOf": asOf})
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
