--- a/review/5/main.go
+++ b/review/5/main.go
@@ -22,16 +22,16 @@
 	breakEvery = 20
 	// callers is the number of callers, each of which sends perCaller requests one after the other.
 	callers, perCaller = 20, 60
-	budget             = 4 * time.Second
+	budget             = 1500 * time.Millisecond
 )
 
 func main() {
 	c := rig2.Open("review/5/record.txt")
 	for n := range servers {
 		s := newServer(c, fmt.Sprintf("i-%d", n), c.Trouble && n%2 == 0)
-		c.PutServer(s.id, "ledger-desk", s.address, "ready", 1)
+		c.PutServer(s.id, "buyer-portal", s.address, "ready", 1)
 	}
-	c.PutManifest(1, []map[string]any{rig2.Route("premium-post", "/premiums/", "non_idempotent", "ledger-desk", 4000)}, "ledger-desk")
+	c.PutManifest(1, []map[string]any{rig2.Route("status-lookup", "/lookups/", "non_idempotent", "buyer-portal", 1500)}, "buyer-portal")
 	entry := c.StartEntry("edge-1")
 	results := make([]result, callers*perCaller)
 	var wg sync.WaitGroup
@@ -57,7 +57,7 @@
 // call sends a request through the entry and reads the answer to its end.
 func call(front string, n int) result {
 	r := result{id: fmt.Sprintf("request-%d", n)}
-	req, err := http.NewRequest(http.MethodPost, "http://"+front+"/premiums/2f", bytes.NewReader(bytes.Repeat([]byte("x"), bodyBytes)))
+	req, err := http.NewRequest(http.MethodPost, "http://"+front+"/lookups/2f", bytes.NewReader(bytes.Repeat([]byte("x"), bodyBytes)))
 	if err != nil {
 		r.err = err
 		return r
--- a/review/rig2/rig2.go
+++ b/review/rig2/rig2.go
@@ -338,10 +338,10 @@
 	}
 }
 
-// Stream is a streaming route whose streams may not be resumed.
+// Stream is a streaming route whose streams may be resumed.
 func Stream(name, prefix, service string, timeoutMS int) map[string]any {
 	r := Route(name, prefix, "streaming", service, timeoutMS)
-	r["gapTargetMs"] = 400
+	r["gapTargetMs"], r["resumable"] = 400, true
 	return r
 }
 
