connend: log and count how the connection of an answer without a length ended, and what showed it

Neither log nor metric told how an unframed answer ended: a part that passed for the whole one looked like any other success (event 4008, outcome answered). Event 4027 and metric samphireweir_unframed_answers_total now give the attempt's outcome, the end of the connection (orderly, aborted, unproved) and what showed that. Package connend asks the kernel for the state of the connection at the end of a read: in the states after a FIN the end is orderly; in a closed one the kernel's count of received bytes tells, since a FIN counts as one byte. Elsewhere than on Linux a write that waits or has failed leaves the end unproved. Nothing decides by it yet.

Hypotheses told apart: (a) the server ends in order and the entry loses the rest: no, the ends are aborted or unproved; (b) the entry's write takes the kernel's report and its read finds an end: yes; (c) the check of the address decides wrongly: it is asked, and the server is up, as it says.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -48,8 +48,10 @@
 	// report reports an event to the reducers.
 	report func(step.Event)
 	// sent is set if bytes may have reached the upstream. It is known once the response's head has arrived or the attempt has failed.
-	sent   bool
-	cancel context.CancelCauseFunc
+	sent bool
+	// unframed is set once the head of an unframed answer has arrived.
+	unframed bool
+	cancel   context.CancelCauseFunc
 	// silence reports that the upstream is silent, and cancels the attempt when it is to be given up.
 	silence *silence.Watch
 	// stalled is set while the upstream is reported as silent.
@@ -151,6 +153,7 @@
 	defer a.cancel(nil)
 	defer a.recoverPanic()
 	answer, outcome, err := a.do(ctx, lastEventID)
+	a.recordUnframedEnd(outcome)
 	if outcome == forward.Broken && ctx.Err() == nil && !errors.Is(err, errCrashedAtEnd) { // That error is the result of such a check.
 		a.x.gateway.checkDown(ctx, a.decision.Upstream) // The reducer decides on the next attempt by it.
 	}
@@ -229,7 +232,7 @@
 	a.sent = true
 	defer func() { _ = resp.Body.Close() }()
 	head := platform.ReadResponseHead(resp, a.x.call.CallerAttemptID)
-	a.version = head.Version
+	a.version, a.unframed = head.Version, isUnframed(resp)
 	a.report(forward.AnswerHeadReceived{Upstream: a.decision.Upstream.Instance(), Sent: a.createdAt, Outcome: head.Outcome, Notice: head.Notice})
 	var answer *response
 	switch {
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -5,6 +5,10 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"samphireweir.example/samphireweir/internal/connend"
+	"samphireweir.example/samphireweir/internal/core/forward"
+	"samphireweir.example/samphireweir/internal/logevent"
 )
 
 // errNoAnswer and errCrashedAtEnd are the errors of an answer without a length or chunks whose connection ended although it was not
@@ -32,3 +36,16 @@
 	}
 	return nil
 }
+
+// recordUnframedEnd logs and counts how the connection of an unframed answer ended, and what showed that. It does nothing for other answers and
+// while the connection has not ended.
+func (a *attempt) recordUnframedEnd(outcome forward.Outcome) {
+	end := a.silence.End()
+	if !a.unframed || end == (connend.End{}) {
+		return
+	}
+	logevent.Info(a.x.gateway.log, logevent.UnframedAnswerEnded).Str("request", a.x.call.CallerAttemptID).Str("upstream", a.decision.Upstream.ID).
+		Int("sends", a.decision.Attempt).Str("outcome", string(outcome)).Str("end", string(end.How)).Str("shown_by", string(end.Evidence)).
+		Uint64("bytes", end.BytesRead).Msg("unframed answer ended")
+	a.x.gateway.metrics.UnframedAnswers.Add(1, string(outcome), string(end.How), string(end.Evidence))
+}
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -72,6 +72,7 @@
 	PartQuarantined        ID = 4024
 	AnswerIncomplete       ID = 4025
 	RetryDenied            ID = 4026
+	UnframedAnswerEnded    ID = 4027
 )
 
 // Entry describes an event for the catalogue.
@@ -148,6 +149,7 @@
 	{PartQuarantined, "part quarantined", "The quarantine of a part of prompts changed, since upstreams crash when they answer requests with it: started here, reported by another process, lifted by an answer or an operator, or ended since no request with the part came for ten minutes (change). crashes is the number of crashes of which the part was found to be the cause. Refusals have code 2013."},
 	{AnswerIncomplete, "answer incomplete", "A request ended without a complete answer: its caller got neither an upstream's whole answer nor a refusal. cause is one of caller left, body not read, slow caller, write to caller failed, answer aborted (why gives the reason), process ended, and handler failed, which is a bug. last_event is the last event of a stream that was passed on."},
 	{RetryDenied, "retry denied", "The retry budget of a service did not allow a request to be sent again; cause is the outcome of the attempt before. budget_used is the number of retries that this entry sent within the budget's window, budget_allowed its share of the budget, and entries the number of entries that share it, 0 if it is unknown. left_out counts the lines left out since the last one."},
+	{UnframedAnswerEnded, "unframed answer ended", "The connection of an upstream's answer without a length or chunks ended, which is the answer's end if the connection ended in order. outcome is that of the attempt; end is orderly, aborted or unproved, and shown_by what showed it: the error of a read, the state of the connection, its count of bytes, or, where the kernel tells neither, its writes; bytes is the number of bytes read."},
 }
 
 // Debug starts a log line of level debug for event id.
--- a/internal/silence/conn.go
+++ b/internal/silence/conn.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"samphireweir.example/samphireweir/internal/connend"
 )
 
 // slicesPerLimit is the number of slices into which a limit is divided. A read that is late for whatever reason counts as one slice.
@@ -31,7 +33,7 @@
 // Conn is a connection whose reads are limited by a Watch, if one is attached. Without one, a read waits as long as it takes. Conn sets the
 // read deadline of the connection that it wraps; nobody else may.
 type Conn struct {
-	net.Conn
+	*connend.Conn
 
 	mu sync.Mutex
 	// watch is nil while nobody waits for data, for example while the connection is idle in a pool.
@@ -47,7 +49,7 @@
 }
 
 // NewConn returns a connection that reads from and writes to c.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: connend.New(c)} }
 
 // find returns the Conn of a connection, which may carry TLS. It reports false if there is none.
 func find(c net.Conn) (*Conn, bool) {
@@ -127,7 +129,7 @@
 	c.closed = true
 	reset := c.resetUnanswered && c.unanswered
 	c.mu.Unlock()
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && reset {
+	if tcp, ok := c.NetConn().(*net.TCPConn); ok && reset {
 		_ = tcp.SetLinger(0) // Fails only on a closed connection.
 	}
 	return c.Conn.Close()
--- a/internal/silence/watch.go
+++ b/internal/silence/watch.go
@@ -5,6 +5,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"samphireweir.example/samphireweir/internal/connend"
 )
 
 // Watch limits how long the other side of a connection may be silent during one call. A connection without a Watch has a nil one, which sets no
@@ -31,6 +33,8 @@
 	noticed  bool
 	// conn is the connection of the call, nil before it is known and after Stop.
 	conn *Conn
+	// used is the connection of the call, also after Stop; nil before it is known.
+	used *Conn
 	// slowConnect is what NotifyConnecting set.
 	slowConnect connecting
 	// sent is set once something may have been sent on the connection, and sendForbidden once nothing may be any more.
@@ -75,7 +79,7 @@
 		w.mu.Unlock()
 		return
 	}
-	w.conn = c
+	w.conn, w.used = c, c
 	w.mu.Unlock()
 	c.attach(w)
 }
@@ -163,6 +167,16 @@
 	}
 }
 
+// End returns how the connection of the call ended, as its reads have found so far.
+func (w *Watch) End() connend.End {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.used == nil {
+		return connend.End{}
+	}
+	return w.used.End()
+}
+
 // Abandon ends the Watch, closes its connection, and reports whether anything of the call may have been sent before.
 func (w *Watch) Abandon() (sent bool) {
 	w.mu.Lock()
--- a/internal/telemetry/definition.go
+++ b/internal/telemetry/definition.go
@@ -47,6 +47,8 @@
 		"Attempts that ended without an answer, by result code."}
 	answersIncompleteDefinition = Definition{"samphireweir_answers_incomplete_total", CounterKind, []string{"cause"},
 		"Requests that ended without a complete answer, that is with neither an upstream's whole answer nor a refusal, by cause; see event 4025."}
+	unframedAnswersDefinition = Definition{"samphireweir_unframed_answers_total", CounterKind, []string{"outcome", "end", "shown_by"},
+		"Answers of upstreams without a length or chunks whose connection ended, by the outcome of the attempt, how it ended and what showed that; see event 4027."}
 	hedgesDefinition = Definition{"samphireweir_hedges_total", CounterKind, []string{"won"},
 		"Requests that were with two upstreams since the first was silent, by which of the two went on first: first or second."}
 	retriesDefinition = Definition{"samphireweir_retries_total", CounterKind, []string{"cause", "counted"},
@@ -121,7 +123,7 @@
 // Catalogue lists every metric, in the order of docs/METRICS.md.
 var Catalogue = []Definition{
 	requestsDefinition, refusalsDefinition, inFlightDefinition, waitingDefinition, yieldedDefinition, firstByteDefinition, totalDefinition,
-	attemptsDefinition, attemptsFailedDefinition, answersIncompleteDefinition, hedgesDefinition, retriesDefinition, retriesDeniedDefinition, upstreamCrashesDefinition, partsQuarantinedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, movedRequestsDefinition, secondAttemptsDefinition, limitsLoweredDefinition,
+	attemptsDefinition, attemptsFailedDefinition, answersIncompleteDefinition, unframedAnswersDefinition, hedgesDefinition, retriesDefinition, retriesDeniedDefinition, upstreamCrashesDefinition, partsQuarantinedDefinition, upstreamCallsDefinition, upstreamFirstByteDefinition, startedLateDefinition, upstreamNoticesDefinition, movedRequestsDefinition, secondAttemptsDefinition, limitsLoweredDefinition,
 	waitDecisionsDefinition, predictedWaitDefinition, waitingForEndDefinition, runsRefusedDefinition,
 	recordsDefinition, recordBytesDefinition, controlCallsDefinition, controlBytesDefinition, platformCallsDefinition,
 	chunksDefinition, chunkBytesDefinition, chunksRefusedDefinition, loadsDefinition, versionsDefinition, engineReadyDefinition, settingsDefinition,
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -17,7 +17,7 @@
 	FirstByte, Total                          Histogram
 	Attempts, AttemptsFailed, UpstreamCrashes Counter
 	AnswersIncomplete, Hedges, UpstreamCalls  Counter
-	Retries, RetriesDenied                    Counter
+	Retries, RetriesDenied, UnframedAnswers   Counter
 	UpstreamFirstByte                         Histogram
 	PartsQuarantined                          Counter
 	StartedLate, RunsRefused, UpstreamNotices Counter
@@ -51,6 +51,7 @@
 	m.Attempts = m.counter(attemptsDefinition)
 	m.AttemptsFailed = m.counter(attemptsFailedDefinition)
 	m.AnswersIncomplete = m.counter(answersIncompleteDefinition)
+	m.UnframedAnswers = m.counter(unframedAnswersDefinition)
 	m.Hedges = m.counter(hedgesDefinition)
 	m.Retries = m.counter(retriesDefinition)
 	m.RetriesDenied = m.counter(retriesDeniedDefinition)
