connend, gateway: the end of an answer without a length is proved by its connection

What callers saw: a part of an answer as a complete success, sealed and with a Content-Length, when the upstream answered without a length before it had read a long body and its connection was reset in the middle of the answer. The same in streams (also those that may be resumed), repeated calls, and failures (500), whose end was not looked at in any case.

Cause: the kernel reports a reset, or a connection that it gave up, once, to the first call. While net/http writes the request's body, its write takes the report, and the read of the answer then finds an end that looks like that of an orderly close.

Change: a read returns io.EOF only if the connection ended in order (connend.Conn, under every silence.Conn). The proof is the kernel's state of the connection at the end of the read: after a FIN, or closed with one byte more received than was read, which is the FIN. The order of the two goroutines does not matter, nor which error the write got (ECONNRESET, EPIPE, ETIMEDOUT). Under TLS the same read is below; an end that TLS announced counts. Where the kernel tells nothing, an end beside a write that waits or failed is not taken for an orderly one. readFailure checks the end as well. net/http gave up a connection at its failed write and lost whole answers that had arrived; writes to upstreams now succeed once the connection has ended, and the reads decide.

--- a/internal/connend/connend.go
+++ b/internal/connend/connend.go
@@ -10,6 +10,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 
@@ -63,7 +64,9 @@
 	// writing is set while a write waits. writeErr is the first error of a write.
 	writing  bool
 	writeErr error
-	end      End
+	// readsDecide is set by LetReadsDecide.
+	readsDecide bool
+	end         End
 }
 
 // New returns a connection that reads from and writes to c.
@@ -99,24 +102,51 @@
 	return n, c.recordRead(n, err)
 }
 
+// LetReadsDecide makes writes succeed, and write nothing, once the connection has ended. It is set before the first write.
+//
+// The other side may answer, whole, before it has read everything, and end the connection. A caller that gives up the connection at a failed
+// write, as net/http does, would lose the answer that has arrived. The reads tell whether there is one, and then that the connection has ended.
+func (c *Conn) LetReadsDecide() { c.readsDecide = true }
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.recordWrite(true, nil)
+	if err := c.startWrite(); c.readsDecide && isEnd(err) {
+		return len(p), nil
+	}
 	n, err := c.Conn.Write(p)
-	c.recordWrite(false, err)
+	c.endWrite(err)
+	if c.readsDecide && isEnd(err) {
+		return len(p), nil
+	}
 	return n, err
 }
 
-// recordWrite records that a write begins or has ended.
-func (c *Conn) recordWrite(writing bool, err error) {
+// startWrite records that a write begins, and returns the first error of the writes before.
+func (c *Conn) startWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing = writing
+	c.writing = true
+	return c.writeErr
+}
+
+// endWrite records that a write has ended.
+func (c *Conn) endWrite(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
 	if c.writeErr == nil {
 		c.writeErr = err
 	}
 }
 
+// endErrors are the errors of a write on a connection that has ended: reset, ended by the other side before that, or given up by the kernel.
+var endErrors = []error{syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH}
+
+// isEnd reports whether the error of a write says that the connection has ended.
+func isEnd(err error) bool {
+	return slices.ContainsFunc(endErrors, func(end error) bool { return errors.Is(err, end) })
+}
+
 // recordRead records the result of a read and returns the error that it is to return.
 func (c *Conn) recordRead(n int, err error) error {
 	c.mu.Lock()
@@ -132,7 +162,13 @@
 	}
 	c.end = c.proof()
 	c.end.BytesRead = c.read
-	return err
+	switch {
+	case c.end.How == Orderly:
+		return io.EOF
+	case c.writeErr != nil:
+		return errors.Wrapf(ErrAborted, "after a write failed: %v", c.writeErr)
+	}
+	return ErrAborted
 }
 
 // proof returns how a connection ended whose read found an end. The caller holds mu.
--- a/internal/connend/connend_test.go
+++ b/internal/connend/connend_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
+	"net/http/httptest"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -108,8 +111,13 @@
 			time.Sleep(100 * time.Millisecond) // The write waits by now.
 			test.finish(t, far)
 			require.ErrorIs(t, <-failed, test.writeErr)
-			n, _ := io.Copy(io.Discard, near)
+			n, err := io.Copy(io.Discard, near)
 			require.EqualValues(t, sentBytes, n)
+			if test.want.How == connend.Orderly {
+				require.NoError(t, err)
+			} else {
+				require.ErrorIs(t, err, connend.ErrAborted)
+			}
 			test.want.BytesRead = sentBytes
 			require.Equal(t, test.want, near.End())
 		})
@@ -130,3 +138,100 @@
 	require.Equal(t, connend.End{How: connend.Orderly, Evidence: connend.State, BytesRead: sentBytes}, near.End())
 	require.Empty(t, failed)
 }
+
+// TestAnswerIsReadAfterAFailedWrite guards against giving up a connection at a failed write, although what the other side has sent is there.
+func TestAnswerIsReadAfterAFailedWrite(t *testing.T) {
+	t.Parallel()
+	near, far := pair(t)
+	near.LetReadsDecide()
+	_, err := far.Write(make([]byte, sentBytes))
+	require.NoError(t, err)
+	abort(t, far)
+	for range 5 {
+		n, err := near.Write(make([]byte, 1<<20))
+		require.NoError(t, err)
+		require.Equal(t, 1<<20, n)
+	}
+	n, err := io.Copy(io.Discard, near)
+	require.EqualValues(t, sentBytes, n)
+	require.ErrorIs(t, err, connend.ErrAborted)
+	require.NoError(t, near.Close())
+	_, err = near.Write([]byte("x"))
+	require.NoError(t, err, "the connection had ended before it was closed")
+}
+
+// TestLocalErrorsOfWritesAreReturned guards against hiding a write that this process ended itself.
+func TestLocalErrorsOfWritesAreReturned(t *testing.T) {
+	t.Parallel()
+	near, _ := pair(t)
+	near.LetReadsDecide()
+	require.NoError(t, near.SetWriteDeadline(time.Now().Add(-time.Second)))
+	_, err := near.Write([]byte("x"))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.NoError(t, near.Close())
+	_, err = near.Write([]byte("x"))
+	require.ErrorIs(t, err, net.ErrClosed)
+}
+
+// TestEndBesideAWriteIsUnprovedWithoutTheKernel guards against taking the end of a connection for an orderly one where the kernel tells nothing
+// and a write may have taken its report.
+func TestEndBesideAWriteIsUnprovedWithoutTheKernel(t *testing.T) {
+	t.Parallel()
+	raw, far := net.Pipe()
+	near := connend.New(raw)
+	failed := writeUntilError(near)
+	require.NoError(t, far.Close())
+	require.Error(t, <-failed)
+	_, err := near.Read(make([]byte, 1))
+	require.ErrorIs(t, err, connend.ErrAborted)
+	require.Equal(t, connend.End{How: connend.Unproved, Evidence: connend.Writes}, near.End())
+
+	raw, far = net.Pipe()
+	near = connend.New(raw)
+	require.NoError(t, far.Close())
+	_, err = near.Read(make([]byte, 1))
+	require.Equal(t, io.EOF, err)
+}
+
+// TestEndUnderTLS guards against taking the end of a reset connection for the end of what TLS carries. An end that TLS itself announced counts
+// whatever becomes of the connection.
+func TestEndUnderTLS(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		announced bool
+		want      error
+	}{
+		"announced": {announced: true}, "reset": {want: connend.ErrAborted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			near, far := pair(t)
+			client, server := tlsPair(t, near, far)
+			_, err := server.Write(make([]byte, sentBytes))
+			require.NoError(t, err)
+			failed := writeUntilError(client)
+			time.Sleep(100 * time.Millisecond) // The write waits by now.
+			if test.announced {
+				require.NoError(t, server.CloseWrite())
+			}
+			abort(t, far)
+			require.Error(t, <-failed)
+			n, err := io.Copy(io.Discard, client)
+			require.EqualValues(t, sentBytes, n)
+			require.ErrorIs(t, err, test.want)
+		})
+	}
+}
+
+// tlsPair returns the two sides of a TLS connection after its handshake.
+func tlsPair(t *testing.T, near *connend.Conn, far net.Conn) (client, server *tls.Conn) {
+	authority := httptest.NewTLSServer(nil) // Only for its certificate.
+	authority.Close()
+	client = tls.Client(near, &tls.Config{InsecureSkipVerify: true})
+	server = tls.Server(far, &tls.Config{Certificates: authority.TLS.Certificates})
+	shaken := make(chan error, 1)
+	go func() { shaken <- server.Handshake() }()
+	require.NoError(t, client.Handshake())
+	require.NoError(t, <-shaken)
+	return client, server
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -306,6 +306,10 @@
 	if err != nil {
 		return nil, a.outcomeOf(ctx, err), errors.Wrap(err, "reading the upstream's error response")
 	}
+	a.silence.Stop()
+	if err := a.confirmEnd(ctx, resp, true); err != nil {
+		return nil, a.outcomeOf(ctx, err), err
+	}
 	return &response{status: resp.StatusCode, header: head.Header, body: body}, forward.ServerFailed, errors.New(head.Problem)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,7 +161,7 @@
 // these cases it would be unknown whether a request ran. A request that is withdrawn, or whose caller leaves, ends with a reset.
 func newUpstreamTransport() *http.Transport {
 	return &http.Transport{
-		DialContext:        silence.ResetUnanswered(silence.Dialer(&net.Dialer{KeepAlive: -1}, upstreamDialTimeout)),
+		DialContext:        silence.LetReadsDecide(silence.ResetUnanswered(silence.Dialer(&net.Dialer{KeepAlive: -1}, upstreamDialTimeout))),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 
--- a/internal/silence/dial.go
+++ b/internal/silence/dial.go
@@ -68,6 +68,18 @@
 	}
 }
 
+// LetReadsDecide returns a dial function whose connections have connend.Conn.LetReadsDecide set. dial must return connections of type *Conn.
+func LetReadsDecide(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		conn.(*Conn).LetReadsDecide()
+		return conn, nil
+	}
+}
+
 // dialWatch gives up a connection that the other side does not answer.
 type dialWatch struct {
 	slice time.Duration
