hostagent, gateway, node, engine: answers of the store, engines, peers and the origin end as their connection proves

Callers saw nothing of it yet: what these clients read is JSON or checked by its digest, so a part fails to decode. But an answer without a body, as to an uploaded chunk, counted as a success, and a part of a chunk as a corrupted one, which says that its source is bad.

Change: every transport of the product dials with connend or silence; repocheck finds one that does not. The connections of JSON-RPC and of frames need none: their messages carry their own ends.

--- a/internal/engine/guard.go
+++ b/internal/engine/guard.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"samphireweir.example/samphireweir/internal/boundedread"
+	"samphireweir.example/samphireweir/internal/connend"
 )
 
 const (
@@ -38,7 +39,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &guardedConn{Conn: c, permit: permit}, nil
+			return &guardedConn{Conn: connend.New(c), permit: permit}, nil
 		},
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"samphireweir.example/samphireweir/internal/boundedread"
+	"samphireweir.example/samphireweir/internal/connend"
 	"samphireweir.example/samphireweir/internal/control"
 	"samphireweir.example/samphireweir/internal/core/attribution"
 	"samphireweir.example/samphireweir/internal/core/balance"
@@ -173,7 +174,7 @@
 	dialer := &net.Dialer{Timeout: storeDialTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: storeKeepAliveInterval, Interval: storeKeepAliveInterval, Count: 2,
 	}}
-	return &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: boundedread.MaxHeadBytes}
+	return &http.Transport{DialContext: connend.Dialer(dialer.DialContext), DisableCompression: true, MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: boundedread.MaxHeadBytes}
 }
 
 // step passes an event to the reducers and carries out the effects that they return.
--- a/internal/hostagent/export_test.go
+++ b/internal/hostagent/export_test.go
@@ -1,6 +1,7 @@
 package hostagent
 
 import (
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -11,6 +12,9 @@
 	"samphireweir.example/samphireweir/internal/owndelay"
 )
 
+// NewClient returns a client as the agent uses it for its engine, the store and peers.
+func NewClient() *http.Client { return newClient(&net.Dialer{}) }
+
 // Receive handles a message as if it had come from the socket.
 func (a *Agent) Receive(from netip.AddrPort, m loadreport.Message) { a.handleHeartbeat(from, m) }
 
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -23,6 +23,7 @@
 	"github.com/rs/zerolog"
 
 	"samphireweir.example/samphireweir/internal/boundedread"
+	"samphireweir.example/samphireweir/internal/connend"
 	"samphireweir.example/samphireweir/internal/control"
 	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/install"
@@ -98,10 +99,7 @@
 func New(host hostconfig.Host, log zerolog.Logger, m *telemetry.Metrics, traces *telemetry.Traces) *Agent {
 	self := net.JoinHostPort(host.IP, strconv.Itoa(host.PeerPort))
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
-	client := &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 5 * time.Second,
-		MaxResponseHeaderBytes: boundedread.MaxHeadBytes,
-	}}
+	client := newClient(dialer)
 	traces.Client(client, telemetry.PeerSpanName)
 	originClient := newOriginClient(dialer)
 	traces.Client(originClient, telemetry.OriginSpanName)
@@ -128,11 +126,19 @@
 	return a
 }
 
+// newClient returns a client for the engine, the store and peers.
+func newClient(dialer *net.Dialer) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: connend.Dialer(dialer.DialContext), DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 5 * time.Second,
+		MaxResponseHeaderBytes: boundedread.MaxHeadBytes,
+	}}
+}
+
 // newOriginClient returns a client for the origin. The origin accepts a bounded number of connections from all hosts together, so a host
 // opens one at a time and keeps it only while it is in use.
 func newOriginClient(dialer *net.Dialer) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, DisableCompression: true, MaxConnsPerHost: 1, IdleConnTimeout: originIdleTimeout,
+		DialContext: connend.Dialer(dialer.DialContext), DisableCompression: true, MaxConnsPerHost: 1, IdleConnTimeout: originIdleTimeout,
 		MaxResponseHeaderBytes: boundedread.MaxHeadBytes,
 	}}
 }
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -12,6 +12,7 @@
 
 	"samphireweir.example/samphireweir/internal/boundedread"
 	"samphireweir.example/samphireweir/internal/code"
+	"samphireweir.example/samphireweir/internal/connend"
 	"samphireweir.example/samphireweir/internal/control"
 	"samphireweir.example/samphireweir/internal/core"
 	"samphireweir.example/samphireweir/internal/core/record"
@@ -152,7 +153,7 @@
 }
 
 // NewHTTPClient returns a client with a dial timeout. It has no timeout for a whole answer, because answers are streamed.
-func NewHTTPClient() *http.Client { return newHTTPClient(dialer().DialContext) }
+func NewHTTPClient() *http.Client { return newHTTPClient(connend.Dialer(dialer().DialContext)) }
 
 func newHTTPClient(dial control.DialFunc) *http.Client {
 	return &http.Client{Transport: &http.Transport{
--- a/internal/repocheck/reads_test.go
+++ b/internal/repocheck/reads_test.go
@@ -50,11 +50,11 @@
 	}
 }
 
-// TestTransportsBoundHeads guards against clients that read a head without an end into memory.
-func TestTransportsBoundHeads(t *testing.T) {
+// transports calls check with each literal of an http.Transport in the product, the text of its file and its fields.
+func transports(t *testing.T, check func(position token.Position, file string, fields map[string]string)) {
 	for _, path := range productFiles(t) {
-		set := token.NewFileSet()
-		file, err := parser.ParseFile(set, path, nil, 0)
+		set, text := token.NewFileSet(), read(t, path)
+		file, err := parser.ParseFile(set, path, text, 0)
 		require.NoError(t, err)
 		ast.Inspect(file, func(n ast.Node) bool {
 			literal, ok := n.(*ast.CompositeLit)
@@ -68,13 +68,36 @@
 			if from, ok := name.X.(*ast.Ident); !ok || from.Name != "http" {
 				return true
 			}
+			fields := map[string]string{}
 			for _, element := range literal.Elts {
-				if pair, ok := element.(*ast.KeyValueExpr); ok && pair.Key.(*ast.Ident).Name == "MaxResponseHeaderBytes" {
-					return true
+				if pair, ok := element.(*ast.KeyValueExpr); ok {
+					fields[pair.Key.(*ast.Ident).Name] = text[set.Position(pair.Value.Pos()).Offset:set.Position(pair.Value.End()).Offset]
 				}
 			}
-			t.Errorf("%s: a transport without MaxResponseHeaderBytes", set.Position(literal.Pos()))
+			check(set.Position(literal.Pos()), text, fields)
 			return true
 		})
 	}
 }
+
+// TestTransportsBoundHeads guards against clients that read a head without an end into memory.
+func TestTransportsBoundHeads(t *testing.T) {
+	transports(t, func(position token.Position, _ string, fields map[string]string) {
+		if fields["MaxResponseHeaderBytes"] == "" {
+			t.Errorf("%s: a transport without MaxResponseHeaderBytes", position)
+		}
+	})
+}
+
+// provenDial matches dial functions whose connections end in io.EOF only after an orderly end.
+var provenDial = regexp.MustCompile(`(connend|silence)\.(Dialer|New)\(`)
+
+// TestTransportsProveTheEndOfAnswers guards against clients that take the end of a reset connection for the end of an answer.
+func TestTransportsProveTheEndOfAnswers(t *testing.T) {
+	transports(t, func(position token.Position, file string, fields map[string]string) {
+		dial := fields["DialContext"]
+		if _, err := parser.ParseExpr(dial); err != nil || !provenDial.MatchString(dial) && (strings.ContainsAny(dial, "(.") || !provenDial.MatchString(file)) {
+			t.Errorf("%s: a transport that does not dial with connend or silence", position)
+		}
+	})
+}
