--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -96,6 +96,8 @@
 	proxiedEntries []string
 	// directEngines is set if there are no proxies in front of the engines, so that a crashed engine refuses connections.
 	directEngines bool
+	// directServices is set if there are no proxies in front of the plain services, so that a reset arrives as one.
+	directServices bool
 	// engineRestarts counts the restarts of engines by injectors.
 	engineRestarts atomic.Int64
 
@@ -124,8 +126,7 @@
 		if len(s.places) > 0 {
 			s.fleet.DataCentre = s.places[i%len(s.places)]
 		}
-		s.upstreams = append(s.upstreams, s.fleet.AddService(fmt.Sprintf("i-desk-%d", i)))
-		s.upstreamProxies = append(s.upstreamProxies, s.lastProxy())
+		s.addService(i)
 		agent := s.addEngine(i)
 		agent.Store = s.proxyFor(agent.Store)
 		s.agents = append(s.agents, &process{t: t, role: "platform-agent", settings: s.fleet.SettingsFile(dir, agent)})
@@ -142,6 +143,20 @@
 	return s
 }
 
+// addService starts a plain service.
+func (s *soak) addService(i int) {
+	id := fmt.Sprintf("i-desk-%d", i)
+	if s.directServices {
+		s.fleet.RegisteredAddress = nil
+		defer func() { s.fleet.RegisteredAddress = s.proxyFor }()
+		s.upstreams = append(s.upstreams, s.fleet.AddService(id))
+		s.upstreamProxies = append(s.upstreamProxies, nil)
+		return
+	}
+	s.upstreams = append(s.upstreams, s.fleet.AddService(id))
+	s.upstreamProxies = append(s.upstreamProxies, s.lastProxy())
+}
+
 // addEngine starts an engine and returns the settings of its host's agent.
 func (s *soak) addEngine(i int) hostconfig.Host {
 	ip := standin.NextIP()
