gateway: the end of an answer without a length is confirmed by the instance that sent it

Cause: the kernel ends the connections of a process that ended in order (FIN). confirmEnd asked whether the address takes connections, which a new instance does as well.

Change: the entry probes the address for the instance by its id (report of an engine, health probe of a plain service, with the header that makes any other instance reject it). An answer from it, of any status, proves that it had not ended before; a refusal, or another instance, that it has, which is also reported as its crash. Without an answer for 3 s (a sound upstream is silent for a second or so) or until the deadline the end is not proved and the answer counts as broken off. The check after an attempt that broke asks the same. A probe may wait 50 ms for a slot.

--- a/internal/core/catalog/manifest.go
+++ b/internal/core/catalog/manifest.go
@@ -103,6 +103,8 @@
 	// Origin is the address of the weights origin when this service is the origin, else empty.
 	Origin     string
 	DataCentre string
+	// HealthPath is the path of the health probe of the service's upstreams; empty if it names none.
+	HealthPath string
 	// ColdDuration is how long an upstream is cold after a start. ColdRate is the total rate, in requests per second, that a cold
 	// upstream accepts from all entries together. Both are 0 where upstreams accept the full load from their start.
 	ColdDuration time.Duration
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,6 +51,8 @@
 	sent bool
 	// unframed is set once the head of an unframed answer has arrived.
 	unframed bool
+	// instance is what a check at the end of the attempt found of the upstream's instance; empty if there was none.
+	instance instanceState
 	cancel   context.CancelCauseFunc
 	// silence reports that the upstream is silent, and cancels the attempt when it is to be given up.
 	silence *silence.Watch
@@ -154,8 +156,8 @@
 	defer a.recoverPanic()
 	answer, outcome, err := a.do(ctx, lastEventID)
 	a.recordUnframedEnd(outcome)
-	if outcome == forward.Broken && ctx.Err() == nil && !errors.Is(err, errCrashedAtEnd) { // That error is the result of such a check.
-		a.x.gateway.checkDown(ctx, a.decision.Upstream) // The reducer decides on the next attempt by it.
+	if outcome == forward.Broken && ctx.Err() == nil && a.instance == "" { // The reducer decides on the next attempt by it.
+		a.instance = a.x.gateway.checkInstance(ctx, a.decision.Upstream, brokenCheckTimeout)
 	}
 	a.queue.close(attemptEnd{outcome: outcome, err: err, answer: answer})
 }
--- a/internal/gateway/broken_off_test.go
+++ b/internal/gateway/broken_off_test.go
@@ -121,3 +121,56 @@
 		require.Less(t, time.Since(begin), readAfter)
 	}
 }
+
+// TestEndIsConfirmedByTheInstanceThatAnswered guards against taking a new instance at an address for the one that crashed there in the middle of
+// an answer without a length: its connection ended in order, behind a cut that healed after the new one had started.
+func TestEndIsConfirmedByTheInstanceThatAnswered(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name, path string
+		fault      standin.Fault
+		resumed    bool
+	}{
+		{name: "call that runs once", path: "/once/1", fault: standin.CrashMidAnswer},
+		{name: "stream that may be resumed", path: "/stream/1", fault: standin.CrashMidAnswer, resumed: true},
+		{name: "stream that may not", path: "/single/1", fault: standin.CrashMidAnswer},
+		{name: "failure of the upstream", path: "/once/1", fault: standin.CrashMidFailure},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			fleet := newUnframedFleet(t)
+			fleet.Crashing.Downtime = time.Millisecond
+			fleet.AddStream("/single/", false)
+			var links []*standin.Link
+			fleet.RegisteredAddress = func(address string) string {
+				links = append(links, standin.NewLink(t, address))
+				return links[len(links)-1].Address
+			}
+			upstreams := []*standin.Upstream{fleet.AddService("i-1"), fleet.AddEngine("i-2", standin.NextIP(), 1), fleet.AddEngine("i-3", standin.NextIP(), 1)}
+			e := start(t, fleet)
+			fleet.Crashing.BeforeCrash(func() {
+				for _, l := range links {
+					l.Cut()
+				}
+			})
+			fleet.Faults.Next(test.fault)
+			reply := make(chan standin.Reply, 1)
+			go func() { reply <- e.Post(test.path) }()
+			require.Eventually(t, func() bool {
+				for _, u := range upstreams {
+					if u.Instances() > 1 {
+						return true
+					}
+				}
+				return false
+			}, testTimeout, time.Millisecond)
+			time.Sleep(50 * time.Millisecond) // The new instance listens and is registered.
+			for _, l := range links {
+				l.Heal()
+			}
+			r := <-reply
+			require.False(t, r.Err == nil && r.Seal != "" && !isWhole(test.path, r), "%d, %q: a part that looks whole", r.Status, r.Body)
+			require.Equal(t, test.resumed, r.Err == nil && r.Status == http.StatusOK, "%d, %q, %v", r.Status, r.Body, r.Err)
+		})
+	}
+}
--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -11,11 +11,11 @@
 	"samphireweir.example/samphireweir/internal/logevent"
 )
 
-// errNoAnswer and errCrashedAtEnd are the errors of an answer without a length or chunks whose connection ended although it was not
-// complete.
+// The errors of an answer without a length or chunks whose connection ended, and which is not proved to be complete.
 var (
 	errNoAnswer     = errors.New("the upstream's connection ended before the first event")
-	errCrashedAtEnd = errors.New("the upstream is down, and its connection ended without an end of the answer")
+	errCrashedAtEnd = errors.New("the instance that sent the answer has ended, and its connection with it")
+	errUnconfirmed  = errors.New("the instance that sent the answer did not confirm that it still runs")
 )
 
 // isUnframed reports whether a response has neither a length nor chunks, so that the end of its connection is the end of its body.
@@ -23,18 +23,24 @@
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// confirmEnd checks the end of a response's body. The end of an unframed one says nothing by itself: the upstream's process may have
-// ended. started reports whether any of the answer was received, in this attempt or an earlier one.
+// confirmEnd checks the end of a response's body. The orderly end of an unframed one says nothing by itself: the kernel ends the connections of
+// a process that has ended in the same way. The instance that sent the answer proves that it had not, by an answer to a later probe. started
+// reports whether any of the answer was received, in this attempt or an earlier one.
 func (a *attempt) confirmEnd(ctx context.Context, resp *http.Response, started bool) error {
 	switch {
 	case !isUnframed(resp):
 		return nil
 	case !started:
 		return errNoAnswer
-	case a.x.gateway.checkDown(ctx, a.decision.Upstream):
+	}
+	a.instance = a.x.gateway.checkInstance(ctx, a.decision.Upstream, endCheckTimeout)
+	switch a.instance {
+	case instanceAlive:
+		return nil
+	case instanceEnded:
 		return errCrashedAtEnd
 	}
-	return nil
+	return errUnconfirmed
 }
 
 // recordUnframedEnd logs and counts how the connection of an unframed answer ended, and what showed that. It does nothing for other answers and
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,9 @@
 	metrics *telemetry.Metrics
 	// upstreamTransport sends requests to upstreams; traces is nil when tracing is off.
 	upstreamTransport http.RoundTripper
-	traces            *telemetry.Traces
+	// probeTransport sends instance probes.
+	probeTransport http.RoundTripper
+	traces         *telemetry.Traces
 	// storePeers are the entries of the data centre. In a large data centre, the others read the store through one of them.
 	storePeers *storefeed.Peers
 	// cache holds what was read from the store, for the processes that read the store through this one. store also reads through it.
@@ -130,7 +132,7 @@
 		demandSequence: balance.Sequence{Start: time.Now().UnixMilli()},
 		heard:          heardTimes{upstreams: map[catalog.Instance]*heardTime{}},
 		exchanges:      map[uint64]*exchange{}, memory: membudget.New(callerMemoryLimit(host), time.Now),
-		upstreamTransport: upstreamClient.Transport, traces: traces,
+		upstreamTransport: upstreamClient.Transport, probeTransport: newUpstreamTransport(), traces: traces,
 		store:       storePeers.Reader(directStore, control.NewPool(self, "", dialPeer), cache),
 		directStore: directStore, dialPeer: dialPeer, quarantineChanged: make(chan struct{}, 1),
 	}
--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -1,25 +1,15 @@
 package gateway
 
 import (
-	"context"
-	"net"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"samphireweir.example/samphireweir/internal/core/attribution"
-	"samphireweir.example/samphireweir/internal/core/catalog"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/logevent"
 )
 
-const (
-	// evidenceSendInterval is the least time between two heartbeats that are sent because this entry observed something about a crash.
-	evidenceSendInterval = 100 * time.Millisecond
-	// downCheckTimeout limits the check whether an upstream is down.
-	downCheckTimeout = 150 * time.Millisecond
-)
+// evidenceSendInterval is the least time between two heartbeats that are sent because this entry observed something about a crash.
+const evidenceSendInterval = 100 * time.Millisecond
 
 // sendEvidence sends heartbeats at once after this entry observed something about a crash.
 func (g *Gateway) sendEvidence() {
@@ -44,20 +34,3 @@
 	default: // The store is to be brought up to date already.
 	}
 }
-
-// checkDown finds out whether an upstream is down after an attempt broke there, and reports it to the reducer if it is. It then refuses
-// connections, since its process has ended.
-func (g *Gateway) checkDown(ctx context.Context, u *catalog.Upstream) bool {
-	ctx, cancel := context.WithTimeout(ctx, downCheckTimeout)
-	defer cancel()
-	conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", u.Address)
-	if err == nil {
-		_ = conn.Close()
-		return false
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return false
-	}
-	g.step(forward.UpstreamDown{Upstream: u.Instance()})
-	return true
-}
