forward: copies of a request don't wait for an upstream that is alive

Since the check after a broken attempt asks the instance, the entry knows that it did not crash.

Change: the end of an attempt says whether the instance answered after it; if so, the break holds no copies back. An upstream that is found down within the window still counts as crashed by the request. What is best for callers decides: a copy that may crash an upstream waits, one that can't have done so needn't.

--- a/internal/core/forward/forward.go
+++ b/internal/core/forward/forward.go
@@ -123,6 +123,8 @@
 	SinceLastPart time.Duration
 	// MaxGap is the longest gap between two events of a complete stream from a single attempt; 0 if it is unknown.
 	MaxGap time.Duration
+	// UpstreamAlive is set if the upstream's instance answered after the attempt ended, so that it did not crash with it.
+	UpstreamAlive bool
 }
 
 // TimedOut is the event that a request's deadline has passed.
--- a/internal/core/forward/quarantine.go
+++ b/internal/core/forward/quarantine.go
@@ -196,12 +196,14 @@
 	case NotSent:
 		return s.foundDown(in, r.instance)
 	case Broken:
-		return s.recordBreak(in, r)
+		return s.recordBreak(in, r, ev.UpstreamAlive)
 	}
 	return nil
 }
 
-func (s *State) recordBreak(in step.Input, r *request) []step.Effect {
+// recordBreak records that an attempt broke. If its upstream was alive after that, other requests with the fingerprint need not wait, and it counts as
+// a crash only if the upstream is found down all the same.
+func (s *State) recordBreak(in step.Input, r *request, upstreamAlive bool) []step.Effect {
 	if r.fingerprint == 0 && len(r.parts) == 0 {
 		return nil
 	}
@@ -210,7 +212,7 @@
 		return s.recordCrash(in, broken, r.instance)
 	}
 	l.brokenRequests = append(withoutOldRequests(l.brokenRequests, in.Now), broken)
-	if r.fingerprint == 0 {
+	if r.fingerprint == 0 || upstreamAlive {
 		return nil
 	}
 	s.breaks[r.fingerprint] = append(withoutOldBreaks(s.breaks[r.fingerprint], in.Now), breakRecord{upstream: r.instance, brokeAt: in.Now})
--- a/internal/core/forward/quarantine_test.go
+++ b/internal/core/forward/quarantine_test.go
@@ -371,3 +371,28 @@
 	}
 	require.LessOrEqual(t, later, maxLaterSends, "%d crashes", crashes)
 }
+
+// TestCopiesDoNotWaitForAnUpstreamThatIsAlive guards against refusing copies of a request whose attempts broke although their upstreams are known to
+// have survived that. Those of which that is not known still count as possible crashes, and so does an upstream that is found down later.
+func TestCopiesDoNotWaitForAnUpstreamThatIsAlive(t *testing.T) {
+	for _, alive := range []bool{true, false} {
+		r := newEnginesRig(8)
+		for id := uint64(1); id <= quarantine.CrashThreshold; id++ {
+			only[forward.Send](t, r.arriveCopy(id, crashingFingerprint))
+		}
+		for id := uint64(1); id <= quarantine.CrashThreshold; id++ {
+			r.step(forward.AttemptEnded{ID: id, Outcome: forward.Broken, Partial: true, UpstreamAlive: alive})
+		}
+		require.Equal(t, alive, len(sentIDs(r.arriveCopy(9, crashingFingerprint))) == 1, "alive: %v", alive)
+	}
+	r := newEnginesRig(8)
+	var sent []forward.Send
+	for id := uint64(1); id <= quarantine.CrashThreshold; id++ {
+		sent = append(sent, only[forward.Send](t, r.arriveCopy(id, crashingFingerprint)))
+	}
+	for _, s := range sent {
+		r.step(forward.AttemptEnded{ID: s.ID, Outcome: forward.Broken, Partial: true, UpstreamAlive: true})
+		r.step(forward.UpstreamDown{Upstream: s.Upstream.Instance()})
+	}
+	require.Empty(t, sentIDs(r.arriveCopy(9, crashingFingerprint)), "all three were found down")
+}
--- a/internal/gateway/answer_queue.go
+++ b/internal/gateway/answer_queue.go
@@ -14,6 +14,8 @@
 	err error
 	// answer is the answer, or the upstream's own failure, if it was buffered. It is nil for a stream.
 	answer *response
+	// instance is what a check found of the upstream's instance; empty if there was none.
+	instance instanceState
 }
 
 // answerQueue holds what was read of one attempt's answer and not yet passed on, so that the upstream is read at full speed however slowly the
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -159,7 +159,7 @@
 	if outcome == forward.Broken && ctx.Err() == nil && a.instance == "" { // The reducer decides on the next attempt by it.
 		a.instance = a.x.gateway.checkInstance(ctx, a.decision.Upstream, brokenCheckTimeout)
 	}
-	a.queue.close(attemptEnd{outcome: outcome, err: err, answer: answer})
+	a.queue.close(attemptEnd{outcome: outcome, err: err, answer: answer, instance: a.instance})
 }
 
 // recoverPanic ends an attempt that panicked. The HTTP server recovers panics only in its own goroutines; without this, a panic would end
--- a/internal/gateway/deliver.go
+++ b/internal/gateway/deliver.go
@@ -159,7 +159,7 @@
 	case end.outcome == forward.Answered:
 		return x.deliver(a, end.answer)
 	}
-	x.reportAttemptEnd(a, end.outcome)
+	x.reportAttemptEnd(a, end)
 	return false
 }
 
@@ -180,7 +180,7 @@
 	} else {
 		x.writeHeader(a.queue.head())
 	}
-	x.reportAttemptEnd(a, forward.Answered)
+	x.reportAttemptEnd(a, attemptEnd{outcome: forward.Answered})
 	x.recordEnd("answered", "")
 	x.end.complete = true
 	return true
@@ -197,13 +197,13 @@
 	x.gateway.metrics.AttemptsFailed.Add(1, string(end.outcome))
 }
 
-// reportAttemptEnd reports the outcome of an attempt to the reducer.
-func (x *exchange) reportAttemptEnd(a *attempt, outcome forward.Outcome) {
-	ev := forward.AttemptEnded{ID: x.id, Attempt: a.decision.Attempt, Outcome: outcome, Partial: x.headerSent}
+// reportAttemptEnd reports the end of an attempt to the reducer.
+func (x *exchange) reportAttemptEnd(a *attempt, end attemptEnd) {
+	ev := forward.AttemptEnded{ID: x.id, Attempt: a.decision.Attempt, Outcome: end.outcome, Partial: x.headerSent, UpstreamAlive: end.instance == instanceAlive}
 	if x.headerSent {
 		ev.SinceLastPart = time.Since(x.lastWriteAt)
 	}
-	if outcome == forward.Answered && a.decision.Attempt == 1 {
+	if end.outcome == forward.Answered && a.decision.Attempt == 1 {
 		ev.MaxGap = x.timing.maxUpstreamGap
 	}
 	x.gateway.step(ev)
