boundedread, platform, hostagent: answers are bounded by their call, and all together by the host's memory

Cause: 64 MiB of any answer of the engine, several at once, counted nowhere.

Change: a limit for each call (chunk: its size, list 1 MiB, report 256 KiB, status 64 KiB), and a budget of an eighth of the memory for all answers that a process reads by HTTP, of agents and of entries' reads of the store. Large answers leave a quarter of it to small ones. The assumed memory without a limit is in hostconfig now, once.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,7 +119,8 @@
 	storePeers, cache := storefeed.NewPeers(host, self, false, log), storefeed.NewCache(host.ChangeTime())
 	storeTransport := newStoreTransport()
 	dialPeer := storeTransport.DialContext
-	directStore := platform.NewStore(host.Store, &http.Client{Transport: storeTransport})
+	answers := boundedread.NewBudget(host.MemoryLimit() / boundedread.MemoryDivisor)
+	directStore := platform.NewStore(host.Store, &http.Client{Transport: answers.Transport(storeTransport)})
 	upstreamClient := &http.Client{Transport: newUpstreamTransport()}
 	traces.Client(upstreamClient, telemetry.AttemptSpanName)
 	g := &Gateway{
@@ -147,17 +148,10 @@
 	// heldMemoryDivisor limits the bodies of the requests that wait for the end of an outage to a part of the bytes held for callers,
 	// so that new requests still find memory.
 	heldMemoryDivisor = 4
-	// defaultMemoryBytes is the assumed memory of the process when the platform sets no limit.
-	defaultMemoryBytes = 256 << 20
 )
 
 // callerMemoryLimit returns the maximum number of bytes held for callers.
-func callerMemoryLimit(host hostconfig.Host) int64 {
-	if host.MemoryBytes <= 0 {
-		return defaultMemoryBytes / callerMemoryDivisor
-	}
-	return host.MemoryBytes / callerMemoryDivisor
-}
+func callerMemoryLimit(host hostconfig.Host) int64 { return host.MemoryLimit() / callerMemoryDivisor }
 
 // newUpstreamTransport returns a transport that opens a new connection for each request, which costs one round trip. A reused connection
 // may no longer be served, may be about to be closed by the other side, or may carry a late response to an earlier request. In each of
--- a/internal/hostagent/export_test.go
+++ b/internal/hostagent/export_test.go
@@ -6,14 +6,18 @@
 	"net/netip"
 	"time"
 
+	"samphireweir.example/samphireweir/internal/boundedread"
 	"samphireweir.example/samphireweir/internal/core/install"
+	"samphireweir.example/samphireweir/internal/hostconfig"
 	"samphireweir.example/samphireweir/internal/loadreport"
 	"samphireweir.example/samphireweir/internal/manifest"
 	"samphireweir.example/samphireweir/internal/owndelay"
 )
 
 // NewClient returns a client as the agent uses it for its engine, the store and peers.
-func NewClient() *http.Client { return newClient(&net.Dialer{}) }
+func NewClient() *http.Client {
+	return newClient(&net.Dialer{}, boundedread.NewBudget(hostconfig.Host{}.MemoryLimit()))
+}
 
 // Receive handles a message as if it had come from the socket.
 func (a *Agent) Receive(from netip.AddrPort, m loadreport.Message) { a.handleHeartbeat(from, m) }
--- a/internal/hostagent/hostagent.go
+++ b/internal/hostagent/hostagent.go
@@ -99,9 +99,10 @@
 func New(host hostconfig.Host, log zerolog.Logger, m *telemetry.Metrics, traces *telemetry.Traces) *Agent {
 	self := net.JoinHostPort(host.IP, strconv.Itoa(host.PeerPort))
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}}
-	client := newClient(dialer)
+	answers := boundedread.NewBudget(host.MemoryLimit() / boundedread.MemoryDivisor)
+	client := newClient(dialer, answers)
 	traces.Client(client, telemetry.PeerSpanName)
-	originClient := newOriginClient(dialer)
+	originClient := newOriginClient(dialer, answers)
 	traces.Client(originClient, telemetry.OriginSpanName)
 	storePeers, pool := storefeed.NewPeers(host, self, true, log), control.NewPool(self, "", dialer.DialContext)
 	a := &Agent{
@@ -127,20 +128,20 @@
 }
 
 // newClient returns a client for the engine, the store and peers.
-func newClient(dialer *net.Dialer) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+func newClient(dialer *net.Dialer, answers *boundedread.Budget) *http.Client {
+	return &http.Client{Transport: answers.Transport(&http.Transport{
 		DialContext: connend.Dialer(dialer.DialContext), DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: 5 * time.Second,
 		MaxResponseHeaderBytes: boundedread.MaxHeadBytes,
-	}}
+	})}
 }
 
 // newOriginClient returns a client for the origin. The origin accepts a bounded number of connections from all hosts together, so a host
 // opens one at a time and keeps it only while it is in use.
-func newOriginClient(dialer *net.Dialer) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+func newOriginClient(dialer *net.Dialer, answers *boundedread.Budget) *http.Client {
+	return &http.Client{Transport: answers.Transport(&http.Transport{
 		DialContext: connend.Dialer(dialer.DialContext), DisableCompression: true, MaxConnsPerHost: 1, IdleConnTimeout: originIdleTimeout,
 		MaxResponseHeaderBytes: boundedread.MaxHeadBytes,
-	}}
+	})}
 }
 
 // originParams returns the origin's address and the number of chunks of a version.
--- a/internal/hostagent/staging.go
+++ b/internal/hostagent/staging.go
@@ -41,7 +41,7 @@
 		if index < 0 || index >= len(m.Chunks) {
 			continue
 		}
-		data, err := a.engine.StageGet(ctx, model, index)
+		data, err := a.engine.StageGet(ctx, model, index, m.Chunks[index].Size)
 		if err != nil || !matches(data, m.Chunks[index]) {
 			if n == 0 {
 				return nil, nil // Another version is staged.
@@ -172,7 +172,7 @@
 			return stored, errPassSuperseded
 		}
 		if staged[index] {
-			data, err := a.engine.StageGet(ctx, model, index)
+			data, err := a.engine.StageGet(ctx, model, index, c.Size)
 			if err == nil && matches(data, c) {
 				continue
 			}
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -32,7 +32,7 @@
 	// StoreReadsPerSecond is the number of reads per second that the store allows all processes together; 0 when the platform does
 	// not specify it.
 	StoreReadsPerSecond float64
-	// MemoryBytes is the memory limit of a process, in bytes.
+	// MemoryBytes is the memory limit of a process, in bytes; 0 when the platform sets none. See MemoryLimit.
 	MemoryBytes int64
 	// LinkBytesPerSecond is the bandwidth of the host's network link, in bytes per second.
 	LinkBytesPerSecond int64
@@ -118,3 +118,14 @@
 	// Window is the time over which requests and retries are counted.
 	Window time.Duration
 }
+
+// defaultMemoryBytes is the assumed memory of a process when the platform sets no limit.
+const defaultMemoryBytes = 256 << 20
+
+// MemoryLimit returns the memory of a process, in bytes, of which its budgets are parts.
+func (h Host) MemoryLimit() int64 {
+	if h.MemoryBytes <= 0 {
+		return defaultMemoryBytes
+	}
+	return h.MemoryBytes
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -98,6 +98,8 @@
 	directEngines bool
 	// directServices is set if there are no proxies in front of the plain services, so that a reset arrives as one.
 	directServices bool
+	// agentMemory is the memory limit of the agents, in bytes; 0 for the stand-in's.
+	agentMemory int64
 	// engineRestarts counts the restarts of engines by injectors.
 	engineRestarts atomic.Int64
 
@@ -161,6 +163,9 @@
 func (s *soak) addEngine(i int) hostconfig.Host {
 	ip := standin.NextIP()
 	agent := s.fleet.Host(ip, true)
+	if s.agentMemory > 0 {
+		agent.MemoryBytes = s.agentMemory
+	}
 	id := fmt.Sprintf("i-engine-%d", i)
 	if s.directEngines {
 		s.fleet.RegisteredAddress = nil
