gateway: a refusal reaches a caller that still sends

Traced: net/http closes a connection at once, and not half a second later, if the request says Connection: close and its body was not read (transfer.go: nothing is left to read for a next request, so the early close is not noted); the unread bytes make the kernel reset it, and the reset drops the refusal. Bodies over 16 MiB were ended by an abort without any refusal.

A body over the limit is refused with 413.

Evidence: TestRefusalReachesACallerThatStillSends without the lingering: failed, 1 of 1; with it 5 of 5 passed.

--- a/internal/gateway/broken_off_test.go
+++ b/internal/gateway/broken_off_test.go
@@ -174,3 +174,36 @@
 		})
 	}
 }
+
+// TestRefusalReachesACallerThatStillSends guards against a refusal that its caller can't read: the entry closes the connection while the caller still
+// sends the body, and the reset drops the refusal.
+func TestRefusalReachesACallerThatStillSends(t *testing.T) {
+	t.Parallel()
+	fleet := standin.NewFleet(t)
+	for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
+		fleet.AddService(id)
+	}
+	host := fleet.Host(standin.NextIP(), false)
+	host.MemoryBytes = 16 << 20
+	e := startHost(t, fleet, host)
+	const callers = 30
+	replies := make(chan standin.Reply, callers)
+	for n := range callers {
+		go func() {
+			length := longBodyBytes
+			if n%5 == 0 { // More than any caller may send.
+				length = 20 << 20
+			}
+			replies <- e.Do(context.Background(), standin.Request{Path: "/once/1", Body: strings.Repeat("x", length)})
+		}()
+	}
+	refused := 0
+	for range callers {
+		r := <-replies
+		require.NoError(t, r.Err, "neither an answer nor a refusal")
+		if r.Status != http.StatusOK {
+			refused++
+		}
+	}
+	require.NotZero(t, refused)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -102,10 +102,13 @@
 // readBody reads the body of the request. It reports whether processing continues.
 func (x *exchange) readBody() bool {
 	body, err := io.ReadAll(accountedBody(http.MaxBytesReader(x.w, x.r.Body, maxBodyBytes), x.reservation))
+	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, membudget.ErrFull):
-		x.w.Header().Set("Connection", "close") // The rest of the body is left unread, so the connection can't be reused.
-		x.refuse(forward.Refuse{ID: x.id, Code: code.MemoryFull, Ran: code.NotRun, Reason: err.Error(), RetryAfter: memoryFullRetryAfter})
+		x.refuseUnread(forward.Refuse{ID: x.id, Code: code.MemoryFull, Ran: code.NotRun, Reason: err.Error(), RetryAfter: memoryFullRetryAfter})
+		return false
+	case errors.As(err, &tooLarge):
+		x.refuseUnread(forward.Refuse{ID: x.id, Code: code.BodyTooLarge, Ran: code.NotRun, Reason: err.Error()})
 		return false
 	case err != nil:
 		// Nothing was sent to an upstream, and the caller's connection is unusable.
@@ -118,6 +121,13 @@
 	return true
 }
 
+// refuseUnread refuses a request whose body is not read to its end. Its connection can't be reused.
+func (x *exchange) refuseUnread(e forward.Refuse) {
+	x.w.Header().Set("Connection", "close")
+	lingerOnClose(x.r)
+	x.refuse(e)
+}
+
 // abortEvicted ends a request whose reservation was evicted because its caller made no progress for too long.
 func (x *exchange) abortEvicted() {
 	x.gateway.step(forward.CallerGone{ID: x.id})
