gateway: read bodies into parts, without a copy at each growth

The limits are unchanged, so that as many are refused: one account may hold half of the memory for callers, so that the others find some.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -14,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"samphireweir.example/samphireweir/internal/boundedread"
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
@@ -101,13 +101,12 @@
 
 // readBody reads the body of the request. It reports whether processing continues.
 func (x *exchange) readBody() bool {
-	body, err := io.ReadAll(accountedBody(http.MaxBytesReader(x.w, x.r.Body, maxBodyBytes), x.reservation))
-	var tooLarge *http.MaxBytesError
+	body, err := boundedread.All(accountedBody(x.r.Body, x.reservation), maxBodyBytes)
 	switch {
 	case errors.Is(err, membudget.ErrFull):
 		x.refuseUnread(forward.Refuse{ID: x.id, Code: code.MemoryFull, Ran: code.NotRun, Reason: err.Error(), RetryAfter: memoryFullRetryAfter})
 		return false
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, boundedread.ErrTooLarge):
 		x.refuseUnread(forward.Refuse{ID: x.id, Code: code.BodyTooLarge, Ran: code.NotRun, Reason: err.Error()})
 		return false
 	case err != nil:
