gateway: event 4027 names what a probe found of the instance

The event told how the connection of an unframed answer ended, and not whether its instance confirmed that; both decide whether the answer is whole.

--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -51,7 +51,7 @@
 		return
 	}
 	logevent.Info(a.x.gateway.log, logevent.UnframedAnswerEnded).Str("request", a.x.call.CallerAttemptID).Str("upstream", a.decision.Upstream.ID).
-		Int("sends", a.decision.Attempt).Str("outcome", string(outcome)).Str("end", string(end.How)).Str("shown_by", string(end.Evidence)).
+		Int("sends", a.decision.Attempt).Str("outcome", string(outcome)).Str("end", string(end.How)).Str("shown_by", string(end.Evidence)).Str("instance", string(a.instance)).
 		Uint64("bytes", end.BytesRead).Msg("unframed answer ended")
 	a.x.gateway.metrics.UnframedAnswers.Add(1, string(outcome), string(end.How), string(end.Evidence))
 }
