control: the head of a peer's answer is read within its limit

Cause, from a heap profile at the peak: 98% of the live memory is one header line of the answer to an upgrade request, which control.Pool reads from its connection without a limit.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"samphireweir.example/samphireweir/internal/boundedread"
 	"samphireweir.example/samphireweir/internal/code"
 )
 
@@ -287,8 +288,7 @@
 	if err := req.Write(conn); err != nil {
 		return nil, err
 	}
-	r := bufio.NewReader(conn)
-	resp, err := http.ReadResponse(r, req)
+	resp, r, err := boundedread.ReadResponse(conn, req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"samphireweir.example/samphireweir/internal/boundedread"
 	"samphireweir.example/samphireweir/internal/code"
 	"samphireweir.example/samphireweir/internal/control"
 )
@@ -109,6 +110,31 @@
 	require.NoError(t, newPool().Call(context.Background(), address, "echo", echo{Text: "z"}, &got))
 }
 
+// TestHeadWithoutEndIsGivenUp guards against a peer in trouble whose head without an end fills the memory of each process that calls it.
+func TestHeadWithoutEndIsGivenUp(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	sent := make(chan int, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		total, more := 0, []byte(strings.Repeat("x", 32<<10))
+		_, err = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nA: ")
+		for err == nil {
+			var n int
+			n, err = conn.Write(more)
+			total += n
+		}
+		sent <- total
+	}()
+	err = newPool().Call(context.Background(), l.Addr().String(), "echo", echo{}, &echo{})
+	require.ErrorIs(t, err, boundedread.ErrTooLarge)
+	require.Less(t, <-sent, 64<<20, "the connection is closed at the limit")
+}
+
 // TestCallToUnreachablePeerFails guards against a call that hangs or succeeds when nothing listens at the peer's address.
 func TestCallToUnreachablePeerFails(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
