node, connend: a refusal reaches a caller that still sends, on the first version's path too

The same as on the users' platform: a caller with Connection: close whose request was answered before its body was read got a reset. Besides, the guard replaces the body of the server's request, so that net/http never knows that it was closed early. The lingering connection moves from the gateway to connend as a type of its own, with its limits unchanged, and the callers' connections of this path use it. Connections with TLS have none yet.

--- a/internal/gateway/arrival.go
+++ b/internal/gateway/arrival.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -20,7 +19,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &arrivalConn{Conn: c}, nil
+	return &arrivalConn{LingeringConn: connend.NewLingering(c)}, nil
 }
 
 // arrivalConn is a caller's connection that knows since when its first request may have waited in the kernel for this process to read it.
@@ -31,49 +30,19 @@
 // at the first look, the process was in time. A read that waits and is woken late is not covered, nor is a later request on the connection:
 // the kernel keeps only the time of the last data, which is that of the body.
 type arrivalConn struct {
-	net.Conn
+	*connend.LingeringConn
 	looked bool
 	// waitingSince is when the first request may have arrived; zero if the first look found nothing, or once it was taken.
 	waitingSince time.Time
 	// idle closes the connection once it has been idle for too long; nil while it is in use. Only the server's hook uses it.
 	idle *time.Timer
-	// lingers is set if the caller may still send its request when the connection is closed.
-	lingers atomic.Bool
-}
-
-const (
-	// lingerIdleTimeout is how long a caller whose request was refused before it was read may send nothing, and lingerLimit how long it may send
-	// at all, until its connection is closed. Callers read a refusal within that.
-	lingerIdleTimeout = time.Second
-	lingerLimit       = 5 * time.Second
-	// maxLingering is the maximum number of connections that linger; each takes up a file descriptor.
-	maxLingering = 512
-)
-
-// lingering is the number of connections that linger.
-var lingering atomic.Int64
-
-// Close implements net.Conn. A connection that lingers is closed in the background.
-func (c *arrivalConn) Close() error {
-	if !c.lingers.CompareAndSwap(true, false) {
-		return c.Conn.Close()
-	}
-	if lingering.Add(1) > maxLingering {
-		lingering.Add(-1)
-		return c.Conn.Close()
-	}
-	go func() {
-		defer lingering.Add(-1)
-		_ = connend.CloseLingering(c.Conn, lingerIdleTimeout, lingerLimit) // The caller's end of it is of no further use.
-	}()
-	return nil
 }
 
 // lingerOnClose lets the connection of a request that is answered before its body was read linger when it is closed. A reset would drop the answer
 // before the caller, which still sends, has read it.
 func lingerOnClose(r *http.Request) {
 	if c, ok := r.Context().Value(arrivalKey{}).(*arrivalConn); ok {
-		c.lingers.Store(true)
+		c.LingerOnClose()
 	}
 }
 
--- a/internal/gateway/export_test.go
+++ b/internal/gateway/export_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"samphireweir.example/samphireweir/internal/connend"
 	"samphireweir.example/samphireweir/internal/core/forward"
 	"samphireweir.example/samphireweir/internal/core/step"
 	"samphireweir.example/samphireweir/internal/loadreport"
@@ -26,7 +27,7 @@
 
 // WaitsAtFirstLook reports whether a look at an accepted connection finds a request that waits, and since when.
 func WaitsAtFirstLook(c net.Conn) (since time.Time) {
-	a := &arrivalConn{Conn: c}
+	a := &arrivalConn{LingeringConn: connend.NewLingering(c)}
 	a.look(time.Now())
 	return a.waitingSince
 }
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -69,9 +69,18 @@
 		defer g.release()
 		defer p.recoverRequest(g, r)
 		next.ServeHTTP(g, r)
+		g.lingerIfUnread(r)
 	})
 }
 
+// lingerIfUnread lets the connection of a request linger whose body was not read to its end, so that the answer reaches a caller that still sends it.
+func (g *guardedWriter) lingerIfUnread(r *http.Request) {
+	conn, ok := r.Context().Value(connKey{}).(interface{ LingerOnClose() })
+	if ok && g.body != nil && !g.body.ended() {
+		conn.LingerOnClose()
+	}
+}
+
 // recoverRequest answers a request whose handler panicked. It passes on http.ErrAbortHandler, which aborts an answer on
 // purpose, and aborts an answer that has already started, so that it can't look complete.
 func (p *Process) recoverRequest(g *guardedWriter, r *http.Request) {
@@ -182,6 +191,8 @@
 	// readStartedAt is when the last read started.
 	readStartedAt time.Time
 	released      bool
+	// sawEnd is set once the body was read to its end.
+	sawEnd bool
 	// deadline is the handler's own read deadline; zero for none.
 	deadline time.Time
 }
@@ -208,6 +219,13 @@
 	return nil
 }
 
+// ended reports whether the body was read to its end.
+func (b *guardedBody) ended() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sawEnd
+}
+
 func (b *guardedBody) setDeadline(t time.Time) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -228,6 +246,7 @@
 	defer b.mu.Unlock()
 	b.rate.Bytes += int64(n)
 	b.rate.Waited += time.Since(b.readStartedAt)
+	b.sawEnd = b.sawEnd || err == io.EOF
 	if b.released {
 		return err
 	}
--- a/internal/node/guard_test.go
+++ b/internal/node/guard_test.go
@@ -196,3 +196,25 @@
 	require.ErrorAs(t, errBodyTooSlow(), &coded)
 	require.Equal(t, code.BodyTooSlow, coded.Code)
 }
+
+// TestRefusalReachesACallerThatStillSends guards against a refusal that its caller can't read: the connection is closed while the caller still sends the
+// body, and the reset drops the refusal.
+func TestRefusalReachesACallerThatStillSends(t *testing.T) {
+	p, _ := newLateProcess(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p.Serve(WithCodedRejections(l), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(func() { stopProcess(p) })
+	for range 20 {
+		req, err := http.NewRequest(http.MethodPost, "http://"+l.Addr().String(), bytes.NewReader(make([]byte, 8<<20)))
+		require.NoError(t, err)
+		resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, "refused\n", string(body))
+	}
+}
--- a/internal/node/refusals.go
+++ b/internal/node/refusals.go
@@ -7,6 +7,7 @@
 	"net"
 
 	"samphireweir.example/samphireweir/internal/code"
+	"samphireweir.example/samphireweir/internal/connend"
 )
 
 // serverErrorHeader is the end of the header of an error response that net/http itself writes for a malformed request.
@@ -27,11 +28,20 @@
 	if err != nil || !ok {
 		return conn, err
 	}
-	return &rejectionConn{tcp}, nil
+	return &rejectionConn{TCPConn: tcp, linger: connend.NewLingering(tcp)}, nil
 }
 
 // rejectionConn is a caller's connection that replaces the error responses of net/http.
-type rejectionConn struct{ *net.TCPConn }
+type rejectionConn struct {
+	*net.TCPConn
+	linger *connend.LingeringConn
+}
+
+// LingerOnClose lets the connection linger when it is closed.
+func (c *rejectionConn) LingerOnClose() { c.linger.LingerOnClose() }
+
+// Close closes the connection.
+func (c *rejectionConn) Close() error { return c.linger.Close() }
 
 // Write writes p, or a rejection with a result code if p is an error response of net/http.
 func (c *rejectionConn) Write(p []byte) (int, error) {
