--- a/cmd/gauge/main.go
+++ b/cmd/gauge/main.go
@@ -1,5 +1,5 @@
-// Command gauge sets the latest figures of each day of the users' bench beside the best ever recorded, from the bench's journal. It exits with 1 if one lies
-// below its best by more than the spread of its runs.
+// Command gauge sets the latest figures of each day of the users' bench beside the best ever recorded, from the bench's journal. It exits with 1
+// if one lies below its best by more than the spread of its runs.
 package main
 
 import (
--- a/internal/connend/available.go
+++ b/internal/connend/available.go
@@ -7,19 +7,19 @@
 	"syscall"
 )
 
-// ReadAvailable reads what has arrived, without waiting. It returns os.ErrDeadlineExceeded if there is nothing, and false if the connection is no
+// ReadAvailable reads what has arrived, without waiting. It returns os.ErrDeadlineExceeded if there is nothing; ok is false if the connection is no
 // socket. A read deadline that has passed makes it fail without a look.
-func (c *Conn) ReadAvailable(p []byte) (n int, err error, ok bool) {
+func (c *Conn) ReadAvailable(p []byte) (n int, ok bool, err error) {
 	socket, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return 0, nil, false
+		return 0, false, nil
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return 0, err, true
+		return 0, true, err
 	}
 	n, err = readAvailable(raw, p)
-	return n, c.recordRead(n, err), true
+	return n, true, c.recordRead(n, err)
 }
 
 // readAvailable reads from a socket what has arrived. It returns os.ErrDeadlineExceeded if there is nothing.
--- a/internal/connend/connend.go
+++ b/internal/connend/connend.go
@@ -10,6 +10,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -152,9 +153,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.read += uint64(n)
-	var netErr net.Error
 	switch {
-	case err == nil, errors.As(err, &netErr) && netErr.Timeout() && !errors.Is(err, syscall.ETIMEDOUT), errors.Is(err, net.ErrClosed):
+	case err == nil, isLocal(err):
 		return err
 	case err != io.EOF:
 		c.end = End{How: Aborted, Evidence: ReadError, BytesRead: c.read}
@@ -171,6 +171,12 @@
 	return ErrAborted
 }
 
+// isLocal reports whether an error of a read comes from this process, and says nothing of the connection: it was closed here, or its read deadline has
+// passed.
+func isLocal(err error) bool {
+	return errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // proof returns how a connection ended whose read found an end. The caller holds mu.
 func (c *Conn) proof() End {
 	if socket, ok := c.Conn.(syscall.Conn); ok {
--- a/internal/node/arrived_test.go
+++ b/internal/node/arrived_test.go
@@ -131,8 +131,8 @@
 	readAnswer(t, c)
 }
 
-// TestConnectionThatIsBeingAcceptedIsServedBeforeClose guards against a stopping process that resets a connection which it has taken from the kernel and,
-// being late, does not know yet.
+// TestConnectionThatIsBeingAcceptedIsServedBeforeClose guards against a stopping process that resets a connection which it has taken from the
+// kernel and, being late, does not know yet.
 func TestConnectionThatIsBeingAcceptedIsServedBeforeClose(t *testing.T) {
 	p, l := newLateProcess(t)
 	l.lateAfterAccept.Store(true)
--- a/internal/node/guard_test.go
+++ b/internal/node/guard_test.go
@@ -197,8 +197,8 @@
 	require.Equal(t, code.BodyTooSlow, coded.Code)
 }
 
-// TestRefusalReachesACallerThatStillSends guards against a refusal that its caller can't read: the connection is closed while the caller still sends the
-// body, and the reset drops the refusal.
+// TestRefusalReachesACallerThatStillSends guards against a refusal that its caller can't read: the connection is closed while the caller still
+// sends the body, and the reset drops the refusal.
 func TestRefusalReachesACallerThatStillSends(t *testing.T) {
 	p, _ := newLateProcess(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/node/tracked_listener.go
+++ b/internal/node/tracked_listener.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// settle waits until the Accept in progress has ended, whose connection is known then, and has it end if it only waits for one. It reports false if that
-// takes longer than limit, and true at once for a listener that can't be interrupted.
+// settle waits until the Accept in progress has ended, whose connection is known then, and has it end if it only waits for one. It reports false
+// if that takes longer than limit, and true at once for a listener that can't be interrupted.
 func (l *trackedListener) settle(limit time.Duration) bool {
 	l.mu.Lock()
 	if !l.accepting {
--- a/internal/silence/look.go
+++ b/internal/silence/look.go
@@ -12,7 +12,7 @@
 // setting the deadline and reading would find nothing, whatever has arrived.
 func (c *Conn) lastLook(p []byte) (int, error) {
 	c.limitRead(0)
-	if n, err, ok := c.ReadAvailable(p); ok {
+	if n, ok, err := c.ReadAvailable(p); ok {
 		return n, err
 	}
 	c.limitRead(lastLookTimeout)
